--- /dev/null
+++ b/src/bin/coveproxy.rs
@@ -0,0 +1,5 @@
+//! The command line.
+
+fn main() -> std::process::ExitCode {
+    coveproxy::cli::run()
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! coveproxy: a serving layer for very many LoRA adapters on a few shared model engines.
+//!
+//! Modules follow life span: `process`, `version`, `connection`, `request`.
+
+pub mod cli;
+pub mod client;
+pub mod connection;
+pub mod demo;
+pub mod errors;
+pub mod process;
+pub mod request;
+pub mod standin;
+pub mod timeline;
+pub mod version;
--- /dev/null
+++ b/src/process/control/input.rs
@@ -0,0 +1,125 @@
+use {
+    crate::{
+        connection::{
+            platform::{ListedHost, RowScan},
+            target::{EngineOrder, EngineReport},
+        },
+        errors::TargetError,
+        process::{
+            loads::{AskId, LoadAsk},
+            membership::{Heartbeat, Rumor},
+            ownership::{OwnerRow, SessionRow},
+            target::{Ticket, TicketId},
+        },
+        version::{AdapterVersion, SiteConfig},
+    },
+    std::{sync::Arc, time::Instant},
+};
+
+/// Everything that the control state learns of.
+#[derive(Debug)]
+pub enum Input {
+    Tick,
+    /// A request asks for leave to run at a target.
+    Arrival {
+        target: String,
+        ticket: Ticket,
+    },
+    /// A request waits or runs no more.
+    End {
+        target: String,
+        ticket: TicketId,
+        /// True when its end was seen at the target.
+        settled: bool,
+    },
+    /// A target was reached by a request, or not.
+    Contact {
+        target: String,
+        reached: bool,
+    },
+    /// An engine lacks an adapter that it was believed to hold.
+    AdapterMissing {
+        target: String,
+        model: AdapterVersion,
+    },
+    /// A target refused this process's fence.
+    FencedOff {
+        target: String,
+    },
+    /// An engine reported, or could not be reached.
+    Report {
+        target: String,
+        made: Instant,
+        report: Result<EngineReport, TargetError>,
+    },
+    OrderEnd {
+        target: String,
+        fence: u64,
+        order: EngineOrder,
+        outcome: Result<(), TargetError>,
+    },
+    /// The scheduler granted a load, or did not yet.
+    LoadAnswer {
+        target: String,
+        model: AdapterVersion,
+        granted: bool,
+    },
+    /// Another owner, or this one, asks this process's load queue.
+    LoadAsked {
+        id: AskId,
+        ask: LoadAsk,
+    },
+    LoadGone {
+        ask: AskId,
+    },
+    LoadReleased {
+        ask: AskId,
+    },
+    HostList(Vec<ListedHost>),
+    /// A look at the table succeeded.
+    Rows(RowScan),
+    /// A look at the table failed.
+    TableFailed,
+    SessionRead {
+        host: String,
+        version: u64,
+        row: Option<SessionRow>,
+    },
+    /// An ownership row was written or read after a doubtful write.
+    OwnerRow {
+        target: String,
+        version: u64,
+        row: OwnerRow,
+    },
+    /// A transaction on an ownership row came to nothing.
+    OwnerFailed {
+        target: String,
+    },
+    Config(Arc<SiteConfig>),
+    Heartbeat {
+        heard: Heartbeat,
+        rumors: Vec<Rumor>,
+    },
+    ProbeFailed {
+        host: String,
+    },
+    HelperFailed {
+        host: String,
+    },
+    HelperReached {
+        host: String,
+    },
+    /// Another host says that it handed targets to this one.
+    HandedOver {
+        targets: Vec<HandedTarget>,
+    },
+    /// The planned stop begins.
+    Leave,
+}
+
+/// A target that another host handed over, with its ownership row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HandedTarget {
+    pub target: String,
+    pub fence: u64,
+}
--- /dev/null
+++ b/src/process/membership/membership.rs
@@ -0,0 +1,423 @@
+use {
+    super::{Liveness, Member, Rumor, RumorQueue},
+    crate::{
+        connection::platform::{HostState, ListedHost},
+        process::settings::MembershipSettings,
+    },
+    rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Instant,
+    },
+};
+
+/// Hosts asked to probe on this one's behalf before a host is suspected.
+const HELPERS: usize = 3;
+
+/// What membership wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MembershipAction {
+    /// Send a heartbeat and report the answer or its lack.
+    Probe { host: String },
+    /// Ask `via` to probe `host`.
+    ProbeVia { via: String, host: String },
+}
+
+/// A change of what is believed of a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MembershipNews {
+    pub host: String,
+    pub liveness: Liveness,
+}
+
+/// What a host says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    pub host: String,
+    pub incarnation: u64,
+    /// Names the process that runs on the host.
+    pub session: u64,
+    pub leaving: bool,
+    pub table_reachable: bool,
+    pub config_revision: u64,
+}
+
+/// The hosts of the site as this one sees them, by probes and rumors in the manner of SWIM.
+///
+/// Each period one other host is probed, so that the cost does not grow with the site.
+pub struct Membership {
+    me: String,
+    incarnation: u64,
+    leaving: bool,
+    settings: MembershipSettings,
+    members: BTreeMap<String, Member>,
+    round: Vec<String>,
+    /// Hosts that were listed since the last tick, to be probed at once.
+    fresh: Vec<String>,
+    next_probe: Option<Instant>,
+    /// Helpers whose answers about a host are still out.
+    asked: BTreeMap<String, usize>,
+    rumors: RumorQueue,
+    rng: StdRng,
+    news: Vec<MembershipNews>,
+}
+
+impl Membership {
+    pub fn new(
+        me: &str,
+        incarnation: u64,
+        settings: MembershipSettings,
+    ) -> Self {
+        Self {
+            me: me.to_string(),
+            incarnation,
+            leaving: false,
+            settings,
+            members: BTreeMap::new(),
+            round: Vec::new(),
+            fresh: Vec::new(),
+            next_probe: None,
+            asked: BTreeMap::new(),
+            rumors: RumorQueue::default(),
+            rng: StdRng::seed_from_u64(incarnation),
+            news: Vec::new(),
+        }
+    }
+
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// The other hosts.
+    pub fn members(&self) -> &BTreeMap<String, Member> {
+        &self.members
+    }
+
+    /// Hosts that take new roles, this one included unless it leaves.
+    pub fn eligible(&self) -> Vec<&str> {
+        let mut hosts: Vec<&str> = self
+            .members
+            .iter()
+            .filter(|(_, member)| takes_roles(member))
+            .map(|(name, _)| name.as_str())
+            .collect();
+        if !self.leaving {
+            hosts.push(&self.me);
+        }
+        hosts.sort_unstable();
+        hosts
+    }
+
+    /// True when a host is believed dead or is not on the list.
+    pub fn is_gone(
+        &self,
+        host: &str,
+    ) -> bool {
+        host != self.me
+            && self
+                .members
+                .get(host)
+                .is_none_or(|member| member.liveness == Liveness::Dead)
+    }
+
+    /// True when a host on the list is believed dead by this one and most hosts answer it.
+    ///
+    /// Of two parted sides at most one can say so; the other must see leases lapse.
+    pub fn is_surely_dead(
+        &self,
+        host: &str,
+    ) -> bool {
+        let answering = self
+            .members
+            .values()
+            .filter(|member| member.liveness < Liveness::Suspect)
+            .count();
+        let majority = 2 * (answering + 1) > self.members.len() + 1;
+        majority && self.members.contains_key(host) && self.is_gone(host)
+    }
+
+    /// True when some other host that answers can reach the table.
+    pub fn another_reaches_table(&self) -> bool {
+        self.members
+            .values()
+            .any(|member| member.liveness < Liveness::Suspect && member.table_reachable)
+    }
+
+    /// True when other hosts are listed and none of them answers.
+    pub fn is_alone(&self) -> bool {
+        let mut members = self.members.values();
+        !self.members.is_empty() && members.all(|member| member.liveness >= Liveness::Suspect)
+    }
+
+    /// Changes of belief since the last call.
+    pub fn take_news(&mut self) -> Vec<MembershipNews> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Rumors for one outgoing heartbeat.
+    pub fn take_rumors(&mut self) -> Vec<Rumor> {
+        self.rumors.take(self.members.len() + 1)
+    }
+
+    /// The platform's list: hosts it no longer names are forgotten.
+    pub fn on_host_list(
+        &mut self,
+        hosts: Vec<ListedHost>,
+        now: Instant,
+    ) {
+        let listed: BTreeSet<String> = hosts.iter().map(|host| host.name.clone()).collect();
+        self.members.retain(|name, _| listed.contains(name));
+        for host in hosts {
+            if host.name == self.me {
+                continue;
+            }
+            match self.members.get_mut(&host.name) {
+                Some(member) => member.listed = host,
+                None => self.add(host, now),
+            }
+        }
+    }
+
+    /// Passes time: starts the next probe and buries suspects that did not refute.
+    pub fn on_tick(
+        &mut self,
+        now: Instant,
+    ) -> Vec<MembershipAction> {
+        self.bury(now);
+        let mut hosts = std::mem::take(&mut self.fresh);
+        if self.next_probe.is_none_or(|at| now >= at) {
+            self.next_probe = Some(now + self.settings.probe);
+            hosts.extend(self.next_in_round());
+        }
+        let probe = |host| MembershipAction::Probe { host };
+        hosts.into_iter().map(probe).collect()
+    }
+
+    /// A heartbeat arrived, as a probe or as the answer to one.
+    pub fn on_heartbeat(
+        &mut self,
+        heard: &Heartbeat,
+        now: Instant,
+    ) {
+        let Some(member) = self.members.get_mut(&heard.host) else {
+            return;
+        };
+        if heard.incarnation < member.incarnation {
+            return;
+        }
+        member.incarnation = heard.incarnation;
+        member.session = heard.session;
+        member.table_reachable = heard.table_reachable;
+        member.config_revision = heard.config_revision;
+        self.asked.remove(&heard.host);
+        let liveness = match heard.leaving {
+            true => Liveness::Leaving,
+            false => Liveness::Alive,
+        };
+        self.set(&heard.host, liveness, now);
+    }
+
+    /// Nothing was heard from `host` in time; others are asked before it is suspected.
+    pub fn on_probe_failed(
+        &mut self,
+        host: &str,
+        now: Instant,
+    ) -> Vec<MembershipAction> {
+        let known = self
+            .members
+            .get(host)
+            .is_some_and(|member| member.liveness < Liveness::Suspect);
+        if !known || self.asked.contains_key(host) {
+            return Vec::new();
+        }
+        let helpers = self.pick_helpers(host);
+        if helpers.is_empty() {
+            self.set(host, Liveness::Suspect, now);
+            return Vec::new();
+        }
+        self.asked.insert(host.to_string(), helpers.len());
+        let ask = |via| MembershipAction::ProbeVia {
+            via,
+            host: host.to_string(),
+        };
+        helpers.into_iter().map(ask).collect()
+    }
+
+    /// A helper could not reach `host` either; its success arrives as a heartbeat.
+    pub fn on_helper_failed(
+        &mut self,
+        host: &str,
+        now: Instant,
+    ) {
+        let Some(left) = self.asked.get_mut(host) else {
+            return;
+        };
+        *left -= 1;
+        if *left == 0 {
+            self.asked.remove(host);
+            self.set(host, Liveness::Suspect, now);
+        }
+    }
+
+    /// A helper reached `host`.
+    pub fn on_helper_reached(
+        &mut self,
+        host: &str,
+    ) {
+        self.asked.remove(host);
+    }
+
+    /// News from another host; true when this host itself had to be defended.
+    pub fn on_rumor(
+        &mut self,
+        rumor: &Rumor,
+        now: Instant,
+    ) -> bool {
+        if rumor.host == self.me {
+            return self.refute(rumor);
+        }
+        let Some(member) = self.members.get_mut(&rumor.host) else {
+            return false;
+        };
+        let newer = rumor.incarnation > member.incarnation;
+        let worse = rumor.incarnation == member.incarnation && rumor.liveness > member.liveness;
+        if newer || worse {
+            member.incarnation = rumor.incarnation;
+            self.set(&rumor.host, rumor.liveness, now);
+        }
+        false
+    }
+
+    /// This host begins its planned stop.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.incarnation += 1;
+        self.rumors.push(Rumor {
+            host: self.me.clone(),
+            incarnation: self.incarnation,
+            liveness: Liveness::Leaving,
+        });
+    }
+
+    fn refute(
+        &mut self,
+        rumor: &Rumor,
+    ) -> bool {
+        let wrong = rumor.liveness >= Liveness::Suspect && rumor.incarnation >= self.incarnation;
+        if wrong {
+            self.incarnation = rumor.incarnation + 1;
+            let liveness = match self.leaving {
+                true => Liveness::Leaving,
+                false => Liveness::Alive,
+            };
+            self.rumors.push(Rumor {
+                host: self.me.clone(),
+                incarnation: self.incarnation,
+                liveness,
+            });
+        }
+        wrong
+    }
+
+    fn add(
+        &mut self,
+        host: ListedHost,
+        now: Instant,
+    ) {
+        let name = host.name.clone();
+        let member = Member {
+            listed: host,
+            // Not believed alive before it was heard of, so that nothing is routed to it yet.
+            liveness: Liveness::Suspect,
+            incarnation: 0,
+            session: 0,
+            since: now,
+            table_reachable: false,
+            config_revision: 0,
+        };
+        self.members.insert(name.clone(), member);
+        self.fresh.push(name);
+    }
+
+    fn bury(
+        &mut self,
+        now: Instant,
+    ) {
+        let grace = self.settings.suspect;
+        let overdue: Vec<String> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.liveness == Liveness::Suspect)
+            .filter(|(_, member)| now.saturating_duration_since(member.since) >= grace)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for host in overdue {
+            self.set(&host, Liveness::Dead, now);
+        }
+    }
+
+    /// Each host comes once a round, in an order that changes.
+    fn next_in_round(&mut self) -> Option<String> {
+        loop {
+            if self.round.is_empty() {
+                self.round = self.members.keys().cloned().collect();
+                self.round.shuffle(&mut self.rng);
+            }
+            let host = self.round.pop()?;
+            if self.members.contains_key(&host) {
+                return Some(host);
+            }
+        }
+    }
+
+    fn pick_helpers(
+        &mut self,
+        host: &str,
+    ) -> Vec<String> {
+        let mut helpers: Vec<String> = self
+            .members
+            .iter()
+            .filter(|(name, member)| *name != host && member.liveness < Liveness::Suspect)
+            .map(|(name, _)| name.clone())
+            .collect();
+        helpers.shuffle(&mut self.rng);
+        helpers.truncate(HELPERS);
+        helpers
+    }
+
+    fn set(
+        &mut self,
+        host: &str,
+        liveness: Liveness,
+        now: Instant,
+    ) {
+        let Some(member) = self.members.get_mut(host) else {
+            return;
+        };
+        if member.liveness == liveness {
+            return;
+        }
+        member.liveness = liveness;
+        member.since = now;
+        self.rumors.push(Rumor {
+            host: host.to_string(),
+            incarnation: member.incarnation,
+            liveness,
+        });
+        self.news.push(MembershipNews {
+            host: host.to_string(),
+            liveness,
+        });
+    }
+}
+
+fn takes_roles(member: &Member) -> bool {
+    let answers = matches!(member.liveness, Liveness::Alive | Liveness::Suspect);
+    // A host never heard of holds no role yet, whatever the list says.
+    let heard = member.incarnation > 0;
+    answers && heard && member.listed.state == HostState::Live
+}
--- /dev/null
+++ b/src/process/membership/mod.rs
@@ -0,0 +1,11 @@
+//! Which hosts are there: probes, rumors, suspicion, and the platform's host list.
+
+mod member;
+mod membership;
+mod rumor_queue;
+
+pub use {
+    member::{Liveness, Member},
+    membership::{Heartbeat, Membership, MembershipAction, MembershipNews},
+    rumor_queue::{Rumor, RumorQueue},
+};
--- /dev/null
+++ b/src/process/membership/rumor_queue.rs
@@ -0,0 +1,57 @@
+use {super::Liveness, std::collections::BTreeMap};
+
+/// News of one host that is passed on with heartbeats.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rumor {
+    pub host: String,
+    pub incarnation: u64,
+    pub liveness: Liveness,
+}
+
+/// Rumors carried by one heartbeat, at the most.
+const PER_MESSAGE: usize = 12;
+
+/// Tellings of a rumor, as a multiple of the logarithm of the number of hosts.
+const TELLINGS_FACTOR: u32 = 3;
+
+/// Rumors waiting to be passed on, the least told first.
+#[derive(Debug, Default)]
+pub struct RumorQueue {
+    told: BTreeMap<String, (u32, Rumor)>,
+}
+
+impl RumorQueue {
+    /// Queues news of a host in place of older news of it.
+    pub fn push(
+        &mut self,
+        rumor: Rumor,
+    ) {
+        self.told.insert(rumor.host.clone(), (0, rumor));
+    }
+
+    /// Takes the rumors for one heartbeat among `hosts` hosts.
+    pub fn take(
+        &mut self,
+        hosts: usize,
+    ) -> Vec<Rumor> {
+        let limit = TELLINGS_FACTOR * (usize::BITS - hosts.leading_zeros()).max(1);
+        let mut least: Vec<(u32, String)> = self
+            .told
+            .iter()
+            .map(|(host, (told, _))| (*told, host.clone()))
+            .collect();
+        least.sort();
+        least.truncate(PER_MESSAGE);
+        let mut taken = Vec::new();
+        for (_, host) in least {
+            if let Some((told, rumor)) = self.told.get_mut(&host) {
+                *told += 1;
+                taken.push(rumor.clone());
+                if *told >= limit {
+                    self.told.remove(&host);
+                }
+            }
+        }
+        taken
+    }
+}
--- /dev/null
+++ b/src/process/ownership/assignment.rs
@@ -0,0 +1,41 @@
+//! Which host should own each target: rendezvous hashing with bounded load, without messages.
+
+use {
+    std::collections::{BTreeMap, HashMap},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// Rank of `candidate` for `item`; the highest is preferred.
+pub fn rank(
+    item: &str,
+    candidate: &str,
+) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), xxh3_64_with_seed(item.as_bytes(), 0))
+}
+
+/// Assigns every target to one host, none more than its even share rounded up.
+///
+/// Hosts with the same view reach the same result.
+pub fn assign<'a>(
+    targets: impl ExactSizeIterator<Item = &'a str>,
+    hosts: &[&'a str],
+) -> BTreeMap<&'a str, &'a str> {
+    let mut assigned = BTreeMap::new();
+    if hosts.is_empty() {
+        return assigned;
+    }
+    let share = targets.len().div_ceil(hosts.len());
+    let mut taken: HashMap<&str, usize> = HashMap::new();
+    for target in targets {
+        let has_room = |host: &&&str| taken.get(**host).is_none_or(|taken| *taken < share);
+        let best = hosts
+            .iter()
+            .filter(has_room)
+            .max_by_key(|host| rank(target, host));
+        if let Some(best) = best {
+            *taken.entry(best).or_insert(0) += 1;
+            assigned.insert(target, *best);
+        }
+    }
+    assigned
+}
--- /dev/null
+++ b/src/process/ownership/mod.rs
@@ -0,0 +1,15 @@
+//! Who owns which target: session leases, ownership rows, and who should own what.
+
+mod assignment;
+mod owner_row;
+mod ownership;
+mod session_lease;
+mod session_watch;
+
+pub use {
+    assignment::{assign, rank},
+    owner_row::{OWNER_PREFIX, OwnerRow, SESSION_PREFIX, SessionRow, owner_key, session_key},
+    ownership::{HeldTarget, OwnerChange, Ownership, OwnershipAction},
+    session_lease::SessionLease,
+    session_watch::SessionWatch,
+};
--- /dev/null
+++ b/src/request/claim_store.rs
@@ -0,0 +1,334 @@
+use {
+    super::{AttemptState, KeptAnswer},
+    crate::{
+        connection::platform::{Commit, Condition, Table, Transaction, Write},
+        errors::PlatformError,
+    },
+    bytes::Bytes,
+    http::{HeaderMap, HeaderValue, StatusCode, header::CONTENT_TYPE},
+    rand::RngExt,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Claims that come within this time share one transaction.
+const GATHER: Duration = Duration::from_millis(10);
+
+/// Claims in one transaction, at the most.
+const GROUP: usize = 128;
+
+/// Claims that wait for the table, at the most; the oldest are then left out.
+const MAX_PENDING: usize = 50_000;
+
+/// Pause after a failed transaction; it doubles up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// A claim's row goes away this long after its last change.
+const ROW_LIFE: Duration = Duration::from_secs(900);
+
+/// Largest answer kept with a claim, in bytes.
+const MAX_KEPT: usize = 2048;
+
+/// How far the request of a claim has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimState {
+    Running,
+    Answered,
+    Unknown,
+}
+
+/// The value of a row `claim/<service>/<key>`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    pub request_id: String,
+    pub state: ClaimState,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    answer: Option<KeptText>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct KeptText {
+    status: u16,
+    content_type: String,
+    body: String,
+}
+
+impl Claim {
+    pub fn new(
+        request_id: &str,
+        state: &AttemptState,
+    ) -> Self {
+        let (word, answer) = match state {
+            AttemptState::Running => (ClaimState::Running, None),
+            AttemptState::Unknown => (ClaimState::Unknown, None),
+            AttemptState::Answered(kept) => {
+                (ClaimState::Answered, kept.as_ref().and_then(keep_text))
+            }
+        };
+        Self {
+            request_id: request_id.to_string(),
+            state: word,
+            answer,
+        }
+    }
+
+    /// The state that the claim stands for; a request that ran elsewhere and did not end is unknown.
+    pub fn attempt_state(&self) -> AttemptState {
+        match self.state {
+            ClaimState::Running | ClaimState::Unknown => AttemptState::Unknown,
+            ClaimState::Answered => {
+                AttemptState::Answered(self.answer.as_ref().and_then(restore_text))
+            }
+        }
+    }
+}
+
+fn keep_text(answer: &KeptAnswer) -> Option<KeptText> {
+    let body = std::str::from_utf8(&answer.body).ok()?;
+    let content_type = answer
+        .headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    (body.len() <= MAX_KEPT).then(|| KeptText {
+        status: answer.status.as_u16(),
+        content_type: content_type.to_string(),
+        body: body.to_string(),
+    })
+}
+
+fn restore_text(text: &KeptText) -> Option<KeptAnswer> {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(&text.content_type) {
+        headers.insert(CONTENT_TYPE, value);
+    }
+    Some(KeptAnswer {
+        status: StatusCode::from_u16(text.status).ok()?,
+        headers,
+        body: Bytes::from(text.body.clone()),
+    })
+}
+
+/// A claim to be written, or a row to be deleted.
+type Update = (String, Option<Claim>);
+
+/// Claims in the table: written behind in groups, or before a run where that is needed.
+#[derive(Clone)]
+pub struct ClaimStore {
+    table: Arc<dyn Table>,
+    updates: flume::Sender<Update>,
+}
+
+impl ClaimStore {
+    /// Starts the thread that writes claims; it ends with the last handle.
+    pub fn start(table: Arc<dyn Table>) -> Self {
+        let (updates, received) = flume::unbounded();
+        let writer = ClaimWriter::new(table.clone(), received);
+        thread::Builder::new()
+            .name("claims".into())
+            .spawn(move || writer.run())
+            .expect("the system gives a thread");
+        Self { table, updates }
+    }
+
+    /// Writes a claim soon; no claim deletes the row.
+    pub fn write_behind(
+        &self,
+        service: &str,
+        key: &str,
+        claim: Option<Claim>,
+    ) {
+        let _ = self.updates.send((claim_key(service, key), claim));
+    }
+
+    /// Reads a claim.
+    pub async fn find(
+        &self,
+        service: &str,
+        key: &str,
+    ) -> Result<Option<Claim>, PlatformError> {
+        let (table, key) = (self.table.clone(), claim_key(service, key));
+        blocking(move || {
+            let row = table.get(&key)?;
+            Ok(row.and_then(|row| serde_json::from_str(&row.value).ok()))
+        })
+        .await
+    }
+
+    /// Writes a claim if there is none; the one that is there otherwise.
+    pub async fn insert(
+        &self,
+        service: &str,
+        key: &str,
+        claim: Claim,
+    ) -> Result<Option<Claim>, PlatformError> {
+        let (table, key) = (self.table.clone(), claim_key(service, key));
+        blocking(move || insert(table.as_ref(), &key, &claim)).await
+    }
+}
+
+fn insert(
+    table: &dyn Table,
+    key: &str,
+    claim: &Claim,
+) -> Result<Option<Claim>, PlatformError> {
+    let transaction = Transaction {
+        conditions: vec![Condition::new(key, 0)],
+        writes: vec![Write::put(key, to_json(claim))],
+    };
+    match table.transact(&transaction) {
+        Ok(Commit::Done { .. }) => return Ok(None),
+        Ok(Commit::Conflict { .. }) => {}
+        Err(error) if error.may_have_committed() => {}
+        Err(error) => return Err(error),
+    }
+    // After a conflict or a lost reply the row itself tells whose claim it is.
+    let row = table.get(key)?;
+    let found: Option<Claim> = row.and_then(|row| serde_json::from_str(&row.value).ok());
+    match found {
+        Some(found) if found.request_id == claim.request_id => Ok(None),
+        Some(found) => Ok(Some(found)),
+        None => Err(PlatformError::BadReply {
+            what: "table",
+            problem: "a claim came and went".into(),
+        }),
+    }
+}
+
+async fn blocking<T: Send + 'static>(
+    call: impl FnOnce() -> Result<T, PlatformError> + Send + 'static
+) -> Result<T, PlatformError> {
+    let done = tokio::task::spawn_blocking(call).await;
+    done.unwrap_or_else(|e| {
+        Err(PlatformError::NotReached {
+            what: "table",
+            problem: e.to_string(),
+        })
+    })
+}
+
+/// Writes claims in groups, and deletes them when they are old.
+struct ClaimWriter {
+    table: Arc<dyn Table>,
+    received: flume::Receiver<Update>,
+    pending: BTreeMap<String, Option<Claim>>,
+    written: VecDeque<(Instant, String)>,
+}
+
+impl ClaimWriter {
+    fn new(
+        table: Arc<dyn Table>,
+        received: flume::Receiver<Update>,
+    ) -> Self {
+        Self {
+            table,
+            received,
+            pending: BTreeMap::new(),
+            written: VecDeque::new(),
+        }
+    }
+
+    fn run(mut self) {
+        let mut pause = FIRST_PAUSE;
+        while self.gather() {
+            self.expire();
+            match self.write() {
+                Ok(()) => pause = FIRST_PAUSE,
+                Err(_) => {
+                    let jitter = rand::rng().random_range(0.5..1.0);
+                    thread::sleep(pause.mul_f64(jitter));
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
+            }
+        }
+    }
+
+    /// Takes in what has come; false once nobody can send any more.
+    fn gather(&mut self) -> bool {
+        if self.pending.is_empty() {
+            match self.received.recv_timeout(LONGEST_PAUSE) {
+                Ok(update) => self.take(update),
+                Err(flume::RecvTimeoutError::Timeout) => return true,
+                Err(flume::RecvTimeoutError::Disconnected) => return false,
+            }
+        }
+        let until = Instant::now() + GATHER;
+        while self.pending.len() < GROUP {
+            match self.received.recv_deadline(until) {
+                Ok(update) => self.take(update),
+                Err(_) => break,
+            }
+        }
+        true
+    }
+
+    /// The newest state of a key replaces older ones that were not written yet.
+    fn take(
+        &mut self,
+        (key, claim): Update,
+    ) {
+        self.pending.insert(key, claim);
+        while self.pending.len() > MAX_PENDING {
+            self.pending.pop_first();
+        }
+    }
+
+    fn expire(&mut self) {
+        while let Some((at, _)) = self.written.front() {
+            if at.elapsed() < ROW_LIFE {
+                break;
+            }
+            if let Some((_, key)) = self.written.pop_front() {
+                self.pending.entry(key).or_insert(None);
+            }
+        }
+    }
+
+    fn write(&mut self) -> Result<(), PlatformError> {
+        let group: Vec<(String, Option<Claim>)> = self
+            .pending
+            .iter()
+            .take(GROUP)
+            .map(|(key, claim)| (key.clone(), claim.clone()))
+            .collect();
+        if group.is_empty() {
+            return Ok(());
+        }
+        let writes = group
+            .iter()
+            .map(|(key, claim)| Write {
+                key: key.clone(),
+                value: claim.as_ref().map(to_json),
+            })
+            .collect();
+        self.table.transact(&Transaction {
+            conditions: Vec::new(),
+            writes,
+        })?;
+        for (key, claim) in group {
+            self.pending.remove(&key);
+            if claim.is_some_and(|claim| claim.state != ClaimState::Running) {
+                self.written.push_back((Instant::now(), key));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn claim_key(
+    service: &str,
+    key: &str,
+) -> String {
+    format!("claim/{service}/{key}")
+}
+
+fn to_json(claim: &Claim) -> String {
+    serde_json::to_string(claim).expect("claims serialize")
+}
--- /dev/null
+++ b/src/request/forwarder.rs
@@ -0,0 +1,172 @@
+use {
+    super::{AnswerHead, AnswerPart, OwnerService, Refusal, RefusalCode, headers_from_wire},
+    crate::{
+        connection::peer::{
+            PeerLinks,
+            wire::{self, forward_reply::Part},
+        },
+        process::control::View,
+    },
+    http::StatusCode,
+    std::{error::Error, time::Duration},
+    tokio::sync::mpsc,
+};
+
+/// Parts of an answer that wait for a slow caller.
+const PARTS_AHEAD: usize = 64;
+
+/// Brings requests to the owner of their target: this process itself, or another host.
+#[derive(Clone)]
+pub struct Forwarder {
+    owner: OwnerService,
+    links: PeerLinks,
+}
+
+/// The parts of one forwarded request's answer.
+pub enum Parts {
+    Local(mpsc::Receiver<AnswerPart>),
+    Remote(Box<tonic::Streaming<wire::ForwardReply>>),
+    /// The owner was not reached.
+    Lost(Refusal),
+}
+
+impl Forwarder {
+    pub fn new(
+        owner: OwnerService,
+        links: PeerLinks,
+    ) -> Self {
+        Self { owner, links }
+    }
+
+    /// Starts a request at `host`.
+    pub async fn forward(
+        &self,
+        view: &View,
+        host: &str,
+        request: wire::ForwardRequest,
+    ) -> Parts {
+        if host == view.me {
+            let (sender, parts) = mpsc::channel(PARTS_AHEAD);
+            let owner = self.owner.clone();
+            tokio::spawn(async move { owner.run(request, sender).await });
+            return Parts::Local(parts);
+        }
+        let Some(address) = view.peer_address(host) else {
+            return Parts::Lost(Refusal::elsewhere(RefusalCode::OwnerUnreachable));
+        };
+        match self.links.to(address).forward(request).await {
+            Ok(reply) => Parts::Remote(Box::new(reply.into_inner())),
+            Err(status) => Parts::Lost(link_lost(&status)),
+        }
+    }
+
+    /// Runs a request at its target from here, while no host can own the target.
+    pub fn run_unowned(
+        &self,
+        request: wire::ForwardRequest,
+        fence: u64,
+    ) -> Parts {
+        let (sender, parts) = mpsc::channel(PARTS_AHEAD);
+        let owner = self.owner.clone();
+        tokio::spawn(async move { owner.run_unowned(request, fence, sender).await });
+        Parts::Local(parts)
+    }
+
+    /// Stops a request's work: its caller has gone.
+    pub async fn cancel(
+        &self,
+        view: &View,
+        host: &str,
+        target: &str,
+        request_id: &str,
+    ) {
+        let remote = (host != view.me).then(|| view.peer_address(host)).flatten();
+        let Some(address) = remote else {
+            return self.owner.cancel(target, request_id).await;
+        };
+        let request = wire::CancelRequest {
+            target: target.to_string(),
+            request_id: request_id.to_string(),
+        };
+        // Without a reader the engine stops the work itself, only later.
+        let _ = self.links.to(address).cancel(request).await;
+    }
+
+    /// Asks the owner of a target what became of a key.
+    pub async fn outcome(
+        &self,
+        view: &View,
+        host: &str,
+        query: wire::OutcomeQuery,
+    ) -> wire::OutcomeReply {
+        let remote = (host != view.me).then(|| view.peer_address(host)).flatten();
+        let here = self.owner.outcome(&query.service, &query.key);
+        let Some(address) = remote else {
+            return here.await;
+        };
+        match self.links.to(address).outcome(query.clone()).await {
+            Ok(reply) => reply.into_inner(),
+            Err(_) => here.await,
+        }
+    }
+}
+
+impl Parts {
+    /// The next part; a lost link counts as a refusal.
+    pub async fn next(&mut self) -> AnswerPart {
+        match self {
+            Self::Lost(refusal) => AnswerPart::Refused(refusal.clone()),
+            Self::Local(parts) => match parts.recv().await {
+                Some(part) => part,
+                None => AnswerPart::Refused(broken()),
+            },
+            Self::Remote(replies) => match replies.message().await {
+                Ok(Some(reply)) => part_from_wire(reply),
+                Ok(None) => AnswerPart::Refused(broken()),
+                Err(status) => AnswerPart::Refused(link_lost(&status)),
+            },
+        }
+    }
+}
+
+/// The link broke while the request was under way.
+fn broken() -> Refusal {
+    Refusal {
+        code: RefusalCode::OwnerUnreachable,
+        may_have_run: true,
+        try_elsewhere: true,
+        retry_after: Duration::ZERO,
+    }
+}
+
+/// Only a connection that was never made proves that nothing was sent.
+fn link_lost(status: &tonic::Status) -> Refusal {
+    let mut source = status.source();
+    while let Some(error) = source {
+        if error.is::<tonic::ConnectError>() {
+            return Refusal::elsewhere(RefusalCode::OwnerUnreachable);
+        }
+        source = error.source();
+    }
+    broken()
+}
+
+fn part_from_wire(reply: wire::ForwardReply) -> AnswerPart {
+    match reply.part {
+        Some(Part::Head(head)) => AnswerPart::Head(AnswerHead {
+            status: StatusCode::from_u16(head.status as u16).unwrap_or(StatusCode::BAD_GATEWAY),
+            headers: headers_from_wire(&head.headers),
+            target: head.target,
+            load_wait: Duration::from_millis(head.load_wait_ms),
+            replayed: head.replayed,
+        }),
+        Some(Part::Chunk(chunk)) => AnswerPart::Events {
+            index: chunk.index,
+            count: chunk.events,
+            data: chunk.data,
+        },
+        Some(Part::End(_)) => AnswerPart::End,
+        Some(Part::Refusal(refusal)) => AnswerPart::Refused(refusal.into()),
+        None => AnswerPart::Refused(broken()),
+    }
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,39 @@
+//! What lives for one request: its parsing, routing, attempts and outcome.
+
+mod answer_part;
+mod attempt_ledger;
+mod caller_request;
+mod claim_store;
+mod entry_progress;
+mod entry_service;
+mod forwarder;
+mod owner_service;
+mod passed_headers;
+mod refusal;
+mod refusal_code;
+mod request_parser;
+mod retry_budget;
+mod route;
+mod run_permit;
+mod target_run;
+
+pub use {
+    answer_part::{AnswerHead, AnswerPart, PartSender},
+    attempt_ledger::{AttemptLedger, AttemptRecord, AttemptState, KeptAnswer},
+    caller_request::CallerRequest,
+    claim_store::{Claim, ClaimState, ClaimStore},
+    entry_service::{EntryEnd, EntryService},
+    forwarder::Forwarder,
+    owner_service::{OwnerContext, OwnerService},
+    passed_headers::{headers_from_wire, headers_to_wire, passed_headers},
+    refusal::Refusal,
+    refusal_code::RefusalCode,
+    request_parser::{
+        HEADER_ATTEMPT, HEADER_DEADLINE, HEADER_KIND, HEADER_OUTCOME, HEADER_OUTFITTER,
+        HEADER_REPEATABLE, HEADER_REQUEST_ID, HEADER_SERVICE, RequestHead, RequestParser,
+    },
+    retry_budget::RetryBudget,
+    route::{engine_candidates, plain_candidates},
+    run_permit::RunPermit,
+    target_run::{RunEnd, TargetRun},
+};
--- /dev/null
+++ b/src/request/request_parser.rs
@@ -0,0 +1,308 @@
+use {
+    super::{CallerRequest, passed_headers},
+    crate::{
+        errors::RequestError,
+        version::{AdapterVersion, KeyHash, KindSpec, ServiceSpec, SiteConfig},
+    },
+    bytes::Bytes,
+    http::{HeaderMap, Method},
+    serde::Deserialize,
+    std::{
+        fmt::Display,
+        str::FromStr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Names the caller's service; its key alone names it too.
+pub const HEADER_SERVICE: &str = "x-coveproxy-service";
+/// Names the outfitter that the request is for.
+pub const HEADER_OUTFITTER: &str = "x-coveproxy-outfitter";
+/// Names the request's kind.
+pub const HEADER_KIND: &str = "x-coveproxy-kind";
+/// Time to the end of the answer, in milliseconds; at most the kind's.
+pub const HEADER_DEADLINE: &str = "x-coveproxy-deadline-ms";
+/// How often the request was sent under its idempotency key, this time included.
+pub const HEADER_ATTEMPT: &str = "x-coveproxy-attempt";
+/// `true` or `false`; a kind that may not be repeated can't be made repeatable.
+pub const HEADER_REPEATABLE: &str = "x-coveproxy-repeatable";
+/// In answers: the request's id.
+pub const HEADER_REQUEST_ID: &str = "x-coveproxy-request-id";
+/// In answers: `answered`, `not_run` or `unknown`.
+pub const HEADER_OUTCOME: &str = "x-coveproxy-outcome";
+
+/// The caller's idempotency key.
+const HEADER_KEY: &str = "idempotency-key";
+
+const MAX_KEY: usize = 200;
+
+const BEARER: &str = "Bearer ";
+
+/// Head of a request, as it came.
+pub struct RequestHead<'a> {
+    pub id: String,
+    pub method: Method,
+    pub headers: &'a HeaderMap,
+    pub arrived: Instant,
+}
+
+/// What an engine's request must say.
+#[derive(Deserialize)]
+struct ModelBody {
+    model: Option<String>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<i64>,
+}
+
+/// Checks a caller's request against the configuration.
+pub struct RequestParser<'a> {
+    pub config: &'a SiteConfig,
+}
+
+/// Who calls, and what of it the configuration says.
+struct Caller<'a> {
+    service: &'a str,
+    spec: &'a ServiceSpec,
+    kind: String,
+    kind_spec: &'a KindSpec,
+}
+
+impl RequestParser<'_> {
+    /// The service that the head's key belongs to, which must be the one that it names.
+    pub fn authenticate(
+        &self,
+        headers: &HeaderMap,
+    ) -> Result<&str, RequestError> {
+        let shown = text(headers, "authorization")?
+            .and_then(|value| value.strip_prefix(BEARER))
+            .ok_or(RequestError::WrongKey)?;
+        let found = self.config.service_of_key(&KeyHash::from_key(shown));
+        let found = found.ok_or(RequestError::WrongKey)?;
+        match text(headers, HEADER_SERVICE)? {
+            Some(named) if named != found => Err(RequestError::WrongKey),
+            _ => Ok(found),
+        }
+    }
+
+    /// A request for a model engine, sent on to `path`.
+    pub fn model_request(
+        &self,
+        head: RequestHead<'_>,
+        path: &str,
+        body: Bytes,
+    ) -> Result<CallerRequest, RequestError> {
+        let service = self.authenticate(head.headers)?;
+        let parsed: ModelBody =
+            serde_json::from_slice(&body).map_err(|e| RequestError::BadJson(e.to_string()))?;
+        let named = parsed.model.ok_or_else(|| RequestError::BadField {
+            field: "model",
+            problem: "is missing".into(),
+        })?;
+        if parsed.max_tokens.is_some_and(|tokens| tokens < 1) {
+            return Err(RequestError::BadField {
+                field: "max_tokens",
+                problem: "must be at least 1".into(),
+            });
+        }
+        let model: AdapterVersion = named.parse()?;
+        if self.config.base_model(&model).is_none() {
+            return Err(RequestError::UnknownModel(named));
+        }
+        let mut request = self.request(head, service, path.to_string(), body)?;
+        request.model = Some(model);
+        request.stream = parsed.stream;
+        Ok(request)
+    }
+
+    /// A request for a plain service, sent on to `path`.
+    pub fn plain_request(
+        &self,
+        head: RequestHead<'_>,
+        named: &str,
+        path: String,
+        body: Bytes,
+    ) -> Result<CallerRequest, RequestError> {
+        let service = self.authenticate(head.headers)?;
+        let known = self.config.services.get(named);
+        if known.is_none_or(|spec| !spec.plain) {
+            return Err(RequestError::UnknownService(named.to_string()));
+        }
+        if service != named {
+            return Err(RequestError::WrongKey);
+        }
+        self.request(head, service, path, body)
+    }
+
+    fn request(
+        &self,
+        head: RequestHead<'_>,
+        service: &str,
+        path: String,
+        body: Bytes,
+    ) -> Result<CallerRequest, RequestError> {
+        let headers = head.headers;
+        let caller = self.caller(headers, service)?;
+        let outfitter = self.outfitter(headers, &caller)?;
+        let key = key(headers)?;
+        let attempt = attempt(headers, &key)?;
+        let life = deadline(headers, caller.kind_spec)?;
+        Ok(CallerRequest {
+            id: head.id,
+            service: caller.service.to_string(),
+            worth: self.config.worth(outfitter.as_deref()),
+            outfitter: outfitter.unwrap_or_default(),
+            priority: caller.kind_spec.priority,
+            repeatable: repeatable(headers, caller.kind_spec)?,
+            kind: caller.kind,
+            model: None,
+            deadline: head.arrived + life,
+            key,
+            attempt,
+            stream: false,
+            method: head.method,
+            path,
+            headers: passed_headers(headers),
+            body,
+        })
+    }
+
+    fn caller<'b>(
+        &'b self,
+        headers: &HeaderMap,
+        service: &'b str,
+    ) -> Result<Caller<'b>, RequestError> {
+        let unknown = || RequestError::UnknownService(service.to_string());
+        let spec = self.config.services.get(service).ok_or_else(unknown)?;
+        let kind = match text(headers, HEADER_KIND)? {
+            Some(kind) => kind.to_string(),
+            None => spec.kinds.first().cloned().unwrap_or_default(),
+        };
+        let kind_spec = self
+            .config
+            .kinds
+            .get(&kind)
+            .filter(|_| spec.kinds.contains(&kind));
+        match kind_spec {
+            Some(kind_spec) => Ok(Caller {
+                service,
+                spec,
+                kind,
+                kind_spec,
+            }),
+            None => Err(RequestError::KindNotAllowed(kind)),
+        }
+    }
+
+    fn outfitter(
+        &self,
+        headers: &HeaderMap,
+        caller: &Caller<'_>,
+    ) -> Result<Option<String>, RequestError> {
+        let Some(named) = text(headers, HEADER_OUTFITTER)? else {
+            return Ok(caller.spec.outfitter.clone());
+        };
+        match self.config.outfitters.contains_key(named) {
+            true => Ok(Some(named.to_string())),
+            false => Err(RequestError::UnknownOutfitter(named.to_string())),
+        }
+    }
+}
+
+fn key(headers: &HeaderMap) -> Result<String, RequestError> {
+    let key = text(headers, HEADER_KEY)?.unwrap_or_default();
+    let plain = key
+        .bytes()
+        .all(|byte| byte.is_ascii_graphic() && byte != b'/');
+    if key.len() > MAX_KEY || !plain {
+        let problem = format!("must be at most {MAX_KEY} printable characters without a slash");
+        return Err(RequestError::BadHeader {
+            name: HEADER_KEY,
+            problem,
+        });
+    }
+    Ok(key.to_string())
+}
+
+/// Without a key each send is a request of its own; with one, 0 stands for an unsaid number.
+fn attempt(
+    headers: &HeaderMap,
+    key: &str,
+) -> Result<u32, RequestError> {
+    let attempt = parsed::<u32>(headers, HEADER_ATTEMPT)?;
+    let problem = match (attempt, key.is_empty()) {
+        (Some(0), _) => "counts from 1",
+        (Some(2..), true) => "a later attempt needs its idempotency-key",
+        (Some(attempt), _) => return Ok(attempt),
+        (None, true) => return Ok(1),
+        (None, false) => return Ok(0),
+    };
+    Err(RequestError::BadHeader {
+        name: HEADER_ATTEMPT,
+        problem: problem.into(),
+    })
+}
+
+fn deadline(
+    headers: &HeaderMap,
+    kind: &KindSpec,
+) -> Result<Duration, RequestError> {
+    let asked = parsed::<u64>(headers, HEADER_DEADLINE)?;
+    if asked == Some(0) {
+        return Err(RequestError::BadHeader {
+            name: HEADER_DEADLINE,
+            problem: "must be at least 1".into(),
+        });
+    }
+    let life = asked.unwrap_or(kind.deadline_ms).min(kind.deadline_ms);
+    Ok(Duration::from_millis(life))
+}
+
+fn repeatable(
+    headers: &HeaderMap,
+    kind: &KindSpec,
+) -> Result<bool, RequestError> {
+    match parsed::<bool>(headers, HEADER_REPEATABLE)? {
+        Some(true) if !kind.repeatable => Err(RequestError::BadHeader {
+            name: HEADER_REPEATABLE,
+            problem: "requests of this kind may not be repeated".into(),
+        }),
+        Some(asked) => Ok(asked),
+        None => Ok(kind.repeatable),
+    }
+}
+
+fn parsed<T: FromStr<Err: Display>>(
+    headers: &HeaderMap,
+    name: &'static str,
+) -> Result<Option<T>, RequestError> {
+    let Some(value) = text(headers, name)? else {
+        return Ok(None);
+    };
+    let parsed = value.parse().map_err(|e: T::Err| RequestError::BadHeader {
+        name,
+        problem: e.to_string(),
+    })?;
+    Ok(Some(parsed))
+}
+
+/// A header that may be sent once; twice with two values is a contradiction.
+fn text<'a>(
+    headers: &'a HeaderMap,
+    name: &'static str,
+) -> Result<Option<&'a str>, RequestError> {
+    let bad = |problem: &str| RequestError::BadHeader {
+        name,
+        problem: problem.to_string(),
+    };
+    let mut values = headers.get_all(name).iter();
+    let Some(first) = values.next() else {
+        return Ok(None);
+    };
+    if values.any(|other| other != first) {
+        return Err(bad("sent twice with different values"));
+    }
+    let value = first.to_str().map_err(|_| bad("is not plain text"))?;
+    Ok(Some(value))
+}
--- /dev/null
+++ b/src/request/target_run.rs
@@ -0,0 +1,382 @@
+use {
+    super::{
+        AnswerHead, AnswerPart, KeptAnswer, PartSender, Refusal, RefusalCode, RunPermit,
+        headers_from_wire, passed_headers,
+    },
+    crate::{
+        connection::{
+            peer::wire::ForwardRequest,
+            target::{
+                AnswerCheck, CheckedEvent, SseReader, TargetAnswer, TargetCall, TargetClient,
+            },
+        },
+        errors::TargetError,
+        process::control::{ControlHandle, Input},
+        timeline::{Event, EventLog},
+        version::{AdapterVersion, TargetSpec},
+    },
+    bytes::{Bytes, BytesMut},
+    http::Method,
+    std::time::Duration,
+};
+
+/// Times that one run comes back to a stream that broke off.
+const MAX_RESUMES: u32 = 3;
+
+/// Pause before a run comes back to a stream.
+const RESUME_PAUSE: Duration = Duration::from_millis(20);
+
+/// How a run at a target ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RunEnd {
+    /// The whole answer went out; it is here too when it was not streamed.
+    Answered(Option<KeptAnswer>),
+    Refused(Refusal),
+}
+
+/// Runs one admitted request at its target, and checks the answer part by part.
+pub struct TargetRun<'a> {
+    pub client: &'a TargetClient,
+    pub control: &'a ControlHandle,
+    pub log: &'a EventLog,
+    pub spec: &'a TargetSpec,
+    pub request: &'a ForwardRequest,
+    pub model: Option<AdapterVersion>,
+    pub fence: u64,
+    pub load_wait: Duration,
+    pub parts: &'a PartSender,
+}
+
+impl TargetRun<'_> {
+    /// Comes back to a stream that an earlier attempt started; none when the target lost it.
+    pub async fn resume(&self) -> Option<RunEnd> {
+        let model = self.model.clone()?;
+        let from = self.request.resume_from;
+        let id = &self.request.request_id;
+        let answer = self.client.resume(self.spec.address, id, from).await;
+        let answer = answer.ok()?;
+        self.note(Event::RequestResumed);
+        let check = AnswerCheck::new(id, &model, from);
+        if self.send_head(&answer).await.is_err() {
+            return Some(gone());
+        }
+        Some(self.stream(answer, check).await)
+    }
+
+    /// Sends the request and passes its answer on.
+    pub async fn send(
+        &self,
+        permit: Option<&mut RunPermit>,
+    ) -> RunEnd {
+        let mut permit = permit;
+        if let Some(permit) = permit.as_deref_mut() {
+            permit.sent();
+        }
+        self.note(Event::RequestSent);
+        let end = match self.client.send(self.call()).await {
+            Ok(answer) => self.answer(answer).await,
+            Err(error) => self.failed(error).await,
+        };
+        let settled = match &end {
+            RunEnd::Answered(_) => true,
+            RunEnd::Refused(refusal) => !refusal.may_have_run,
+        };
+        if let (true, Some(permit)) = (settled, permit) {
+            permit.settled();
+        }
+        end
+    }
+
+    fn call(&self) -> TargetCall {
+        let request = self.request;
+        TargetCall {
+            address: self.spec.address,
+            method: Method::from_bytes(request.method.as_bytes()).unwrap_or(Method::POST),
+            path: request.path.clone(),
+            headers: headers_from_wire(&request.headers),
+            body: request.body.clone(),
+            request_id: request.request_id.clone(),
+            model: self.model.clone(),
+            priority: request.priority as u8,
+            fence: self.fence,
+            key: request.key.clone(),
+        }
+    }
+
+    async fn answer(
+        &self,
+        answer: TargetAnswer,
+    ) -> RunEnd {
+        self.contact(true);
+        let Some(model) = &self.model else {
+            return self.whole(answer, None).await;
+        };
+        let id = &self.request.request_id;
+        let check = AnswerCheck::new(id, model, self.request.resume_from);
+        if !self.request.stream || !answer.status.is_success() {
+            return self.whole(answer, Some(check)).await;
+        }
+        if self.send_head(&answer).await.is_err() {
+            return gone();
+        }
+        self.stream(answer, check).await
+    }
+
+    /// A whole answer: it is checked before any of it goes out.
+    async fn whole(
+        &self,
+        answer: TargetAnswer,
+        check: Option<AnswerCheck>,
+    ) -> RunEnd {
+        let head = self.head(&answer);
+        let checks = answer.status.is_success();
+        let body = match answer.whole().await {
+            Ok(body) => body,
+            Err(error) => return self.failed(error).await,
+        };
+        if let (Some(check), true) = (check, checks)
+            && let Err(error) = check.whole(&body)
+        {
+            return self.failed(error).await;
+        }
+        let kept = KeptAnswer {
+            status: head.status,
+            headers: head.headers.clone(),
+            body: body.clone(),
+        };
+        let parts = [
+            AnswerPart::Head(head),
+            AnswerPart::Events {
+                index: 0,
+                count: 1,
+                data: body,
+            },
+            AnswerPart::End,
+        ];
+        for part in parts {
+            // The answer is whole at the target even when nobody waits for it any more.
+            let _ = self.parts.send(part).await;
+        }
+        RunEnd::Answered(Some(kept))
+    }
+
+    async fn stream(
+        &self,
+        answer: TargetAnswer,
+        mut check: AnswerCheck,
+    ) -> RunEnd {
+        let mut reader = SseReader::new(answer.body);
+        let mut resumes = 0;
+        loop {
+            let error = match self.pump(&mut reader, &mut check).await {
+                Ok(end) => return end,
+                Err(error) => error,
+            };
+            let broken = matches!(error, TargetError::Gap { .. } | TargetError::CutShort(_));
+            if !broken || resumes >= MAX_RESUMES {
+                return self.failed(error).await;
+            }
+            resumes += 1;
+            tokio::time::sleep(RESUME_PAUSE).await;
+            let id = &self.request.request_id;
+            let from = check.next_index();
+            match self.client.resume(self.spec.address, id, from).await {
+                Ok(answer) => {
+                    self.note(Event::RequestResumed);
+                    reader = SseReader::new(answer.body);
+                }
+                Err(_) => return self.failed(error).await,
+            }
+        }
+    }
+
+    /// Passes events on until the end mark or an error.
+    async fn pump(
+        &self,
+        reader: &mut SseReader,
+        check: &mut AnswerCheck,
+    ) -> Result<RunEnd, TargetError> {
+        loop {
+            let Some(event) = reader.next().await? else {
+                return Err(TargetError::CutShort("no end mark".into()));
+            };
+            let index = check.next_index();
+            let mut batch = Batch::default();
+            let mut checked = batch.add(check, event);
+            while let Ok(false) = checked {
+                match reader.take_buffered() {
+                    Some(event) => checked = batch.add(check, event),
+                    None => break,
+                }
+            }
+            if let Some(part) = batch.into_part(index)
+                && self.parts.send(part).await.is_err()
+            {
+                return Ok(gone());
+            }
+            if checked? {
+                let _ = self.parts.send(AnswerPart::End).await;
+                return Ok(RunEnd::Answered(None));
+            }
+        }
+    }
+
+    async fn failed(
+        &self,
+        error: TargetError,
+    ) -> RunEnd {
+        let target = &self.request.target;
+        let id = &self.request.request_id;
+        self.log.note(
+            Event::AnswerRefused,
+            &[("request", id), ("target", target), ("error", &error)],
+        );
+        if !error.surely_not_run() && self.model.is_some() {
+            self.client.cancel(self.spec.address, id).await;
+        }
+        let refusal = match error {
+            TargetError::NotReached(_) => {
+                self.contact(false);
+                Refusal::elsewhere(RefusalCode::TargetUnreachable)
+            }
+            TargetError::NotRun {
+                code,
+                retry_after_ms,
+            } => self.target_refused(&code, retry_after_ms),
+            TargetError::FencedOff => self.target_refused("fenced_off", 0),
+            TargetError::ForeignAnswer { .. } => Refusal::unknown(RefusalCode::AnswerForeign),
+            TargetError::CutShort(_) => {
+                self.contact(false);
+                Refusal::unknown(RefusalCode::AnswerLost)
+            }
+            _ => Refusal::unknown(RefusalCode::CutShort),
+        };
+        RunEnd::Refused(refusal)
+    }
+
+    fn target_refused(
+        &self,
+        code: &str,
+        retry_after_ms: u64,
+    ) -> Refusal {
+        let target = self.request.target.clone();
+        match (code, &self.model) {
+            ("adapter_not_loaded", Some(model)) => {
+                let model = model.clone();
+                self.control.input(Input::AdapterMissing { target, model });
+                Refusal::elsewhere(RefusalCode::AdapterNotLoaded)
+            }
+            ("fenced_off", _) => {
+                self.control.input(Input::FencedOff { target });
+                Refusal::elsewhere(RefusalCode::NotOwner)
+            }
+            _ => {
+                let mut refusal = Refusal::elsewhere(RefusalCode::Overloaded);
+                let named = Duration::from_millis(retry_after_ms);
+                refusal.retry_after = refusal.retry_after.max(named);
+                refusal
+            }
+        }
+    }
+
+    async fn send_head(
+        &self,
+        answer: &TargetAnswer,
+    ) -> Result<(), ()> {
+        let head = AnswerPart::Head(self.head(answer));
+        self.parts.send(head).await.map_err(|_| ())
+    }
+
+    fn head(
+        &self,
+        answer: &TargetAnswer,
+    ) -> AnswerHead {
+        AnswerHead {
+            status: answer.status,
+            headers: passed_headers(&answer.headers),
+            target: self.request.target.clone(),
+            load_wait: self.load_wait,
+            replayed: false,
+        }
+    }
+
+    fn contact(
+        &self,
+        reached: bool,
+    ) {
+        self.control.input(Input::Contact {
+            target: self.request.target.clone(),
+            reached,
+        });
+    }
+
+    fn note(
+        &self,
+        event: Event,
+    ) {
+        let request = self.request;
+        self.log.note(
+            event,
+            &[
+                ("request", &request.request_id),
+                ("target", &request.target),
+                ("from", &request.resume_from),
+            ],
+        );
+    }
+}
+
+/// Events that have arrived together and travel as one part.
+#[derive(Default)]
+struct Batch {
+    count: u32,
+    first: Bytes,
+    rest: BytesMut,
+}
+
+impl Batch {
+    /// Adds an event; true when it was the end mark.
+    fn add(
+        &mut self,
+        check: &mut AnswerCheck,
+        event: Bytes,
+    ) -> Result<bool, TargetError> {
+        match check.event(event)? {
+            CheckedEvent::End => return Ok(true),
+            CheckedEvent::Repeated => {}
+            CheckedEvent::Next(event) => {
+                if self.count == 0 {
+                    self.first = event;
+                } else {
+                    if self.count == 1 {
+                        self.rest.extend_from_slice(&self.first);
+                    }
+                    self.rest.extend_from_slice(&event);
+                }
+                self.count += 1;
+            }
+        }
+        Ok(false)
+    }
+
+    fn into_part(
+        self,
+        index: u64,
+    ) -> Option<AnswerPart> {
+        let data = match self.count {
+            0 => return None,
+            1 => self.first,
+            _ => self.rest.freeze(),
+        };
+        Some(AnswerPart::Events {
+            index,
+            count: self.count,
+            data,
+        })
+    }
+}
+
+/// Whoever waited for the answer has gone; the target may still run it.
+fn gone() -> RunEnd {
+    RunEnd::Refused(Refusal::unknown(RefusalCode::AnswerLost))
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,13 @@
+//! Small stand-ins for the platform and the targets: the interface's rules, and faults on demand.
+
+mod engine;
+mod plain_standin;
+mod platform;
+mod standin_server;
+
+pub use {
+    engine::{EngineFaults, EngineRecord, EngineStandin, EngineStandinSpec, Execution},
+    plain_standin::{PlainFaults, PlainRecord, PlainStandin},
+    platform::{PlatformFaults, PlatformStandin, PlatformStandinSpec},
+    standin_server::StandinServer,
+};
