--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,11 +1,14 @@
 //! Command lines: arguments in, the library called, an exit code out.
 
+mod apply_command;
 mod daemon;
 mod demo_command;
 mod exit;
 mod launch;
 mod logging;
+mod request_command;
 mod standin;
+mod status_command;
 mod tool;
 
 pub use {daemon::run_daemon, standin::run_standin, tool::run};
--- a/src/cli/tool.rs
+++ b/src/cli/tool.rs
@@ -1,13 +1,20 @@
 use {
     super::{
+        apply_command::{apply_command, run_apply},
         demo_command::{demo_command, run_demo},
         exit::exit_code,
         logging::start_logging,
+        request_command::{request_command, run_request},
+        status_command::{run_status, status_command},
     },
-    clap::{ArgMatches, Command},
+    crate::errors::RunError,
+    clap::{Arg, ArgMatches, Command, value_parser},
+    clap_complete::Shell,
     std::process::ExitCode,
 };
 
+const NAME: &str = "coveproxy";
+
 /// Runs `coveproxy`.
 pub fn run() -> ExitCode {
     let arguments = command().get_matches();
@@ -16,17 +23,44 @@
 }
 
 fn command() -> Command {
-    Command::new("coveproxy")
+    Command::new(NAME)
         .version(clap::crate_version!())
         .about("Serves very many LoRA adapters on a few shared model engines")
+        .after_help(
+            "Exit codes: 0 done, 2 wrong arguments or settings, 3 not reached, 4 a promise was\n\
+             broken, 5 the request was not answered, 6 the change was refused.",
+        )
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(demo_command())
+        .subcommand(request_command())
+        .subcommand(status_command())
+        .subcommand(apply_command())
+        .subcommand(completions_command())
+}
+
+fn completions_command() -> Command {
+    Command::new("completions")
+        .about("Print completions for a shell")
+        .after_help("Example:\n  coveproxy completions bash > /etc/bash_completion.d/coveproxy")
+        .arg(
+            Arg::new("shell")
+                .required(true)
+                .value_parser(value_parser!(Shell)),
+        )
 }
 
-fn dispatch(arguments: &ArgMatches) -> Result<(), crate::errors::RunError> {
+fn dispatch(arguments: &ArgMatches) -> Result<(), RunError> {
     match arguments.subcommand() {
         Some(("demo", arguments)) => run_demo(arguments),
+        Some(("request", arguments)) => run_request(arguments),
+        Some(("status", arguments)) => run_status(arguments),
+        Some(("apply", arguments)) => run_apply(arguments),
+        Some(("completions", arguments)) => {
+            let shell: &Shell = arguments.get_one("shell").expect("it is required");
+            clap_complete::generate(*shell, &mut command(), NAME, &mut std::io::stdout());
+            Ok(())
+        }
         _ => unreachable!("clap knows the subcommands"),
     }
 }
--- a/src/connection/platform/http_call.rs
+++ b/src/connection/platform/http_call.rs
@@ -1,6 +1,6 @@
 use {
     crate::errors::PlatformError,
-    attohttpc::{ErrorKind, RequestBuilder, Response},
+    attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Response},
     serde::de::DeserializeOwned,
     std::{io, net::SocketAddr, time::Duration},
 };
@@ -36,6 +36,8 @@
         request: RequestBuilder<B>,
     ) -> Result<Option<Response>, PlatformError> {
         let response = request
+            // The platform is reached directly, whatever the environment says of proxies.
+            .proxy_settings(ProxySettings::builder().build())
             .connect_timeout(self.timeout)
             .read_timeout(self.timeout)
             .timeout(self.timeout)
--- a/src/process/node/metrics.rs
+++ b/src/process/node/metrics.rs
@@ -19,7 +19,7 @@
 pub const LOAD_WAIT: &str = "load.wait";
 
 /// Every metric there is; `docs/METRICS.md` describes each.
-pub const ALL: &[&str] = &[REQUESTS, REQUEST_TIME, RESENDS, LOAD_WAIT];
+pub const ALL_METRICS: &[&str] = &[REQUESTS, REQUEST_TIME, RESENDS, LOAD_WAIT];
 
 /// Sends statsd metrics, if the settings say where.
 #[derive(Clone)]
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -15,7 +15,7 @@
     active_work::{ActiveWork, WorkGuard},
     admin_pages::AdminPages,
     job_pool::JobPool,
-    metrics::Metrics,
+    metrics::{ALL_METRICS, Metrics},
     node::Node,
     platform_poller::PlatformPoller,
     report_loop::report_loop,
--- a/src/standin/engine/engine_http.rs
+++ b/src/standin/engine/engine_http.rs
@@ -141,7 +141,7 @@
     sleep(Duration::from_millis(late)).await;
     let (job, stream) = match accept(&state, &headers, body, chat) {
         Ok(accepted) => accepted,
-        Err(refused) => return refused,
+        Err(refused) => return *refused,
     };
     let head = [
         (REQUEST_ID_HEADER, job.shown_id.clone()),
@@ -169,21 +169,33 @@
     headers: &HeaderMap,
     body: CompletionBody,
     chat: bool,
-) -> Result<(Job, Arc<EngineStream>), Response> {
+) -> Result<(Job, Arc<EngineStream>), Box<Response>> {
     let mut state = lock(state);
     if let Ok(fence) = text(headers, FENCE_HEADER).parse::<u64>()
         && state.spec.checks_fences
         && fence < state.fence
     {
         state.record.fenced_off += 1;
-        return Err(refusal(StatusCode::CONFLICT, "fenced_off", "old fence"));
+        return Err(Box::new(refusal(
+            StatusCode::CONFLICT,
+            "fenced_off",
+            "old fence",
+        )));
     }
     if EngineFaults::take(&mut state.faults.refuse) {
-        return Err(refusal(StatusCode::SERVICE_UNAVAILABLE, "busy", "refused"));
+        return Err(Box::new(refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "busy",
+            "refused",
+        )));
     }
     if !state.start_using(&body.model) {
         let code = "adapter_not_loaded";
-        return Err(refusal(StatusCode::CONFLICT, code, body.model.as_str()));
+        return Err(Box::new(refusal(
+            StatusCode::CONFLICT,
+            code,
+            body.model.as_str(),
+        )));
     }
     let id = text(headers, REQUEST_ID_HEADER);
     let key = text(headers, KEY_HEADER);
@@ -332,10 +344,8 @@
     };
     let lines = futures_util::stream::unfold(Some(delivery), |delivery| async move {
         let mut delivery = delivery?;
-        match delivery.step().await {
-            Some(line) => Some((line, Some(delivery))),
-            None => None,
-        }
+        let line = delivery.step().await?;
+        Some((line, Some(delivery)))
     });
     Body::from_stream(lines)
 }
