Faults against real processes, alone and in pairs; four faults of the code mended

Change: only streams are come back to; a doubtful load waits for the next report; configuration and owners come from a peer while the table is out; errors of later attempts say 'unknown'.

--- a/src/client/caller_client.rs
+++ b/src/client/caller_client.rs
@@ -71,7 +71,11 @@
         spec: &CallSpec,
     ) -> CallResult {
         let began = Instant::now();
-        let mut last = CallResult::new(SeenOutcome::NotRun);
+        let later = matches!(spec.key, Some((_, attempt)) if attempt > 1);
+        let mut last = CallResult::new(match later {
+            true => SeenOutcome::Unknown,
+            false => SeenOutcome::NotRun,
+        });
         last.code = "no_host".to_string();
         for address in self.addresses().await {
             match self.call_at(address, spec, began).await {
--- a/src/connection/caller/caller_front.rs
+++ b/src/connection/caller/caller_front.rs
@@ -100,7 +100,7 @@
         let body = read_body(&context, body).await?;
         let head = RequestHead {
             id: id.clone(),
-            method: head.method,
+            method: head.method.clone(),
             headers: &head.headers,
             arrived,
         };
@@ -108,7 +108,7 @@
     };
     match called.await {
         Ok(request) => answer(context, request).await,
-        Err(error) => ErrorAnswer::from_request_error(&error, &id).into_response(),
+        Err(error) => ErrorAnswer::from_request_error(&error, &id, &head.headers).into_response(),
     }
 }
 
@@ -133,7 +133,7 @@
         let body = read_body(&context, body).await?;
         let head = RequestHead {
             id: id.clone(),
-            method: head.method,
+            method: head.method.clone(),
             headers: &head.headers,
             arrived,
         };
@@ -141,7 +141,7 @@
     };
     match called.await {
         Ok(request) => answer(context, request).await,
-        Err(error) => ErrorAnswer::from_request_error(&error, &id).into_response(),
+        Err(error) => ErrorAnswer::from_request_error(&error, &id, &head.headers).into_response(),
     }
 }
 
@@ -276,7 +276,7 @@
     });
     match listed {
         Ok(list) => Json(list).into_response(),
-        Err(error) => ErrorAnswer::from_request_error(&error, &id).into_response(),
+        Err(error) => ErrorAnswer::from_request_error(&error, &id, &headers).into_response(),
     }
 }
 
@@ -360,7 +360,7 @@
         }
     });
     if let Err(error) = allowed {
-        return ErrorAnswer::from_request_error(&error, &id).into_response();
+        return ErrorAnswer::from_request_error(&error, &id, &headers).into_response();
     }
     let found = context.entry.outcome(&service, &key).await;
     let known = !found.outcome.is_empty();
@@ -371,14 +371,20 @@
     Json(json!({"outcome": outcome, "request_id": found.request_id})).into_response()
 }
 
-async fn method_not_allowed(method: Method) -> Response {
+async fn method_not_allowed(
+    method: Method,
+    headers: HeaderMap,
+) -> Response {
     let error = RequestError::MethodNotAllowed(method.to_string());
-    ErrorAnswer::from_request_error(&error, &new_id()).into_response()
+    ErrorAnswer::from_request_error(&error, &new_id(), &headers).into_response()
 }
 
-async fn unknown_path(uri: Uri) -> Response {
+async fn unknown_path(
+    uri: Uri,
+    headers: HeaderMap,
+) -> Response {
     let error = RequestError::UnknownPath(uri.path().to_string());
-    ErrorAnswer::from_request_error(&error, &new_id()).into_response()
+    ErrorAnswer::from_request_error(&error, &new_id(), &headers).into_response()
 }
 
 /// A request id that no other request has.
--- a/src/connection/caller/error_answer.rs
+++ b/src/connection/caller/error_answer.rs
@@ -1,17 +1,20 @@
 use {
     crate::{
         errors::RequestError,
-        request::{HEADER_OUTCOME, HEADER_REQUEST_ID, Refusal},
+        request::{HEADER_ATTEMPT, HEADER_OUTCOME, HEADER_REQUEST_ID, Refusal},
     },
     axum::{
         Json,
-        http::{HeaderValue, StatusCode, header::RETRY_AFTER},
+        http::{HeaderMap, HeaderValue, StatusCode, header::RETRY_AFTER},
         response::{IntoResponse, Response},
     },
     serde_json::{Value, json},
     std::time::Duration,
 };
 
+/// The attempt number that says that no earlier attempt can have run.
+const FIRST_ATTEMPT: &[u8] = b"1";
+
 /// What became of a request, as its caller is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -44,16 +47,25 @@
 
 impl ErrorAnswer {
     /// A request that was refused before it was routed.
+    ///
+    /// Of a later attempt only this send was not run: an earlier one may have been.
     pub fn from_request_error(
         error: &RequestError,
         request_id: &str,
+        headers: &HeaderMap,
     ) -> Self {
+        let first = headers
+            .get(HEADER_ATTEMPT)
+            .is_none_or(|attempt| attempt.as_bytes() == FIRST_ATTEMPT);
         let (code, status) = error.code();
         Self {
             status,
             code,
             message: error.to_string(),
-            outcome: Outcome::NotRun,
+            outcome: match first {
+                true => Outcome::NotRun,
+                false => Outcome::Unknown,
+            },
             request_id: request_id.to_string(),
             retry_after: match error {
                 RequestError::RateExceeded(_) | RequestError::NotReady => Duration::from_secs(1),
--- a/src/connection/peer/peer_server.rs
+++ b/src/connection/peer/peer_server.rs
@@ -173,6 +173,16 @@
         Ok(Response::new(found))
     }
 
+    async fn snapshot(
+        &self,
+        request: Request<wire::SnapshotQuery>,
+    ) -> Result<Response<wire::SnapshotReply>, Status> {
+        let known = request.into_inner().known_revision;
+        let (reply, snapshot) = oneshot::channel();
+        self.control.send(ControlEvent::Snapshot { known, reply });
+        Ok(Response::new(snapshot.await.map_err(stopped)?))
+    }
+
     async fn status(
         &self,
         _request: Request<wire::StatusQuery>,
--- a/src/process/control/action.rs
+++ b/src/process/control/action.rs
@@ -42,6 +42,10 @@
     },
     /// A heartbeat named a newer configuration: read it now.
     ReadConfig,
+    /// Have the newer configuration from a host that has it, as the table is out.
+    FetchSnapshot {
+        host: String,
+    },
     /// Tell a host of targets that were handed to it.
     NoticeHandover {
         host: String,
--- a/src/process/control/control.rs
+++ b/src/process/control/control.rs
@@ -259,6 +259,31 @@
         }
     }
 
+    pub fn revision(&self) -> u64 {
+        self.config.revision
+    }
+
+    /// What another host lacks that knows the configuration up to revision `known`.
+    pub fn snapshot(
+        &self,
+        known: u64,
+    ) -> wire::SnapshotReply {
+        let config = match self.config.revision > known {
+            true => serde_json::to_vec(self.config.as_ref()).expect("configurations serialize"),
+            false => Vec::new(),
+        };
+        let owner = |(target, fence, row): (&String, u64, &OwnerRow)| wire::OwnerEntry {
+            target: target.clone(),
+            host: row.host.clone(),
+            session: row.session,
+            fence,
+        };
+        wire::SnapshotReply {
+            config: config.into(),
+            owners: self.ownership.rows().map(owner).collect(),
+        }
+    }
+
     /// Rumors for one outgoing heartbeat.
     pub fn take_rumors(&mut self) -> Vec<Rumor> {
         self.membership.take_rumors()
@@ -635,9 +660,13 @@
                 self.log.note(Event::SelfRefuted, &[]);
             }
         }
-        match heard.config_revision > self.config.revision {
+        if heard.config_revision <= self.config.revision {
+            return Vec::new();
+        }
+        let host = heard.host.clone();
+        match self.table_reachable() {
             true => vec![Action::ReadConfig],
-            false => Vec::new(),
+            false => vec![Action::FetchSnapshot { host }],
         }
     }
 
--- a/src/process/control/control_handle.rs
+++ b/src/process/control/control_handle.rs
@@ -55,6 +55,11 @@
     Status {
         reply: oneshot::Sender<crate::connection::peer::wire::StatusReply>,
     },
+    /// What another host lacks that knows the configuration up to this revision.
+    Snapshot {
+        known: u64,
+        reply: oneshot::Sender<crate::connection::peer::wire::SnapshotReply>,
+    },
     /// End the control thread.
     Stop,
 }
--- a/src/process/control/control_thread.rs
+++ b/src/process/control/control_thread.rs
@@ -109,6 +109,9 @@
             ControlEvent::Status { reply } => {
                 let _ = reply.send(self.control.status(Instant::now()));
             }
+            ControlEvent::Snapshot { known, reply } => {
+                let _ = reply.send(self.control.snapshot(known));
+            }
             ControlEvent::Stop => {}
         }
     }
@@ -183,6 +186,10 @@
                 order,
             } => self.runner.order(target, fence, order),
             Action::ReadConfig => self.runner.read_config(),
+            Action::FetchSnapshot { host } => {
+                let known = self.control.revision();
+                self.runner.fetch_snapshot(host, known);
+            }
             Action::NoticeHandover {
                 host,
                 target,
--- a/src/process/node/action_runner.rs
+++ b/src/process/node/action_runner.rs
@@ -377,6 +377,45 @@
         let _ = self.wake_poller.try_send(());
     }
 
+    /// Has the configuration and the owners from a host that knows more.
+    pub fn fetch_snapshot(
+        &self,
+        host: String,
+        known_revision: u64,
+    ) {
+        let runner = self.clone();
+        self.runtime.spawn(async move {
+            let Some(address) = runner.view.load().peer_address(&host) else {
+                return;
+            };
+            let mut link = runner.links.to(address);
+            let query = wire::SnapshotQuery { known_revision };
+            // Without an answer the next heartbeat leads here again.
+            if let Ok(reply) = link.snapshot(query).await {
+                runner.take_snapshot(reply.into_inner());
+            }
+        });
+    }
+
+    fn take_snapshot(
+        &self,
+        snapshot: wire::SnapshotReply,
+    ) {
+        if let Ok(config) = serde_json::from_slice(&snapshot.config) {
+            self.control.input(Input::Config(Arc::new(config)));
+        }
+        for entry in snapshot.owners {
+            self.control.input(Input::OwnerRow {
+                target: entry.target,
+                version: entry.fence,
+                row: OwnerRow {
+                    host: entry.host,
+                    session: entry.session,
+                },
+            });
+        }
+    }
+
     /// Tells a host that it owns a target now.
     pub fn notice_handover(
         &self,
--- a/src/process/ownership/ownership.rs
+++ b/src/process/ownership/ownership.rs
@@ -97,6 +97,13 @@
             .map(|seen| (seen.row.host.as_str(), seen.version))
     }
 
+    /// Every row as last seen, with its version.
+    pub fn rows(&self) -> impl Iterator<Item = (&String, u64, &OwnerRow)> {
+        self.rows
+            .iter()
+            .map(|(target, seen)| (target, seen.version, &seen.row))
+    }
+
     /// A row was read or written; returns the target when this process gained or lost it.
     pub fn on_row(
         &mut self,
--- a/src/process/target/target_state.rs
+++ b/src/process/target/target_state.rs
@@ -24,6 +24,9 @@
 /// A request that was given up may still reach the engine within this time.
 const SEND_GRACE: Duration = Duration::from_millis(500);
 
+/// An order whose outcome no report has told by then counts as failed for those who wait.
+const UNSURE_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// An adapter whose load failed is not asked for again before this time.
 const LOAD_PAUSE: Duration = Duration::from_millis(500);
 
@@ -298,6 +301,9 @@
             })
             .collect();
         self.paused_loads.retain(|_, until| *until > now);
+        for model in self.unsettled(now) {
+            actions.extend(self.refuse_load(&model, now));
+        }
         actions.extend(self.progress(now));
         actions
     }
@@ -521,12 +527,16 @@
         match outcome {
             Ok(()) if loading => self.set_state(model, SlotState::Ready, now),
             Ok(()) => {}
-            Err(error) => {
+            Err(error) if loading && !is_certain(error) => {
+                self.set_state(model, SlotState::Unsure, now);
+                // A lost reply is settled by the next report; a load that hangs is not waited for.
+                if matches!(error, TargetError::TimedOut(_)) {
+                    actions.extend(self.refuse_load(model, now));
+                }
+            }
+            Err(_) => {
                 if loading {
-                    match is_certain(error) {
-                        true => drop(self.slots.remove(model)),
-                        false => self.set_state(model, SlotState::Unsure, now),
-                    }
+                    self.slots.remove(model);
                 }
                 actions.extend(self.refuse_load(model, now));
             }
@@ -535,6 +545,20 @@
         actions
     }
 
+    /// Adapters that are waited for and whose last order no report has settled in time.
+    fn unsettled(
+        &self,
+        now: Instant,
+    ) -> Vec<AdapterVersion> {
+        self.slots
+            .iter()
+            .filter(|(_, slot)| slot.state == SlotState::Unsure)
+            .filter(|(_, slot)| now.saturating_duration_since(slot.since) >= UNSURE_LIMIT)
+            .filter(|(model, _)| self.waiting.wants(model))
+            .map(|(model, _)| model.clone())
+            .collect()
+    }
+
     /// Those who wait for a load that failed hear so at once.
     fn refuse_load(
         &mut self,
--- a/src/request/caller_request.rs
+++ b/src/request/caller_request.rs
@@ -34,6 +34,11 @@
 }
 
 impl CallerRequest {
+    /// True when an earlier attempt of a request that may not be repeated may have run.
+    pub fn is_later_attempt(&self) -> bool {
+        self.attempt > 1 && !self.repeatable
+    }
+
     /// The request as it goes to the owner of `target`.
     pub fn to_forward(
         &self,
--- a/src/request/entry_service.rs
+++ b/src/request/entry_service.rs
@@ -118,7 +118,11 @@
             self.budget.earn(&request.service, service.retry_share);
         }
         let began = Instant::now();
-        let end = self.attempts(request, out).await;
+        let end = match self.attempts(request, out).await {
+            // This attempt was not run, but an earlier one may have been.
+            EntryEnd::NotRun(refusal) if request.is_later_attempt() => EntryEnd::Unknown(refusal),
+            end => end,
+        };
         self.note_end(request, &end, began.elapsed());
         end
     }
--- a/src/request/owner_service.rs
+++ b/src/request/owner_service.rs
@@ -279,7 +279,8 @@
         parts: &PartSender,
     ) -> RunEnd {
         let context = &self.context;
-        if request.resumed {
+        // Only a stream can be come back to; a whole answer is run anew.
+        if request.resumed && request.stream {
             let run = self.target_run(spec, request, 0, Duration::ZERO, parts);
             let resumed = tokio::time::timeout_at(deadline.into(), run.resume()).await;
             match resumed {
--- /dev/null
+++ b/src/standin/fault_proxy.rs
@@ -0,0 +1,151 @@
+use {
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{
+            TcpListener, TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
+        sync::watch,
+    },
+};
+
+/// Bytes passed on at once.
+const PIECE: usize = 16 * 1024;
+
+/// What a fault-injecting proxy does to the connections through it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ProxyFault {
+    /// New connections are closed at once.
+    pub refuse: bool,
+    /// Nothing passes; connections stay open.
+    pub stall: bool,
+    /// Answers do not pass; what is sent does.
+    pub stall_answers: bool,
+    /// Each piece waits this long.
+    pub delay: Duration,
+}
+
+/// A TCP proxy on loopback whose connections can be refused, stalled, slowed and cut.
+pub struct FaultProxy {
+    address: SocketAddr,
+    fault: watch::Sender<ProxyFault>,
+    cuts: watch::Sender<u64>,
+    stop: watch::Sender<bool>,
+}
+
+/// What one connection needs.
+#[derive(Clone)]
+struct Shared {
+    to: Arc<Mutex<SocketAddr>>,
+    fault: watch::Receiver<ProxyFault>,
+    cuts: watch::Receiver<u64>,
+}
+
+impl FaultProxy {
+    /// Listens on a port of the system's and passes connections on to `to`.
+    pub async fn start(to: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let address = listener.local_addr()?;
+        let (fault, seen_fault) = watch::channel(ProxyFault::default());
+        let (cuts, seen_cuts) = watch::channel(0);
+        let (stop, mut stopped) = watch::channel(false);
+        let shared = Shared {
+            to: Arc::new(Mutex::new(to)),
+            fault: seen_fault,
+            cuts: seen_cuts,
+        };
+        tokio::spawn(async move {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = stopped.changed() => return,
+                };
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(carry(stream, shared.clone()));
+                }
+            }
+        });
+        Ok(Self {
+            address,
+            fault,
+            cuts,
+            stop,
+        })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets the fault from now on, for open connections too.
+    pub fn set(
+        &self,
+        fault: ProxyFault,
+    ) {
+        self.fault.send_replace(fault);
+    }
+
+    /// Cuts every open connection.
+    pub fn cut(&self) {
+        self.cuts.send_modify(|cuts| *cuts += 1);
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        let _ = self.stop.send(true);
+    }
+}
+
+async fn carry(
+    from: TcpStream,
+    mut shared: Shared,
+) {
+    shared.cuts.mark_unchanged();
+    if shared.fault.borrow().refuse {
+        return;
+    }
+    let to = *shared.to.lock().expect("no holder panics");
+    let Ok(to) = TcpStream::connect(to).await else {
+        return;
+    };
+    let _ = from.set_nodelay(true);
+    let _ = to.set_nodelay(true);
+    let (from_read, from_write) = from.into_split();
+    let (to_read, to_write) = to.into_split();
+    let asks = pass(from_read, to_write, shared.fault.clone(), false);
+    let answers = pass(to_read, from_write, shared.fault.clone(), true);
+    tokio::select! {
+        _ = async { tokio::try_join!(asks, answers) } => {}
+        _ = shared.cuts.changed() => {}
+    }
+}
+
+async fn pass(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut fault: watch::Receiver<ProxyFault>,
+    answers: bool,
+) -> io::Result<()> {
+    let mut piece = vec![0; PIECE];
+    loop {
+        let read = from.read(&mut piece).await?;
+        let passes = |fault: &ProxyFault| !(fault.stall || answers && fault.stall_answers);
+        let delay = match fault.wait_for(passes).await {
+            Ok(fault) => fault.delay,
+            Err(_) => return Ok(()),
+        };
+        tokio::time::sleep(delay).await;
+        if read == 0 {
+            // A half-closed connection may still be answered.
+            return to.shutdown().await;
+        }
+        to.write_all(&piece[..read]).await?;
+    }
+}
--- a/src/standin/platform/platform_standin.rs
+++ b/src/standin/platform/platform_standin.rs
@@ -98,6 +98,11 @@
         *lock(&self.state.faults) = faults;
     }
 
+    /// The faults shown now.
+    pub fn faults(&self) -> PlatformFaults {
+        lock(&self.state.faults).clone()
+    }
+
     /// Replaces the host list.
     pub fn set_hosts(
         &self,
