Links are pinged before a request that may not be repeated; ports held in the bed

Cause: after an owner was killed, calls that may not be repeated ended 'unknown' for as long as the link led nowhere, since a broken link does not say whether the request arrived; repeatable ones used up their retry budget on it. Change: such requests, and all that have lost an owner once, go only over a link that has just answered a ping; the bed holds the ports that the system gave it.

--- a/src/connection/peer/peer_server.rs
+++ b/src/connection/peer/peer_server.rs
@@ -97,6 +97,13 @@
         Ok(Response::new(wire::Ack {}))
     }
 
+    async fn ping(
+        &self,
+        _request: Request<wire::Ack>,
+    ) -> Result<Response<wire::Ack>, Status> {
+        Ok(Response::new(wire::Ack {}))
+    }
+
     async fn heartbeat(
         &self,
         request: Request<wire::HeartbeatMessage>,
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -10,7 +10,7 @@
         version::{Change, ConfigStore, SiteConfig},
     },
     std::{
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::Path,
         sync::Arc,
         time::{Duration, Instant},
@@ -85,24 +85,22 @@
 
     async fn start_nodes(&mut self) -> Result<(), RunError> {
         let mut listed = Vec::new();
-        let mut all = Vec::new();
         for at in 0..self.plan.hosts {
             let hall = self.plan.halls[at % self.plan.halls.len()];
             let settings = node_settings(at, hall, self.platform.address())?;
+            let name = settings.name.clone();
+            let node = Node::start(settings).await?;
             listed.push(ListedHost {
-                name: settings.name.clone(),
-                hall: settings.hall.clone(),
-                caller_address: settings.callers,
-                peer_address: settings.peers,
-                admin_address: settings.admin,
+                name,
+                hall: hall.to_string(),
+                caller_address: node.callers(),
+                peer_address: node.peers(),
+                admin_address: node.admin(),
                 state: HostState::Live,
             });
-            all.push(settings);
+            self.nodes.push(node);
         }
         self.platform.set_hosts(listed);
-        for settings in all {
-            self.nodes.push(Node::start(settings).await?);
-        }
         Ok(())
     }
 
@@ -158,10 +156,10 @@
     hall: &str,
     platform: SocketAddr,
 ) -> Result<HostSettings, RunError> {
-    let [callers, peers, admin] = [free_address()?, free_address()?, free_address()?];
+    let any = any_port();
     let text = format!(
         "[host]\nname = host-{at}\nhall = {hall}\n\
-         [listen]\ncallers = {callers}\npeers = {peers}\nadmin = {admin}\n\
+         [listen]\ncallers = {any}\npeers = {any}\nadmin = {any}\n\
          [platform]\ntable = {platform}\nobjects = {platform}\n\
          hosts = {platform}\nweights = {platform}\n\
          poll_ms = 200\n\
@@ -170,12 +168,6 @@
     HostSettings::parse(Path::new("demo"), &text).map_err(RunError::Settings)
 }
 
-/// An address whose port the system has just given and taken back.
-pub fn free_address() -> Result<SocketAddr, RunError> {
-    let listener = TcpListener::bind(any_port()).map_err(cant_listen)?;
-    listener.local_addr().map_err(cant_listen)
-}
-
 fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -53,6 +53,7 @@
     log: EventLog,
     active: ActiveWork,
     callers: SocketAddr,
+    peers: SocketAddr,
     admin: SocketAddr,
     stop: watch::Sender<bool>,
     stop_admin: Arc<AtomicBool>,
@@ -66,6 +67,7 @@
     pub async fn start(settings: HostSettings) -> Result<Self, RunError> {
         let callers = bind(settings.callers).await?;
         let peers = bind(settings.peers).await?;
+        let peers_address = peers.local_addr().unwrap_or(settings.peers);
         let callers_address = callers.local_addr().unwrap_or(settings.callers);
         let session = new_session();
         let log = EventLog::new(&settings.name);
@@ -176,6 +178,7 @@
             log,
             active,
             callers: callers_address,
+            peers: peers_address,
             admin,
             stop,
             stop_admin,
@@ -189,6 +192,11 @@
         self.callers
     }
 
+    /// Where the other hosts connect.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
     /// Where operators connect.
     pub fn admin(&self) -> SocketAddr {
         self.admin
--- a/src/request/entry_service.rs
+++ b/src/request/entry_service.rs
@@ -76,6 +76,8 @@
     begun_at: Option<String>,
     /// What the caller had when the last try came back there.
     begun_index: u64,
+    /// A link to an owner broke: the next one is tried before it is used.
+    lost_owner: bool,
     may_have_run: bool,
     pause: Duration,
     waiting_since: Option<Instant>,
@@ -236,7 +238,8 @@
             // It can only be resumed where it runs, not run anew.
             None => forward.repeatable = false,
         }
-        let parts = self.start(view, target, forward, out).await;
+        let ping = !request.repeatable || course.lost_owner;
+        let parts = self.start(view, target, forward, ping, out).await;
         match parts {
             Some(parts) => relay(parts, request.stream, progress, out, &self.metrics).await,
             None => Try::CallerGone,
@@ -249,6 +252,7 @@
         view: &View,
         target: &str,
         mut forward: wire::ForwardRequest,
+        ping: bool,
         out: &PartSender,
     ) -> Option<Parts> {
         let Some(owner) = view.owners.get(target) else {
@@ -262,7 +266,7 @@
             return Some(Parts::Lost(Refusal::elsewhere(RefusalCode::NoOwner)));
         }
         tokio::select! {
-            parts = self.forwarder.forward(view, &owner.host, forward) => Some(parts),
+            parts = self.forwarder.forward(view, &owner.host, forward, ping) => Some(parts),
             () = out.closed() => None,
         }
     }
@@ -319,6 +323,7 @@
         progress: &EntryProgress,
     ) -> Next {
         course.may_have_run = true;
+        course.lost_owner |= refusal.code == RefusalCode::OwnerUnreachable;
         let foreign = refusal.code == RefusalCode::AnswerForeign;
         let late = refusal.code == RefusalCode::DeadlinePassed;
         let resumable = request.stream && request.model.is_some() && !foreign;
--- a/src/request/forwarder.rs
+++ b/src/request/forwarder.rs
@@ -15,6 +15,9 @@
 /// Parts of an answer that wait for a slow caller.
 const PARTS_AHEAD: usize = 64;
 
+/// A link that does not answer a ping in this time is not used.
+const PING_LIMIT: Duration = Duration::from_millis(300);
+
 /// Brings requests to the owner of their target: this process itself, or another host.
 #[derive(Clone)]
 pub struct Forwarder {
@@ -38,12 +41,16 @@
         Self { owner, links }
     }
 
-    /// Starts a request at `host`.
+    /// Starts a request at `host`; with `ping`, only over a link that has just answered.
+    ///
+    /// A link that breaks under a request leaves open whether the request arrived; one that is
+    /// found broken before says that it was not sent.
     pub async fn forward(
         &self,
         view: &View,
         host: &str,
         request: wire::ForwardRequest,
+        ping: bool,
     ) -> Parts {
         if host == view.me {
             let (sender, parts) = mpsc::channel(PARTS_AHEAD);
@@ -51,10 +58,18 @@
             tokio::spawn(async move { owner.run(request, sender).await });
             return Parts::Local(parts);
         }
+        let unreached = || Parts::Lost(Refusal::elsewhere(RefusalCode::OwnerUnreachable));
         let Some(address) = view.peer_address(host) else {
-            return Parts::Lost(Refusal::elsewhere(RefusalCode::OwnerUnreachable));
+            return unreached();
         };
-        match self.links.to(address).forward(request).await {
+        let mut link = self.links.to(address);
+        if ping {
+            let answered = tokio::time::timeout(PING_LIMIT, link.ping(wire::Ack {})).await;
+            if !matches!(answered, Ok(Ok(_))) {
+                return unreached();
+            }
+        }
+        match link.forward(request).await {
             Ok(reply) => Parts::Remote(Box::new(reply.into_inner())),
             Err(status) => Parts::Lost(link_lost(&status)),
         }
--- a/tests/support/bed.rs
+++ b/tests/support/bed.rs
@@ -13,7 +13,7 @@
     },
     serde_json::Value,
     std::{
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::PathBuf,
         process::{Child, Command, ExitStatus, Stdio},
         sync::{
@@ -22,7 +22,10 @@
         },
         time::{Duration, Instant},
     },
-    tokio::sync::{Semaphore, SemaphorePermit},
+    tokio::{
+        net::TcpSocket,
+        sync::{Semaphore, SemaphorePermit},
+    },
 };
 
 /// A condition that does not come true within this time fails the test.
@@ -82,6 +85,8 @@
     pub admin: SocketAddr,
     settings: PathBuf,
     child: Option<Child>,
+    /// Bound without listening, so that nobody else is given the ports meanwhile.
+    _held: Vec<TcpSocket>,
 }
 
 impl Bed {
@@ -352,7 +357,9 @@
         at: usize,
         platform: SocketAddr,
     ) -> Self {
-        let [callers, peers, admin] = [free_address(), free_address(), free_address()];
+        let held: Vec<TcpSocket> = (0..3).map(|_| hold_port()).collect();
+        let address = |at: usize| held[at].local_addr().unwrap();
+        let [callers, peers, admin] = [address(0), address(1), address(2)];
         let name = format!("host-{at}");
         let text = format!(
             "[host]\nname = {name}\nhall = hall-{}\n\
@@ -377,6 +384,7 @@
             admin,
             settings,
             child: None,
+            _held: held,
         }
     }
 
@@ -480,7 +488,10 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(any_port()).unwrap();
-    listener.local_addr().unwrap()
+/// Takes a port from the system; a listener that allows address reuse may still bind it.
+fn hold_port() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind(any_port()).unwrap();
+    socket
 }
