--- a/src/connection/caller/caller_front.rs
+++ b/src/connection/caller/caller_front.rs
@@ -18,12 +18,14 @@
         Json, Router,
         body::Body,
         extract::{Path, Query, Request, State},
-        http::{HeaderMap, HeaderValue, Method, StatusCode, Uri},
+        http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri},
+        middleware::{self, Next},
         response::{IntoResponse, Response},
         routing::{any, get, post},
     },
     bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::body::Body as _,
     rand::RngExt,
     serde::Deserialize,
     serde_json::json,
@@ -34,6 +36,9 @@
 /// Parts of an answer that wait for a slow caller.
 const PARTS_AHEAD: usize = 64;
 
+/// Largest head of a request, in bytes.
+const MAX_HEAD: usize = 32 * 1024;
+
 /// Addresses named in one entry answer, at the most.
 const ENTRIES: usize = 4;
 
@@ -78,10 +83,26 @@
             .route("/v1/outcomes/{service}/{key}", get(outcome))
             .method_not_allowed_fallback(method_not_allowed)
             .fallback(unknown_path)
+            .layer(middleware::from_fn(check_head))
             .with_state(context)
     }
 }
 
+/// Refuses a head that is larger than any caller needs.
+async fn check_head(
+    request: Request,
+    next: Next,
+) -> Response {
+    let size = |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len();
+    let headers: usize = request.headers().iter().map(size).sum();
+    let path = request.uri().path_and_query();
+    if headers + path.map_or(0, |path| path.as_str().len()) <= MAX_HEAD {
+        return next.run(request).await;
+    }
+    let error = RequestError::HeadTooLarge { limit: MAX_HEAD };
+    ErrorAnswer::from_request_error(&error, &new_id(), request.headers()).into_response()
+}
+
 async fn model_call(
     State(context): Context,
     request: Request,
@@ -158,6 +179,10 @@
     body: Body,
 ) -> Result<Bytes, RequestError> {
     let limit = context.limits.body_bytes;
+    // A body that says its size is refused before it is read.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(RequestError::BodyTooLarge { limit });
+    }
     let time = context.limits.body_timeout;
     let read = Limited::new(body, limit).collect();
     match tokio::time::timeout(time, read).await {
--- a/src/connection/peer/peer_server.rs
+++ b/src/connection/peer/peer_server.rs
@@ -5,7 +5,7 @@
     },
     crate::{
         process::{
-            control::{ControlEvent, ControlHandle, HandedTarget, Input, SharedView},
+            control::{ControlEvent, ControlHandle, Input, SharedView},
             loads::{AskId, LoadAsk},
         },
         request::{AnswerPart, OwnerService},
@@ -159,15 +159,9 @@
 
     async fn handover(
         &self,
-        request: Request<wire::HandoverNotice>,
+        _request: Request<wire::HandoverNotice>,
     ) -> Result<Response<wire::Ack>, Status> {
-        let handed = |target: wire::HandedTarget| HandedTarget {
-            target: target.target,
-            fence: target.fence,
-        };
-        let targets = request.into_inner().targets;
-        let targets = targets.into_iter().map(handed).collect();
-        self.control.input(Input::HandedOver { targets });
+        self.control.input(Input::HandoverNoticed);
         Ok(Response::new(wire::Ack {}))
     }
 
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -26,6 +26,8 @@
         field: &'static str,
         problem: String,
     },
+    #[error("the head is larger than {limit} bytes")]
+    HeadTooLarge { limit: usize },
     #[error("the body is larger than {limit} bytes")]
     BodyTooLarge { limit: usize },
     #[error("the body did not arrive within {limit_ms} ms")]
@@ -55,6 +57,10 @@
             Self::BadHeader { .. } => ("bad_header", StatusCode::BAD_REQUEST),
             Self::BadJson(_) => ("bad_json", StatusCode::BAD_REQUEST),
             Self::BadField { .. } => ("bad_field", StatusCode::BAD_REQUEST),
+            Self::HeadTooLarge { .. } => (
+                "head_too_large",
+                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            ),
             Self::BodyTooLarge { .. } => ("body_too_large", StatusCode::PAYLOAD_TOO_LARGE),
             Self::BodyTooSlow { .. } => ("body_too_slow", StatusCode::REQUEST_TIMEOUT),
             Self::BodyCut => ("body_cut", StatusCode::BAD_REQUEST),
--- a/src/process/control/action.rs
+++ b/src/process/control/action.rs
@@ -33,6 +33,8 @@
     Order {
         target: String,
         fence: u64,
+        /// Term of the lease that the target was gained in.
+        term: u64,
         order: EngineOrder,
     },
     /// Answer an ask to this process's load queue.
--- a/src/process/control/control.rs
+++ b/src/process/control/control.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Action, HostView, Input, OwnerView, View, input::HandedTarget},
+    super::{Action, HostView, Input, OwnerView, View},
     crate::{
         connection::{
             peer::wire,
@@ -147,20 +147,27 @@
                 self.changed = true;
                 Vec::new()
             }
-            Input::Rows(scan) => self.on_rows(scan, now),
+            Input::Rows { scan, term } => self.on_rows(scan, term, now),
             Input::TableFailed => {
                 self.on_table_failed();
                 Vec::new()
             }
-            Input::SessionRead { host, version, row } => {
-                self.ownership.on_session_read(&host, version, row, now);
+            Input::SessionRead {
+                host,
+                version,
+                row,
+                asked,
+            } => {
+                self.ownership
+                    .on_session_read(&host, version, row, asked, now);
                 Vec::new()
             }
             Input::OwnerRow {
                 target,
                 version,
                 row,
-            } => self.on_owner_row(&target, version, row, now),
+                term,
+            } => self.on_owner_row(&target, version, row, term, now),
             Input::OwnerFailed { target } => {
                 self.ownership.on_failed(&target);
                 Vec::new()
@@ -179,7 +186,7 @@
                 self.membership.on_helper_reached(&host);
                 Vec::new()
             }
-            Input::HandedOver { targets } => self.on_handed_over(targets, now),
+            Input::HandoverNoticed => vec![Action::ReadConfig],
             Input::Leave => self.on_leave(now),
         }
     }
@@ -367,7 +374,10 @@
         if !settled || !known || !self.lease.holds(now) {
             return Vec::new();
         }
-        let actions = self.ownership.decide(&self.config, &self.membership, now);
+        let term = self.lease.term();
+        let actions = self
+            .ownership
+            .decide(&self.config, &self.membership, term, now);
         actions.into_iter().map(Action::Ownership).collect()
     }
 
@@ -483,6 +493,7 @@
     fn on_rows(
         &mut self,
         scan: RowScan,
+        term: u64,
         now: Instant,
     ) -> Vec<Action> {
         if !self.table_reachable() {
@@ -493,7 +504,7 @@
         self.table_read = true;
         let mut actions = Vec::new();
         for row in scan.rows {
-            actions.extend(self.on_table_row(row, now));
+            actions.extend(self.on_table_row(row, term, now));
         }
         actions
     }
@@ -501,6 +512,7 @@
     fn on_table_row(
         &mut self,
         row: Row,
+        term: u64,
         now: Instant,
     ) -> Vec<Action> {
         let Some(target) = row.key.strip_prefix(OWNER_PREFIX) else {
@@ -513,7 +525,7 @@
             };
         }
         match serde_json::from_str::<OwnerRow>(&row.value) {
-            Ok(owner) => self.on_owner_row(target, row.version, owner, now),
+            Ok(owner) => self.on_owner_row(target, row.version, owner, term, now),
             Err(_) => Vec::new(),
         }
     }
@@ -531,11 +543,12 @@
         target: &str,
         version: u64,
         row: OwnerRow,
+        term: u64,
         now: Instant,
     ) -> Vec<Action> {
         self.changed = true;
         let to = row.host.clone();
-        let change = self.ownership.on_row(target, version, row, now);
+        let change = self.ownership.on_row(target, version, row, term, now);
         let mut actions = Vec::new();
         if change == Some(OwnerChange::Lost) && !self.membership.is_gone(&to) {
             actions.push(Action::NoticeHandover {
@@ -588,6 +601,7 @@
         let state = TargetState::new(
             spec.clone(),
             fence,
+            held.term,
             self.settings.lease.pin_quiet,
             self.settings.policy.queue_factor,
             now,
@@ -606,6 +620,7 @@
             actions.push(Action::Order {
                 target: target.to_string(),
                 fence,
+                term: held.term,
                 order: EngineOrder::Raise,
             });
         }
@@ -670,23 +685,6 @@
         }
     }
 
-    /// The former owner says so before the table was looked at; the row itself decides later.
-    fn on_handed_over(
-        &mut self,
-        targets: Vec<HandedTarget>,
-        now: Instant,
-    ) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for handed in targets {
-            let row = OwnerRow {
-                host: self.me.clone(),
-                session: self.session,
-            };
-            actions.extend(self.on_owner_row(&handed.target, handed.fence, row, now));
-        }
-        actions
-    }
-
     fn on_leave(
         &mut self,
         now: Instant,
@@ -797,9 +795,10 @@
             target: target(),
             model,
         },
-        TargetAction::Order { fence, order } => Action::Order {
+        TargetAction::Order { fence, term, order } => Action::Order {
             target: target(),
             fence,
+            term,
             order,
         },
     };
--- a/src/process/control/control_thread.rs
+++ b/src/process/control/control_thread.rs
@@ -183,8 +183,9 @@
             Action::Order {
                 target,
                 fence,
+                term,
                 order,
-            } => self.runner.order(target, fence, order),
+            } => self.runner.order(target, fence, term, order),
             Action::ReadConfig => self.runner.read_config(),
             Action::FetchSnapshot { host } => {
                 let known = self.control.revision();
--- a/src/process/control/input.rs
+++ b/src/process/control/input.rs
@@ -77,19 +77,27 @@
     },
     HostList(Vec<ListedHost>),
     /// A look at the table succeeded.
-    Rows(RowScan),
+    Rows {
+        scan: RowScan,
+        /// Term of the lease when the look began.
+        term: u64,
+    },
     /// A look at the table failed.
     TableFailed,
     SessionRead {
         host: String,
         version: u64,
         row: Option<SessionRow>,
+        /// When the read was sent.
+        asked: Instant,
     },
     /// An ownership row was written or read after a doubtful write.
     OwnerRow {
         target: String,
         version: u64,
         row: OwnerRow,
+        /// Term of the lease when the call began.
+        term: u64,
     },
     /// A transaction on an ownership row came to nothing.
     OwnerFailed {
@@ -109,17 +117,8 @@
     HelperReached {
         host: String,
     },
-    /// Another host says that it handed targets to this one.
-    HandedOver {
-        targets: Vec<HandedTarget>,
-    },
+    /// Another host says that it handed a target to this one: the table tells.
+    HandoverNoticed,
     /// The planned stop begins.
     Leave,
 }
-
-/// A target that another host handed over, with its ownership row.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HandedTarget {
-    pub target: String,
-    pub fence: u64,
-}
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -12,6 +12,6 @@
     control::Control,
     control_handle::{ControlEvent, ControlHandle, LoadGrant},
     control_thread::ControlThread,
-    input::{HandedTarget, Input},
+    input::Input,
     view::{HostView, OwnerView, SharedView, View},
 };
--- a/src/process/loads/load_queue.rs
+++ b/src/process/loads/load_queue.rs
@@ -123,7 +123,10 @@
     fn heaviest(&self) -> Option<AskId> {
         self.waiting
             .iter()
-            .max_by(|(_, (a, _)), (_, (b, _))| a.score.total_cmp(&b.score))
+            .max_by(|(a_id, (a, _)), (b_id, (b, _))| {
+                // Of two alike, the one that came first.
+                a.score.total_cmp(&b.score).then(b_id.cmp(a_id))
+            })
             .map(|(id, _)| *id)
     }
 
--- a/src/process/node/action_runner.rs
+++ b/src/process/node/action_runner.rs
@@ -31,6 +31,9 @@
 /// Longer than the scheduler lets an ask wait.
 const ASK_LIMIT: Duration = Duration::from_secs(2);
 
+/// A term that no lease is ever in.
+const NO_TERM: u64 = 0;
+
 /// Limit for orders that are carried out at once.
 const SHORT_ORDER: Duration = Duration::from_secs(1);
 
@@ -158,6 +161,10 @@
         seen: u64,
         row: OwnerRow,
     ) {
+        let term = self.lease.term();
+        if !self.lease.holds(Instant::now()) {
+            return self.owner_failed(target);
+        }
         let key = owner_key(target);
         let value = serde_json::to_string(&row).expect("owners serialize");
         let committed = self.table.transact(&Transaction {
@@ -165,10 +172,10 @@
             writes: vec![Write::put(&key, value)],
         });
         match committed {
-            Ok(Commit::Done { sequence }) => self.tell_owner(target, sequence, row),
+            Ok(Commit::Done { sequence }) => self.tell_owner(target, sequence, row, term),
             // The row itself tells who won, or whether a write with a lost reply took effect.
-            Ok(Commit::Conflict { .. }) => self.reread_owner(target, &key),
-            Err(error) if error.may_have_committed() => self.reread_owner(target, &key),
+            Ok(Commit::Conflict { .. }) => self.reread_owner(target, &key, term),
+            Err(error) if error.may_have_committed() => self.reread_owner(target, &key, term),
             Err(_) => self.owner_failed(target),
         }
     }
@@ -177,13 +184,14 @@
         &self,
         target: &str,
         key: &str,
+        term: u64,
     ) {
         let row = match self.table.get(key) {
             Ok(Some(row)) => row,
             _ => return self.owner_failed(target),
         };
         match serde_json::from_str(&row.value) {
-            Ok(owner) => self.tell_owner(target, row.version, owner),
+            Ok(owner) => self.tell_owner(target, row.version, owner, term),
             Err(_) => self.owner_failed(target),
         }
     }
@@ -193,6 +201,7 @@
         target: &str,
         version: u64,
         row: OwnerRow,
+        term: u64,
     ) {
         if row.host != self.me {
             self.log.note(
@@ -204,6 +213,7 @@
             target: target.to_string(),
             version,
             row,
+            term,
         });
         self.owner_failed(target);
     }
@@ -222,13 +232,18 @@
         &self,
         host: String,
     ) {
+        let asked = Instant::now();
         let Ok(row) = self.table.get(&session_key(&host)) else {
             return;
         };
         let version = row.as_ref().map_or(0, |row| row.version);
         let row = row.and_then(|row| serde_json::from_str::<SessionRow>(&row.value).ok());
-        self.control
-            .input(Input::SessionRead { host, version, row });
+        self.control.input(Input::SessionRead {
+            host,
+            version,
+            row,
+            asked,
+        });
     }
 
     /// Asks the load scheduler; the answer comes back as an event.
@@ -320,12 +335,13 @@
         &self,
         target: String,
         fence: u64,
+        term: u64,
         order: EngineOrder,
     ) {
         self.note_order(&target, &order);
         let runner = self.clone();
         self.runtime.spawn(async move {
-            let outcome = runner.give_order(&target, fence, &order).await;
+            let outcome = runner.give_order(&target, fence, term, &order).await;
             runner.control.input(Input::OrderEnd {
                 target,
                 fence,
@@ -339,6 +355,7 @@
         &self,
         target: &str,
         fence: u64,
+        term: u64,
         order: &EngineOrder,
     ) -> Result<(), TargetError> {
         let spec = self.view.load().config.targets.get(target).cloned();
@@ -352,7 +369,7 @@
             order: order.clone(),
         };
         // Looked at last: a process that was paused may have a successor by now.
-        if !spec.checks_fences && !self.lease.holds(Instant::now()) {
+        if !spec.checks_fences && !self.lease.holds_in(term, Instant::now()) {
             return Err(TargetError::NotReached("the lease has lapsed".into()));
         }
         self.client.order(spec.address, &request, limit).await
@@ -412,6 +429,8 @@
                     host: entry.host,
                     session: entry.session,
                 },
+                // What another host remembers proves no term of this one's lease.
+                term: NO_TERM,
             });
         }
     }
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -108,7 +108,7 @@
         );
         let control_thread = ControlThread::new(state, runner, received, view.clone());
         spawn_thread("control", move || control_thread.run());
-        start_poller(&settings, &table, &control, &log, wake);
+        start_poller(&settings, &table, &control, &lease, &log, wake);
         let (session_stop, session_stopped) = flume::bounded(1);
         let keeper = SessionKeeper::new(
             table.clone(),
@@ -254,6 +254,7 @@
     settings: &HostSettings,
     table: &Arc<dyn Table>,
     control: &ControlHandle,
+    lease: &SessionLease,
     log: &EventLog,
     wake: flume::Receiver<()>,
 ) {
@@ -265,6 +266,7 @@
         hosts,
         ConfigStore::new(table.clone(), objects),
         control.clone(),
+        lease.clone(),
         log.clone(),
         platform.poll,
         wake,
--- a/src/process/node/platform_poller.rs
+++ b/src/process/node/platform_poller.rs
@@ -3,7 +3,7 @@
         connection::platform::{HostList, Table},
         process::{
             control::{ControlHandle, Input},
-            ownership::OWNER_PREFIX,
+            ownership::{OWNER_PREFIX, SessionLease},
         },
         timeline::{Event, EventLog},
         version::{CONFIG_HEAD_KEY, ConfigHead, ConfigStore, SiteConfig},
@@ -18,6 +18,7 @@
     pub hosts: Arc<dyn HostList>,
     pub configs: ConfigStore,
     pub control: ControlHandle,
+    pub lease: SessionLease,
     pub log: EventLog,
     pub period: Duration,
     /// Wakes the poller early; its end ends the poller.
@@ -34,6 +35,7 @@
         hosts: Arc<dyn HostList>,
         configs: ConfigStore,
         control: ControlHandle,
+        lease: SessionLease,
         log: EventLog,
         period: Duration,
         wake: flume::Receiver<()>,
@@ -43,6 +45,7 @@
             hosts,
             configs,
             control,
+            lease,
             log,
             period,
             wake,
@@ -77,6 +80,7 @@
 
     fn look_at_table(&mut self) {
         let prefixes = [OWNER_PREFIX, CONFIG_HEAD_KEY];
+        let term = self.lease.term();
         let Ok(scan) = self.table.scan(&prefixes, self.sequence) else {
             return self.control.input(Input::TableFailed);
         };
@@ -88,7 +92,7 @@
                 self.head = Some(head);
             }
         }
-        self.control.input(Input::Rows(scan));
+        self.control.input(Input::Rows { scan, term });
     }
 
     /// Reads a newer revision; one that can't be read yet is tried again at the next look.
--- a/src/process/ownership/ownership.rs
+++ b/src/process/ownership/ownership.rs
@@ -21,6 +21,8 @@
 pub struct HeldTarget {
     /// The version of the ownership row.
     pub fence: u64,
+    /// Term of the lease that it was gained in.
+    pub term: u64,
     pub since: Instant,
 }
 
@@ -110,6 +112,7 @@
         target: &str,
         version: u64,
         row: OwnerRow,
+        term: u64,
         now: Instant,
     ) -> Option<OwnerChange> {
         let old = self.rows.get(target).map_or(0, |seen| seen.version);
@@ -124,6 +127,7 @@
             (true, _) => {
                 let held = HeldTarget {
                     fence: version,
+                    term,
                     since: now,
                 };
                 self.held.insert(target.to_string(), held);
@@ -165,9 +169,10 @@
         host: &str,
         version: u64,
         row: Option<super::SessionRow>,
+        asked: Instant,
         now: Instant,
     ) {
-        self.watch.on_read(host, version, row, now);
+        self.watch.on_read(host, version, row, asked, now);
     }
 
     /// What should be done now.
@@ -175,6 +180,7 @@
         &mut self,
         config: &SiteConfig,
         membership: &Membership,
+        term: u64,
         now: Instant,
     ) -> Vec<OwnershipAction> {
         self.pending
@@ -193,6 +199,14 @@
                     let fence = held.fence;
                     self.hand_over(target, fence, host, membership, now)
                 }
+                // What an old term of the lease gave may be another host's by now.
+                Some(held) if held.term != term && !checks_fences(config, target) => {
+                    let seen = held.fence;
+                    Some(OwnershipAction::Take {
+                        target: target.to_string(),
+                        seen,
+                    })
+                }
                 Some(_) => {
                     self.better_since.remove(*target);
                     None
@@ -235,13 +249,10 @@
         if !membership.is_gone(&seen.row.host) {
             return None;
         }
-        let checks = config
-            .targets
-            .get(target)
-            .is_some_and(|spec| spec.checks_fences);
+        let checks = checks_fences(config, target);
         let over = self
             .watch
-            .is_over(&seen.row.host, seen.row.session, self.wait, now);
+            .is_over(&seen.row.host, seen.row.session, self.wait);
         if over || checks && membership.is_surely_dead(&seen.row.host) {
             return Some(take(seen.version));
         }
@@ -277,6 +288,16 @@
     }
 }
 
+fn checks_fences(
+    config: &SiteConfig,
+    target: &str,
+) -> bool {
+    config
+        .targets
+        .get(target)
+        .is_some_and(|spec| spec.checks_fences)
+}
+
 /// What a row changed for this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OwnerChange {
--- a/src/process/ownership/session_watch.rs
+++ b/src/process/ownership/session_watch.rs
@@ -8,8 +8,8 @@
 
 /// Watches the session rows of hosts believed dead, to see them lapse.
 ///
-/// A session has lapsed when its row kept one version for the lease and the margin, counted from
-/// when this process first saw that version: no clocks of two hosts are compared.
+/// A session has lapsed when a read shows the version that was there a lease and a margin before,
+/// by this process's own clock: no clocks of two hosts are compared.
 #[derive(Debug, Default)]
 pub struct SessionWatch {
     seen: BTreeMap<String, Seen>,
@@ -20,6 +20,8 @@
     version: u64,
     row: Option<SessionRow>,
     first: Instant,
+    /// When the last read that found the version was sent.
+    confirmed: Instant,
 }
 
 impl SessionWatch {
@@ -38,6 +40,7 @@
             version: u64::MAX,
             row: None,
             first: now,
+            confirmed: now,
         });
     }
 
@@ -49,12 +52,13 @@
         self.seen.retain(|host, _| wanted(host));
     }
 
-    /// A read of a watched row; version 0 is an absent row.
+    /// A read of a watched row that was sent at `asked`; version 0 is an absent row.
     pub fn on_read(
         &mut self,
         host: &str,
         version: u64,
         row: Option<SessionRow>,
+        asked: Instant,
         now: Instant,
     ) {
         let Some(seen) = self.seen.get_mut(host) else {
@@ -65,8 +69,10 @@
                 version,
                 row,
                 first: now,
+                confirmed: now,
             };
         }
+        seen.confirmed = seen.confirmed.max(asked);
     }
 
     /// True when the session can give no more orders.
@@ -75,7 +81,6 @@
         host: &str,
         session: u64,
         wait: Duration,
-        now: Instant,
     ) -> bool {
         let Some(seen) = self.seen.get(host) else {
             return false;
@@ -83,10 +88,10 @@
         if seen.version == u64::MAX {
             return false;
         }
-        let replaced = seen
+        let ended = seen
             .row
             .as_ref()
             .is_some_and(|row| row.session == session && row.ended);
-        replaced || now.saturating_duration_since(seen.first) >= wait
+        ended || seen.confirmed.saturating_duration_since(seen.first) >= wait
     }
 }
--- a/src/process/target/target_action.rs
+++ b/src/process/target/target_action.rs
@@ -28,6 +28,8 @@
     /// It may be sent, with this fence.
     Run {
         fence: u64,
+        /// Term of the lease that the target was gained in.
+        term: u64,
         /// Time that it waited for its adapter to be loaded.
         load_wait: Duration,
     },
@@ -52,5 +54,9 @@
     /// Nobody waits for this load any more, or it has ended.
     ReleaseLoad { model: AdapterVersion },
     /// Give an order, and report how it ended.
-    Order { fence: u64, order: EngineOrder },
+    Order {
+        fence: u64,
+        term: u64,
+        order: EngineOrder,
+    },
 }
--- a/src/process/target/target_state.rs
+++ b/src/process/target/target_state.rs
@@ -36,6 +36,8 @@
 pub struct TargetState {
     spec: TargetSpec,
     fence: u64,
+    /// Term of the lease that the target was gained in.
+    term: u64,
     /// True once the engine is seen to refuse older fences.
     raised: bool,
     /// Until then, adapters that this owner did not use itself count as in use.
@@ -59,6 +61,7 @@
     pub fn new(
         spec: TargetSpec,
         fence: u64,
+        term: u64,
         pin_quiet: Duration,
         queue_factor: f64,
         now: Instant,
@@ -67,6 +70,7 @@
         Self {
             spec,
             fence,
+            term,
             raised: false,
             unknown_until: now + pin_quiet,
             boot: None,
@@ -418,8 +422,12 @@
             load_wait = slot.since.saturating_duration_since(ticket.arrived);
         }
         self.running.insert(ticket.id, ticket.model);
-        let fence = self.fence;
-        answer(ticket.id, Admission::Run { fence, load_wait })
+        let admission = Admission::Run {
+            fence: self.fence,
+            term: self.term,
+            load_wait,
+        };
+        answer(ticket.id, admission)
     }
 
     /// Turns permissions into orders: a drop first where the engine is full.
@@ -661,6 +669,7 @@
     ) -> TargetAction {
         TargetAction::Order {
             fence: self.fence,
+            term: self.term,
             order,
         }
     }
--- a/src/process/target/wait_queue.rs
+++ b/src/process/target/wait_queue.rs
@@ -2,6 +2,7 @@
     super::{Ticket, TicketId},
     crate::version::AdapterVersion,
     std::{
+        cmp::Ordering,
         collections::BTreeMap,
         time::{Duration, Instant},
     },
@@ -63,7 +64,7 @@
     ) -> Option<TicketId> {
         self.iter()
             .filter(|ticket| ready(ticket))
-            .max_by(|a, b| weight(a, now).total_cmp(&weight(b, now)))
+            .max_by(|a, b| by_weight(a, b, now))
             .map(|ticket| ticket.id)
     }
 
@@ -72,8 +73,7 @@
         &self,
         now: Instant,
     ) -> Option<&Ticket> {
-        self.iter()
-            .min_by(|a, b| weight(a, now).total_cmp(&weight(b, now)))
+        self.iter().min_by(|a, b| by_weight(a, b, now))
     }
 
     /// Takes out every request that `gone` names.
@@ -115,6 +115,16 @@
     pub latest_deadline: Instant,
 }
 
+/// The heavier is greater; of two alike, the one that came first.
+fn by_weight(
+    a: &Ticket,
+    b: &Ticket,
+    now: Instant,
+) -> Ordering {
+    let by_weight = weight(a, now).total_cmp(&weight(b, now));
+    by_weight.then(b.id.cmp(&a.id))
+}
+
 /// Weight of a waiting request: worth, priority and age.
 pub fn weight(
     ticket: &Ticket,
--- a/src/request/owner_service.rs
+++ b/src/request/owner_service.rs
@@ -299,13 +299,17 @@
             may_load: request.may_load,
         };
         let (mut permit, verdict) = context.control.admit(&request.target, ticket);
-        let (fence, load_wait) = match verdict.await {
-            Ok(Admission::Run { fence, load_wait }) => (fence, load_wait),
+        let (fence, term, load_wait) = match verdict.await {
+            Ok(Admission::Run {
+                fence,
+                term,
+                load_wait,
+            }) => (fence, term, load_wait),
             Ok(Admission::Refused(refusal)) => return RunEnd::Refused(refusal),
             Err(_) => return RunEnd::Refused(Refusal::elsewhere(RefusalCode::HostStopping)),
         };
         // Looked at last, as this process may have been paused since it was admitted.
-        if !spec.checks_fences && !self.may_send_unfenced() {
+        if !spec.checks_fences && !self.may_send_unfenced(term) {
             return RunEnd::Refused(Refusal::elsewhere(RefusalCode::NotOwner));
         }
         let run = self.target_run(spec, request, fence, load_wait, parts);
@@ -334,9 +338,12 @@
     }
 
     /// Without fences, only a held lease keeps a newer owner away, or a table out for all.
-    fn may_send_unfenced(&self) -> bool {
+    fn may_send_unfenced(
+        &self,
+        term: u64,
+    ) -> bool {
         let context = &self.context;
-        context.lease.holds(Instant::now()) || context.view.load().table_out_for_all
+        context.lease.holds_in(term, Instant::now()) || context.view.load().table_out_for_all
     }
 
     fn spec(
