--- a/src/standin/fault_proxy.rs
+++ b/src/standin/fault_proxy.rs
@@ -2,7 +2,10 @@
     std::{
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -37,6 +40,7 @@
     fault: watch::Sender<ProxyFault>,
     cuts: watch::Sender<u64>,
     stop: watch::Sender<bool>,
+    bytes: Arc<AtomicU64>,
 }
 
 /// What one connection needs.
@@ -45,6 +49,7 @@
     to: Arc<Mutex<SocketAddr>>,
     fault: watch::Receiver<ProxyFault>,
     cuts: watch::Receiver<u64>,
+    bytes: Arc<AtomicU64>,
 }
 
 impl FaultProxy {
@@ -55,7 +60,9 @@
         let (fault, seen_fault) = watch::channel(ProxyFault::default());
         let (cuts, seen_cuts) = watch::channel(0);
         let (stop, mut stopped) = watch::channel(false);
+        let bytes = Arc::new(AtomicU64::new(0));
         let shared = Shared {
+            bytes: bytes.clone(),
             to: Arc::new(Mutex::new(to)),
             fault: seen_fault,
             cuts: seen_cuts,
@@ -76,6 +83,7 @@
             fault,
             cuts,
             stop,
+            bytes,
         })
     }
 
@@ -91,6 +99,11 @@
         self.fault.send_replace(fault);
     }
 
+    /// Bytes passed on so far, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
     /// Cuts every open connection.
     pub fn cut(&self) {
         self.cuts.send_modify(|cuts| *cuts += 1);
@@ -105,9 +118,10 @@
 
 async fn carry(
     from: TcpStream,
-    mut shared: Shared,
+    shared: Shared,
 ) {
-    shared.cuts.mark_unchanged();
+    let mut cuts = shared.cuts.clone();
+    cuts.mark_unchanged();
     if shared.fault.borrow().refuse {
         return;
     }
@@ -119,20 +133,21 @@
     let _ = to.set_nodelay(true);
     let (from_read, from_write) = from.into_split();
     let (to_read, to_write) = to.into_split();
-    let asks = pass(from_read, to_write, shared.fault.clone(), false);
-    let answers = pass(to_read, from_write, shared.fault.clone(), true);
+    let asks = pass(from_read, to_write, &shared, false);
+    let answers = pass(to_read, from_write, &shared, true);
     tokio::select! {
         _ = async { tokio::try_join!(asks, answers) } => {}
-        _ = shared.cuts.changed() => {}
+        _ = cuts.changed() => {}
     }
 }
 
 async fn pass(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mut fault: watch::Receiver<ProxyFault>,
+    shared: &Shared,
     answers: bool,
 ) -> io::Result<()> {
+    let mut fault = shared.fault.clone();
     let mut piece = vec![0; PIECE];
     loop {
         let read = from.read(&mut piece).await?;
@@ -146,6 +161,7 @@
             // A half-closed connection may still be answered.
             return to.shutdown().await;
         }
+        shared.bytes.fetch_add(read as u64, Ordering::Relaxed);
         to.write_all(&piece[..read]).await?;
     }
 }
--- /dev/null
+++ b/tests/catalogues.rs
@@ -0,0 +1,107 @@
+//! Pages and code must agree.
+
+use {
+    coveproxy::{
+        errors::RequestError, process::node::ALL_METRICS, request::RefusalCode, timeline::Event,
+    },
+    std::collections::BTreeSet,
+};
+
+fn page(name: &str) -> String {
+    let file = format!("{}/docs/{name}", env!("CARGO_MANIFEST_DIR"));
+    std::fs::read_to_string(file).unwrap()
+}
+
+/// The rows of every table on a page, as trimmed cells.
+fn rows(page: &str) -> Vec<Vec<String>> {
+    let cells = |line: &str| {
+        let line = line.trim().trim_matches('|');
+        line.split('|')
+            .map(|cell| cell.trim().to_string())
+            .collect()
+    };
+    page.lines()
+        .filter(|line| line.starts_with('|'))
+        .map(cells)
+        .collect()
+}
+
+#[test]
+fn every_event_is_in_the_catalogue_and_no_other() {
+    let described: Vec<(String, String, String)> = rows(&page("EVENTS.md"))
+        .into_iter()
+        .filter(|row| row[0].parse::<u16>().is_ok())
+        .map(|row| (row[0].clone(), row[1].clone(), row[2].clone()))
+        .collect();
+    let coded: Vec<(String, String, String)> = Event::ALL
+        .iter()
+        .map(|event| {
+            let level = event.level().to_string().to_lowercase();
+            (event.number().to_string(), event.word().to_string(), level)
+        })
+        .collect();
+    assert_eq!(described, coded);
+    let numbers: BTreeSet<u16> = Event::ALL.iter().map(|event| event.number()).collect();
+    assert_eq!(
+        numbers.len(),
+        Event::ALL.len(),
+        "a number stands for one event"
+    );
+}
+
+#[test]
+fn every_metric_is_in_the_catalogue_and_no_other() {
+    let described: BTreeSet<String> = rows(&page("METRICS.md"))
+        .into_iter()
+        .filter_map(|row| row[0].strip_prefix("coveproxy.").map(str::to_string))
+        .collect();
+    let coded: BTreeSet<String> = ALL_METRICS.iter().map(|name| name.to_string()).collect();
+    assert_eq!(described, coded);
+}
+
+#[test]
+fn every_error_code_is_in_the_catalogue_with_its_status() {
+    let described: BTreeSet<(String, String)> = rows(&page("CALLERS.md"))
+        .into_iter()
+        .filter(|row| row.len() == 3 && row[1].parse::<u16>().is_ok())
+        .map(|row| (row[0].clone(), row[1].clone()))
+        .collect();
+    let refusals = RefusalCode::ALL
+        .iter()
+        .map(|code| (code.word(), code.status()));
+    let errors = request_errors();
+    let coded: BTreeSet<(String, String)> = refusals
+        .chain(errors.iter().map(RequestError::code))
+        .map(|(code, status)| (code.to_string(), status.as_u16().to_string()))
+        .collect();
+    assert_eq!(described, coded);
+}
+
+fn request_errors() -> Vec<RequestError> {
+    let text = String::new;
+    vec![
+        RequestError::BadModel(text()),
+        RequestError::UnknownModel(text()),
+        RequestError::UnknownService(text()),
+        RequestError::WrongKey,
+        RequestError::KindNotAllowed(text()),
+        RequestError::UnknownOutfitter(text()),
+        RequestError::BadHeader {
+            name: "x",
+            problem: text(),
+        },
+        RequestError::BadJson(text()),
+        RequestError::BadField {
+            field: "x",
+            problem: text(),
+        },
+        RequestError::HeadTooLarge { limit: 1 },
+        RequestError::BodyTooLarge { limit: 1 },
+        RequestError::BodyTooSlow { limit_ms: 1 },
+        RequestError::BodyCut,
+        RequestError::UnknownPath(text()),
+        RequestError::MethodNotAllowed(text()),
+        RequestError::RateExceeded(1.0),
+        RequestError::NotReady,
+    ]
+}
--- a/tests/support/bed.rs
+++ b/tests/support/bed.rs
@@ -45,6 +45,12 @@
     pub checks_fences: bool,
     pub adapters: usize,
     pub adapter_slots: usize,
+    pub batch_slots: usize,
+    pub token_time: Duration,
+    /// Threads for traffic of each host.
+    pub threads: usize,
+    /// Without proxies before targets and hosts, for measurements of speed.
+    pub direct: bool,
 }
 
 impl Default for BedPlan {
@@ -56,6 +62,10 @@
             checks_fences: true,
             adapters: 6,
             adapter_slots: 4,
+            batch_slots: 8,
+            token_time: Duration::from_millis(5),
+            threads: 2,
+            direct: false,
         }
     }
 }
@@ -83,6 +93,7 @@
     pub callers: SocketAddr,
     pub peers: SocketAddr,
     pub admin: SocketAddr,
+    threads: usize,
     settings: PathBuf,
     child: Option<Child>,
     /// Bound without listening, so that nobody else is given the ports meanwhile.
@@ -123,6 +134,8 @@
             let mut spec = EngineStandinSpec::small(Some(self.platform.address()));
             spec.checks_fences = self.plan.checks_fences;
             spec.adapter_slots = self.plan.adapter_slots;
+            spec.batch_slots = self.plan.batch_slots;
+            spec.token_time = self.plan.token_time;
             spec.abandoned_after = Duration::from_secs(4);
             let engine = EngineStandin::start(spec).await.unwrap();
             let link = FaultProxy::start(engine.address()).await.unwrap();
@@ -148,6 +161,7 @@
         }
         self.list_hosts(|_| Some(HostState::Live));
         for host in &mut self.hosts {
+            host.threads = self.plan.threads;
             host.start();
         }
         let callers = self.hosts.iter().map(|host| host.callers).collect();
@@ -164,7 +178,10 @@
                 name: host.name.clone(),
                 hall: format!("hall-{}", at % 2),
                 caller_address: host.callers,
-                peer_address: self.peer_links[at].address(),
+                peer_address: match self.plan.direct {
+                    true => host.peers,
+                    false => self.peer_links[at].address(),
+                },
                 admin_address: host.admin,
                 state: state(at)?,
             })
@@ -236,9 +253,12 @@
         let role = TargetRole::Engine(EngineSpec {
             base_model: "base".into(),
             adapter_slots: self.plan.adapter_slots,
-            batch_slots: 8,
+            batch_slots: self.plan.batch_slots,
         });
-        let address = self.engine_links[at].address();
+        let address = match self.plan.direct {
+            true => self.engines[at].address(),
+            false => self.engine_links[at].address(),
+        };
         target(
             &format!("engine-{at}"),
             address,
@@ -382,6 +402,7 @@
             callers,
             peers,
             admin,
+            threads: 1,
             settings,
             child: None,
             _held: held,
@@ -393,7 +414,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_coveproxyd"))
             .arg("--settings")
             .arg(&self.settings)
-            .args(["--threads", "2"])
+            .args(["--threads", &self.threads.to_string()])
             .env("RUST_LOG", level)
             .stdin(Stdio::null())
             .spawn()
@@ -401,6 +422,11 @@
         self.child = Some(child);
     }
 
+    /// The process's number, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     pub fn runs(&self) -> bool {
         self.child.is_some()
     }
