Control's cost at size: the host list by tag, assignments kept, slower tick

Cause: with 60 hosts each host moved 91.6 KB/s with the platform, since the whole host list was read at each look; ownership hashed every target against every host ten times a second (311,000 hashes at 820 targets and 380 hosts), and the control thread woke 50 times a second. Change: the host list is asked for with HTTP's own tag; assignments are computed when hosts or targets change; the tick is 50 ms; a route sorts only the front of its candidates; coveproxy status shows the weight store.

--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -1,4 +1,7 @@
-use {crate::errors::RunError, std::process::ExitCode};
+use {
+    crate::errors::{ConfigError, RunError},
+    std::process::ExitCode,
+};
 
 /// Exit code for wrong arguments or settings.
 pub const EXIT_USAGE: u8 = 2;
@@ -22,6 +25,7 @@
         RunError::Listen { .. } | RunError::Platform(_) | RunError::Call(_) => EXIT_UNREACHABLE,
         RunError::PromiseBroken(_) => EXIT_PROMISE,
         RunError::NotAnswered(_) => EXIT_NOT_ANSWERED,
+        RunError::Config(ConfigError::Platform(_)) => EXIT_UNREACHABLE,
         RunError::Config(_) => EXIT_REFUSED,
     })
 }
--- a/src/cli/status_command.rs
+++ b/src/cli/status_command.rs
@@ -50,6 +50,16 @@
         status["config_revision"],
         text(&status["answered_by"])
     );
+    let weights = &status["weight_store"];
+    match weights["up"].as_bool() {
+        Some(true) => println!(
+            "weight store up, {:.1} loads a second, {} loading",
+            weights["loads_per_second"].as_f64().unwrap_or(0.0),
+            count(&weights["loading"])
+        ),
+        Some(false) => println!("weight store out"),
+        None => println!("weight store not reached"),
+    }
     println!();
     println!(
         "{:<18} {:<10} {:<8} {:<9} {:<6} {:<6} ROLE",
--- a/src/process/control/control_thread.rs
+++ b/src/process/control/control_thread.rs
@@ -17,7 +17,7 @@
 };
 
 /// Time between two passages of time for the control state.
-const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(50);
 
 /// Runs the control state: takes events in one by one and hands its actions on.
 pub struct ControlThread {
--- a/src/process/node/admin_pages.rs
+++ b/src/process/node/admin_pages.rs
@@ -1,6 +1,9 @@
 use {
     crate::{
-        connection::peer::{PeerLinks, wire},
+        connection::{
+            peer::{PeerLinks, wire},
+            platform::WeightStore,
+        },
         errors::RunError,
         process::control::{ControlEvent, ControlHandle, SharedView},
         timeline::EventLog,
@@ -33,6 +36,7 @@
     pub view: SharedView,
     pub links: PeerLinks,
     pub log: EventLog,
+    pub weights: Arc<dyn WeightStore>,
 }
 
 impl AdminPages {
@@ -119,6 +123,7 @@
             "answered_by": view.me,
             "config_revision": view.config.revision,
             "hosts": hosts,
+            "weight_store": self.weights.health().ok(),
             "seen_from_here": peers,
             "owners": view.owners.iter().map(|(target, owner)| {
                 json!({"target": target, "host": owner.host, "fence": owner.fence})
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -7,7 +7,7 @@
         connection::{
             caller::{CallerFront, FrontContext, HttpListener, ListenerLimits},
             peer::{PeerLinks, PeerServer, wire::peer_server::PeerServer as PeerGrpc},
-            platform::{HttpHostList, HttpObjectStore, HttpTable, Table},
+            platform::{HttpHostList, HttpObjectStore, HttpTable, HttpWeightStore, Table},
             target::TargetClient,
         },
         errors::RunError,
@@ -168,6 +168,7 @@
             view: view.clone(),
             links,
             log: log.clone(),
+            weights: Arc::new(HttpWeightStore::new(platform.weights, platform.timeout)),
         };
         let admin = pages.start(settings.admin, stop_admin.clone())?;
         log.note(Event::HostStarted, &[("callers", &callers_address)]);
--- a/src/process/ownership/ownership.rs
+++ b/src/process/ownership/ownership.rs
@@ -60,6 +60,9 @@
     /// Transactions under way, by target.
     pending: BTreeMap<String, Instant>,
     watch: SessionWatch,
+    /// Who should own each target, and the revision and hosts that it was computed for.
+    assigned: BTreeMap<String, String>,
+    assigned_for: (u64, Vec<String>),
     better_since: BTreeMap<String, Instant>,
 }
 
@@ -80,6 +83,8 @@
             held: BTreeMap::new(),
             pending: BTreeMap::new(),
             watch: SessionWatch::default(),
+            assigned: BTreeMap::new(),
+            assigned_for: (0, Vec::new()),
             better_since: BTreeMap::new(),
         }
     }
@@ -185,16 +190,15 @@
     ) -> Vec<OwnershipAction> {
         self.pending
             .retain(|_, since| now.saturating_duration_since(*since) < PENDING_LIMIT);
-        let hosts = membership.eligible();
-        let targets = config.targets.keys().map(String::as_str);
-        let assigned = assign(targets, &hosts);
+        self.assign_anew(config, membership);
+        let assigned = std::mem::take(&mut self.assigned);
         let mut actions = Vec::new();
         let mut handovers = 0;
         for (target, host) in &assigned {
-            if self.pending.contains_key(*target) {
+            if self.pending.contains_key(target) {
                 continue;
             }
-            let action = match self.held.get(*target) {
+            let action = match self.held.get(target) {
                 Some(held) if *host != self.me && handovers < HANDOVERS_AT_ONCE => {
                     let fence = held.fence;
                     self.hand_over(target, fence, host, membership, now)
@@ -208,7 +212,7 @@
                     })
                 }
                 Some(_) => {
-                    self.better_since.remove(*target);
+                    self.better_since.remove(target);
                     None
                 }
                 None if *host == self.me => self.take(target, config, membership, now),
@@ -224,10 +228,29 @@
                 actions.push(action);
             }
         }
+        self.assigned = assigned;
         self.watch.keep(|host| membership.is_gone(host));
         actions
     }
 
+    /// Computes who should own what, only when the hosts or the targets have changed.
+    fn assign_anew(
+        &mut self,
+        config: &SiteConfig,
+        membership: &Membership,
+    ) {
+        let hosts = membership.eligible();
+        let same_hosts = hosts.iter().eq(self.assigned_for.1.iter());
+        if same_hosts && self.assigned_for.0 == config.revision {
+            return;
+        }
+        let targets = config.targets.keys().map(String::as_str);
+        let owned = |(target, host): (&str, &str)| (target.to_string(), host.to_string());
+        self.assigned = assign(targets, &hosts).into_iter().map(owned).collect();
+        let hosts = hosts.into_iter().map(str::to_string).collect();
+        self.assigned_for = (config.revision, hosts);
+    }
+
     fn take(
         &mut self,
         target: &str,
--- a/src/request/route.rs
+++ b/src/request/route.rs
@@ -8,7 +8,10 @@
     std::cmp::Reverse,
 };
 
-/// Engines for an adapter version: those of its base model that stay, by rank.
+/// Targets that one request may try; more than it ever does.
+const MOST: usize = 8;
+
+/// Engines for an adapter version: the best of its base model that stay, by rank.
 pub fn engine_candidates(
     config: &SiteConfig,
     model: &AdapterVersion,
@@ -23,7 +26,7 @@
     candidates(config, model.adapter(), fits)
 }
 
-/// Targets of a plain service that stay, by rank for `key`.
+/// Targets of a plain service: the best that stay, by rank for `key`.
 pub fn plain_candidates(
     config: &SiteConfig,
     service: &str,
@@ -41,12 +44,17 @@
     item: &str,
     fits: impl Fn(&TargetRole) -> bool,
 ) -> Vec<String> {
-    let mut found: Vec<&String> = config
+    let mut ranked: Vec<(Reverse<u64>, &String)> = config
         .targets
         .iter()
         .filter(|(_, spec)| !spec.leaving && fits(&spec.role))
-        .map(|(name, _)| name)
+        .map(|(name, _)| (Reverse(rank(item, name)), name))
         .collect();
-    found.sort_by_cached_key(|name| Reverse(rank(item, name)));
-    found.into_iter().cloned().collect()
+    // Only the front is wanted in order, which matters with hundreds of engines.
+    if ranked.len() > MOST {
+        ranked.select_nth_unstable(MOST);
+        ranked.truncate(MOST);
+    }
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, name)| name.clone()).collect()
 }
--- a/src/standin/platform/platform_standin.rs
+++ b/src/standin/platform/platform_standin.rs
@@ -10,7 +10,10 @@
     axum::{
         Json, Router,
         extract::{Path, Query, State},
-        http::StatusCode,
+        http::{
+            HeaderMap, StatusCode,
+            header::{ETAG, IF_NONE_MATCH},
+        },
         response::{IntoResponse, Response},
         routing::{get, post, put},
     },
@@ -23,6 +26,7 @@
         time::{Duration, Instant},
     },
     tokio::time::sleep,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// How the platform's stand-in is set up.
@@ -246,8 +250,17 @@
     }
 }
 
-async fn hosts_get(State(state): Shared) -> Response {
-    Json(state.hosts_now()).into_response()
+async fn hosts_get(
+    State(state): Shared,
+    headers: HeaderMap,
+) -> Response {
+    let list = serde_json::to_vec(&state.hosts_now()).expect("host lists serialize");
+    let tag = format!("\"{:016x}\"", xxh3_64(&list));
+    let known = headers.get(IF_NONE_MATCH).and_then(|tag| tag.to_str().ok());
+    match known == Some(tag.as_str()) {
+        true => (StatusCode::NOT_MODIFIED, [(ETAG, tag)]).into_response(),
+        false => ([(ETAG, tag)], list).into_response(),
+    }
 }
 
 async fn weights_health(State(state): Shared) -> Response {
