--- a/src/connection/caller/caller_front.rs
+++ b/src/connection/caller/caller_front.rs
@@ -10,7 +10,7 @@
         },
         request::{
             AnswerHead, AnswerPart, CallerRequest, EntryEnd, EntryService, HEADER_OUTCOME,
-            HEADER_REQUEST_ID, RequestHead, RequestParser, engine_candidates,
+            HEADER_REQUEST_ID, RateLimits, RequestHead, RequestParser, engine_candidates,
         },
         version::AdapterVersion,
     },
@@ -18,7 +18,7 @@
         Json, Router,
         body::Body,
         extract::{Path, Query, Request, State},
-        http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri},
+        http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, request::Parts},
         middleware::{self, Next},
         response::{IntoResponse, Response},
         routing::{any, get, post},
@@ -59,6 +59,7 @@
     pub hall: String,
     pub own_address: SocketAddr,
     pub active: ActiveWork,
+    pub rates: RateLimits,
 }
 
 /// The addresses that callers call.
@@ -107,30 +108,11 @@
     State(context): Context,
     request: Request,
 ) -> Response {
-    let arrived = Instant::now();
-    let id = new_id();
-    let (head, body) = request.into_parts();
-    let path = head.uri.path().to_string();
-    let called = async {
-        let view = ready_view(&context)?;
-        let parser = RequestParser {
-            config: &view.config,
-        };
-        // Whoever has no key has no body read either.
-        parser.authenticate(&head.headers)?;
-        let body = read_body(&context, body).await?;
-        let head = RequestHead {
-            id: id.clone(),
-            method: head.method.clone(),
-            headers: &head.headers,
-            arrived,
-        };
+    let path = request.uri().path().to_string();
+    serve(context, request, move |parser, head, body| {
         parser.model_request(head, &path, body)
-    };
-    match called.await {
-        Ok(request) => answer(context, request).await,
-        Err(error) => ErrorAnswer::from_request_error(&error, &id, &head.headers).into_response(),
-    }
+    })
+    .await
 }
 
 async fn plain_call(
@@ -138,34 +120,74 @@
     Path((service, path)): Path<(String, String)>,
     request: Request,
 ) -> Response {
-    let arrived = Instant::now();
-    let id = new_id();
-    let (head, body) = request.into_parts();
-    let path = match head.uri.query() {
+    let path = match request.uri().query() {
         Some(query) => format!("/{path}?{query}"),
         None => format!("/{path}"),
     };
-    let called = async {
-        let view = ready_view(&context)?;
-        let parser = RequestParser {
-            config: &view.config,
-        };
-        parser.authenticate(&head.headers)?;
-        let body = read_body(&context, body).await?;
-        let head = RequestHead {
-            id: id.clone(),
-            method: head.method.clone(),
-            headers: &head.headers,
-            arrived,
-        };
+    serve(context, request, move |parser, head, body| {
         parser.plain_request(head, &service, path, body)
-    };
-    match called.await {
+    })
+    .await
+}
+
+/// Checks a request in, runs it and answers it.
+async fn serve(
+    context: Arc<FrontContext>,
+    request: Request,
+    parse: impl FnOnce(&RequestParser, RequestHead, Bytes) -> Result<CallerRequest, RequestError>,
+) -> Response {
+    let id = new_id();
+    let (head, body) = request.into_parts();
+    match check_in(&context, &id, &head, body, parse).await {
         Ok(request) => answer(context, request).await,
         Err(error) => ErrorAnswer::from_request_error(&error, &id, &head.headers).into_response(),
     }
 }
 
+async fn check_in(
+    context: &FrontContext,
+    id: &str,
+    head: &Parts,
+    body: Body,
+    parse: impl FnOnce(&RequestParser, RequestHead, Bytes) -> Result<CallerRequest, RequestError>,
+) -> Result<CallerRequest, RequestError> {
+    let arrived = Instant::now();
+    let view = ready_view(context)?;
+    let parser = RequestParser {
+        config: &view.config,
+    };
+    // Whoever has no key, or sends too much, has no body read either.
+    let service = parser.authenticate(&head.headers)?;
+    check_rate(context, &view, service, arrived)?;
+    let body = read_body(context, body).await?;
+    let head = RequestHead {
+        id: id.to_string(),
+        method: head.method.clone(),
+        headers: &head.headers,
+        arrived,
+    };
+    parse(&parser, head, body)
+}
+
+/// Holds a service to this host's share of its rate.
+fn check_rate(
+    context: &FrontContext,
+    view: &View,
+    service: &str,
+    now: Instant,
+) -> Result<(), RequestError> {
+    let rate = view
+        .config
+        .services
+        .get(service)
+        .map_or(0.0, |spec| spec.rate);
+    let share = rate / view.eligible.len().max(1) as f64;
+    match context.rates.admit(service, share, now) {
+        true => Ok(()),
+        false => Err(RequestError::RateExceeded(rate)),
+    }
+}
+
 fn ready_view(context: &FrontContext) -> Result<Arc<View>, RequestError> {
     let view = context.view.load_full();
     match view.ready {
--- a/src/process/control/mod.rs
+++ b/src/process/control/mod.rs
@@ -3,7 +3,10 @@
 mod action;
 mod control;
 mod control_handle;
+mod control_ownership;
+mod control_targets;
 mod control_thread;
+mod control_view;
 mod input;
 mod view;
 
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -16,7 +16,10 @@
             ownership::SessionLease,
             settings::HostSettings,
         },
-        request::{AttemptLedger, ClaimStore, EntryService, Forwarder, OwnerContext, OwnerService},
+        request::{
+            AttemptLedger, ClaimStore, EntryService, Forwarder, OwnerContext, OwnerService,
+            RateLimits,
+        },
         timeline::{Event, EventLog},
         version::ConfigStore,
     },
@@ -83,6 +86,7 @@
         let metrics = Metrics::new(settings.statsd, &settings.name);
         let (stop, stopped) = watch::channel(false);
         let (wake_poller, wake) = flume::bounded(1);
+        let wake_entry = wake_poller.clone();
         let runner = ActionRunner {
             me: settings.name.clone(),
             session,
@@ -145,9 +149,10 @@
         ));
         let entry = EntryService::new(
             view.clone(),
-            Forwarder::new(owner, links.clone()),
+            Forwarder::new(owner, links.clone(), view.clone()),
             log.clone(),
             metrics,
+            wake_entry,
             settings.policy.replicas,
         );
         let front = FrontContext {
@@ -157,6 +162,7 @@
             hall: settings.hall.clone(),
             own_address: callers_address,
             active: active.clone(),
+            rates: RateLimits::default(),
         };
         let listener = HttpListener::new(callers, listener_limits(&settings));
         let router = CallerFront::router(Arc::new(front));
--- a/src/process/node/platform_poller.rs
+++ b/src/process/node/platform_poller.rs
@@ -12,6 +12,9 @@
     std::{sync::Arc, time::Duration},
 };
 
+/// Looks that are asked for come no closer together than this.
+const WAKE_PAUSE: Duration = Duration::from_millis(10);
+
 /// Looks at the table and the host list again and again, on a thread of its own.
 pub struct PlatformPoller {
     pub table: Arc<dyn Table>,
@@ -64,7 +67,10 @@
             let pause = self.period.mul_f64(rand::rng().random_range(0.8..1.2));
             match self.wake.recv_timeout(pause) {
                 Err(flume::RecvTimeoutError::Disconnected) => return,
-                _ => self.wake.drain().for_each(drop),
+                _ => {
+                    self.wake.drain().for_each(drop);
+                    std::thread::sleep(WAKE_PAUSE);
+                }
             }
         }
     }
--- a/src/process/settings/host_settings.rs
+++ b/src/process/settings/host_settings.rs
@@ -174,9 +174,9 @@
 fn membership(ini: &mut IniReader) -> MembershipSettings {
     const SECTION: &str = "membership";
     let settings = MembershipSettings {
-        probe: ini.millis(SECTION, "probe_ms", 200, 10..=60_000),
-        probe_timeout: ini.millis(SECTION, "probe_timeout_ms", 150, 5..=60_000),
-        suspect: ini.millis(SECTION, "suspect_ms", 400, 10..=60_000),
+        probe: ini.millis(SECTION, "probe_ms", 100, 10..=60_000),
+        probe_timeout: ini.millis(SECTION, "probe_timeout_ms", 100, 5..=60_000),
+        suspect: ini.millis(SECTION, "suspect_ms", 300, 10..=60_000),
     };
     if settings.probe_timeout > settings.probe {
         let problem = "must be at most probe_ms";
--- a/src/process/target/mod.rs
+++ b/src/process/target/mod.rs
@@ -4,6 +4,8 @@
 mod drop_choice;
 mod target_action;
 mod target_health;
+mod target_loads;
+mod target_report;
 mod target_state;
 mod wait_queue;
 
--- a/src/request/entry_service.rs
+++ b/src/request/entry_service.rs
@@ -29,6 +29,13 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 
+/// Refusals after which the table is looked at for the owner.
+const OWNER_CODES: [RefusalCode; 3] = [
+    RefusalCode::NotOwner,
+    RefusalCode::NoOwner,
+    RefusalCode::OwnerUnreachable,
+];
+
 /// Engines whose load of the adapter may fail before the caller is told.
 const FAILED_LOADS: u32 = 2;
 
@@ -53,6 +60,8 @@
     budget: Arc<RetryBudget>,
     log: EventLog,
     metrics: Metrics,
+    /// Has the table looked at, when an owner turns out to be another.
+    wake_poller: flume::Sender<()>,
     /// Engines that may hold a copy of one adapter.
     replicas: usize,
 }
@@ -97,6 +106,7 @@
         forwarder: Forwarder,
         log: EventLog,
         metrics: Metrics,
+        wake_poller: flume::Sender<()>,
         replicas: usize,
     ) -> Self {
         Self {
@@ -105,6 +115,7 @@
             budget: Arc::default(),
             log,
             metrics,
+            wake_poller,
             replicas,
         }
     }
@@ -241,7 +252,7 @@
         let ping = !request.repeatable || course.lost_owner;
         let parts = self.start(view, target, forward, ping, out).await;
         match parts {
-            Some(parts) => relay(parts, request.stream, progress, out, &self.metrics).await,
+            Some(parts) => self.relay(parts, request.stream, progress, out).await,
             None => Try::CallerGone,
         }
     }
@@ -271,6 +282,39 @@
         }
     }
 
+    /// Passes the parts of one try on until its end.
+    async fn relay(
+        &self,
+        mut parts: Parts,
+        stream: bool,
+        progress: &mut EntryProgress,
+        out: &PartSender,
+    ) -> Try {
+        loop {
+            let part = tokio::select! {
+                part = parts.next() => part,
+                () = out.closed() => return Try::CallerGone,
+            };
+            match part {
+                AnswerPart::Refused(refusal) => return Try::Refused(refusal),
+                AnswerPart::End => {
+                    if !stream && let Err(CallerGone) = progress.release(out).await {
+                        return Try::CallerGone;
+                    }
+                    return Try::Answered;
+                }
+                part => {
+                    if let AnswerPart::Head(head) = &part {
+                        self.metrics.load_wait(head.load_wait);
+                    }
+                    if let Err(CallerGone) = progress.take(part, stream, out).await {
+                        return Try::CallerGone;
+                    }
+                }
+            }
+        }
+    }
+
     /// Decides what a refusal means for the request.
     fn after(
         &self,
@@ -282,6 +326,9 @@
     ) -> Next {
         let code = refusal.code;
         course.last = Some(refusal.clone());
+        if OWNER_CODES.contains(&code) {
+            let _ = self.wake_poller.try_send(());
+        }
         if refusal.may_have_run {
             return self.after_doubt(request, target, refusal, course, progress);
         }
@@ -493,36 +540,3 @@
         false => Next::GiveUp,
     }
 }
-
-/// Passes the parts of one try on until its end.
-async fn relay(
-    mut parts: Parts,
-    stream: bool,
-    progress: &mut EntryProgress,
-    out: &PartSender,
-    metrics: &Metrics,
-) -> Try {
-    loop {
-        let part = tokio::select! {
-            part = parts.next() => part,
-            () = out.closed() => return Try::CallerGone,
-        };
-        match part {
-            AnswerPart::Refused(refusal) => return Try::Refused(refusal),
-            AnswerPart::End => {
-                if !stream && let Err(CallerGone) = progress.release(out).await {
-                    return Try::CallerGone;
-                }
-                return Try::Answered;
-            }
-            part => {
-                if let AnswerPart::Head(head) = &part {
-                    metrics.load_wait(head.load_wait);
-                }
-                if let Err(CallerGone) = progress.take(part, stream, out).await {
-                    return Try::CallerGone;
-                }
-            }
-        }
-    }
-}
--- a/src/request/forwarder.rs
+++ b/src/request/forwarder.rs
@@ -5,7 +5,7 @@
             PeerLinks,
             wire::{self, forward_reply::Part},
         },
-        process::control::View,
+        process::control::{SharedView, View},
     },
     http::StatusCode,
     std::{error::Error, time::Duration},
@@ -15,6 +15,9 @@
 /// Parts of an answer that wait for a slow caller.
 const PARTS_AHEAD: usize = 64;
 
+/// An owner that has been silent for so long is looked up among the dead.
+const QUIET: Duration = Duration::from_millis(100);
+
 /// A link that does not answer a ping in this time is not used.
 const PING_LIMIT: Duration = Duration::from_millis(300);
 
@@ -23,12 +26,40 @@
 pub struct Forwarder {
     owner: OwnerService,
     links: PeerLinks,
+    view: SharedView,
+}
+
+/// An owner that may be lost without its link showing it, as when it is paused.
+pub struct Watched {
+    view: SharedView,
+    host: String,
+}
+
+impl Watched {
+    /// Waits for an answer; none when the owner is believed dead meanwhile.
+    async fn unless_gone<T>(
+        &self,
+        answer: impl Future<Output = T>,
+    ) -> Option<T> {
+        tokio::pin!(answer);
+        loop {
+            // Tokens come faster than this, so that a stream that flows is never looked at.
+            match tokio::time::timeout(QUIET, answer.as_mut()).await {
+                Ok(answer) => return Some(answer),
+                Err(_) if self.view.load().is_gone(&self.host) => return None,
+                Err(_) => {}
+            }
+        }
+    }
 }
 
 /// The parts of one forwarded request's answer.
 pub enum Parts {
     Local(mpsc::Receiver<AnswerPart>),
-    Remote(Box<tonic::Streaming<wire::ForwardReply>>),
+    Remote {
+        replies: Box<tonic::Streaming<wire::ForwardReply>>,
+        owner: Watched,
+    },
     /// The owner was not reached.
     Lost(Refusal),
 }
@@ -37,8 +68,9 @@
     pub fn new(
         owner: OwnerService,
         links: PeerLinks,
+        view: SharedView,
     ) -> Self {
-        Self { owner, links }
+        Self { owner, links, view }
     }
 
     /// Starts a request at `host`; with `ping`, only over a link that has just answered.
@@ -69,9 +101,17 @@
                 return unreached();
             }
         }
-        match link.forward(request).await {
-            Ok(reply) => Parts::Remote(Box::new(reply.into_inner())),
-            Err(status) => Parts::Lost(link_lost(&status)),
+        let owner = Watched {
+            view: self.view.clone(),
+            host: host.to_string(),
+        };
+        match owner.unless_gone(link.forward(request)).await {
+            Some(Ok(reply)) => Parts::Remote {
+                replies: Box::new(reply.into_inner()),
+                owner,
+            },
+            Some(Err(status)) => Parts::Lost(link_lost(&status)),
+            None => Parts::Lost(broken()),
         }
     }
 
@@ -135,10 +175,10 @@
                 Some(part) => part,
                 None => AnswerPart::Refused(broken()),
             },
-            Self::Remote(replies) => match replies.message().await {
-                Ok(Some(reply)) => part_from_wire(reply),
-                Ok(None) => AnswerPart::Refused(broken()),
-                Err(status) => AnswerPart::Refused(link_lost(&status)),
+            Self::Remote { replies, owner } => match owner.unless_gone(replies.message()).await {
+                Some(Ok(Some(reply))) => part_from_wire(reply),
+                Some(Err(status)) => AnswerPart::Refused(link_lost(&status)),
+                Some(Ok(None)) | None => AnswerPart::Refused(broken()),
             },
         }
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod forwarder;
 mod owner_service;
 mod passed_headers;
+mod rate_limits;
 mod refusal;
 mod refusal_code;
 mod request_parser;
@@ -26,6 +27,7 @@
     forwarder::Forwarder,
     owner_service::{OwnerContext, OwnerService},
     passed_headers::{headers_from_wire, headers_to_wire, passed_headers},
+    rate_limits::RateLimits,
     refusal::Refusal,
     refusal_code::RefusalCode,
     request_parser::{
--- /dev/null
+++ b/src/request/rate_limits.rs
@@ -0,0 +1,44 @@
+use std::{collections::HashMap, sync::Mutex, time::Instant};
+
+/// A quiet service may send this many seconds' worth at once.
+const BURST_SECONDS: f64 = 1.0;
+
+/// Holds each service to its rate at one host.
+#[derive(Debug, Default)]
+pub struct RateLimits {
+    buckets: Mutex<HashMap<String, Bucket>>,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    level: f64,
+    at: Instant,
+}
+
+impl RateLimits {
+    /// Takes one request at a rate in requests a second; false when the service is over it.
+    pub fn admit(
+        &self,
+        service: &str,
+        rate: f64,
+        now: Instant,
+    ) -> bool {
+        if rate <= 0.0 {
+            return true;
+        }
+        let room = (rate * BURST_SECONDS).max(1.0);
+        let mut buckets = self.buckets.lock().expect("no holder panics");
+        let bucket = buckets.entry(service.to_string()).or_insert(Bucket {
+            level: room,
+            at: now,
+        });
+        let passed = now.saturating_duration_since(bucket.at).as_secs_f64();
+        bucket.level = (bucket.level + passed * rate).min(room);
+        bucket.at = now;
+        let admits = bucket.level >= 1.0;
+        if admits {
+            bucket.level -= 1.0;
+        }
+        admits
+    }
+}
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -1,8 +1,11 @@
 //! A model engine in small: batching, adapters, streams, fenced orders, reports that lag.
 
 mod engine_batch;
+mod engine_delivery;
 mod engine_faults;
 mod engine_http;
+mod engine_job;
+mod engine_orders;
 mod engine_record;
 mod engine_standin;
 mod engine_state;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -16,7 +16,7 @@
             settings::{HostSettings, MembershipSettings},
             target::{Admission, TargetAction, TargetHealth, TargetState, Ticket, TicketId},
         },
-        request::{RefusalCode, RetryBudget, engine_candidates, plain_candidates},
+        request::{RateLimits, RefusalCode, RetryBudget, engine_candidates, plain_candidates},
         version::{
             AdapterVersion, Change, EngineSpec, KindSpec, SiteConfig, TargetRole, TargetSpec,
         },
@@ -145,7 +145,10 @@
     assert_eq!(asks(&state.on_arrival(ticket(1, "a", now), now)), 1);
     assert_eq!(asks(&state.on_arrival(ticket(2, "a", now), now)), 0);
     let load = EngineOrder::LoadAdapter { model: model("a") };
-    assert_eq!(orders(&state.on_grant(&model("a"), now)), std::slice::from_ref(&load));
+    assert_eq!(
+        orders(&state.on_grant(&model("a"), now)),
+        std::slice::from_ref(&load)
+    );
     let actions = state.on_order_end(&load, &Ok(()), now + ms(300));
     assert_eq!(runs(&actions), [1, 2]);
     let waited = actions.iter().any(|action| {
@@ -671,6 +674,24 @@
     assert!(budget.spend("s"));
 }
 
+#[test]
+fn a_service_is_held_to_its_rate() {
+    let now = Instant::now();
+    let limits = RateLimits::default();
+    let admitted = |at| (0..20).filter(|_| limits.admit("s", 5.0, at)).count();
+    assert_eq!(admitted(now), 5);
+    assert_eq!(admitted(now + ms(400)), 2);
+    assert_eq!(
+        admitted(now + ms(9_000)),
+        5,
+        "a quiet service saves up one second's worth"
+    );
+    assert!(
+        (0..99).all(|_| limits.admit("other", 0.0, now)),
+        "0 is no limit"
+    );
+}
+
 #[test]
 fn routes_prefer_alike_and_leave_out_what_leaves() {
     let config = site(&["t0", "t1", "t2"], true);
