--- a/benches/control.rs
+++ b/benches/control.rs
@@ -145,7 +145,12 @@
         "{:>10} {:>10} {:>10} {:>10} {:>8}",
         "owner", "median ms", "least ms", "most ms", "lost"
     );
+    let wanted = std::env::args().nth(2).unwrap_or_default();
     for loss in [Loss::Killed, Loss::Paused, Loss::Stopped] {
+        let name = format!("{loss:?}").to_lowercase();
+        if !wanted.is_empty() && !wanted.starts_with("--") && wanted != name {
+            continue;
+        }
         let mut times = Vec::new();
         let mut lost = 0;
         for _ in 0..RUNS {
@@ -157,7 +162,7 @@
         let most = times.iter().copied().fold(0.0, f64::max);
         println!(
             "{:>10} {:>10.0} {least:>10.0} {most:>10.0} {lost:>8}",
-            format!("{loss:?}").to_lowercase(),
+            name,
             median(times)
         );
     }
--- a/src/cli/apply_command.rs
+++ b/src/cli/apply_command.rs
@@ -1,4 +1,5 @@
 use {
+    super::json_file::read_json,
     crate::{
         connection::platform::{HttpObjectStore, HttpTable},
         errors::{ConfigError, RunError},
@@ -66,7 +67,8 @@
 
 /// Runs `coveproxy apply`.
 pub fn run_apply(arguments: &ArgMatches) -> Result<(), RunError> {
-    let changes = read_changes(arguments.get_one("file").expect("it is required"))?;
+    let file: &PathBuf = arguments.get_one("file").expect("it is required");
+    let changes: Vec<Change> = read_json(file)?;
     let platform: SocketAddr = *arguments.get_one("platform").expect("it is required");
     let operator: &String = arguments.get_one("operator").expect("it has a default");
     let store = store(platform);
@@ -107,15 +109,6 @@
     }
 }
 
-fn read_changes(file: &PathBuf) -> Result<Vec<Change>, RunError> {
-    let text = std::fs::read_to_string(file).map_err(|source| RunError::File {
-        file: file.clone(),
-        source,
-    })?;
-    let wrong = |e: serde_json::Error| RunError::Usage(format!("{}: {e}", file.display()));
-    serde_json::from_str(&text).map_err(wrong)
-}
-
 fn store(platform: SocketAddr) -> ConfigStore {
     let table = Arc::new(HttpTable::new(platform, PLATFORM_TIMEOUT));
     let objects = Arc::new(HttpObjectStore::new(platform, PLATFORM_TIMEOUT));
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod daemon;
 mod demo_command;
 mod exit;
+mod json_file;
 mod launch;
 mod logging;
 mod request_command;
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -1,11 +1,11 @@
 use {
     super::{
         exit::exit_code,
+        json_file::read_json,
         launch::{runtime, stop_requested},
         logging::start_logging,
     },
     crate::{
-        connection::platform::ListedHost,
         errors::RunError,
         standin::{
             EngineStandin, EngineStandinSpec, PlainStandin, PlatformStandin, PlatformStandinSpec,
@@ -135,21 +135,12 @@
         .await
         .map_err(|e| cant_listen(address(arguments), e))?;
     if let Some(file) = arguments.get_one::<PathBuf>("hosts") {
-        platform.set_hosts(read_hosts(file)?);
+        platform.set_hosts(read_json(file)?);
     }
     println!("{}", platform.address());
     stop_requested().await
 }
 
-fn read_hosts(file: &PathBuf) -> Result<Vec<ListedHost>, RunError> {
-    let text = std::fs::read_to_string(file).map_err(|source| RunError::File {
-        file: file.clone(),
-        source,
-    })?;
-    let wrong = |e: serde_json::Error| RunError::Usage(format!("{}: {e}", file.display()));
-    serde_json::from_str(&text).map_err(wrong)
-}
-
 async fn serve_engines(arguments: &ArgMatches) -> Result<(), RunError> {
     let token_time = Duration::from_millis(get(arguments, "token-ms"));
     let base_model: &String = arguments.get_one("base-model").expect("it has a default");
--- a/src/client/caller_client.rs
+++ b/src/client/caller_client.rs
@@ -1,7 +1,7 @@
 use {
     super::{CallResult, CallSpec, SeenOutcome, call_spec::CallKind},
     crate::{
-        connection::target::SseReader,
+        connection::{header_text, target::SseReader},
         errors::RunError,
         request::{
             HEADER_ATTEMPT, HEADER_DEADLINE, HEADER_KIND, HEADER_OUTCOME, HEADER_OUTFITTER,
@@ -9,7 +9,7 @@
         },
     },
     bytes::Bytes,
-    http::{HeaderMap, Request, Response},
+    http::{Request, Response},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     hyper_util::{
@@ -212,16 +212,15 @@
 ) {
     let (head, body) = response.into_parts();
     result.status = head.status.as_u16();
-    result.request_id = text(&head.headers, HEADER_REQUEST_ID);
-    result.target = text(&head.headers, "x-coveproxy-target");
-    result.replayed = text(&head.headers, "x-coveproxy-replayed") == "true";
-    let load_wait = text(&head.headers, "x-coveproxy-load-wait-ms");
+    result.request_id = header_text(&head.headers, HEADER_REQUEST_ID).to_string();
+    result.target = header_text(&head.headers, "x-coveproxy-target").to_string();
+    result.replayed = header_text(&head.headers, "x-coveproxy-replayed") == "true";
+    let load_wait = header_text(&head.headers, "x-coveproxy-load-wait-ms");
     result.load_wait = Duration::from_millis(load_wait.parse().unwrap_or(0));
     if spec.streams() && head.status.is_success() {
         return read_stream(body, spec, began, result).await;
     }
-    let outcome = text(&head.headers, HEADER_OUTCOME);
-    result.outcome = seen(&outcome);
+    result.outcome = seen(header_text(&head.headers, HEADER_OUTCOME));
     let Ok(body) = body.collect().await else {
         result.outcome = SeenOutcome::Unknown;
         return;
@@ -334,14 +333,3 @@
 fn expected_text(tokens: u64) -> String {
     (0..tokens).map(|index| format!("t{index} ")).collect()
 }
-
-fn text(
-    headers: &HeaderMap,
-    name: &str,
-) -> String {
-    headers
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default()
-        .to_string()
-}
--- a/src/request/entry_service.rs
+++ b/src/request/entry_service.rs
@@ -26,8 +26,8 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 
 /// Pauses between tries; they double from the first to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(20);
-const LONGEST_PAUSE: Duration = Duration::from_millis(200);
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+const LONGEST_PAUSE: Duration = Duration::from_millis(60);
 
 /// Refusals after which the table is looked at for the owner.
 const OWNER_CODES: [RefusalCode; 3] = [
@@ -179,7 +179,10 @@
                     let pause = course.next_pause();
                     tokio::select! {
                         () = tokio::time::sleep(pause) => {}
-                        () = out.closed() => return EntryEnd::CallerGone,
+                        () = out.closed() => {
+                            self.cancel(&view, &target, request).await;
+                            return EntryEnd::CallerGone;
+                        }
                     }
                 }
                 Next::GiveUp => {
--- a/src/standin/engine/engine_http.rs
+++ b/src/standin/engine/engine_http.rs
@@ -207,14 +207,3 @@
     let body = json!({"error": {"code": code, "message": message}});
     (status, [(NOT_RUN_HEADER, "true")], Json(body)).into_response()
 }
-
-pub fn text(
-    headers: &HeaderMap,
-    name: &str,
-) -> String {
-    headers
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default()
-        .to_string()
-}
--- a/src/standin/engine/engine_job.rs
+++ b/src/standin/engine/engine_job.rs
@@ -3,12 +3,13 @@
 use {
     super::{
         EngineFaults,
-        engine_http::{refusal, text},
+        engine_http::refusal,
         engine_standin::{SharedEngine, lock},
         engine_stream::EngineStream,
         prefix_cache::PrefixCache,
     },
     crate::{
+        connection::header_text,
         connection::target::{FENCE_HEADER, KEY_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER},
         version::AdapterVersion,
     },
@@ -73,7 +74,7 @@
     chat: bool,
 ) -> Result<(Job, Arc<EngineStream>), Box<Response>> {
     let mut state = lock(state);
-    if let Ok(fence) = text(headers, FENCE_HEADER).parse::<u64>()
+    if let Ok(fence) = header_text(headers, FENCE_HEADER).parse::<u64>()
         && state.spec.checks_fences
         && fence < state.fence
     {
@@ -99,8 +100,8 @@
             body.model.as_str(),
         )));
     }
-    let id = text(headers, REQUEST_ID_HEADER);
-    let key = text(headers, KEY_HEADER);
+    let id = header_text(headers, REQUEST_ID_HEADER).to_string();
+    let key = header_text(headers, KEY_HEADER);
     let prompt = match (body.prompt, body.messages) {
         (Some(prompt), _) => prompt,
         (None, Some(messages)) => messages.to_string(),
@@ -115,7 +116,7 @@
     let stream = Arc::new(EngineStream::new(body.continue_from));
     state.streams.insert(id.clone(), stream.clone());
     let job = Job {
-        execution: state.note_execution(&id, &key, &body.model),
+        execution: state.note_execution(&id, key, &body.model),
         boot: state.boot,
         shown_id: match faults.foreign_id {
             0 => id.clone(),
@@ -131,7 +132,7 @@
         first: body.continue_from,
         tokens: body.max_tokens.unwrap_or(DEFAULT_TOKENS),
         prefill,
-        priority: text(headers, PRIORITY_HEADER).parse().unwrap_or(0),
+        priority: header_text(headers, PRIORITY_HEADER).parse().unwrap_or(0),
         token_time: state.spec.token_time,
         abandoned_after: state.spec.abandoned_after,
         faults,
--- a/src/standin/plain_standin.rs
+++ b/src/standin/plain_standin.rs
@@ -2,6 +2,7 @@
     super::StandinServer,
     crate::connection::{
         caller::DropConnection,
+        header_text,
         target::{KEY_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER},
     },
     axum::{
@@ -129,27 +130,27 @@
         return (StatusCode::SERVICE_UNAVAILABLE, [(NOT_RUN_HEADER, "true")]).into_response();
     }
     sleep(Duration::from_millis(faults.slow_ms)).await;
-    let key = text(&headers, KEY_HEADER);
-    let runs = state.note_run(&key);
+    let key = header_text(&headers, KEY_HEADER);
+    let runs = state.note_run(key);
     if faults.lose_replies > 0 {
         let mut response = StatusCode::OK.into_response();
         response.extensions_mut().insert(DropConnection);
         return response;
     }
     let id = match faults.foreign {
-        0 => text(&headers, REQUEST_ID_HEADER),
-        _ => "another-request".to_string(),
+        0 => header_text(&headers, REQUEST_ID_HEADER),
+        _ => "another-request",
     };
     let answer = json!({
         "key": key,
         "runs": runs,
         "method": method.as_str(),
         "path": uri.path_and_query().map_or("", |path| path.as_str()),
-        "content_type": text(&headers, "content-type"),
+        "content_type": header_text(&headers, "content-type"),
         "bytes": body.len(),
         "body": String::from_utf8_lossy(&body),
     });
-    ([(REQUEST_ID_HEADER, id)], Json(answer)).into_response()
+    ([(REQUEST_ID_HEADER, id.to_string())], Json(answer)).into_response()
 }
 
 async fn control_faults(
@@ -163,14 +164,3 @@
 async fn control_record(State(state): Shared) -> Json<PlainRecord> {
     Json(state.record.lock().expect("no holder panics").clone())
 }
-
-fn text(
-    headers: &HeaderMap,
-    name: &str,
-) -> String {
-    headers
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default()
-        .to_string()
-}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -664,3 +664,34 @@
     .await;
     assert!(bed.hosts[owner].exit().await.success());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_engine_finishes_what_it_has_and_gets_nothing_new() {
+    let bed = Bed::start(BedPlan::default()).await;
+    let long = CallSpec::completion("key-notes", model(1), 300, true);
+    let client = bed.client.clone();
+    let running = tokio::spawn(async move { client.call(&long).await });
+    let busy = wait_for("a running stream", async || {
+        let runs = |at: &usize| !bed.engines[*at].record().executions.is_empty();
+        (0..bed.engines.len()).find(runs)
+    })
+    .await;
+    let seen = bed.config().await;
+    let next = bed.commit(&seen, vec![bed.engine_change(busy, true)]).await;
+    wait_for("the change on all hosts", async || {
+        let status = bed.status(0).await?;
+        let mut hosts = status["hosts"].as_array()?.iter();
+        let in_force = hosts.all(|host| host["config_revision"] == next.revision);
+        in_force.then_some(())
+    })
+    .await;
+    let before = bed.engines[busy].record().executions.len();
+    for number in 0..12 {
+        let spec = CallSpec::completion("key-notes", model(number % 6), 2, true);
+        assert_eq!(bed.client.call(&spec).await.outcome, SeenOutcome::Answered);
+    }
+    assert_eq!(bed.engines[busy].record().executions.len(), before);
+    let finished = running.await.unwrap();
+    assert_eq!(finished.outcome, SeenOutcome::Answered, "{finished:?}");
+    assert!(!finished.cut_short);
+}
