A new owner asks for reports at each step at first

Cause: after a planned stop a request waited 293 ms at the median. The first report of the engine was from before the former owner's load had ended, and the next came 250 ms later.

--- a/benches/control.rs
+++ b/benches/control.rs
@@ -175,6 +175,8 @@
     let spec = CallSpec::completion("key-notes", model(0), 2, true);
     let warmed = bed.client.call_at(asker, &spec, Instant::now()).await;
     assert!(warmed.is_some_and(|r| r.outcome == SeenOutcome::Answered));
+    // The load has long been reported when the owner goes.
+    tokio::time::sleep(Duration::from_millis(500)).await;
     match loss {
         Loss::Killed => bed.hosts[owner].kill(),
         Loss::Paused => bed.hosts[owner].signal("-STOP"),
--- a/src/process/node/report_loop.rs
+++ b/src/process/node/report_loop.rs
@@ -18,6 +18,17 @@
 /// Time between two reports of an engine.
 const PERIOD: Duration = Duration::from_millis(250);
 
+/// After a change of owner reports are asked for at each step for so long: the first may be from
+/// before the former owner's last load had ended.
+const YOUNG: Duration = Duration::from_millis(500);
+
+/// When an engine was asked under one fence: first and last.
+#[derive(Clone, Copy)]
+struct Asked {
+    first: Instant,
+    last: Instant,
+}
+
 /// Asks each owned engine for reports; a slow one holds up none of the others.
 pub async fn report_loop(
     view: SharedView,
@@ -26,7 +37,7 @@
     stop: watch::Receiver<bool>,
 ) {
     let under_way: Arc<Mutex<HashSet<String>>> = Arc::default();
-    let mut asked: HashMap<(String, u64), Instant> = HashMap::new();
+    let mut asked: HashMap<(String, u64), Asked> = HashMap::new();
     while !*stop.borrow() {
         let due = due_engines(&view, &mut asked);
         for (target, address) in due {
@@ -48,7 +59,7 @@
 /// Owned engines whose next report is due; one with a new fence is due at once.
 fn due_engines(
     view: &SharedView,
-    asked: &mut HashMap<(String, u64), Instant>,
+    asked: &mut HashMap<(String, u64), Asked>,
 ) -> Vec<(String, SocketAddr)> {
     let view = view.load();
     let mut due = Vec::new();
@@ -62,9 +73,17 @@
         }
         let name = (target.clone(), owner.fence);
         owned.insert(name.clone());
-        let last = asked.get(&name);
-        if last.is_none_or(|last| last.elapsed() >= PERIOD) {
-            asked.insert(name, Instant::now());
+        let now = Instant::now();
+        let times = asked.entry(name).or_insert(Asked {
+            first: now,
+            last: now - PERIOD,
+        });
+        let period = match now - times.first < YOUNG {
+            true => Duration::ZERO,
+            false => PERIOD,
+        };
+        if now - times.last >= period {
+            times.last = now;
             due.push((target.clone(), spec.address));
         }
     }
