--- a/src/demo/summary.rs
+++ b/src/demo/summary.rs
@@ -3,7 +3,10 @@
     crate::client::{CallResult, CallSpec, SeenOutcome},
     hdrhistogram::Histogram,
     serde::Serialize,
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// Percentiles of a time, in milliseconds.
@@ -28,6 +31,8 @@
     pub codes: BTreeMap<String, u64>,
     load_stall: Histogram<u64>,
     first_token: Histogram<u64>,
+    /// Request ids and keys of which a caller was told that they were not run.
+    told_not_run: BTreeSet<String>,
 }
 
 /// The figures of a run, each from what callers and stand-ins saw.
@@ -42,7 +47,7 @@
     pub run_twice: u64,
     pub cut_short: u64,
     pub unloaded_in_use: u64,
-    /// Keys that a caller was told were not run, and that a target ran all the same.
+    /// Requests that a caller was told were not run, and that a target ran all the same.
     pub false_not_run: u64,
     pub load_stall_ms: Percentiles,
     pub first_token_ms: Percentiles,
@@ -66,6 +71,7 @@
             codes: BTreeMap::new(),
             load_stall: histogram(),
             first_token: histogram(),
+            told_not_run: BTreeSet::new(),
         }
     }
 }
@@ -80,7 +86,12 @@
         self.requests += 1;
         match result.outcome {
             SeenOutcome::Answered => self.answered += 1,
-            SeenOutcome::NotRun => self.not_run += 1,
+            SeenOutcome::NotRun => {
+                self.not_run += 1;
+                self.told_not_run.insert(result.request_id.clone());
+                let key = spec.key.as_ref().map(|(key, _)| key.clone());
+                self.told_not_run.extend(key);
+            }
             SeenOutcome::Unknown => self.unknown += 1,
         }
         self.wrong_adapter += u64::from(result.wrong_adapter);
@@ -109,6 +120,15 @@
             .map(|record| record.busy_ms * record.batch_slots as f64)
             .sum();
         let unloaded: u32 = records.iter().map(|record| record.unloaded_in_use).sum();
+        let runs = plain_runs(site);
+        let executions = records.iter().flat_map(|record| &record.executions);
+        let ran = executions.map(|execution| &execution.request_id);
+        let ran: BTreeSet<&String> = ran.chain(runs.keys()).collect();
+        let false_not_run = tally
+            .told_not_run
+            .iter()
+            .filter(|name| ran.contains(name))
+            .count();
         Self {
             site: site.plan.name.to_string(),
             requests: tally.requests,
@@ -116,10 +136,10 @@
             not_run: tally.not_run,
             unknown: tally.unknown,
             wrong_adapter: tally.wrong_adapter,
-            run_twice: run_twice(site),
+            run_twice: runs.values().filter(|count| **count > 1).count() as u64,
             cut_short: tally.cut_short,
             unloaded_in_use: u64::from(unloaded),
-            false_not_run: 0,
+            false_not_run: false_not_run as u64,
             load_stall_ms: percentiles(&tally.load_stall),
             first_token_ms: percentiles(&tally.first_token),
             batch_efficiency: round(busy / room.max(1.0)),
@@ -150,15 +170,15 @@
     }
 }
 
-/// Keys that the plain services, over all of them, ran more than once.
-fn run_twice(site: &Site) -> u64 {
+/// Runs of each key over all plain services.
+fn plain_runs(site: &Site) -> BTreeMap<String, u32> {
     let mut runs: BTreeMap<String, u32> = BTreeMap::new();
     for target in &site.plain {
         for (key, count) in target.record().runs {
             *runs.entry(key).or_insert(0) += count;
         }
     }
-    runs.values().filter(|count| **count > 1).count() as u64
+    runs
 }
 
 fn record(
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -39,7 +39,13 @@
             .as_u64()
             .unwrap_or_else(|| panic!("{name}: {last}"))
     };
-    for broken in ["wrong_adapter", "run_twice", "cut_short", "unloaded_in_use"] {
+    for broken in [
+        "wrong_adapter",
+        "run_twice",
+        "cut_short",
+        "unloaded_in_use",
+        "false_not_run",
+    ] {
         assert_eq!(number(broken), 0, "{broken}");
     }
     let ends = number("answered") + number("not_run") + number("unknown");
