--- a/src/process/target/target_state.rs
+++ b/src/process/target/target_state.rs
@@ -1,7 +1,6 @@
 use {
     super::{
         AdapterSlot, Admission, SlotState, TargetAction, TargetHealth, Ticket, TicketId, WaitQueue,
-        wait_queue::weight,
     },
     crate::{
         connection::target::EngineOrder,
@@ -377,14 +376,6 @@
             })
             .collect()
     }
-
-    /// Weight of everything that waits, for operators.
-    pub fn waiting_weight(
-        &self,
-        now: Instant,
-    ) -> f64 {
-        self.waiting.iter().map(|ticket| weight(ticket, now)).sum()
-    }
 }
 
 fn leaving_refusal() -> Refusal {
--- a/tests/contracts.rs
+++ b/tests/contracts.rs
@@ -2,6 +2,7 @@
 
 use {
     coveproxy::{
+        client::CallerClient,
         connection::{
             platform::{
                 Commit, Condition, HostList, HostState, HttpHostList, HttpObjectStore, HttpTable,
@@ -450,3 +451,45 @@
     proxy.set(ProxyFault::default());
     assert!(client.send(call()).await.is_ok());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_roles_cache_events_and_kv() {
+    let engine = engine(true).await;
+    let (client, at) = (TargetClient::new(), engine.address());
+    let orders = [
+        load("a@1"),
+        EngineOrder::SetRole {
+            role: "prefill".into(),
+        },
+        EngineOrder::LoadModel {
+            base_model: "other".into(),
+        },
+    ];
+    for what in orders {
+        client.order(at, &order(9, what), TIMEOUT).await.unwrap();
+    }
+    let report = loop {
+        let report = client.report(at).await.unwrap();
+        if report.role == "prefill" {
+            break report;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    assert_eq!((report.base_model.as_str(), report.fence), ("other", 9));
+    let answer = client.send(completion(at, "r1", "a@1")).await.unwrap();
+    answer.whole().await.unwrap();
+    let reader = CallerClient::new(Vec::new());
+    let get = async |path: &str| -> serde_json::Value {
+        serde_json::from_slice(&reader.get(at, path).await.unwrap()).unwrap()
+    };
+    let events = get("/engine/cache-events?after=0").await;
+    let last = events.as_array().unwrap().last().unwrap().clone();
+    assert_eq!(last["stored"], true);
+    let none = get(&format!("/engine/cache-events?after={}", last["sequence"])).await;
+    assert_eq!(none, serde_json::json!([]));
+    let export = get("/engine/kv/r1").await;
+    assert_eq!(
+        (&export["tokens"], &export["model"]),
+        (&6.into(), &"a@1".into())
+    );
+}
