A reader that goes early is no failure of the command line

Cause: 'coveproxy status | head' ended in a panic on the broken pipe, and completions would have. Change: both make their text first and write it without minding a reader that has gone.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod json_file;
 mod launch;
 mod logging;
+mod output;
 mod request_command;
 mod standin;
 mod status_command;
--- a/src/cli/status_command.rs
+++ b/src/cli/status_command.rs
@@ -1,8 +1,9 @@
 use {
+    super::output::print,
     crate::errors::RunError,
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
     serde_json::Value,
-    std::{net::SocketAddr, time::Duration},
+    std::{fmt::Write, net::SocketAddr, time::Duration},
 };
 
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -38,73 +39,94 @@
         .map_err(call)?;
     let status: Value = response.json().map_err(call)?;
     match arguments.get_flag("json") {
-        true => println!("{status}"),
-        false => print_tables(&status),
+        true => print(&format!("{status}\n")),
+        false => print(&tables(&status)),
     }
     Ok(())
 }
 
-fn print_tables(status: &Value) {
-    println!(
-        "revision {}, answered by {}",
-        status["config_revision"],
-        text(&status["answered_by"])
+fn tables(status: &Value) -> String {
+    let mut out = String::new();
+    line(
+        &mut out,
+        format_args!(
+            "revision {}, answered by {}",
+            status["config_revision"],
+            text(&status["answered_by"])
+        ),
     );
     let weights = &status["weight_store"];
     match weights["up"].as_bool() {
-        Some(true) => println!(
-            "weight store up, {:.1} loads a second, {} loading",
-            weights["loads_per_second"].as_f64().unwrap_or(0.0),
-            count(&weights["loading"])
+        Some(true) => line(
+            &mut out,
+            format_args!(
+                "weight store up, {:.1} loads a second, {} loading",
+                weights["loads_per_second"].as_f64().unwrap_or(0.0),
+                count(&weights["loading"])
+            ),
         ),
-        Some(false) => println!("weight store out"),
-        None => println!("weight store not reached"),
+        Some(false) => line(&mut out, format_args!("weight store out")),
+        None => line(&mut out, format_args!("weight store not reached")),
     }
-    println!();
-    println!(
-        "{:<18} {:<10} {:<8} {:<9} {:<6} {:<6} ROLE",
-        "HOST", "HALL", "ANSWERS", "REVISION", "TABLE", "LEASE"
+    out.push('\n');
+    line(
+        &mut out,
+        format_args!(
+            "{:<18} {:<10} {:<8} {:<9} {:<6} {:<6} ROLE",
+            "HOST", "HALL", "ANSWERS", "REVISION", "TABLE", "LEASE"
+        ),
     );
     for host in list(&status["hosts"]) {
         let role = match host["load_scheduler"].as_bool() {
             Some(true) => "load scheduler",
             _ => "",
         };
-        println!(
-            "{:<18} {:<10} {:<8} {:<9} {:<6} {:<6} {role}",
-            text(&host["host"]),
-            text(&host["hall"]),
-            yes(&host["answers"]),
-            count(&host["config_revision"]),
-            yes(&host["table_reachable"]),
-            yes(&host["lease_valid"]),
+        line(
+            &mut out,
+            format_args!(
+                "{:<18} {:<10} {:<8} {:<9} {:<6} {:<6} {role}",
+                text(&host["host"]),
+                text(&host["hall"]),
+                yes(&host["answers"]),
+                count(&host["config_revision"]),
+                yes(&host["table_reachable"]),
+                yes(&host["lease_valid"]),
+            ),
         );
     }
-    println!();
-    println!(
-        "{:<16} {:<18} {:>7} {:>8} {:>8}  ADAPTERS",
-        "TARGET", "OWNER", "FENCE", "RUNNING", "WAITING"
+    out.push('\n');
+    line(
+        &mut out,
+        format_args!(
+            "{:<16} {:<18} {:>7} {:>8} {:>8}  ADAPTERS",
+            "TARGET", "OWNER", "FENCE", "RUNNING", "WAITING"
+        ),
     );
     for host in list(&status["hosts"]) {
         for target in list(&host["targets"]) {
-            print_target(target, text(&host["host"]));
+            target_line(&mut out, target, text(&host["host"]));
         }
     }
+    out
 }
 
-fn print_target(
+fn target_line(
+    out: &mut String,
     target: &Value,
     owner: &str,
 ) {
     let adapters: Vec<String> = list(&target["adapters"]).iter().map(adapter).collect();
-    println!(
-        "{:<16} {:<18} {:>7} {:>8} {:>8}  {}",
-        text(&target["target"]),
-        owner,
-        count(&target["fence"]),
-        count(&target["running"]),
-        count(&target["waiting"]),
-        adapters.join(" "),
+    line(
+        out,
+        format_args!(
+            "{:<16} {:<18} {:>7} {:>8} {:>8}  {}",
+            text(&target["target"]),
+            owner,
+            count(&target["fence"]),
+            count(&target["running"]),
+            count(&target["waiting"]),
+            adapters.join(" "),
+        ),
     );
 }
 
@@ -136,3 +158,10 @@
         _ => "no",
     }
 }
+
+fn line(
+    out: &mut String,
+    text: std::fmt::Arguments<'_>,
+) {
+    let _ = writeln!(out, "{text}");
+}
--- a/src/cli/tool.rs
+++ b/src/cli/tool.rs
@@ -4,6 +4,7 @@
         demo_command::{demo_command, run_demo},
         exit::exit_code,
         logging::start_logging,
+        output::print,
         request_command::{request_command, run_request},
         status_command::{run_status, status_command},
     },
@@ -58,7 +59,9 @@
         Some(("apply", arguments)) => run_apply(arguments),
         Some(("completions", arguments)) => {
             let shell: &Shell = arguments.get_one("shell").expect("it is required");
-            clap_complete::generate(*shell, &mut command(), NAME, &mut std::io::stdout());
+            let mut script = Vec::new();
+            clap_complete::generate(*shell, &mut command(), NAME, &mut script);
+            print(&String::from_utf8_lossy(&script));
             Ok(())
         }
         _ => unreachable!("clap knows the subcommands"),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -110,3 +110,15 @@
     let output = coveproxy(arguments);
     assert_eq!(output.status.code(), Some(code), "{output:?}");
 }
+
+/// A reader that goes early, as `head` does, is no failure.
+#[test]
+fn a_reader_that_has_gone_is_no_error() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_coveproxy"))
+        .args(["completions", "bash"])
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
