A request's end and the history of its tries get files of their own

Cause: read as a newcomer, the entry service held three main types, and 'Course' said nothing. Change: EntryEnd and TryHistory (the former Course) move out unchanged, with what each field means. Conclusion: no change in behaviour.

--- a/src/request/entry_service.rs
+++ b/src/request/entry_service.rs
@@ -1,10 +1,11 @@
 use {
     super::{
-        AnswerPart, CallerRequest, Forwarder, PartSender, Refusal, RefusalCode, RetryBudget,
-        engine_candidates,
+        AnswerPart, CallerRequest, EntryEnd, Forwarder, PartSender, Refusal, RefusalCode,
+        RetryBudget, engine_candidates,
         entry_progress::{CallerGone, EntryProgress},
         forwarder::Parts,
         plain_candidates,
+        try_history::TryHistory,
     },
     crate::{
         connection::peer::wire,
@@ -14,9 +15,7 @@
         },
         timeline::{Event, EventLog},
     },
-    rand::RngExt,
     std::{
-        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -25,10 +24,6 @@
 /// How long a request waits for a target to get an owner or come back, at the most.
 const PATIENCE: Duration = Duration::from_secs(3);
 
-/// Pauses between tries; they double from the first to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(10);
-const LONGEST_PAUSE: Duration = Duration::from_millis(60);
-
 /// Refusals after which the table is looked at for the owner.
 const OWNER_CODES: [RefusalCode; 3] = [
     RefusalCode::NotOwner,
@@ -39,19 +34,6 @@
 /// Engines whose load of the adapter may fail before the caller is told.
 const FAILED_LOADS: u32 = 2;
 
-/// How a caller's request ended.
-#[derive(Debug, Clone, PartialEq)]
-pub enum EntryEnd {
-    /// The whole answer went out.
-    Answered,
-    /// It was not run.
-    NotRun(Refusal),
-    /// It may have run.
-    Unknown(Refusal),
-    /// The caller hung up.
-    CallerGone,
-}
-
 /// Brings a caller's request to an answer: picks targets, follows owners, tries again.
 #[derive(Clone)]
 pub struct EntryService {
@@ -73,26 +55,6 @@
     CallerGone,
 }
 
-/// What a request has met so far.
-#[derive(Default)]
-struct Course {
-    /// Targets that are not tried again.
-    avoid: BTreeSet<String>,
-    /// Targets that were full.
-    full: u32,
-    failed_loads: u32,
-    /// The target that may run the request.
-    begun_at: Option<String>,
-    /// What the caller had when the last try came back there.
-    begun_index: u64,
-    /// A link to an owner broke: the next one is tried before it is used.
-    lost_owner: bool,
-    may_have_run: bool,
-    pause: Duration,
-    waiting_since: Option<Instant>,
-    last: Option<Refusal>,
-}
-
 /// What to do after a refusal.
 enum Next {
     Try,
@@ -146,24 +108,24 @@
         out: &PartSender,
     ) -> EntryEnd {
         let mut progress = EntryProgress::default();
-        let mut course = Course::default();
+        let mut history = TryHistory::default();
         loop {
             let now = Instant::now();
             if now >= request.deadline {
-                return course.end(Refusal::not_run(
+                return history.end(Refusal::not_run(
                     RefusalCode::DeadlinePassed,
                     Duration::ZERO,
                 ));
             }
             let view = self.view.load_full();
-            let Some(target) = self.pick(&view, request, &course) else {
-                return course.end(Refusal::not_run(
+            let Some(target) = self.pick(&view, request, &history) else {
+                return history.end(Refusal::not_run(
                     RefusalCode::NoTarget,
                     Duration::from_secs(1),
                 ));
             };
             let refusal = match self
-                .one_try(&view, &target, request, &mut progress, &course, out)
+                .one_try(&view, &target, request, &mut progress, &history, out)
                 .await
             {
                 Try::Answered => return EntryEnd::Answered,
@@ -173,10 +135,10 @@
                 }
                 Try::Refused(refusal) => refusal,
             };
-            match self.after(request, &target, refusal, &mut course, &progress) {
+            match self.after(request, &target, refusal, &mut history, &progress) {
                 Next::Try => {}
                 Next::PauseAndTry => {
-                    let pause = course.next_pause();
+                    let pause = history.next_pause();
                     tokio::select! {
                         () = tokio::time::sleep(pause) => {}
                         () = out.closed() => {
@@ -187,10 +149,10 @@
                 }
                 Next::GiveUp => {
                     let fallback = Refusal::not_run(RefusalCode::NoTarget, Duration::ZERO);
-                    return course.end(fallback);
+                    return history.end(fallback);
                 }
             }
-            self.note_resent(request, &target, &course);
+            self.note_resent(request, &target, &history);
         }
     }
 
@@ -199,21 +161,21 @@
         &self,
         view: &View,
         request: &CallerRequest,
-        course: &Course,
+        history: &TryHistory,
     ) -> Option<String> {
-        let begun_at = course
+        let begun_at = history
             .begun_at
             .clone()
             .filter(|target| view.config.targets.contains_key(target));
         // What may have run and may not be repeated can only be resumed where it runs.
-        let fixed = course.may_have_run && !request.repeatable;
+        let fixed = history.may_have_run && !request.repeatable;
         if begun_at.is_some() || fixed {
             return begun_at;
         }
         let candidates = self.candidates(view, request);
         let untried = candidates
             .iter()
-            .find(|target| !course.avoid.contains(*target));
+            .find(|target| !history.avoid.contains(*target));
         untried.cloned()
     }
 
@@ -240,19 +202,19 @@
         target: &str,
         request: &CallerRequest,
         progress: &mut EntryProgress,
-        course: &Course,
+        history: &TryHistory,
         out: &PartSender,
     ) -> Try {
         let mut forward = request.to_forward(target, Instant::now());
-        forward.resumed = course.begun_at.as_deref() == Some(target);
+        forward.resumed = history.begun_at.as_deref() == Some(target);
         forward.resume_from = progress.next_index;
-        forward.check_claims = !course.avoid.is_empty() || request.attempt == 0;
+        forward.check_claims = !history.avoid.is_empty() || request.attempt == 0;
         match progress.continued_body(request) {
             Some(body) => forward.body = body,
             // It can only be resumed where it runs, not run anew.
             None => forward.repeatable = false,
         }
-        let ping = !request.repeatable || course.lost_owner;
+        let ping = !request.repeatable || history.lost_owner;
         let parts = self.start(view, target, forward, ping, out).await;
         match parts {
             Some(parts) => self.relay(parts, request.stream, progress, out).await,
@@ -324,41 +286,41 @@
         request: &CallerRequest,
         target: &str,
         refusal: Refusal,
-        course: &mut Course,
+        history: &mut TryHistory,
         progress: &EntryProgress,
     ) -> Next {
         let code = refusal.code;
-        course.last = Some(refusal.clone());
+        history.last = Some(refusal.clone());
         if OWNER_CODES.contains(&code) {
             let _ = self.wake_poller.try_send(());
         }
         if refusal.may_have_run {
-            return self.after_doubt(request, target, refusal, course, progress);
+            return self.after_doubt(request, target, refusal, history, progress);
         }
         if !refusal.try_elsewhere {
             return Next::GiveUp;
         }
         match code {
             RefusalCode::Overloaded => {
-                course.full += 1;
-                course.leave(target);
-                let spills = request.repeatable && (course.full as usize) < self.replicas;
+                history.full += 1;
+                history.leave(target);
+                let spills = request.repeatable && (history.full as usize) < self.replicas;
                 next_if(spills)
             }
             RefusalCode::LoadFailed => {
-                course.failed_loads += 1;
-                course.leave(target);
-                next_if(course.failed_loads < FAILED_LOADS)
+                history.failed_loads += 1;
+                history.leave(target);
+                next_if(history.failed_loads < FAILED_LOADS)
             }
             RefusalCode::TargetUnreachable | RefusalCode::TargetLeaving | RefusalCode::NoTarget => {
-                course.leave(target);
+                history.leave(target);
                 Next::Try
             }
             RefusalCode::AdapterNotLoaded if self.unowned(target) => {
-                course.leave(target);
+                history.leave(target);
                 Next::Try
             }
-            _ if course.waited() >= PATIENCE => Next::GiveUp,
+            _ if history.waited() >= PATIENCE => Next::GiveUp,
             _ => Next::PauseAndTry,
         }
     }
@@ -369,11 +331,11 @@
         request: &CallerRequest,
         target: &str,
         refusal: Refusal,
-        course: &mut Course,
+        history: &mut TryHistory,
         progress: &EntryProgress,
     ) -> Next {
-        course.may_have_run = true;
-        course.lost_owner |= refusal.code == RefusalCode::OwnerUnreachable;
+        history.may_have_run = true;
+        history.lost_owner |= refusal.code == RefusalCode::OwnerUnreachable;
         let foreign = refusal.code == RefusalCode::AnswerForeign;
         let late = refusal.code == RefusalCode::DeadlinePassed;
         let resumable = request.stream && request.model.is_some() && !foreign;
@@ -383,8 +345,8 @@
         }
         match foreign {
             // Whatever it answers next may be as wrong.
-            true => course.leave(target),
-            false => course.begin_at(target, progress),
+            true => history.leave(target),
+            false => history.begin_at(target, progress),
         }
         Next::PauseAndTry
     }
@@ -436,9 +398,9 @@
         &self,
         request: &CallerRequest,
         target: &str,
-        course: &Course,
+        history: &TryHistory,
     ) {
-        let why = course.last.as_ref().map_or("", |last| last.code.word());
+        let why = history.last.as_ref().map_or("", |last| last.code.word());
         self.metrics.resend(why);
         self.log.note(
             Event::RequestResent,
@@ -470,58 +432,6 @@
     }
 }
 
-impl Course {
-    /// Does not try a target again.
-    fn leave(
-        &mut self,
-        target: &str,
-    ) {
-        self.avoid.insert(target.to_string());
-        if self.begun_at.as_deref() == Some(target) {
-            self.begun_at = None;
-        }
-    }
-
-    /// The request may run at a target: the next try comes back to it there.
-    fn begin_at(
-        &mut self,
-        target: &str,
-        progress: &EntryProgress,
-    ) {
-        let came_back = self.begun_at.as_deref() == Some(target);
-        let stands_still = progress.next_index == self.begun_index;
-        self.begun_index = progress.next_index;
-        match came_back && stands_still {
-            // Coming back did not help.
-            true => self.leave(target),
-            false => self.begun_at = Some(target.to_string()),
-        }
-    }
-
-    fn waited(&mut self) -> Duration {
-        self.waiting_since
-            .get_or_insert_with(Instant::now)
-            .elapsed()
-    }
-
-    fn next_pause(&mut self) -> Duration {
-        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
-        self.pause.mul_f64(rand::rng().random_range(0.5..1.0))
-    }
-
-    /// The end of a request that got no answer.
-    fn end(
-        self,
-        fallback: Refusal,
-    ) -> EntryEnd {
-        let refusal = self.last.unwrap_or(fallback);
-        match self.may_have_run {
-            true => EntryEnd::Unknown(refusal),
-            false => EntryEnd::NotRun(refusal),
-        }
-    }
-}
-
 /// Without an owner, and without a table to make one, what is loaded may still be used.
 ///
 /// A target that does not check fences might still obey its former owner.
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod attempt_ledger;
 mod caller_request;
 mod claim_store;
+mod entry_end;
 mod entry_progress;
 mod entry_service;
 mod forwarder;
@@ -17,13 +18,15 @@
 mod route;
 mod run_permit;
 mod target_run;
+mod try_history;
 
 pub use {
     answer_part::{AnswerHead, AnswerPart, PartSender},
     attempt_ledger::{AttemptLedger, AttemptRecord, AttemptState, KeptAnswer},
     caller_request::CallerRequest,
     claim_store::{Claim, ClaimState, ClaimStore},
-    entry_service::{EntryEnd, EntryService},
+    entry_end::EntryEnd,
+    entry_service::EntryService,
     forwarder::Forwarder,
     owner_service::{OwnerContext, OwnerService},
     passed_headers::{headers_from_wire, headers_to_wire, passed_headers},
