--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod daemon;
 mod demo_command;
 mod exit;
+mod host;
 mod json_file;
 mod launch;
 mod logging;
@@ -13,4 +14,4 @@
 mod status_command;
 mod tool;
 
-pub use {daemon::run_daemon, standin::run_standin, tool::run};
+pub use {daemon::run_daemon, host::run_host, standin::run_standin, tool::run};
--- /dev/null
+++ b/src/connection/datagram/message.rs
@@ -0,0 +1,232 @@
+//! The messages. Fields are numbered as in any protobuf schema, and numbers are never used again.
+
+use {super::Address, prost::Message as _};
+
+/// How a host is described to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum RumorState {
+    Alive = 0,
+    Leaving = 1,
+    Suspect = 2,
+    Dead = 3,
+}
+
+/// What is told of a host, by itself or by others.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HostRumor {
+    /// Where its datagrams go; names the host.
+    #[prost(message, required, tag = "1")]
+    pub peer: Address,
+    #[prost(string, tag = "2")]
+    pub name: String,
+    #[prost(string, tag = "3")]
+    pub hall: String,
+    /// Where callers reach it.
+    #[prost(message, required, tag = "4")]
+    pub front: Address,
+    /// Drawn by chance at each start of its process.
+    #[prost(fixed64, tag = "5")]
+    pub process: u64,
+    /// Raised by the host itself, to refute what is told of it.
+    #[prost(uint32, tag = "6")]
+    pub incarnation: u32,
+    #[prost(enumeration = "RumorState", tag = "7")]
+    pub state: i32,
+    /// Engines that it gives orders to, by id.
+    #[prost(string, repeated, tag = "8")]
+    pub holds: Vec<String>,
+    /// Version of its lease's row, 0 if it has none.
+    #[prost(uint64, tag = "9")]
+    pub lease_version: u64,
+    /// It takes requests.
+    #[prost(bool, tag = "10")]
+    pub ready: bool,
+}
+
+/// How new a host's copy of the store's tables is.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Freshness {
+    #[prost(uint64, tag = "1")]
+    pub declared_version: u64,
+    #[prost(uint32, tag = "2")]
+    pub declared_age_ms: u32,
+    #[prost(uint64, tag = "3")]
+    pub targets_version: u64,
+    #[prost(uint32, tag = "4")]
+    pub targets_age_ms: u32,
+}
+
+/// Asks for an answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ping {
+    #[prost(message, required, tag = "1")]
+    pub sender: HostRumor,
+    #[prost(message, required, tag = "2")]
+    pub freshness: Freshness,
+    #[prost(message, repeated, tag = "3")]
+    pub rumors: Vec<HostRumor>,
+    /// No answer is asked for: the message only carries news.
+    #[prost(bool, tag = "4")]
+    pub one_way: bool,
+}
+
+/// Answers a ping.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ack {
+    #[prost(message, required, tag = "1")]
+    pub sender: HostRumor,
+    #[prost(message, required, tag = "2")]
+    pub freshness: Freshness,
+    #[prost(message, repeated, tag = "3")]
+    pub rumors: Vec<HostRumor>,
+}
+
+/// Asks a third host to ping one that does not answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PingRequest {
+    #[prost(message, required, tag = "1")]
+    pub peer: Address,
+}
+
+/// A third host has heard from the one that did not answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Vouch {
+    #[prost(message, required, tag = "1")]
+    pub peer: Address,
+}
+
+/// Asks the holder of an engine for an adapter there.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Want {
+    #[prost(string, tag = "1")]
+    pub target: String,
+    #[prost(string, tag = "2")]
+    pub adapter: String,
+    /// Oldest version that serves.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Requests that wait for it at the sender.
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
+    /// Most urgent priority among them.
+    #[prost(uint32, tag = "5")]
+    pub priority: u32,
+}
+
+/// Where an adapter stands on one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum PlacementState {
+    /// It is not there, and is not coming.
+    Absent = 0,
+    /// It is on its way.
+    Coming = 1,
+    Ready = 2,
+    /// The engine's places are all in use.
+    Full = 3,
+    /// The sender gives no orders to that engine.
+    NotHolder = 4,
+}
+
+/// The holder of an engine tells where an adapter stands.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Placement {
+    #[prost(string, tag = "1")]
+    pub target: String,
+    #[prost(string, tag = "2")]
+    pub adapter: String,
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    #[prost(enumeration = "PlacementState", tag = "4")]
+    pub state: i32,
+    /// Time until it should be there, when it is coming.
+    #[prost(uint32, tag = "5")]
+    pub due_ms: u32,
+    /// Engines over which the adapter's requests should be spread.
+    #[prost(uint32, tag = "6")]
+    pub copies: u32,
+}
+
+/// How much one adapter was used through one host.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AdapterUsage {
+    #[prost(string, tag = "1")]
+    pub adapter: String,
+    /// Requests that run or were sent and have not ended.
+    #[prost(uint32, tag = "2")]
+    pub in_flight: u32,
+    /// Requests sent since the last report.
+    #[prost(uint32, tag = "3")]
+    pub started: u32,
+}
+
+/// A host tells the holder of an engine what it sends there.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Usage {
+    #[prost(string, tag = "1")]
+    pub target: String,
+    #[prost(message, repeated, tag = "2")]
+    pub adapters: Vec<AdapterUsage>,
+    /// All requests of the sender that run there.
+    #[prost(uint32, tag = "3")]
+    pub in_flight: u32,
+    /// Tokens of those requests.
+    #[prost(uint32, tag = "4")]
+    pub tokens: u32,
+}
+
+/// The holder of an engine tells how busy it is.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EngineLoad {
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Requests of all hosts that run there.
+    #[prost(uint32, tag = "2")]
+    pub in_flight: u32,
+    /// Those of the receiver among them.
+    #[prost(uint32, tag = "3")]
+    pub yours: u32,
+    #[prost(uint32, tag = "4")]
+    pub tokens: u32,
+}
+
+/// Any message between hosts.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Message {
+    #[prost(message, tag = "1")]
+    Ping(Ping),
+    #[prost(message, tag = "2")]
+    Ack(Ack),
+    #[prost(message, tag = "3")]
+    PingRequest(PingRequest),
+    #[prost(message, tag = "4")]
+    Vouch(Vouch),
+    #[prost(message, tag = "5")]
+    Want(Want),
+    #[prost(message, tag = "6")]
+    Placement(Placement),
+    #[prost(message, tag = "7")]
+    Usage(Usage),
+    #[prost(message, tag = "8")]
+    EngineLoad(EngineLoad),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Envelope {
+    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    message: Option<Message>,
+}
+
+/// The bytes of a message.
+pub fn encode(message: Message) -> Vec<u8> {
+    let envelope = Envelope {
+        message: Some(message),
+    };
+    envelope.encode_to_vec()
+}
+
+/// The message in a datagram; `None` for what this version does not know.
+pub fn decode(bytes: &[u8]) -> Option<Message> {
+    Envelope::decode(bytes).ok()?.message
+}
--- /dev/null
+++ b/src/connection/datagram/mod.rs
@@ -0,0 +1,14 @@
+//! Datagrams between hosts: small, repeated until answered, and harmless when they come twice.
+
+mod address;
+mod message;
+mod socket;
+
+pub use {
+    address::Address,
+    message::{
+        Ack, AdapterUsage, EngineLoad, Freshness, HostRumor, Message, Ping, PingRequest, Placement,
+        PlacementState, RumorState, Usage, Vouch, Want, decode, encode,
+    },
+    socket::DatagramSocket,
+};
--- /dev/null
+++ b/src/connection/front/dispatcher.rs
@@ -0,0 +1,477 @@
+use {
+    super::{
+        AnswerBody, OwnAnswer, OwnCause,
+        exchange::{Destination, Sent, WholeAnswer, send},
+        stream_relay::relay,
+    },
+    crate::{
+        connection::targets::TargetBoard,
+        formats::{Formats, HeaderNames},
+        request::direct::{
+            AttemptEnd, CallRequest, CopyState, EngineCandidate, EngineChoice, NextStep,
+            PlainCandidate, RequestHistory, choose_engine, choose_plain, next_step,
+        },
+        version::routing::RouteKind,
+    },
+    http::Response,
+    rand::RngExt,
+    std::{
+        cell::RefCell,
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::{sleep_until, timeout_at},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// Callers that were refused come back after this time, if nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(400);
+
+/// Old versions of an adapter are still used for so long after a newer one was named.
+const OLD_VERSION_GRACE: Duration = Duration::from_millis(2500);
+
+/// A request waits for an engine at least this long before it looks again.
+const LEAST_WAIT: Duration = Duration::from_millis(2);
+
+/// Pause before an engine is tried again whose load was not over.
+const LOAD_PAUSE: Duration = Duration::from_millis(25);
+
+/// Sends each request to a target, again where that is allowed, and gives the final answer.
+pub struct Dispatcher {
+    board: Rc<RefCell<TargetBoard>>,
+    formats: Arc<dyn Formats>,
+    /// The hall of this host.
+    hall: String,
+}
+
+/// What is decided for the next send.
+enum Choice {
+    Send(Destination),
+    Wait(Instant),
+    Nowhere,
+}
+
+/// What was tried for one request.
+#[derive(Default)]
+struct Tries {
+    history: RequestHistory,
+    /// Targets that turned it away or were not reached.
+    tried: Vec<String>,
+    /// The last failure that a target gave as an answer.
+    failure: Option<WholeAnswer>,
+}
+
+impl Dispatcher {
+    pub fn new(
+        board: Rc<RefCell<TargetBoard>>,
+        formats: Arc<dyn Formats>,
+        hall: &str,
+    ) -> Self {
+        Self {
+            board,
+            formats,
+            hall: hall.to_string(),
+        }
+    }
+
+    /// Serves one request to its final answer.
+    pub async fn serve(
+        &self,
+        request: CallRequest,
+    ) -> Response<AnswerBody> {
+        self.board
+            .borrow_mut()
+            .budget(&request.service.name)
+            .on_request(request.arrived);
+        let mut tries = Tries::default();
+        let served = self.try_targets(&request, &mut tries);
+        match timeout_at(request.ends.into(), served).await {
+            Ok(response) => response,
+            Err(_) => self.time_over(&request, &mut tries),
+        }
+    }
+
+    async fn try_targets(
+        &self,
+        request: &CallRequest,
+        tries: &mut Tries,
+    ) -> Response<AnswerBody> {
+        loop {
+            let destination = match self.choose(request, tries) {
+                Choice::Send(destination) => destination,
+                Choice::Wait(until) => {
+                    self.wait(request, until).await;
+                    continue;
+                }
+                Choice::Nowhere => return self.nowhere(request, tries),
+            };
+            let names = self.formats.headers();
+            let streams = request.route.kind == RouteKind::Stream;
+            // Until its end is known a send may have run.
+            tries.history.runs += 1;
+            let sent = send(&self.board, names, request, &destination, streams).await;
+            tries.history.runs -= 1;
+            let end = match sent {
+                Sent::Whole(answer) => return pass_on(answer),
+                Sent::Open(answer) => return relay(*answer, request.ends),
+                Sent::Failed(answer) => {
+                    let status = answer.status.as_u16();
+                    tries.failure = Some(answer);
+                    AttemptEnd::Failed { status }
+                }
+                Sent::Misdirected => {
+                    self.on_misdirected(request, &destination);
+                    AttemptEnd::NotRun {
+                        status: 421,
+                        retry_after: None,
+                    }
+                }
+                Sent::Ended(end) => end,
+            };
+            tries.history.note(end);
+            if let Some(response) = self.after(request, tries, &destination, end).await {
+                return response;
+            }
+        }
+    }
+
+    /// Decides what follows a send without an answer; gives the final answer if there is one.
+    async fn after(
+        &self,
+        request: &CallRequest,
+        tries: &mut Tries,
+        destination: &Destination,
+        end: AttemptEnd,
+    ) -> Option<Response<AnswerBody>> {
+        let now = Instant::now();
+        let service = &request.service.name;
+        let budget_left = {
+            let mut board = self.board.borrow_mut();
+            let hosts = board.view.hosts;
+            board.budget(service).allows(hosts, now)
+        };
+        match next_step(&request.route, &tries.history, end, budget_left) {
+            NextStep::Resend { repeats } => {
+                if repeats {
+                    self.board.borrow_mut().budget(service).on_repeat(now);
+                }
+                if self.is_coming(request, destination, end) {
+                    tokio::time::sleep(LOAD_PAUSE).await;
+                } else {
+                    tries.tried.push(destination.target.clone());
+                }
+                None
+            }
+            NextStep::Refuse => Some(self.refuse(request, OwnCause::TurnedAway, COME_BACK)),
+            NextStep::PassOn => tries.failure.take().map(pass_on),
+            NextStep::Fail => Some(match tries.failure.take() {
+                Some(failure) => pass_on(failure),
+                None => self.answer(request, OwnAnswer::new(OwnCause::AnswerLost)),
+            }),
+        }
+    }
+
+    /// True if the engine turned the request away because its adapter was still being loaded.
+    fn is_coming(
+        &self,
+        request: &CallRequest,
+        destination: &Destination,
+        end: AttemptEnd,
+    ) -> bool {
+        let adapter = request.generation.as_ref().and_then(|g| g.adapter());
+        let Some(adapter) = adapter else {
+            return false;
+        };
+        if !matches!(end, AttemptEnd::NotRun { .. }) {
+            return false;
+        }
+        let board = self.board.borrow();
+        let copy = board.adapters.get(adapter, &destination.target);
+        copy.is_some_and(|copy| matches!(copy.state, CopyState::Coming { .. }))
+    }
+
+    fn on_misdirected(
+        &self,
+        request: &CallRequest,
+        destination: &Destination,
+    ) {
+        let Some(adapter) = request.generation.as_ref().and_then(|g| g.adapter()) else {
+            return;
+        };
+        let mut board = self.board.borrow_mut();
+        let copy = board.adapters.get(adapter, &destination.target);
+        let coming = copy.is_some_and(|copy| matches!(copy.state, CopyState::Coming { .. }));
+        if !coming {
+            board.on_missing(adapter, &destination.target);
+        }
+    }
+
+    fn choose(
+        &self,
+        request: &CallRequest,
+        tries: &Tries,
+    ) -> Choice {
+        let now = Instant::now();
+        match &request.generation {
+            Some(generation) => match generation.adapter() {
+                Some(adapter) => self.choose_for_adapter(request, tries, adapter, now),
+                None => self.choose_base(request, tries, now),
+            },
+            None => self.choose_plain(request, tries, now),
+        }
+    }
+
+    fn choose_plain(
+        &self,
+        request: &CallRequest,
+        tries: &Tries,
+        now: Instant,
+    ) -> Choice {
+        let board = self.board.borrow();
+        let targets = board.targets_of(&request.service.name);
+        let candidates: Vec<PlainCandidate> = targets
+            .iter()
+            .map(|target| {
+                let link = &board.links[target];
+                PlainCandidate {
+                    in_flight: link.in_flight,
+                    slots: link.view.record.slots,
+                    near: link.view.record.hall == self.hall,
+                    avoided_for: link.health.avoided_for(now),
+                    tried: tries.tried.contains(target),
+                }
+            })
+            .collect();
+        let draw = rand::rng().random::<f64>();
+        match choose_plain(&candidates, draw) {
+            Some(at) => Choice::Send(Destination {
+                target: targets[at].clone(),
+                version: None,
+            }),
+            None => Choice::Nowhere,
+        }
+    }
+
+    /// A request for the base model alone runs at any engine that holds it.
+    fn choose_base(
+        &self,
+        request: &CallRequest,
+        tries: &Tries,
+        now: Instant,
+    ) -> Choice {
+        let board = self.board.borrow();
+        let targets = board.targets_of(&request.service.name);
+        let candidates: Vec<EngineCandidate> = targets
+            .iter()
+            .map(|target| self.candidate(&board, target, CopyState::Ready, tries, now))
+            .collect();
+        match choose_engine(&candidates, now) {
+            EngineChoice::Send(at) => Choice::Send(Destination {
+                target: targets[at].clone(),
+                version: None,
+            }),
+            _ => Choice::Nowhere,
+        }
+    }
+
+    fn choose_for_adapter(
+        &self,
+        request: &CallRequest,
+        tries: &Tries,
+        adapter: &str,
+        now: Instant,
+    ) -> Choice {
+        let mut board = self.board.borrow_mut();
+        let newest = board.view.newest.get(adapter).copied();
+        let least = newest.map_or(1, |newest| newest.version);
+        let grace = newest
+            .is_some_and(|newest| now.saturating_duration_since(newest.since) < OLD_VERSION_GRACE);
+        let targets = settle_order(&board, &request.service.name, adapter);
+        let candidates: Vec<EngineCandidate> = targets
+            .iter()
+            .map(|target| {
+                let copy = match board.adapters.get(adapter, target) {
+                    Some(copy) if copy.version < least && is_there(copy.state) && !grace => {
+                        CopyState::Unknown
+                    }
+                    Some(copy) => copy.state,
+                    None => CopyState::Unknown,
+                };
+                self.candidate(&board, target, copy, tries, now)
+            })
+            .collect();
+        match choose_engine(&candidates, now) {
+            EngineChoice::Send(at) => {
+                let target = targets[at].clone();
+                let version = board
+                    .adapters
+                    .get(adapter, &target)
+                    .map(|copy| copy.version);
+                Choice::Send(Destination { target, version })
+            }
+            EngineChoice::Ask(at) => {
+                board.ask(adapter, &targets[at], least, now);
+                Choice::Wait(now + Duration::from_millis(60))
+            }
+            EngineChoice::Wait(until) => {
+                let asked = targets.iter().find(|target| {
+                    let copy = board.adapters.get(adapter, target);
+                    copy.is_some_and(|copy| copy.state == CopyState::Asked)
+                });
+                if let Some(asked) = asked.cloned() {
+                    board.ask(adapter, &asked, least, now);
+                }
+                Choice::Wait(until.max(now + LEAST_WAIT))
+            }
+            EngineChoice::Nowhere => Choice::Nowhere,
+        }
+    }
+
+    fn candidate(
+        &self,
+        board: &TargetBoard,
+        target: &str,
+        copy: CopyState,
+        tries: &Tries,
+        now: Instant,
+    ) -> EngineCandidate {
+        let link = &board.links[target];
+        EngineCandidate {
+            copy,
+            load: link.load(),
+            near: link.view.record.hall == self.hall,
+            avoided_for: link.health.avoided_for(now),
+            has_holder: link.view.holder.is_some(),
+            tried: tries.tried.iter().any(|tried| tried == target),
+        }
+    }
+
+    /// Waits for news of the adapter, or until a time.
+    async fn wait(
+        &self,
+        request: &CallRequest,
+        until: Instant,
+    ) {
+        let Some(adapter) = request.generation.as_ref().and_then(|g| g.adapter()) else {
+            sleep_until(until.into()).await;
+            return;
+        };
+        let waiter = Waiter::start(&self.board, adapter, request.route.priority);
+        tokio::select! {
+            _ = waiter.news.notified() => {}
+            _ = sleep_until(until.into()) => {}
+        }
+    }
+
+    fn nowhere(
+        &self,
+        request: &CallRequest,
+        tries: &mut Tries,
+    ) -> Response<AnswerBody> {
+        if let Some(failure) = tries.failure.take() {
+            return pass_on(failure);
+        }
+        if tries.history.runs > 0 {
+            return self.answer(request, OwnAnswer::new(OwnCause::AnswerLost));
+        }
+        let cause = match request.generation {
+            Some(_) => OwnCause::NoAdapter,
+            None => OwnCause::NoTarget,
+        };
+        self.refuse(request, cause, COME_BACK)
+    }
+
+    fn time_over(
+        &self,
+        request: &CallRequest,
+        tries: &mut Tries,
+    ) -> Response<AnswerBody> {
+        if let Some(failure) = tries.failure.take() {
+            return pass_on(failure);
+        }
+        let cause = match tries.history.runs {
+            0 => OwnCause::TimeOverUnsent,
+            _ => OwnCause::TimeOver,
+        };
+        self.answer(request, OwnAnswer::new(cause))
+    }
+
+    fn refuse(
+        &self,
+        request: &CallRequest,
+        cause: OwnCause,
+        retry_after: Duration,
+    ) -> Response<AnswerBody> {
+        self.answer(request, OwnAnswer::after(cause, retry_after))
+    }
+
+    fn answer(
+        &self,
+        request: &CallRequest,
+        answer: OwnAnswer,
+    ) -> Response<AnswerBody> {
+        let names: &HeaderNames = self.formats.headers();
+        answer.into_response(&names.request_id, request.id.as_ref())
+    }
+}
+
+/// Counts a request as waiting for an adapter until dropped.
+struct Waiter {
+    board: Rc<RefCell<TargetBoard>>,
+    adapter: String,
+    news: Rc<tokio::sync::Notify>,
+}
+
+impl Waiter {
+    fn start(
+        board: &Rc<RefCell<TargetBoard>>,
+        adapter: &str,
+        priority: u8,
+    ) -> Self {
+        Self {
+            news: board.borrow_mut().start_waiting(adapter, priority),
+            board: board.clone(),
+            adapter: adapter.to_string(),
+        }
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        self.board.borrow_mut().stop_waiting(&self.adapter);
+    }
+}
+
+/// The engines of a service in the order in which an adapter settles, the same on every host.
+fn settle_order(
+    board: &TargetBoard,
+    service: &str,
+    adapter: &str,
+) -> Vec<String> {
+    let seed = xxh3_64_with_seed(adapter.as_bytes(), 0);
+    let mut ranked: Vec<(u64, &String)> = board
+        .targets_of(service)
+        .iter()
+        .map(|target| {
+            let address = board.links[target].view.record.address.to_string();
+            (xxh3_64_with_seed(address.as_bytes(), seed), target)
+        })
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked
+        .into_iter()
+        .map(|(_, target)| target.clone())
+        .collect()
+}
+
+fn is_there(state: CopyState) -> bool {
+    matches!(state, CopyState::Ready | CopyState::Coming { .. })
+}
+
+fn pass_on(answer: WholeAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
--- /dev/null
+++ b/src/connection/front/exchange.rs
@@ -0,0 +1,351 @@
+use {
+    crate::{
+        connection::{
+            http1::{BodyDecoder, ExchangeError, HttpConnection, ResponseHead},
+            targets::TargetBoard,
+        },
+        formats::HeaderNames,
+        request::direct::{AttemptEnd, CallRequest},
+    },
+    bytes::{Bytes, BytesMut},
+    http::{HeaderMap, StatusCode, header},
+    std::{
+        cell::RefCell,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::time::timeout,
+};
+
+/// Time for a connection to a target to come up.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// Bodies up to this size are read whole before they are passed on, in bytes.
+const WHOLE_LIMIT: usize = 256 * 1024;
+
+/// Where a request goes, and on what condition it may run there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Destination {
+    pub target: String,
+    /// Version of the adapter that must be there.
+    pub version: Option<u64>,
+}
+
+/// One request that runs, or may run, at a target; it counts as ended when dropped.
+pub struct Flight {
+    board: Rc<RefCell<TargetBoard>>,
+    target: String,
+    adapter: Option<String>,
+    tokens: u64,
+}
+
+impl Flight {
+    fn start(
+        board: &Rc<RefCell<TargetBoard>>,
+        request: &CallRequest,
+        target: &str,
+    ) -> Self {
+        let generation = request.generation.as_ref();
+        let adapter = generation.and_then(|generation| generation.adapter());
+        let tokens = generation.map_or(0, |generation| {
+            u64::from(generation.tokens_in) + u64::from(generation.tokens_out)
+        });
+        if let Some(link) = board.borrow_mut().links.get_mut(target) {
+            link.start(adapter, tokens);
+        }
+        Self {
+            board: board.clone(),
+            target: target.to_string(),
+            adapter: adapter.map(str::to_string),
+            tokens,
+        }
+    }
+
+    /// Keeps the connection of an exchange that is over.
+    pub fn keep(
+        &self,
+        connection: HttpConnection,
+        idle_limit: Option<Duration>,
+    ) {
+        if let Some(link) = self.board.borrow_mut().links.get_mut(&self.target) {
+            link.put_idle(connection, idle_limit, Instant::now());
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if let Some(link) = self.board.borrow_mut().links.get_mut(&self.target) {
+            link.end(self.adapter.as_deref(), self.tokens);
+        }
+    }
+}
+
+/// A whole answer of a target.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// An answer whose body goes on.
+pub struct OpenAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    /// What has arrived of the body.
+    pub first: Bytes,
+    pub source: AnswerSource,
+}
+
+/// Where the rest of a body comes from.
+pub struct AnswerSource {
+    connection: HttpConnection,
+    decoder: BodyDecoder,
+    reusable: bool,
+    idle_limit: Option<Duration>,
+    flight: Flight,
+}
+
+impl AnswerSource {
+    /// The next piece; `None` at the body's end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        self.connection.body_piece(&mut self.decoder).await
+    }
+
+    /// The body is over.
+    pub fn finish(self) {
+        if self.reusable {
+            self.flight.keep(self.connection, self.idle_limit);
+        }
+    }
+}
+
+/// What a send brought.
+pub enum Sent {
+    Whole(WholeAnswer),
+    Open(Box<OpenAnswer>),
+    /// The target ran it and failed.
+    Failed(WholeAnswer),
+    /// No answer that can be passed on.
+    Ended(AttemptEnd),
+    /// The target does not hold what the request needs, and did not run it.
+    Misdirected,
+}
+
+/// Sends a request to a target and reads its answer: plain ones whole, streams to the first piece.
+pub async fn send(
+    board: &Rc<RefCell<TargetBoard>>,
+    names: &HeaderNames,
+    request: &CallRequest,
+    destination: &Destination,
+    streams: bool,
+) -> Sent {
+    let flight = Flight::start(board, request, &destination.target);
+    let Some(mut connection) = connect(board, &destination.target).await else {
+        return Sent::Ended(AttemptEnd::NotSent);
+    };
+    let bytes = request_bytes(names, request, destination, Instant::now());
+    let is_ours = |head: &ResponseHead| head.headers.get(&names.request_id) == request.id.as_ref();
+    let exchange = connection.exchange(&bytes, &request.method, is_ours);
+    let (head, sent_whole) = match exchange.await {
+        Ok(answer) => answer,
+        Err(_) => return lost(board, &destination.target),
+    };
+    let mut source = AnswerSource {
+        connection,
+        decoder: BodyDecoder::new(head.framing),
+        reusable: head.keeps_alive && sent_whole,
+        idle_limit: head.idle_limit,
+        flight,
+    };
+    if head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST {
+        return not_run(head, source).await;
+    }
+    let wanted = if streams && head.status.is_success() {
+        1
+    } else {
+        WHOLE_LIMIT
+    };
+    let mut body = BytesMut::new();
+    while body.len() < wanted {
+        match source.next().await {
+            Ok(Some(piece)) => body.extend_from_slice(&piece),
+            Ok(None) => {
+                trust(board, &destination.target);
+                let failed = head.status.is_server_error();
+                let answer = whole(head, body.freeze(), source);
+                return match failed {
+                    true => Sent::Failed(answer),
+                    false => Sent::Whole(answer),
+                };
+            }
+            Err(_) => return lost(board, &destination.target),
+        }
+    }
+    trust(board, &destination.target);
+    Sent::Open(Box::new(OpenAnswer {
+        status: head.status,
+        headers: passed_headers(head.headers),
+        first: body.freeze(),
+        source,
+    }))
+}
+
+async fn connect(
+    board: &Rc<RefCell<TargetBoard>>,
+    target: &str,
+) -> Option<HttpConnection> {
+    let address = {
+        let mut board = board.borrow_mut();
+        let link = board.links.get_mut(target)?;
+        if let Some(connection) = link.take_idle(Instant::now()) {
+            return Some(connection);
+        }
+        link.view.record.address
+    };
+    let opened = timeout(CONNECT_LIMIT, HttpConnection::open(address)).await;
+    match opened {
+        Ok(Ok(connection)) => Some(connection),
+        _ => {
+            distrust(board, target);
+            None
+        }
+    }
+}
+
+/// The target turned the request away.
+async fn not_run(
+    head: ResponseHead,
+    mut source: AnswerSource,
+) -> Sent {
+    let status = head.status;
+    let retry_after = head
+        .headers
+        .get(header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim().parse::<f64>().ok())
+        .filter(|seconds| seconds.is_finite() && *seconds >= 0.0)
+        .map(Duration::from_secs_f64);
+    while let Ok(Some(_)) = source.next().await {}
+    source.finish();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Sent::Misdirected;
+    }
+    Sent::Ended(AttemptEnd::NotRun {
+        status: status.as_u16(),
+        retry_after,
+    })
+}
+
+fn whole(
+    head: ResponseHead,
+    body: Bytes,
+    source: AnswerSource,
+) -> WholeAnswer {
+    source.finish();
+    WholeAnswer {
+        status: head.status,
+        headers: passed_headers(head.headers),
+        body,
+    }
+}
+
+fn lost(
+    board: &Rc<RefCell<TargetBoard>>,
+    target: &str,
+) -> Sent {
+    distrust(board, target);
+    Sent::Ended(AttemptEnd::Lost)
+}
+
+fn trust(
+    board: &Rc<RefCell<TargetBoard>>,
+    target: &str,
+) {
+    if let Some(link) = board.borrow_mut().links.get_mut(target) {
+        link.health.on_success();
+    }
+}
+
+fn distrust(
+    board: &Rc<RefCell<TargetBoard>>,
+    target: &str,
+) {
+    if let Some(link) = board.borrow_mut().links.get_mut(target) {
+        link.health.on_failure(Instant::now());
+    }
+}
+
+/// The headers of an answer that go on to the caller.
+fn passed_headers(mut headers: HeaderMap) -> HeaderMap {
+    for name in [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::TRANSFER_ENCODING,
+        header::TRAILER,
+        header::UPGRADE,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers
+}
+
+/// The request as it goes to the target.
+fn request_bytes(
+    names: &HeaderNames,
+    request: &CallRequest,
+    destination: &Destination,
+    now: Instant,
+) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(1024 + request.body.len());
+    let mut line = |parts: &[&[u8]]| {
+        for part in parts {
+            bytes.extend_from_slice(part);
+        }
+        bytes.extend_from_slice(b"\r\n");
+    };
+    line(&[
+        request.method.as_str().as_bytes(),
+        b" ",
+        request.path_and_query.as_bytes(),
+        b" HTTP/1.1",
+    ]);
+    line(&[b"host: ", request.route.host.as_bytes()]);
+    for (name, value) in &request.headers {
+        line(&[name.as_str().as_bytes(), b": ", value.as_bytes()]);
+    }
+    let left = request.left(now).as_millis().to_string();
+    line(&[
+        names.deadline_ms.as_str().as_bytes(),
+        b": ",
+        left.as_bytes(),
+    ]);
+    line(&[
+        names.expect_target.as_str().as_bytes(),
+        b": ",
+        destination.target.as_bytes(),
+    ]);
+    if let Some(version) = destination.version {
+        let version = version.to_string();
+        line(&[
+            names.expect_version.as_str().as_bytes(),
+            b": ",
+            version.as_bytes(),
+        ]);
+    }
+    if request.generation.is_some() {
+        let priority = request.route.priority.min(9).to_string();
+        line(&[
+            names.priority.as_str().as_bytes(),
+            b": ",
+            priority.as_bytes(),
+        ]);
+    }
+    let length = request.body.len().to_string();
+    line(&[b"content-length: ", length.as_bytes()]);
+    line(&[]);
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
--- /dev/null
+++ b/src/connection/front/front_listener.rs
@@ -0,0 +1,155 @@
+use {
+    super::{AnswerBody, Dispatcher, OwnAnswer, OwnCause, RequestProblem, RequestReader},
+    crate::{connection::targets::TargetBoard, formats::Formats},
+    http::{Request, Response},
+    hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    rand::RngExt,
+    std::{
+        cell::RefCell,
+        io,
+        rc::Rc,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        task::spawn_local,
+    },
+};
+
+/// Pause after a failed accept, such as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Callers come back to another host after this time when this one stops.
+const STOP_COME_BACK: Duration = Duration::from_millis(20);
+
+/// Callers come back after this time while no configuration is known.
+const NOT_READY_COME_BACK: Duration = Duration::from_millis(300);
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FrontStop {
+    Serving,
+    /// Requests are served; connections end after their request.
+    Leaving,
+    /// New requests are refused.
+    Refusing,
+}
+
+/// Takes callers' connections and serves their requests.
+pub struct FrontListener {
+    dispatcher: Dispatcher,
+    reader: RequestReader,
+    board: Rc<RefCell<TargetBoard>>,
+    formats: Arc<dyn Formats>,
+    stop: watch::Receiver<FrontStop>,
+    open_connections: Arc<AtomicUsize>,
+}
+
+impl FrontListener {
+    pub fn new(
+        board: Rc<RefCell<TargetBoard>>,
+        formats: Arc<dyn Formats>,
+        hall: &str,
+        stop: watch::Receiver<FrontStop>,
+        open_connections: Arc<AtomicUsize>,
+    ) -> Self {
+        Self {
+            dispatcher: Dispatcher::new(board.clone(), formats.clone(), hall),
+            reader: RequestReader::new(formats.clone()),
+            board,
+            formats,
+            stop,
+            open_connections,
+        }
+    }
+
+    /// Accepts connections for as long as the process runs.
+    pub async fn serve(
+        self: Rc<Self>,
+        listener: TcpListener,
+    ) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    spawn_local(self.clone().serve_connection(stream));
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    }
+
+    async fn serve_connection(
+        self: Rc<Self>,
+        stream: TcpStream,
+    ) {
+        let _ = stream.set_nodelay(true);
+        let _open = OpenConnection::start(&self.open_connections);
+        let limits = self.board.borrow().routing().limits;
+        let front = self.clone();
+        let service = service_fn(move |request| front.clone().answer(request));
+        let connection = Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.idle_timeout)
+            .max_buf_size(limits.header_bytes.max(8 * 1024) * 2)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let mut stop = self.stop.clone();
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            _ = stop.wait_for(|stop| *stop >= FrontStop::Leaving) => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, io::Error> {
+        let arrived = Instant::now();
+        let id = self.reader.id(request.headers());
+        let own = |answer: OwnAnswer| {
+            answer.into_response(&self.formats.headers().request_id, id.as_ref())
+        };
+        if *self.stop.borrow() >= FrontStop::Refusing {
+            return Ok(own(OwnAnswer::after(OwnCause::Stopping, STOP_COME_BACK)));
+        }
+        let routing = self.board.borrow().routing().clone();
+        let draw = rand::rng().random::<f64>();
+        match self.reader.read(request, &routing, arrived, draw).await {
+            Ok(request) => Ok(self.dispatcher.serve(request).await),
+            Err(RequestProblem::Answer(OwnCause::NotReady)) => Ok(own(OwnAnswer::after(
+                OwnCause::NotReady,
+                NOT_READY_COME_BACK,
+            ))),
+            Err(RequestProblem::Answer(cause)) => Ok(own(OwnAnswer::new(cause))),
+            Err(RequestProblem::Gone) => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
+}
+
+/// A connection that is open; counted until dropped.
+struct OpenConnection {
+    count: Arc<AtomicUsize>,
+}
+
+impl OpenConnection {
+    fn start(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self {
+            count: count.clone(),
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/connection/front/mod.rs
@@ -0,0 +1,17 @@
+//! Callers: their connections, reading their requests, sending these to targets, and the answers.
+
+mod answer_body;
+mod dispatcher;
+mod exchange;
+mod front_listener;
+mod own_answer;
+mod request_reader;
+mod stream_relay;
+
+pub use {
+    answer_body::{AnswerBody, BrokenAnswer},
+    dispatcher::Dispatcher,
+    front_listener::{FrontListener, FrontStop},
+    own_answer::{OwnAnswer, OwnCause},
+    request_reader::{RequestProblem, RequestReader},
+};
--- /dev/null
+++ b/src/connection/front/request_reader.rs
@@ -0,0 +1,221 @@
+use {
+    super::OwnCause,
+    crate::{
+        formats::{Formats, HeaderNames},
+        request::direct::{CallRequest, Generation},
+        version::routing::{Route, RoutingTable, TargetService},
+    },
+    bytes::{Bytes, BytesMut},
+    http::{HeaderMap, HeaderName, HeaderValue, Request, header, request::Parts},
+    http_body_util::BodyExt,
+    hyper::body::{Body, Incoming},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::timeout_at,
+};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: &[HeaderName] = &[
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::HOST,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// Why a request could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestProblem {
+    /// The caller gets this answer.
+    Answer(OwnCause),
+    /// The caller is gone.
+    Gone,
+}
+
+/// Makes a [`CallRequest`] out of what arrives on a caller's connection.
+pub struct RequestReader {
+    formats: Arc<dyn Formats>,
+}
+
+impl RequestReader {
+    pub fn new(formats: Arc<dyn Formats>) -> Self {
+        Self { formats }
+    }
+
+    /// The id that the caller gave to its request.
+    pub fn id(
+        &self,
+        headers: &HeaderMap,
+    ) -> Option<HeaderValue> {
+        headers.get(&self.formats.headers().request_id).cloned()
+    }
+
+    /// Reads the whole request; `draw`, from 0 to below 1, chooses the part of a split route.
+    pub async fn read(
+        &self,
+        request: Request<Incoming>,
+        routing: &RoutingTable,
+        arrived: Instant,
+        draw: f64,
+    ) -> Result<CallRequest, RequestProblem> {
+        if routing.version == 0 {
+            return Err(RequestProblem::Answer(OwnCause::NotReady));
+        }
+        let (parts, body) = request.into_parts();
+        let route = find_route(&parts, routing).ok_or(RequestProblem::Answer(OwnCause::NoRoute))?;
+        let service = find_service(&route, routing, draw)?;
+        let names = self.formats.headers();
+        let ends = arrived + allowed_time(&parts.headers, names, &route);
+        let generation = generation(&parts.headers, names, &service);
+        let body = read_body(body, routing.limits.body_bytes, ends).await?;
+        Ok(CallRequest {
+            id: parts.headers.get(&names.request_id).cloned(),
+            path_and_query: parts
+                .uri
+                .path_and_query()
+                .map_or("/", |text| text.as_str())
+                .to_string(),
+            method: parts.method,
+            headers: passed_headers(&parts.headers, names),
+            body,
+            arrived,
+            ends,
+            route,
+            service,
+            generation,
+        })
+    }
+}
+
+fn find_route(
+    parts: &Parts,
+    routing: &RoutingTable,
+) -> Option<Arc<Route>> {
+    let host = parts.headers.get(header::HOST)?.to_str().ok()?;
+    let host = host.split_once(':').map_or(host, |(name, _)| name);
+    routing.find(host, parts.uri.path()).cloned()
+}
+
+fn find_service(
+    route: &Route,
+    routing: &RoutingTable,
+    draw: f64,
+) -> Result<Arc<TargetService>, RequestProblem> {
+    let service = route.service(draw).and_then(|name| routing.service(name));
+    // A route to nowhere is the operators' mistake; it may be mended soon.
+    service
+        .cloned()
+        .ok_or(RequestProblem::Answer(OwnCause::NoTarget))
+}
+
+/// The caller's deadline, or the route's time-out if that comes first.
+fn allowed_time(
+    headers: &HeaderMap,
+    names: &HeaderNames,
+    route: &Route,
+) -> Duration {
+    let deadline = number(headers, &names.deadline_ms).map(Duration::from_millis);
+    deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout))
+}
+
+fn generation(
+    headers: &HeaderMap,
+    names: &HeaderNames,
+    service: &TargetService,
+) -> Option<Generation> {
+    service.engine.as_ref()?;
+    let mut generation = Generation {
+        model: text(headers, &names.model)?.to_string(),
+        hint: number(headers, &names.length_hint).and_then(|hint| u32::try_from(hint).ok()),
+        ..Generation::default()
+    };
+    generation.set_token_counts(text(headers, &names.token_counts).unwrap_or_default());
+    generation.set_parts(text(headers, &names.prompt_parts).unwrap_or_default());
+    Some(generation)
+}
+
+fn text<'a>(
+    headers: &'a HeaderMap,
+    name: &HeaderName,
+) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(
+    headers: &HeaderMap,
+    name: &HeaderName,
+) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
+
+/// Headers that go on to the target; those that this host sets itself are left out.
+fn passed_headers(
+    headers: &HeaderMap,
+    names: &HeaderNames,
+) -> HeaderMap {
+    let own = [
+        &names.deadline_ms,
+        &names.expect_target,
+        &names.expect_version,
+        &names.priority,
+    ];
+    let named_by_connection: Vec<&str> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+        .collect();
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_BY_HOP.contains(name) && name.as_str() != KEEP_ALIVE)
+        .filter(|(name, _)| !own.contains(name))
+        .filter(|(name, _)| {
+            !named_by_connection
+                .iter()
+                .any(|named| named.eq_ignore_ascii_case(name.as_str()))
+        })
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    ends: Instant,
+) -> Result<Bytes, RequestProblem> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if body.size_hint().lower() > limit as u64 {
+        return Err(RequestProblem::Answer(OwnCause::BodyTooLarge));
+    }
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = timeout_at(ends.into(), body.frame()).await;
+        let frame = frame.map_err(|_| RequestProblem::Answer(OwnCause::BodyTooSlow))?;
+        let Some(frame) = frame else {
+            return Ok(whole.freeze());
+        };
+        let frame = frame.map_err(|_| RequestProblem::Gone)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > limit {
+            return Err(RequestProblem::Answer(OwnCause::BodyTooLarge));
+        }
+        if whole.is_empty() && body.is_end_stream() {
+            return Ok(data);
+        }
+        whole.extend_from_slice(&data);
+    }
+}
--- /dev/null
+++ b/src/connection/http1/connection.rs
@@ -0,0 +1,158 @@
+use {
+    super::{BodyDecoder, Decoded, ResponseHead},
+    bytes::{Bytes, BytesMut},
+    http::Method,
+    std::{io, net::SocketAddr},
+    thiserror::Error,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+/// Bytes read from a connection at once.
+const READ_SIZE: usize = 4096;
+
+/// Why an exchange over a connection came to nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum ExchangeError {
+    #[error("no connection")]
+    NoConnection,
+    #[error("the connection was closed")]
+    Closed,
+    #[error("the connection was reset")]
+    Reset,
+    #[error("no answer in the protocol: {0}")]
+    Nonsense(&'static str),
+}
+
+/// One connection to a target or to the store.
+#[derive(Debug)]
+pub struct HttpConnection {
+    stream: TcpStream,
+    buffer: BytesMut,
+}
+
+impl HttpConnection {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr) -> Result<Self, ExchangeError> {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|_| ExchangeError::NoConnection)?;
+        // Without it an event could wait for the acknowledgement of the one before.
+        let _ = stream.set_nodelay(true);
+        Ok(Self {
+            stream,
+            buffer: BytesMut::new(),
+        })
+    }
+
+    /// True when the other side has neither closed the resting connection nor sent anything on it.
+    pub fn is_quiet(&self) -> bool {
+        if !self.buffer.is_empty() {
+            return false;
+        }
+        let mut byte = [0u8; 1];
+        match self.stream.try_read(&mut byte) {
+            Err(problem) => problem.kind() == io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        }
+    }
+
+    /// Gives the memory back that only a running exchange needs.
+    pub fn rest(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
+    /// Sends a request and reads the head of the answer for which `is_ours` holds.
+    ///
+    /// Answers for which it does not hold are surplus, and passed over whole. The flag says whether
+    /// the request was sent to its end; if not, the connection can serve nothing else.
+    pub async fn exchange(
+        &mut self,
+        request: &[u8],
+        method: &Method,
+        is_ours: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<(ResponseHead, bool), ExchangeError> {
+        let mut sent = 0;
+        loop {
+            while let Some(head) = ResponseHead::take(&mut self.buffer, method)? {
+                if head.is_interim() {
+                    continue;
+                }
+                if is_ours(&head) {
+                    return Ok((head, sent == request.len()));
+                }
+                self.skip_body(&head).await?;
+            }
+            if sent < request.len() {
+                sent += self.write_or_read(&request[sent..]).await?;
+            } else {
+                self.read().await?;
+            }
+        }
+    }
+
+    /// The next piece of a body; `None` at its end.
+    pub async fn body_piece(
+        &mut self,
+        decoder: &mut BodyDecoder,
+    ) -> Result<Option<Bytes>, ExchangeError> {
+        loop {
+            match decoder.decode(&mut self.buffer)? {
+                Decoded::Data(data) => return Ok(Some(data)),
+                Decoded::End => return Ok(None),
+                Decoded::Incomplete => match self.read().await {
+                    Err(ExchangeError::Closed) if decoder.ends_with_connection() => {
+                        return Ok(None);
+                    }
+                    outcome => outcome?,
+                },
+            }
+        }
+    }
+
+    async fn skip_body(
+        &mut self,
+        head: &ResponseHead,
+    ) -> Result<(), ExchangeError> {
+        let mut decoder = BodyDecoder::new(head.framing);
+        while self.body_piece(&mut decoder).await?.is_some() {}
+        Ok(())
+    }
+
+    /// Writes some of `bytes`, or reads if the other side has sent something; gives bytes written.
+    async fn write_or_read(
+        &mut self,
+        bytes: &[u8],
+    ) -> Result<usize, ExchangeError> {
+        let (mut reader, mut writer) = self.stream.split();
+        self.buffer.reserve(READ_SIZE);
+        tokio::select! {
+            biased;
+            written = writer.write(bytes) => written.map_err(failed),
+            read = reader.read_buf(&mut self.buffer) => match read.map_err(failed)? {
+                0 => Err(ExchangeError::Closed),
+                _ => Ok(0),
+            },
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), ExchangeError> {
+        self.buffer.reserve(READ_SIZE);
+        match self.stream.read_buf(&mut self.buffer).await {
+            Ok(0) => Err(ExchangeError::Closed),
+            Ok(_) => Ok(()),
+            Err(problem) => Err(failed(problem)),
+        }
+    }
+}
+
+fn failed(problem: io::Error) -> ExchangeError {
+    match problem.kind() {
+        io::ErrorKind::UnexpectedEof => ExchangeError::Closed,
+        _ => ExchangeError::Reset,
+    }
+}
--- /dev/null
+++ b/src/connection/http1/mod.rs
@@ -0,0 +1,16 @@
+//! HTTP/1.1 towards targets and the store: one exchange at a time over a kept connection.
+//!
+//! `httparse` reads heads and chunk sizes. hyper's client is not used here: an answer that belongs to
+//! an earlier request may arrive where the next one is due, and must be passed over, not handed out.
+
+mod body_decoder;
+mod call_client;
+mod connection;
+mod response_head;
+
+pub use {
+    body_decoder::{BodyDecoder, Decoded},
+    call_client::{CallClient, CallFailure},
+    connection::{ExchangeError, HttpConnection},
+    response_head::{BodyFraming, ResponseHead},
+};
--- /dev/null
+++ b/src/connection/pull/changes_body.rs
@@ -0,0 +1,49 @@
+use {crate::formats::Row, prost::Message};
+
+/// A row on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct RowBody {
+    #[prost(string, tag = "1")]
+    pub key: String,
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Absent for a row that is gone.
+    #[prost(bytes = "vec", optional, tag = "3")]
+    pub value: Option<Vec<u8>>,
+}
+
+/// Rows that have changed since a version, or all of them.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChangesBody {
+    #[prost(message, repeated, tag = "1")]
+    pub rows: Vec<RowBody>,
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    #[prost(uint64, tag = "3")]
+    pub changed_version: u64,
+    #[prost(bool, tag = "4")]
+    pub whole: bool,
+    /// Time since the copy was known to be right.
+    #[prost(uint32, tag = "5")]
+    pub age_ms: u32,
+}
+
+impl From<&Row> for RowBody {
+    fn from(row: &Row) -> Self {
+        Self {
+            key: row.key.to_string(),
+            version: row.version,
+            value: row.value.as_deref().map(<[u8]>::to_vec),
+        }
+    }
+}
+
+impl From<RowBody> for Row {
+    fn from(body: RowBody) -> Self {
+        Self {
+            key: body.key.into(),
+            version: body.version,
+            value: body.value.map(Into::into),
+        }
+    }
+}
--- /dev/null
+++ b/src/connection/store/store_client.rs
@@ -0,0 +1,131 @@
+use {
+    crate::{
+        connection::http1::{CallClient, CallFailure},
+        formats::{
+            Commit, FormatError, Formats, HttpCall, HttpReply, Row, RowBatch, RowsReply,
+            Transaction,
+        },
+    },
+    std::{cell::RefCell, net::SocketAddr, sync::Arc, time::Duration},
+    thiserror::Error,
+};
+
+/// Pages of one table that are read at the most.
+const MAX_PAGES: usize = 64;
+
+/// Why a call to the store brought nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum StoreFailure {
+    #[error("not reached")]
+    NotReached,
+    /// A write may have been done, or may be done later.
+    #[error("no reply")]
+    NoReply,
+    #[error("turned away with status {0}")]
+    TurnedAway(u16),
+    #[error(transparent)]
+    Nonsense(#[from] FormatError),
+}
+
+/// Talks to the store; each call has a connection to itself while it lasts.
+pub struct StoreClient {
+    address: SocketAddr,
+    formats: Arc<dyn Formats>,
+    limit: Duration,
+    idle: RefCell<Vec<CallClient>>,
+}
+
+impl StoreClient {
+    /// A client whose calls may take `limit` each.
+    pub fn new(
+        address: SocketAddr,
+        formats: Arc<dyn Formats>,
+        limit: Duration,
+    ) -> Self {
+        Self {
+            address,
+            formats,
+            limit,
+            idle: RefCell::default(),
+        }
+    }
+
+    /// All rows of a table, as of one version or a later one.
+    pub async fn read_table(
+        &self,
+        table: &str,
+    ) -> Result<RowBatch, StoreFailure> {
+        let mut rows: Vec<Row> = Vec::new();
+        let mut version = None;
+        for _ in 0..MAX_PAGES {
+            let after = rows.last().map(|row| row.key.clone());
+            let page = self.read_page(table, after.as_deref()).await?;
+            // What changes between two pages is told by the changes since the first.
+            let version = *version.get_or_insert(page.version);
+            let is_new = |row: &Row| after.as_ref().is_none_or(|after| row.key > *after);
+            rows.extend(page.rows.into_iter().filter(is_new));
+            if !page.more {
+                return Ok(RowBatch {
+                    rows,
+                    version,
+                    more: false,
+                });
+            }
+        }
+        Err(FormatError::new("store reply", "the table has too many pages").into())
+    }
+
+    /// What has changed in a table since a version; waits for a change for up to `wait`.
+    pub async fn read_changes(
+        &self,
+        table: &str,
+        since: u64,
+        wait: Duration,
+    ) -> Result<RowsReply, StoreFailure> {
+        let call = self.formats.changes_call(table, since, wait);
+        let reply = self.call(&call, self.limit + wait).await?;
+        Ok(self.formats.rows_reply(&reply)?)
+    }
+
+    /// Carries out a transaction.
+    pub async fn commit(
+        &self,
+        transaction: &Transaction,
+    ) -> Result<Commit, StoreFailure> {
+        let call = self.formats.transaction_call(transaction);
+        let reply = self.call(&call, self.limit).await?;
+        Ok(self.formats.commit_reply(&reply)?)
+    }
+
+    async fn read_page(
+        &self,
+        table: &str,
+        after: Option<&str>,
+    ) -> Result<RowBatch, StoreFailure> {
+        let call = self.formats.rows_call(table, after);
+        let reply = self.call(&call, self.limit).await?;
+        match self.formats.rows_reply(&reply)? {
+            RowsReply::Rows(batch) => Ok(batch),
+            RowsReply::HistoryGone => Err(StoreFailure::TurnedAway(reply.status)),
+        }
+    }
+
+    async fn call(
+        &self,
+        call: &HttpCall,
+        limit: Duration,
+    ) -> Result<HttpReply, StoreFailure> {
+        let idle = self.idle.borrow_mut().pop();
+        let mut client = idle.unwrap_or_else(|| CallClient::new(self.address));
+        let outcome = client.call(call, "", limit).await;
+        self.idle.borrow_mut().push(client);
+        let reply = outcome.map_err(|failure| match failure {
+            CallFailure::NotSent => StoreFailure::NotReached,
+            CallFailure::Unknown => StoreFailure::NoReply,
+        })?;
+        match reply.status {
+            429 | 500..=599 => Err(StoreFailure::TurnedAway(reply.status)),
+            _ => Ok(reply),
+        }
+    }
+}
--- /dev/null
+++ b/src/connection/targets/adapter_map.rs
@@ -0,0 +1,133 @@
+use {
+    crate::request::direct::CopyState,
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time after which a holder that was asked and did not answer is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(60);
+
+/// Asks without an answer after which the holder counts as silent.
+const MAX_ASKS: u32 = 4;
+
+/// Time for which a silent holder's engine is passed over.
+const SILENT_PAUSE: Duration = Duration::from_millis(1500);
+
+/// An adapter's copy at one engine, as its holder last told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdapterCopy {
+    pub version: u64,
+    pub state: CopyState,
+    asked: Option<Instant>,
+    asks: u32,
+}
+
+/// Where adapters are, as far as this host was told.
+#[derive(Debug, Default)]
+pub struct AdapterMap {
+    /// By `MODEL/ADAPTER`, then by the engine's id.
+    copies: HashMap<String, HashMap<String, AdapterCopy>>,
+}
+
+impl AdapterMap {
+    /// The copy of an adapter at an engine, if anything is known of it.
+    pub fn get(
+        &self,
+        adapter: &str,
+        target: &str,
+    ) -> Option<&AdapterCopy> {
+        self.copies.get(adapter)?.get(target)
+    }
+
+    /// The holder told where an adapter stands.
+    pub fn set(
+        &mut self,
+        adapter: &str,
+        target: &str,
+        version: u64,
+        state: CopyState,
+    ) {
+        if state == CopyState::Unknown {
+            self.forget(adapter, target);
+            return;
+        }
+        let copy = AdapterCopy {
+            version,
+            state,
+            asked: None,
+            asks: 0,
+        };
+        self.entry(adapter).insert(target.to_string(), copy);
+    }
+
+    /// The holder is to be asked; false if it was asked a moment ago.
+    pub fn ask(
+        &mut self,
+        adapter: &str,
+        target: &str,
+        now: Instant,
+    ) -> bool {
+        let copy = self
+            .entry(adapter)
+            .entry(target.to_string())
+            .or_insert(AdapterCopy {
+                version: 0,
+                state: CopyState::Asked,
+                asked: None,
+                asks: 0,
+            });
+        let recent = |asked: Instant| now.saturating_duration_since(asked) < ASK_AGAIN;
+        if copy.asked.is_some_and(recent) {
+            return false;
+        }
+        if copy.state == CopyState::Asked && copy.asks >= MAX_ASKS {
+            let until = now + SILENT_PAUSE;
+            copy.state = CopyState::Full { until };
+            copy.asks = 0;
+            copy.asked = None;
+            return false;
+        }
+        if !matches!(copy.state, CopyState::Coming { .. }) {
+            copy.state = CopyState::Asked;
+        }
+        copy.asked = Some(now);
+        copy.asks += 1;
+        true
+    }
+
+    pub fn forget(
+        &mut self,
+        adapter: &str,
+        target: &str,
+    ) {
+        if let Some(copies) = self.copies.get_mut(adapter) {
+            copies.remove(target);
+            if copies.is_empty() {
+                self.copies.remove(adapter);
+            }
+        }
+    }
+
+    /// An engine is gone, or has started anew.
+    pub fn forget_target(
+        &mut self,
+        target: &str,
+    ) {
+        self.copies.retain(|_, copies| {
+            copies.remove(target);
+            !copies.is_empty()
+        });
+    }
+
+    fn entry(
+        &mut self,
+        adapter: &str,
+    ) -> &mut HashMap<String, AdapterCopy> {
+        if !self.copies.contains_key(adapter) {
+            self.copies.insert(adapter.to_string(), HashMap::new());
+        }
+        self.copies.get_mut(adapter).expect("it was just put there")
+    }
+}
--- /dev/null
+++ b/src/connection/targets/fleet_view.rs
@@ -0,0 +1,33 @@
+use {
+    crate::{formats::TargetRecord, version::routing::RoutingTable},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Instant},
+};
+
+/// A target that may get requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TargetView {
+    pub record: TargetRecord,
+    /// The host that gives orders to it, if one does that answers.
+    pub holder: Option<SocketAddr>,
+}
+
+/// The newest version of an adapter that has more than one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NewestVersion {
+    pub version: u64,
+    /// When this host learnt of it.
+    pub since: Instant,
+}
+
+/// What the control thread knows and requests rest on; replaced as a whole.
+#[derive(Debug, Clone, Default)]
+pub struct FleetView {
+    /// Version 0 means that no configuration is known yet.
+    pub routing: Arc<RoutingTable>,
+    /// By id; those that leave or are gone are not among them.
+    pub targets: HashMap<String, Arc<TargetView>>,
+    /// By `MODEL/ADAPTER`.
+    pub newest: Arc<HashMap<String, NewestVersion>>,
+    /// Hosts that answer, this one included.
+    pub hosts: usize,
+}
--- /dev/null
+++ b/src/connection/targets/mod.rs
@@ -0,0 +1,15 @@
+//! Targets as requests see them: connections, requests in flight, failures, and where adapters are.
+
+mod adapter_map;
+mod fleet_view;
+mod target_board;
+mod target_health;
+mod target_link;
+
+pub use {
+    adapter_map::{AdapterCopy, AdapterMap},
+    fleet_view::{FleetView, NewestVersion, TargetView},
+    target_board::{BoardSettings, ControlRequest, TargetBoard},
+    target_health::TargetHealth,
+    target_link::{IdleConnection, TargetLink},
+};
--- /dev/null
+++ b/src/connection/targets/target_board.rs
@@ -0,0 +1,288 @@
+use {
+    super::{AdapterMap, FleetView, TargetLink},
+    crate::{
+        connection::datagram::{AdapterUsage, EngineLoad, Placement, PlacementState, Usage, Want},
+        request::direct::{CopyState, ResendWindow},
+        version::routing::RoutingTable,
+    },
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::sync::Notify,
+};
+
+/// An engine that can't take an adapter is not asked again for so long.
+const FULL_PAUSE: Duration = Duration::from_millis(400);
+
+/// An adapter's use that ended is still told so often before it is dropped from the reports.
+const MAX_USES: usize = 512;
+
+/// What does not change while the process runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BoardSettings {
+    pub budget_window: Duration,
+    pub budget_ratio: f64,
+    pub budget_extra: f64,
+}
+
+/// What requests ask of the control thread.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ControlRequest {
+    /// Ask the holder of an engine for an adapter.
+    Want { holder: SocketAddr, want: Want },
+    /// Tell the holder of an engine what is sent there.
+    Usage { holder: SocketAddr, usage: Usage },
+    /// An engine does not hold an adapter that its holder said it holds.
+    Missing { target: String, adapter: String },
+}
+
+/// All targets, as the requests of this host see them.
+pub struct TargetBoard {
+    settings: BoardSettings,
+    pub view: Arc<FleetView>,
+    pub links: HashMap<String, TargetLink>,
+    /// Ids of targets by service.
+    by_service: HashMap<String, Vec<String>>,
+    pub adapters: AdapterMap,
+    budgets: HashMap<String, ResendWindow>,
+    /// Requests that wait for news of an adapter.
+    waiting: HashMap<String, Waiting>,
+    control: flume::Sender<ControlRequest>,
+}
+
+struct Waiting {
+    count: u32,
+    priority: u8,
+    news: Rc<Notify>,
+}
+
+impl TargetBoard {
+    pub fn new(
+        settings: BoardSettings,
+        control: flume::Sender<ControlRequest>,
+    ) -> Self {
+        Self {
+            settings,
+            view: Arc::default(),
+            links: HashMap::new(),
+            by_service: HashMap::new(),
+            adapters: AdapterMap::default(),
+            budgets: HashMap::new(),
+            waiting: HashMap::new(),
+            control,
+        }
+    }
+
+    pub fn routing(&self) -> &Arc<RoutingTable> {
+        &self.view.routing
+    }
+
+    /// Ids of the targets of a service.
+    pub fn targets_of(
+        &self,
+        service: &str,
+    ) -> &[String] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes a new view over.
+    pub fn set_view(
+        &mut self,
+        view: Arc<FleetView>,
+    ) {
+        let gone: Vec<String> = self
+            .links
+            .keys()
+            .filter(|id| !view.targets.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.links.remove(&id);
+            self.adapters.forget_target(&id);
+        }
+        self.by_service.clear();
+        for (id, target) in &view.targets {
+            match self.links.get_mut(id) {
+                Some(link) => link.view = target.clone(),
+                None => {
+                    self.links
+                        .insert(id.clone(), TargetLink::new(target.clone()));
+                }
+            }
+            self.by_service
+                .entry(target.record.service.clone())
+                .or_default()
+                .push(id.clone());
+        }
+        for targets in self.by_service.values_mut() {
+            targets.sort_unstable();
+        }
+        self.view = view;
+        for waiting in self.waiting.values() {
+            waiting.news.notify_waiters();
+        }
+    }
+
+    /// A holder told where an adapter stands.
+    pub fn on_placement(
+        &mut self,
+        placement: &Placement,
+        now: Instant,
+    ) {
+        let state = match placement.state() {
+            PlacementState::Ready => CopyState::Ready,
+            PlacementState::Coming => CopyState::Coming {
+                due: now + Duration::from_millis(u64::from(placement.due_ms)),
+            },
+            PlacementState::Absent => CopyState::Unknown,
+            PlacementState::Full | PlacementState::NotHolder => CopyState::Full {
+                until: now + FULL_PAUSE,
+            },
+        };
+        self.adapters.set(
+            &placement.adapter,
+            &placement.target,
+            placement.version,
+            state,
+        );
+        if let Some(waiting) = self.waiting.get(&placement.adapter) {
+            waiting.news.notify_waiters();
+        }
+    }
+
+    /// A holder told how busy its engine is.
+    pub fn on_engine_load(
+        &mut self,
+        load: &EngineLoad,
+    ) {
+        if let Some(link) = self.links.get_mut(&load.target) {
+            link.others_in_flight = load.in_flight.saturating_sub(load.yours);
+            link.others_tokens = u64::from(load.tokens).saturating_sub(link.tokens);
+        }
+    }
+
+    /// Asks the holder of an engine for an adapter, unless it was asked a moment ago.
+    pub fn ask(
+        &mut self,
+        adapter: &str,
+        target: &str,
+        version: u64,
+        now: Instant,
+    ) {
+        let holder = self.links.get(target).and_then(|link| link.view.holder);
+        let Some(holder) = holder else {
+            return;
+        };
+        if !self.adapters.ask(adapter, target, now) {
+            return;
+        }
+        let (waiting, priority) = self
+            .waiting
+            .get(adapter)
+            .map_or((0, 0), |waiting| (waiting.count, waiting.priority));
+        let want = Want {
+            target: target.to_string(),
+            adapter: adapter.to_string(),
+            version,
+            waiting,
+            priority: u32::from(priority),
+        };
+        let _ = self.control.send(ControlRequest::Want { holder, want });
+    }
+
+    /// An engine said that it does not hold an adapter.
+    pub fn on_missing(
+        &mut self,
+        adapter: &str,
+        target: &str,
+    ) {
+        self.adapters.forget(adapter, target);
+        let _ = self.control.send(ControlRequest::Missing {
+            target: target.to_string(),
+            adapter: adapter.to_string(),
+        });
+    }
+
+    /// A request begins to wait for an adapter.
+    pub fn start_waiting(
+        &mut self,
+        adapter: &str,
+        priority: u8,
+    ) -> Rc<Notify> {
+        let waiting = self.waiting.entry(adapter.to_string()).or_insert(Waiting {
+            count: 0,
+            priority,
+            news: Rc::default(),
+        });
+        waiting.count += 1;
+        waiting.priority = waiting.priority.min(priority);
+        waiting.news.clone()
+    }
+
+    /// A request waits no longer.
+    pub fn stop_waiting(
+        &mut self,
+        adapter: &str,
+    ) {
+        if let Some(waiting) = self.waiting.get_mut(adapter) {
+            waiting.count -= 1;
+            if waiting.count == 0 {
+                self.waiting.remove(adapter);
+            }
+        }
+    }
+
+    /// The budget of repeats of a service.
+    pub fn budget(
+        &mut self,
+        service: &str,
+    ) -> &mut ResendWindow {
+        if !self.budgets.contains_key(service) {
+            let settings = self.settings;
+            let window = ResendWindow::new(
+                settings.budget_window,
+                settings.budget_ratio,
+                settings.budget_extra,
+            );
+            self.budgets.insert(service.to_string(), window);
+        }
+        self.budgets
+            .get_mut(service)
+            .expect("it was just put there")
+    }
+
+    /// Tells holders what was sent to their engines since they were told last.
+    pub fn report_usage(&mut self) {
+        for (id, link) in &mut self.links {
+            let Some(holder) = link.view.holder else {
+                continue;
+            };
+            if !link.uses_changed {
+                continue;
+            }
+            link.uses_changed = false;
+            let mut adapters = Vec::new();
+            for (adapter, count) in &mut link.uses {
+                adapters.push(AdapterUsage {
+                    adapter: adapter.clone(),
+                    in_flight: count.in_flight,
+                    started: count.started,
+                });
+                count.started = 0;
+            }
+            adapters.truncate(MAX_USES);
+            link.uses.retain(|_, count| count.in_flight > 0);
+            let usage = Usage {
+                target: id.clone(),
+                adapters,
+                in_flight: link.in_flight,
+                tokens: u32::try_from(link.tokens).unwrap_or(u32::MAX),
+            };
+            let _ = self.control.send(ControlRequest::Usage { holder, usage });
+        }
+    }
+}
--- /dev/null
+++ b/src/connection/targets/target_health.rs
@@ -0,0 +1,40 @@
+use std::time::{Duration, Instant};
+
+/// First time for which a target is avoided after a failure; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+const MOST_PAUSE: Duration = Duration::from_secs(4);
+
+/// Whether a target is trusted, judged by how sends to it ended.
+#[derive(Debug, Clone, Default)]
+pub struct TargetHealth {
+    failures: u32,
+    avoid_until: Option<Instant>,
+}
+
+impl TargetHealth {
+    /// A send brought an answer.
+    pub fn on_success(&mut self) {
+        self.failures = 0;
+        self.avoid_until = None;
+    }
+
+    /// A send found no target, or no answer.
+    pub fn on_failure(
+        &mut self,
+        now: Instant,
+    ) {
+        let pause = FIRST_PAUSE * 2u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.avoid_until = Some(now + pause.min(MOST_PAUSE));
+    }
+
+    /// Time for which the target is still avoided.
+    pub fn avoided_for(
+        &self,
+        now: Instant,
+    ) -> Duration {
+        let until = self.avoid_until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+}
--- /dev/null
+++ b/src/formats/header_names.rs
@@ -0,0 +1,28 @@
+use http::HeaderName;
+
+/// Names of the headers of requests and answers.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// Id of a request, made by its caller, and echoed in the answer.
+    pub request_id: HeaderName,
+    /// Milliseconds that the caller, or whoever passes the request on, will wait.
+    pub deadline_ms: HeaderName,
+    /// Base model, and after a slash its adapter.
+    pub model: HeaderName,
+    /// Tokens of the prompt and most tokens of the answer, separated by a comma.
+    pub token_counts: HeaderName,
+    /// Parts of the prompt in order, `ID:TOKENS` each, separated by commas.
+    pub prompt_parts: HeaderName,
+    /// The caller's guess of the tokens of the answer.
+    pub length_hint: HeaderName,
+    /// Rank among the requests that wait at an engine; 0 goes first.
+    pub priority: HeaderName,
+    /// Id of the one target that may run the request.
+    pub expect_target: HeaderName,
+    /// Version of the adapter that the request must run with.
+    pub expect_version: HeaderName,
+    /// Says that the target did not run the request.
+    pub not_run: HeaderName,
+    /// Last event of a stream that its receiver has.
+    pub last_event_id: HeaderName,
+}
--- /dev/null
+++ b/src/formats/rows.rs
@@ -0,0 +1,78 @@
+use std::sync::Arc;
+
+/// Names a row of the platform's table service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct RowKey {
+    pub table: Arc<str>,
+    pub key: Arc<str>,
+}
+
+impl RowKey {
+    pub fn new(
+        table: &str,
+        key: &str,
+    ) -> Self {
+        Self {
+            table: table.into(),
+            key: key.into(),
+        }
+    }
+}
+
+/// A row as it was read; no value says that it is gone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    pub key: Arc<str>,
+    /// Rises with each change of any row.
+    pub version: u64,
+    pub value: Option<Arc<[u8]>>,
+}
+
+/// An answer about rows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RowBatch {
+    pub rows: Vec<Row>,
+    /// The answer is as of this version of the whole store.
+    pub version: u64,
+    /// There are more rows behind the last one.
+    pub more: bool,
+}
+
+/// An answer to a read of rows or changes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RowsReply {
+    Rows(RowBatch),
+    /// The store no longer knows what has changed since then; the table must be read whole.
+    HistoryGone,
+}
+
+/// What a transaction expects of one row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Expectation {
+    pub row: RowKey,
+    /// 0 expects that there is no such row.
+    pub version: u64,
+}
+
+/// One write of a transaction; no value removes the row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RowWrite {
+    pub row: RowKey,
+    pub value: Option<Vec<u8>>,
+}
+
+/// Writes that take effect together, or not at all if an expectation fails.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Transaction {
+    pub expected: Vec<Expectation>,
+    pub writes: Vec<RowWrite>,
+}
+
+/// How a transaction ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Commit {
+    /// The rows written bear this version.
+    Done { version: u64 },
+    /// An expectation failed; these are the rows named by it, as they are.
+    Conflict { rows: Vec<Row> },
+}
--- /dev/null
+++ b/src/formats/target_report.rs
@@ -0,0 +1,17 @@
+use super::HeldModel;
+
+/// What an engine says of itself when asked, some hundred milliseconds old.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetReport {
+    pub models: Vec<HeldModel>,
+    /// Adapters on their way: base model, name, version.
+    pub coming: Vec<(String, String, u64)>,
+    /// An order for a base model is under way.
+    pub busy: bool,
+    /// Orders taken since its start.
+    pub sequence: u64,
+    pub waiting: u32,
+    pub running: u32,
+    pub memory_used: u64,
+    pub memory_total: u64,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod connection;
 pub mod demo;
 pub mod errors;
+pub mod formats;
 pub mod process;
 pub mod request;
 pub mod standin;
--- /dev/null
+++ b/src/process/engines/engine_desk.rs
@@ -0,0 +1,739 @@
+use {
+    super::{AdapterPlace, LoadMemory, PlaceState},
+    crate::{
+        connection::datagram::{Placement, PlacementState, Usage, Want},
+        formats::{OrderKind, OrderReply, TargetReport},
+        version::routing::EngineSpec,
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Adapters that may be on their way to one engine at once, as the platform's pages say.
+const MAX_COMING: usize = 4;
+
+/// Time that an adapter takes from the weight store when few come at once.
+const LOAD_TIME: Duration = Duration::from_millis(252);
+
+/// Time that an adapter takes which the engine held lately.
+const RELOAD_TIME: Duration = Duration::from_millis(27);
+
+/// Added to a load's expected time when it was found not to be over.
+const LOAD_EXTENSION: Duration = Duration::from_millis(40);
+
+/// A load that is not over after so long is looked up in the engine's report.
+const LOAD_OVERDUE: Duration = Duration::from_millis(1500);
+
+/// An adapter is dropped only if nobody has used it for so long; hosts tell of use with a delay.
+const IDLE: Duration = Duration::from_millis(900);
+
+/// Places that are kept free, so that a load needs not wait for a drop.
+const FREE_PLACES: usize = 1;
+
+/// Adapters that an engine is thought to remember, as a multiple of its places.
+const REMEMBERED_PER_PLACE: usize = 6;
+
+/// Reports are this old when they arrive, at the most.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+
+/// Pause before a report is asked for again that did not come.
+const REPORT_RETRY: Duration = Duration::from_millis(500);
+
+/// Pause before a base model is ordered again.
+const MODEL_RETRY: Duration = Duration::from_secs(2);
+
+/// An order as the desk wants it; whoever sends it adds the holder and the fence.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DeskOrder {
+    pub kind: OrderKind,
+    pub model: String,
+    pub adapter: Option<String>,
+    pub version: Option<u64>,
+    pub expected_sequence: u64,
+}
+
+/// What the desk wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DeskAction {
+    Order(DeskOrder),
+    AskReport,
+    Tell {
+        host: SocketAddr,
+        placement: Placement,
+    },
+}
+
+/// An adapter that somebody waits for and that is not ordered yet.
+#[derive(Debug, Clone)]
+struct Wish {
+    version: u64,
+    priority: u32,
+    since: Instant,
+    hosts: Vec<SocketAddr>,
+}
+
+/// Decides the orders to one engine: one at a time, each bound to the number of orders before it.
+pub struct EngineDesk {
+    target: String,
+    spec: EngineSpec,
+    /// The base model that the engine holds.
+    model: Option<String>,
+    places: BTreeMap<String, AdapterPlace>,
+    /// Room for adapters beside the base model.
+    room: usize,
+    wishes: HashMap<String, Wish>,
+    memory: LoadMemory,
+    /// Newest version of adapters that have more than one.
+    newest: HashMap<String, u64>,
+    /// Orders that the engine has taken; `None` until a report told.
+    sequence: Option<u64>,
+    /// The order whose answer is awaited.
+    under_way: Option<DeskOrder>,
+    /// An order without an answer: it may be carried out while the sequence stays as it was.
+    unsettled: Option<DeskOrder>,
+    report_asked: Option<Instant>,
+    report_due: Option<Instant>,
+    model_not_before: Instant,
+    /// Requests in flight through each host, and their tokens.
+    in_flight: BTreeMap<SocketAddr, (u32, u32)>,
+}
+
+impl EngineDesk {
+    pub fn new(
+        target: &str,
+        spec: EngineSpec,
+        now: Instant,
+    ) -> Self {
+        let memory = LoadMemory::new(spec.adapter_slots * REMEMBERED_PER_PLACE);
+        Self {
+            target: target.to_string(),
+            spec,
+            model: None,
+            places: BTreeMap::new(),
+            room: 0,
+            wishes: HashMap::new(),
+            memory,
+            newest: HashMap::new(),
+            sequence: None,
+            under_way: None,
+            unsettled: None,
+            report_asked: None,
+            report_due: Some(now),
+            model_not_before: now,
+            in_flight: BTreeMap::new(),
+        }
+    }
+
+    pub fn spec(&self) -> &EngineSpec {
+        &self.spec
+    }
+
+    /// The configuration names other sizes.
+    pub fn set_spec(
+        &mut self,
+        spec: EngineSpec,
+    ) {
+        self.spec = spec;
+        self.count_room();
+    }
+
+    pub fn places(&self) -> &BTreeMap<String, AdapterPlace> {
+        &self.places
+    }
+
+    /// Requests in flight there through each host, and their tokens.
+    pub fn in_flight(&self) -> &BTreeMap<SocketAddr, (u32, u32)> {
+        &self.in_flight
+    }
+
+    /// A newer version of an adapter was named; `adapter` is `MODEL/NAME`.
+    pub fn on_newest(
+        &mut self,
+        adapter: &str,
+        version: u64,
+    ) {
+        let newest = self.newest.entry(adapter.to_string()).or_insert(version);
+        *newest = (*newest).max(version);
+    }
+
+    /// The engine's report was asked for at `asked`; `None` if none came.
+    pub fn on_report(
+        &mut self,
+        report: Option<TargetReport>,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        let asked = self.report_asked.take();
+        let Some(report) = report else {
+            self.report_due = Some(now + REPORT_RETRY);
+            return Vec::new();
+        };
+        // An order since then would make the report contradict what is known.
+        if self.under_way.is_some() || asked.is_none() {
+            self.report_due = Some(now + REPORT_LAG);
+            return Vec::new();
+        }
+        self.sequence = Some(report.sequence);
+        self.model = report.models.first().map(|model| model.name.clone());
+        self.take_places(&report, now);
+        self.count_room();
+        if report.busy || !report.coming.is_empty() {
+            self.report_due = Some(now + LOAD_OVERDUE);
+        }
+        self.next_orders(now)
+    }
+
+    /// A host asks for an adapter.
+    pub fn on_want(
+        &mut self,
+        host: SocketAddr,
+        want: &Want,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        let version = self.wanted_version(want);
+        let Some(place) = self.places.get_mut(&want.adapter) else {
+            return self.wish(host, want, version, now);
+        };
+        place.interested.insert(host);
+        place.last_used = now;
+        if place.version < version || place.state == PlaceState::Going {
+            return self.wish(host, want, version, now);
+        }
+        if let PlaceState::Coming { due } = place.state
+            && due <= now
+            && want.waiting > 0
+        {
+            // Whoever asks again was told by the engine that the load is not over.
+            let due = now + LOAD_EXTENSION;
+            place.state = PlaceState::Coming { due };
+            self.report_due.get_or_insert(now + LOAD_OVERDUE);
+        }
+        vec![self.tell(host, &want.adapter, now)]
+    }
+
+    /// The engine said that it does not hold an adapter that it should hold.
+    pub fn on_missing(
+        &mut self,
+        adapter: &str,
+        now: Instant,
+    ) {
+        let Some(place) = self.places.get(adapter) else {
+            return;
+        };
+        if place.state == PlaceState::Held {
+            self.report_due.get_or_insert(now);
+        }
+    }
+
+    /// A host tells what it sends to the engine.
+    pub fn on_usage(
+        &mut self,
+        host: SocketAddr,
+        usage: &Usage,
+        now: Instant,
+    ) {
+        self.in_flight.insert(host, (usage.in_flight, usage.tokens));
+        for used in &usage.adapters {
+            if let Some(place) = self.places.get_mut(&used.adapter) {
+                place.on_usage(host, used.in_flight, used.started, now);
+            }
+        }
+    }
+
+    /// A host is gone, and its requests with it.
+    pub fn on_host_gone(
+        &mut self,
+        host: SocketAddr,
+    ) {
+        self.in_flight.remove(&host);
+        for place in self.places.values_mut() {
+            place.on_host_gone(host);
+        }
+    }
+
+    /// The order under way was answered; `None` if it was not.
+    pub fn on_order_end(
+        &mut self,
+        reply: Option<OrderReply>,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        let Some(order) = self.under_way.take() else {
+            return Vec::new();
+        };
+        match reply {
+            Some(OrderReply::Accepted | OrderReply::Done) => {
+                self.on_order_taken(&order, reply, now)
+            }
+            Some(_) => {
+                self.forget_ordered(&order);
+                self.learn_anew(now);
+                Vec::new()
+            }
+            None => {
+                self.unsettled = Some(order);
+                self.learn_anew(now);
+                Vec::new()
+            }
+        }
+    }
+
+    /// The order was not sent after all.
+    pub fn on_order_withheld(&mut self) {
+        if let Some(order) = self.under_way.take() {
+            self.forget_ordered(&order);
+        }
+    }
+
+    /// Passes time.
+    pub fn on_tick(
+        &mut self,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        for place in self.places.values_mut() {
+            if let PlaceState::Coming { due } = place.state
+                && now >= due + LOAD_EXTENSION
+            {
+                place.state = PlaceState::Held;
+            }
+        }
+        self.next_orders(now)
+    }
+
+    fn on_order_taken(
+        &mut self,
+        order: &DeskOrder,
+        reply: Option<OrderReply>,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        // An order from before that has no answer expected another sequence: it is void now.
+        self.unsettled = None;
+        let already_there = reply == Some(OrderReply::Done) && order.kind == OrderKind::Load;
+        self.sequence = match already_there {
+            // Whether it counted is not known.
+            true => None,
+            false => self.sequence.map(|sequence| sequence + 1),
+        };
+        if already_there {
+            self.learn_anew(now);
+        }
+        let mut actions = Vec::new();
+        match (&order.adapter, order.kind) {
+            (None, OrderKind::Load) => self.report_due = Some(now + LOAD_OVERDUE),
+            (None, OrderKind::Unload) => self.learn_anew(now),
+            (Some(adapter), OrderKind::Load) => {
+                let key = key(&order.model, adapter);
+                actions.extend(self.on_load_taken(&key, order.version.unwrap_or(1), now));
+            }
+            (Some(adapter), OrderKind::Unload) => {
+                let key = key(&order.model, adapter);
+                if reply == Some(OrderReply::Done) {
+                    actions.extend(self.remove_place(&key, now));
+                } else {
+                    self.report_due.get_or_insert(now + LOAD_OVERDUE);
+                }
+            }
+        }
+        actions.extend(self.next_orders(now));
+        actions
+    }
+
+    fn on_load_taken(
+        &mut self,
+        adapter: &str,
+        version: u64,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        let time = match self.memory.contains(adapter, version) {
+            true => RELOAD_TIME,
+            false => LOAD_TIME,
+        };
+        self.memory.note(adapter, version);
+        let Some(place) = self.places.get_mut(adapter) else {
+            return Vec::new();
+        };
+        place.state = PlaceState::Coming { due: now + time };
+        let hosts: Vec<SocketAddr> = place.interested.iter().copied().collect();
+        hosts
+            .into_iter()
+            .map(|host| self.tell(host, adapter, now))
+            .collect()
+    }
+
+    /// Puts an adapter on the list of those to be loaded.
+    fn wish(
+        &mut self,
+        host: SocketAddr,
+        want: &Want,
+        version: u64,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        let wish = self.wishes.entry(want.adapter.clone()).or_insert(Wish {
+            version,
+            priority: want.priority,
+            since: now,
+            hosts: Vec::new(),
+        });
+        wish.version = wish.version.max(version);
+        wish.priority = wish.priority.min(want.priority);
+        if !wish.hosts.contains(&host) {
+            wish.hosts.push(host);
+        }
+        let mut actions = self.next_orders(now);
+        if self.wishes.contains_key(&want.adapter) {
+            // It waits for other orders, or for a place.
+            let state = match self.has_prospect(&want.adapter, now) {
+                true => PlacementState::Coming,
+                false => PlacementState::Full,
+            };
+            if state == PlacementState::Full {
+                self.wishes.remove(&want.adapter);
+            }
+            let placement = Placement {
+                target: self.target.clone(),
+                adapter: want.adapter.clone(),
+                version,
+                state: state as i32,
+                due_ms: millis(LOAD_TIME + LOAD_EXTENSION),
+                copies: 1,
+            };
+            actions.push(DeskAction::Tell { host, placement });
+        }
+        actions
+    }
+
+    /// True if an adapter that waits can be ordered before long.
+    fn has_prospect(
+        &self,
+        adapter: &str,
+        now: Instant,
+    ) -> bool {
+        if self.sequence.is_none() || self.model.is_none() {
+            return false;
+        }
+        let replaces = self.places.get(adapter);
+        match replaces {
+            Some(place) => place.in_flight() == 0,
+            None => self.places.len() < self.room || self.victim(now).is_some(),
+        }
+    }
+
+    /// The next order, if one can be sent, and what must be learnt first.
+    fn next_orders(
+        &mut self,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        let mut actions = Vec::new();
+        if self.under_way.is_some() {
+            return actions;
+        }
+        if let Some(due) = self.report_due
+            && now >= due
+            && self.report_asked.is_none()
+        {
+            self.report_due = None;
+            self.report_asked = Some(now);
+            actions.push(DeskAction::AskReport);
+        }
+        if self.report_asked.is_some() {
+            return actions;
+        }
+        let Some(sequence) = self.sequence else {
+            self.report_due.get_or_insert(now + REPORT_LAG);
+            return actions;
+        };
+        if let Some(order) = self.choose(sequence, now) {
+            self.under_way = Some(order.clone());
+            actions.push(DeskAction::Order(order));
+        }
+        actions
+    }
+
+    fn choose(
+        &mut self,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<DeskOrder> {
+        let Some(model) = self.model.clone() else {
+            return self.choose_model(sequence, now);
+        };
+        if let Some(order) = self.choose_load(&model, sequence, now) {
+            return Some(order);
+        }
+        self.choose_drop(&model, sequence, now)
+    }
+
+    /// An empty engine gets the first base model that fits.
+    fn choose_model(
+        &mut self,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<DeskOrder> {
+        if now < self.model_not_before {
+            return None;
+        }
+        self.model_not_before = now + MODEL_RETRY;
+        let fits = self
+            .spec
+            .models
+            .iter()
+            .find(|model| model.weights_mb <= self.spec.weights_mb)?;
+        Some(DeskOrder {
+            kind: OrderKind::Load,
+            model: fits.name.clone(),
+            adapter: None,
+            version: None,
+            expected_sequence: sequence,
+        })
+    }
+
+    /// The most urgent wish for which there is a place.
+    fn choose_load(
+        &mut self,
+        model: &str,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<DeskOrder> {
+        let coming = self
+            .places
+            .values()
+            .filter(|place| matches!(place.state, PlaceState::Coming { .. }))
+            .count();
+        if coming + usize::from(self.unsettled.is_some()) >= MAX_COMING {
+            return None;
+        }
+        let free = self.free_places();
+        let next = self
+            .wishes
+            .iter()
+            .filter(|(adapter, _)| match self.places.get(*adapter) {
+                Some(place) => place.in_flight() == 0 && place.state == PlaceState::Held,
+                None => free > 0,
+            })
+            .min_by_key(|(_, wish)| (wish.priority, wish.since))
+            .map(|(adapter, _)| adapter.clone())?;
+        let name = name_of(&next, model)?.to_string();
+        let wish = self.wishes.remove(&next)?;
+        let mut place = AdapterPlace::new(
+            wish.version,
+            PlaceState::Coming {
+                due: now + LOAD_TIME,
+            },
+            now,
+        );
+        place.interested.extend(wish.hosts);
+        self.places.insert(next, place);
+        Some(DeskOrder {
+            kind: OrderKind::Load,
+            model: model.to_string(),
+            adapter: Some(name),
+            version: Some(wish.version),
+            expected_sequence: sequence,
+        })
+    }
+
+    /// Drops what is least used when places run short, and old versions when they are idle.
+    fn choose_drop(
+        &mut self,
+        model: &str,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<DeskOrder> {
+        let short = self.free_places() < FREE_PLACES + self.wishes.len().min(MAX_COMING);
+        let victim = match self.stale_and_idle(now) {
+            Some(stale) => stale,
+            None if short => self.victim(now)?,
+            None => return None,
+        };
+        let name = name_of(&victim, model)?.to_string();
+        self.places.get_mut(&victim)?.state = PlaceState::Going;
+        Some(DeskOrder {
+            kind: OrderKind::Unload,
+            model: model.to_string(),
+            adapter: Some(name),
+            version: None,
+            expected_sequence: sequence,
+        })
+    }
+
+    fn free_places(&self) -> usize {
+        let unsettled = usize::from(self.unsettled.as_ref().is_some_and(|order| {
+            let adapter = order.adapter.as_deref().unwrap_or_default();
+            order.kind == OrderKind::Load && !self.places.contains_key(&key(&order.model, adapter))
+        }));
+        self.room.saturating_sub(self.places.len() + unsettled)
+    }
+
+    /// The idle adapter that was used least.
+    fn victim(
+        &self,
+        now: Instant,
+    ) -> Option<String> {
+        self.places
+            .iter()
+            .filter(|(_, place)| is_idle(place, now))
+            .min_by(|(_, a), (_, b)| {
+                let uses = a.recent_uses(now).total_cmp(&b.recent_uses(now));
+                uses.then(a.last_used.cmp(&b.last_used))
+            })
+            .map(|(adapter, _)| adapter.clone())
+    }
+
+    fn stale_and_idle(
+        &self,
+        now: Instant,
+    ) -> Option<String> {
+        self.places
+            .iter()
+            .find(|(adapter, place)| {
+                let newest = self.newest.get(*adapter).copied().unwrap_or_default();
+                place.version < newest && is_idle(place, now)
+            })
+            .map(|(adapter, _)| adapter.clone())
+    }
+
+    fn wanted_version(
+        &self,
+        want: &Want,
+    ) -> u64 {
+        let newest = self.newest.get(&want.adapter).copied().unwrap_or(1);
+        newest.max(want.version)
+    }
+
+    /// What was ordered did not come about.
+    fn forget_ordered(
+        &mut self,
+        order: &DeskOrder,
+    ) {
+        let Some(adapter) = &order.adapter else {
+            return;
+        };
+        let key = key(&order.model, adapter);
+        match order.kind {
+            OrderKind::Load => {
+                self.places.remove(&key);
+            }
+            OrderKind::Unload => {
+                if let Some(place) = self.places.get_mut(&key) {
+                    place.state = PlaceState::Held;
+                }
+            }
+        }
+    }
+
+    /// The engine's report is asked for, once it shows what was just done.
+    fn learn_anew(
+        &mut self,
+        now: Instant,
+    ) {
+        self.sequence = None;
+        self.report_due = Some(now + REPORT_LAG);
+    }
+
+    fn remove_place(
+        &mut self,
+        adapter: &str,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        let Some(place) = self.places.remove(adapter) else {
+            return Vec::new();
+        };
+        let hosts = place.interested.into_iter();
+        hosts.map(|host| self.tell(host, adapter, now)).collect()
+    }
+
+    /// Takes over what a report says; what is known besides is kept.
+    fn take_places(
+        &mut self,
+        report: &TargetReport,
+        now: Instant,
+    ) {
+        let mut old = std::mem::take(&mut self.places);
+        for model in &report.models {
+            for held in &model.adapters {
+                let key = key(&model.name, &held.name);
+                self.memory.note(&key, held.version);
+                let mut place = old
+                    .remove(&key)
+                    .unwrap_or_else(|| AdapterPlace::new(held.version, PlaceState::Held, now));
+                place.version = held.version;
+                if place.state != PlaceState::Going {
+                    place.state = PlaceState::Held;
+                }
+                self.places.insert(key, place);
+            }
+        }
+        for (model, name, version) in &report.coming {
+            let key = key(model, name);
+            let due = now + LOAD_TIME;
+            let mut place = self
+                .places
+                .remove(&key)
+                .or_else(|| old.remove(&key))
+                .unwrap_or_else(|| AdapterPlace::new(*version, PlaceState::Coming { due }, now));
+            place.version = *version;
+            place.state = PlaceState::Coming { due };
+            self.places.insert(key, place);
+        }
+    }
+
+    fn count_room(&mut self) {
+        let model = self.model.as_deref().and_then(|name| self.spec.model(name));
+        self.room = model.map_or(0, |model| self.spec.adapter_room(model));
+    }
+
+    /// Where an adapter stands, as told to a host.
+    fn tell(
+        &self,
+        host: SocketAddr,
+        adapter: &str,
+        now: Instant,
+    ) -> DeskAction {
+        let place = self.places.get(adapter);
+        let (state, due) = match place.map(|place| place.state) {
+            Some(PlaceState::Held) => (PlacementState::Ready, Duration::ZERO),
+            Some(PlaceState::Coming { due }) => {
+                (PlacementState::Coming, due.saturating_duration_since(now))
+            }
+            Some(PlaceState::Going) | None => (PlacementState::Absent, Duration::ZERO),
+        };
+        let placement = Placement {
+            target: self.target.clone(),
+            adapter: adapter.to_string(),
+            version: place.map_or(0, |place| place.version),
+            state: state as i32,
+            due_ms: millis(due),
+            copies: 1,
+        };
+        DeskAction::Tell { host, placement }
+    }
+}
+
+fn is_idle(
+    place: &AdapterPlace,
+    now: Instant,
+) -> bool {
+    place.state == PlaceState::Held
+        && place.in_flight() == 0
+        && now.saturating_duration_since(place.last_used) >= IDLE
+}
+
+/// `MODEL/NAME`, as requests name an adapter.
+fn key(
+    model: &str,
+    adapter: &str,
+) -> String {
+    format!("{model}/{adapter}")
+}
+
+fn name_of<'a>(
+    key: &'a str,
+    model: &str,
+) -> Option<&'a str> {
+    key.strip_prefix(model)?.strip_prefix('/')
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/process/holding/holding.rs
@@ -0,0 +1,519 @@
+use {
+    super::{HOLDING_TABLE, HolderRow, HostRow, engine_key, host_key},
+    crate::{
+        formats::{Expectation, Row, RowKey, RowWrite, Transaction},
+        process::ownership::{SessionLease, rank},
+    },
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Times of leases and of changes of holders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HoldingTimings {
+    /// A lease holds for so long from the moment that its renewal was sent.
+    pub lease: Duration,
+    pub renew: Duration,
+    /// Pause after a renewal that failed.
+    pub retry: Duration,
+    /// Orders of two holders of one engine must lie so far apart.
+    pub gap: Duration,
+    /// Room for an order that is held up between its check and its arrival.
+    pub slack: Duration,
+    /// An engine without a holder is left to the hosts before this one for so long each.
+    pub turn: Duration,
+    /// A transaction whose end was never learnt is tried anew after this time.
+    pub pending: Duration,
+}
+
+impl HoldingTimings {
+    /// Timings for a platform that wants orders of two holders `gap` apart.
+    pub fn with_gap(gap: Duration) -> Self {
+        Self {
+            lease: Duration::from_secs(9),
+            renew: Duration::from_millis(2500),
+            retry: Duration::from_millis(600),
+            gap,
+            slack: Duration::from_millis(400),
+            turn: Duration::from_millis(1500),
+            pending: Duration::from_secs(2),
+        }
+    }
+
+    /// Time from when a lease's version became known until its holder can't have acted for `gap`.
+    fn lapse(&self) -> Duration {
+        self.lease + self.gap + self.slack
+    }
+}
+
+/// What membership knows of another host's lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownLease {
+    /// It answers.
+    pub up: bool,
+    pub version: u64,
+    /// When this host first knew of the version.
+    pub known_since: Instant,
+}
+
+/// An engine that this host gives orders to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldEngine {
+    pub fence: u64,
+    /// Term of the lease in which this was last confirmed.
+    pub term: u64,
+}
+
+/// What holding wants done at the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HoldingAction {
+    /// Commit a renewal of this host's lease.
+    Renew { transaction: Transaction },
+    /// Read the whole table of rows.
+    ReadTable,
+    /// Commit a change of an engine's holder.
+    Take {
+        target: String,
+        /// The fence that this host's orders would bear.
+        fence: u64,
+        transaction: Transaction,
+    },
+}
+
+/// A holder row as last seen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct SeenHolder {
+    version: u64,
+    row: HolderRow,
+}
+
+/// Another host's lease as the store last told it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct SeenLease {
+    version: u64,
+    known_since: Instant,
+}
+
+/// Decides which engines this host takes, and whether it may give orders.
+///
+/// A lease counts from when its renewal was sent, on this host's steady clock. An engine of a lost
+/// host is taken in one transaction that expects the lost host's lease row as it was a lease and a
+/// gap ago: if that succeeds, the lost host has not renewed since, and its orders ended long before.
+pub struct Holding {
+    me: HostRow,
+    timings: HoldingTimings,
+    lease: SessionLease,
+    /// Version of this host's row, once known; 0 if it is absent.
+    row_version: Option<u64>,
+    renewing: bool,
+    next_renewal: Instant,
+    reading: bool,
+    next_read: Instant,
+    /// Term of the lease in which the table was last read.
+    read_term: u64,
+    holders: BTreeMap<String, SeenHolder>,
+    leases: BTreeMap<SocketAddr, SeenLease>,
+    held: BTreeMap<String, HeldEngine>,
+    pending: BTreeMap<String, Instant>,
+    /// Engines without a holder that acts, and since when.
+    vacant: BTreeMap<String, Instant>,
+}
+
+impl Holding {
+    pub fn new(
+        me: HostRow,
+        timings: HoldingTimings,
+        now: Instant,
+    ) -> Self {
+        Self {
+            me,
+            lease: SessionLease::new(timings.lease),
+            timings,
+            row_version: None,
+            renewing: false,
+            next_renewal: now,
+            reading: false,
+            next_read: now,
+            read_term: 0,
+            holders: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            held: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            vacant: BTreeMap::new(),
+        }
+    }
+
+    /// This host's lease, to be looked at right before each order.
+    pub fn lease(&self) -> &SessionLease {
+        &self.lease
+    }
+
+    /// Version of this host's lease row, 0 if it has none.
+    pub fn lease_version(&self) -> u64 {
+        self.row_version.unwrap_or_default()
+    }
+
+    /// Engines that this host gives orders to now.
+    pub fn held(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&String, &HeldEngine)> {
+        let term = self.lease.term();
+        let holds = self.lease.holds(now);
+        self.held
+            .iter()
+            .filter(move |(_, held)| holds && held.term == term)
+    }
+
+    /// The engine, if this host may give orders to it now.
+    pub fn may_order(
+        &self,
+        target: &str,
+        now: Instant,
+    ) -> Option<HeldEngine> {
+        let held = self.held.get(target)?;
+        self.lease.holds_in(held.term, now).then_some(*held)
+    }
+
+    /// What should be done now.
+    ///
+    /// `engines` are the engines there are, with the key by which they are shared out; `eligible`
+    /// the hosts that take engines; `lease_of` what membership knows of another host.
+    pub fn decide(
+        &mut self,
+        engines: &BTreeMap<String, String>,
+        eligible: &[SocketAddr],
+        lease_of: impl Fn(SocketAddr) -> Option<KnownLease>,
+        now: Instant,
+    ) -> Vec<HoldingAction> {
+        let mut actions = Vec::new();
+        self.held.retain(|target, _| engines.contains_key(target));
+        self.vacant.retain(|target, _| engines.contains_key(target));
+        let pending = self.timings.pending;
+        self.pending
+            .retain(|_, since| now.saturating_duration_since(*since) < pending);
+        actions.extend(self.renew(now));
+        if !self.lease.holds(now) {
+            return actions;
+        }
+        if self.read_term != self.lease.term() {
+            actions.extend(self.read(now));
+            return actions;
+        }
+        for (target, key) in engines {
+            if self.pending.contains_key(target) {
+                continue;
+            }
+            if let Some(action) = self.look_at(target, key, eligible, &lease_of, now) {
+                if matches!(action, HoldingAction::Take { .. }) {
+                    self.pending.insert(target.clone(), now);
+                }
+                actions.push(action);
+            }
+        }
+        actions
+    }
+
+    /// A renewal that was sent at `sent` ended; `None` if whether it was done is not known.
+    pub fn on_renewed(
+        &mut self,
+        sent: Instant,
+        version: Option<u64>,
+        now: Instant,
+    ) {
+        self.renewing = false;
+        match version {
+            Some(version) => {
+                self.row_version = Some(version);
+                self.lease.renewed(sent, now);
+                self.next_renewal = sent + self.timings.renew;
+            }
+            None => {
+                // The row may have been written: it is read before the next try.
+                self.row_version = None;
+                self.next_renewal = now + self.timings.retry;
+            }
+        }
+    }
+
+    /// A renewal found another row than expected; the next try expects what is there.
+    pub fn on_renewal_conflict(
+        &mut self,
+        rows: &[Row],
+        now: Instant,
+    ) {
+        self.renewing = false;
+        self.next_renewal = now;
+        let key = host_key(self.me.peer);
+        let found = rows.iter().find(|row| *row.key == key);
+        self.row_version = Some(found.map_or(0, |row| row.version));
+    }
+
+    /// The table was read, or could not be; `None` then.
+    pub fn on_table(
+        &mut self,
+        rows: Option<&[Row]>,
+        term: u64,
+        now: Instant,
+    ) {
+        self.reading = false;
+        let Some(rows) = rows else {
+            self.next_read = now + self.timings.retry;
+            return;
+        };
+        let key = host_key(self.me.peer);
+        if self.row_version.is_none() {
+            let mine = rows.iter().find(|row| *row.key == key);
+            self.row_version = Some(mine.map_or(0, |row| row.version));
+        }
+        for row in rows {
+            self.see(row, now);
+        }
+        if term == self.lease.term() {
+            self.read_term = term;
+            self.confirm_held();
+        }
+    }
+
+    /// A change of an engine's holder ended.
+    pub fn on_taken(
+        &mut self,
+        target: &str,
+        version: u64,
+        fence: u64,
+        term: u64,
+    ) {
+        self.pending.remove(target);
+        let row = HolderRow {
+            holder: self.me.peer,
+            fence,
+        };
+        let seen = SeenHolder { version, row };
+        self.holders.insert(target.to_string(), seen);
+        self.held
+            .insert(target.to_string(), HeldEngine { fence, term });
+        self.vacant.remove(target);
+    }
+
+    /// A change of an engine's holder found other rows than expected.
+    pub fn on_take_conflict(
+        &mut self,
+        target: &str,
+        rows: &[Row],
+        now: Instant,
+    ) {
+        self.pending.remove(target);
+        for row in rows {
+            self.see(row, now);
+        }
+        self.confirm_held();
+    }
+
+    /// Whether a change of an engine's holder was done is not known: the table is read anew.
+    pub fn on_take_lost(&mut self) {
+        self.read_term = 0;
+    }
+
+    /// The holder that the store last named.
+    pub fn holder(
+        &self,
+        target: &str,
+    ) -> Option<SocketAddr> {
+        self.holders.get(target).map(|seen| seen.row.holder)
+    }
+
+    fn renew(
+        &mut self,
+        now: Instant,
+    ) -> Option<HoldingAction> {
+        if self.renewing || now < self.next_renewal {
+            return None;
+        }
+        let Some(version) = self.row_version else {
+            return self.read(now);
+        };
+        self.renewing = true;
+        let row = RowKey::new(HOLDING_TABLE, &host_key(self.me.peer));
+        let value = serde_json::to_vec(&self.me).expect("a host's row can be written");
+        Some(HoldingAction::Renew {
+            transaction: Transaction {
+                expected: vec![Expectation {
+                    row: row.clone(),
+                    version,
+                }],
+                writes: vec![RowWrite {
+                    row,
+                    value: Some(value),
+                }],
+            },
+        })
+    }
+
+    fn read(
+        &mut self,
+        now: Instant,
+    ) -> Option<HoldingAction> {
+        if self.reading || now < self.next_read {
+            return None;
+        }
+        self.reading = true;
+        Some(HoldingAction::ReadTable)
+    }
+
+    fn see(
+        &mut self,
+        row: &Row,
+        now: Instant,
+    ) {
+        let Some(value) = &row.value else {
+            return;
+        };
+        if let Some(peer) = HostRow::peer_of(&row.key) {
+            let known = self.leases.get(&peer).map(|lease| lease.version);
+            if known != Some(row.version) {
+                let lease = SeenLease {
+                    version: row.version,
+                    known_since: now,
+                };
+                self.leases.insert(peer, lease);
+            }
+            return;
+        }
+        let Some(target) = HolderRow::target_of(&row.key) else {
+            return;
+        };
+        let old = self.holders.get(target).map_or(0, |seen| seen.version);
+        if row.version < old {
+            return;
+        }
+        if let Ok(holder) = serde_json::from_slice::<HolderRow>(value) {
+            let seen = SeenHolder {
+                version: row.version,
+                row: holder,
+            };
+            self.holders.insert(target.to_string(), seen);
+        }
+    }
+
+    /// Holds what the rows give to this host, and nothing else.
+    fn confirm_held(&mut self) {
+        let term = self.lease.term();
+        let mine = self
+            .holders
+            .iter()
+            .filter(|(_, seen)| seen.row.holder == self.me.peer);
+        self.held = mine
+            .map(|(target, seen)| {
+                let fence = seen.row.fence;
+                (target.clone(), HeldEngine { fence, term })
+            })
+            .collect();
+    }
+
+    fn look_at(
+        &mut self,
+        target: &str,
+        key: &str,
+        eligible: &[SocketAddr],
+        lease_of: &impl Fn(SocketAddr) -> Option<KnownLease>,
+        now: Instant,
+    ) -> Option<HoldingAction> {
+        let seen = self.holders.get(target).cloned();
+        let holder = seen.as_ref().map(|seen| seen.row.holder);
+        if holder == Some(self.me.peer) {
+            if !self.held.contains_key(target) {
+                self.confirm_held();
+            }
+            return None;
+        }
+        let membership = holder.and_then(lease_of);
+        if membership.is_some_and(|lease| lease.up) {
+            self.vacant.remove(target);
+            return None;
+        }
+        let vacant_since = *self.vacant.entry(target.to_string()).or_insert(now);
+        let place = place(key, self.me.peer, eligible)?;
+        if now.saturating_duration_since(vacant_since) < self.timings.turn * place {
+            return None;
+        }
+        let row = RowKey::new(HOLDING_TABLE, &engine_key(target));
+        let mut expected = vec![Expectation {
+            row: row.clone(),
+            version: seen.as_ref().map_or(0, |seen| seen.version),
+        }];
+        if let Some(holder) = holder {
+            let lease = self.lapsed_lease(holder, membership, now)?;
+            expected.push(Expectation {
+                row: RowKey::new(HOLDING_TABLE, &host_key(holder)),
+                version: lease,
+            });
+        }
+        let fence = seen.map_or(0, |seen| seen.row.fence) + 1;
+        let value = HolderRow {
+            holder: self.me.peer,
+            fence,
+        };
+        let value = serde_json::to_vec(&value).expect("a holder's row can be written");
+        Some(HoldingAction::Take {
+            target: target.to_string(),
+            fence,
+            transaction: Transaction {
+                expected,
+                writes: vec![RowWrite {
+                    row,
+                    value: Some(value),
+                }],
+            },
+        })
+    }
+
+    /// The version of a host's lease that has been known for long enough to have lapsed.
+    fn lapsed_lease(
+        &self,
+        host: SocketAddr,
+        membership: Option<KnownLease>,
+        now: Instant,
+    ) -> Option<u64> {
+        let told = membership
+            .filter(|lease| lease.version > 0)
+            .map(|lease| (lease.version, lease.known_since));
+        let read = self
+            .leases
+            .get(&host)
+            .map(|lease| (lease.version, lease.known_since));
+        // Of the newest version, what was known first.
+        let newest = told
+            .into_iter()
+            .chain(read)
+            .map(|(version, _)| version)
+            .max()?;
+        let since = told
+            .into_iter()
+            .chain(read)
+            .filter(|(version, _)| *version == newest)
+            .map(|(_, since)| since)
+            .min()?;
+        let lapsed = now.saturating_duration_since(since) >= self.timings.lapse();
+        lapsed.then_some(newest)
+    }
+}
+
+/// This host's place among those that may take an engine; the first takes it at once.
+fn place(
+    key: &str,
+    me: SocketAddr,
+    eligible: &[SocketAddr],
+) -> Option<u32> {
+    if !eligible.contains(&me) {
+        return None;
+    }
+    let mine = rank(key, &me.to_string());
+    let before = eligible
+        .iter()
+        .filter(|host| rank(key, &host.to_string()) > mine)
+        .count();
+    u32::try_from(before).ok()
+}
--- /dev/null
+++ b/src/process/host/control_action.rs
@@ -0,0 +1,61 @@
+use {
+    super::TableName,
+    crate::{
+        connection::{
+            datagram::{EngineLoad, Message, Placement},
+            targets::FleetView,
+        },
+        formats::{Order, Transaction},
+    },
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// What the control thread wants done.
+#[derive(Debug, Clone)]
+pub enum ControlAction {
+    Send {
+        to: SocketAddr,
+        message: Message,
+    },
+    ReadChanges {
+        table: TableName,
+        since: u64,
+    },
+    ReadTable {
+        table: TableName,
+    },
+    /// Ask another host for what has changed in its copy since a version.
+    PullChanges {
+        table: TableName,
+        from: SocketAddr,
+        since: u64,
+    },
+    Renew {
+        transaction: Transaction,
+    },
+    ReadHolders {
+        term: u64,
+    },
+    Take {
+        target: String,
+        fence: u64,
+        term: u64,
+        transaction: Transaction,
+    },
+    /// Give an order, if the lease still holds in this term.
+    Order {
+        target: String,
+        address: SocketAddr,
+        term: u64,
+        order: Order,
+    },
+    AskReport {
+        target: String,
+        address: SocketAddr,
+    },
+    /// Requests see this from now on.
+    Publish(Arc<FleetView>),
+    /// For the requests of this host.
+    Place(Placement),
+    Load(EngineLoad),
+}
--- /dev/null
+++ b/src/process/host/control_engines.rs
@@ -0,0 +1,309 @@
+//! The control thread's part for engines: who holds them, and the orders to those held here.
+
+use {
+    super::{ControlAction, HostControl},
+    crate::{
+        connection::datagram::{EngineLoad, Message, Placement, PlacementState, Want},
+        formats::{Commit, Order, RowBatch},
+        process::{
+            engines::{DeskAction, EngineDesk},
+            holding::{HoldingAction, HostRow, KnownLease},
+        },
+    },
+    std::{collections::BTreeMap, net::SocketAddr, time::Instant},
+};
+
+impl HostControl {
+    /// Leases, takeovers, and the desks of the engines held here.
+    pub(super) fn tick_engines(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut actions = self.decide_holding(now);
+        self.open_desks(now);
+        let held: Vec<String> = self.desks.keys().cloned().collect();
+        for target in held {
+            actions.extend(self.at_desk(&target, now, |desk| desk.on_tick(now)));
+        }
+        actions
+    }
+
+    /// Lets a desk decide, and carries its decisions on.
+    pub(super) fn at_desk(
+        &mut self,
+        target: &str,
+        now: Instant,
+        decide: impl FnOnce(&mut EngineDesk) -> Vec<DeskAction>,
+    ) -> Vec<ControlAction> {
+        let Some(desk) = self.desks.get_mut(target) else {
+            return Vec::new();
+        };
+        let wanted = decide(desk);
+        let mut actions = Vec::new();
+        for action in wanted {
+            actions.extend(self.desk_action(target, action, now));
+        }
+        actions
+    }
+
+    pub(super) fn on_want(
+        &mut self,
+        from: SocketAddr,
+        want: &Want,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let may_order = self.holding.may_order(&want.target, now).is_some();
+        if may_order && self.desks.contains_key(&want.target) {
+            return self.at_desk(&want.target, now, |desk| desk.on_want(from, want, now));
+        }
+        let placement = Placement {
+            target: want.target.clone(),
+            adapter: want.adapter.clone(),
+            version: 0,
+            state: PlacementState::NotHolder as i32,
+            due_ms: 0,
+            copies: 1,
+        };
+        vec![self.send(from, Message::Placement(placement))]
+    }
+
+    pub(super) fn on_renewed(
+        &mut self,
+        sent: Instant,
+        commit: Option<Commit>,
+        now: Instant,
+    ) {
+        match commit {
+            Some(Commit::Done { version }) => self.holding.on_renewed(sent, Some(version), now),
+            Some(Commit::Conflict { rows }) => self.holding.on_renewal_conflict(&rows, now),
+            None => self.holding.on_renewed(sent, None, now),
+        }
+    }
+
+    pub(super) fn on_holders_read(
+        &mut self,
+        term: u64,
+        rows: Option<RowBatch>,
+        now: Instant,
+    ) {
+        let rows = rows.map(|batch| batch.rows);
+        self.holding.on_table(rows.as_deref(), term, now);
+        for row in rows.iter().flatten() {
+            let value = row.value.as_deref().unwrap_or_default();
+            if HostRow::peer_of(&row.key).is_none() {
+                continue;
+            }
+            let Ok(host) = serde_json::from_slice::<HostRow>(value) else {
+                continue;
+            };
+            let rumor = crate::connection::datagram::HostRumor {
+                peer: host.peer.into(),
+                name: host.name,
+                hall: host.hall,
+                front: host.front.into(),
+                process: host.process,
+                lease_version: row.version,
+                ..Default::default()
+            };
+            // Its ping goes out with the next round.
+            self.hosts.on_named(&rumor, now);
+        }
+        self.changed = true;
+    }
+
+    pub(super) fn on_taken(
+        &mut self,
+        target: &str,
+        fence: u64,
+        term: u64,
+        commit: Option<Commit>,
+        now: Instant,
+    ) {
+        match commit {
+            Some(Commit::Done { version }) => self.holding.on_taken(target, version, fence, term),
+            Some(Commit::Conflict { rows }) => self.holding.on_take_conflict(target, &rows, now),
+            None => self.holding.on_take_lost(),
+        }
+        self.changed = true;
+    }
+
+    /// The configuration may name other sizes.
+    pub(super) fn set_engine_specs(
+        &mut self,
+        _now: Instant,
+    ) {
+        for (target, desk) in &mut self.desks {
+            let service = self
+                .targets
+                .get(target)
+                .map(|target| &target.record.service);
+            let spec = service
+                .and_then(|service| self.routing.service(service))
+                .and_then(|service| service.engine.clone());
+            if let Some(spec) = spec {
+                desk.set_spec(spec);
+            }
+        }
+    }
+
+    /// The host that gives orders to an engine, if it answers.
+    pub(super) fn holder_of(
+        &self,
+        target: &str,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        if self.holding.may_order(target, now).is_some() {
+            return Some(self.hosts.me().peer);
+        }
+        self.hosts
+            .hosts()
+            .filter(|host| host.state.is_up())
+            .find(|host| host.holds.iter().any(|held| held == target))
+            .map(|host| host.identity.peer)
+    }
+
+    /// Tells the hosts that use an engine how busy it is.
+    pub(super) fn tell_loads(&mut self) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
+        for (target, desk) in &self.desks {
+            let in_flight: u32 = desk.in_flight().values().map(|(count, _)| count).sum();
+            let tokens: u32 = desk.in_flight().values().map(|(_, tokens)| tokens).sum();
+            for (host, (yours, _)) in desk.in_flight() {
+                let load = EngineLoad {
+                    target: target.clone(),
+                    in_flight,
+                    yours: *yours,
+                    tokens,
+                };
+                actions.push(self.send(*host, Message::EngineLoad(load)));
+            }
+        }
+        actions
+    }
+
+    fn decide_holding(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let engines: BTreeMap<String, String> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| self.is_engine(&target.record.service))
+            .map(|(id, target)| (id.clone(), target.record.address.to_string()))
+            .collect();
+        let eligible = self.hosts.eligible();
+        let hosts = &self.hosts;
+        let lease_of = |peer| {
+            hosts.get(peer).map(|host| KnownLease {
+                up: host.state.is_up(),
+                version: host.lease_version,
+                known_since: host.lease_known_since,
+            })
+        };
+        let wanted = self.holding.decide(&engines, &eligible, lease_of, now);
+        let term = self.holding.lease().term();
+        wanted
+            .into_iter()
+            .map(|action| match action {
+                HoldingAction::Renew { transaction } => ControlAction::Renew { transaction },
+                HoldingAction::ReadTable => ControlAction::ReadHolders { term },
+                HoldingAction::Take {
+                    target,
+                    fence,
+                    transaction,
+                } => ControlAction::Take {
+                    target,
+                    fence,
+                    term,
+                    transaction,
+                },
+            })
+            .collect()
+    }
+
+    fn is_engine(
+        &self,
+        service: &str,
+    ) -> bool {
+        let service = self.routing.service(service);
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
+    /// Opens a desk for each engine held here, and closes those of others.
+    fn open_desks(
+        &mut self,
+        now: Instant,
+    ) {
+        let held: Vec<String> = self
+            .holding
+            .held(now)
+            .map(|(target, _)| target.clone())
+            .collect();
+        let count = self.desks.len();
+        self.desks.retain(|target, _| held.contains(target));
+        self.changed |= self.desks.len() != count;
+        for target in held {
+            if self.desks.contains_key(&target) {
+                continue;
+            }
+            let service = self
+                .targets
+                .get(&target)
+                .map(|target| &target.record.service);
+            let spec = service
+                .and_then(|service| self.routing.service(service))
+                .and_then(|service| service.engine.clone());
+            let Some(spec) = spec else {
+                continue;
+            };
+            let mut desk = EngineDesk::new(&target, spec, now);
+            for (adapter, newest) in self.newest.iter() {
+                desk.on_newest(adapter, newest.version);
+            }
+            self.desks.insert(target, desk);
+            self.changed = true;
+        }
+    }
+
+    fn desk_action(
+        &mut self,
+        target: &str,
+        action: DeskAction,
+        now: Instant,
+    ) -> Option<ControlAction> {
+        let address = self.targets.get(target).map(|target| target.record.address);
+        match action {
+            DeskAction::Tell { host, placement } => {
+                Some(self.send(host, Message::Placement(placement)))
+            }
+            DeskAction::AskReport => Some(ControlAction::AskReport {
+                target: target.to_string(),
+                address: address?,
+            }),
+            DeskAction::Order(order) => {
+                let held = self.holding.may_order(target, now);
+                let (Some(held), Some(address), true) = (held, address, self.is_usable(target))
+                else {
+                    if let Some(desk) = self.desks.get_mut(target) {
+                        desk.on_order_withheld();
+                    }
+                    return None;
+                };
+                Some(ControlAction::Order {
+                    target: target.to_string(),
+                    address,
+                    term: held.term,
+                    order: Order {
+                        kind: order.kind,
+                        model: order.model,
+                        adapter: order.adapter,
+                        version: order.version,
+                        expected_sequence: Some(order.expected_sequence),
+                        holder: self.settings.name.clone(),
+                        fence: held.fence,
+                    },
+                })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/process/host/control_event.rs
@@ -0,0 +1,82 @@
+use {
+    crate::{
+        connection::{datagram::Message, targets::ControlRequest},
+        errors::RunError,
+        formats::{Commit, OrderReply, RowBatch, RowsReply, TargetReport},
+        process::tables::TableChanges,
+    },
+    std::{net::SocketAddr, time::Instant},
+};
+
+/// The tables of the store that every host keeps a copy of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum TableName {
+    /// What operators declare.
+    Declared,
+    /// What targets record of themselves.
+    Targets,
+}
+
+/// What the control thread is told.
+#[derive(Debug)]
+pub enum ControlEvent {
+    Tick,
+    /// A message of another host.
+    Message {
+        from: SocketAddr,
+        message: Message,
+    },
+    /// A request's need.
+    Request(ControlRequest),
+    /// The changes of a table were read; `None` if they could not be.
+    ChangesRead {
+        table: TableName,
+        asked: Instant,
+        reply: Option<RowsReply>,
+    },
+    /// A table was read whole; `None` if it could not be.
+    TableRead {
+        table: TableName,
+        asked: Instant,
+        rows: Option<RowBatch>,
+    },
+    /// Another host told what has changed in its copy.
+    ChangesPulled {
+        table: TableName,
+        from: SocketAddr,
+        changes: Option<(TableChanges, Instant)>,
+    },
+    /// This host's lease was renewed, or not.
+    Renewed {
+        sent: Instant,
+        commit: Option<Commit>,
+    },
+    /// The table of holders was read.
+    HoldersRead {
+        term: u64,
+        rows: Option<RowBatch>,
+    },
+    /// An engine's holder was changed, or not.
+    Taken {
+        target: String,
+        fence: u64,
+        term: u64,
+        commit: Option<Commit>,
+    },
+    OrderEnded {
+        target: String,
+        reply: Option<OrderReply>,
+    },
+    /// The lease ended before the order could leave.
+    OrderWithheld {
+        target: String,
+    },
+    Reported {
+        target: String,
+        report: Option<TargetReport>,
+    },
+    /// The settings were read again.
+    SettingsRead(Result<(), RunError>),
+    /// The process is told to stop.
+    Stop,
+}
--- /dev/null
+++ b/src/process/host/control_peers.rs
@@ -0,0 +1,228 @@
+//! The control thread's part for messages between hosts.
+
+use {
+    super::{ControlAction, HostControl},
+    crate::{
+        connection::{
+            datagram::{Ack, HostRumor, Message, Ping, PingRequest, Vouch},
+            targets::ControlRequest,
+        },
+        process::hosts::{HostAction, HostEvent, HostState},
+    },
+    std::{net::SocketAddr, time::Instant},
+};
+
+impl HostControl {
+    pub(super) fn ping_seeds(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let me = self.hosts.me().peer;
+        let seeds: Vec<SocketAddr> = self
+            .settings
+            .seed_peers()
+            .filter(|peer| *peer != me)
+            .collect();
+        seeds
+            .into_iter()
+            .map(|to| ControlAction::Send {
+                to,
+                message: Message::Ping(self.ping_message(false, now)),
+            })
+            .collect()
+    }
+
+    pub(super) fn tick_hosts(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let wanted = self.hosts.on_tick(now);
+        let actions = self.host_actions(wanted, now);
+        self.note_host_events();
+        actions
+    }
+
+    pub(super) fn on_message(
+        &mut self,
+        from: SocketAddr,
+        message: Message,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let actions = match message {
+            Message::Ping(ping) => self.on_ping(from, &ping, now),
+            Message::Ack(ack) => {
+                let mut actions = self.on_host_news(&ack.sender, &ack.rumors, now);
+                actions.extend(self.on_freshness(from, &ack.freshness, now));
+                actions
+            }
+            Message::PingRequest(request) => self.on_ping_request(from, &request, now),
+            Message::Vouch(vouch) => {
+                self.hosts.on_vouched(vouch.peer.into());
+                Vec::new()
+            }
+            Message::Want(want) => self.on_want(from, &want, now),
+            Message::Usage(usage) => {
+                if let Some(desk) = self.desks.get_mut(&usage.target) {
+                    desk.on_usage(from, &usage, now);
+                }
+                Vec::new()
+            }
+            Message::Placement(placement) => vec![ControlAction::Place(placement)],
+            Message::EngineLoad(load) => vec![ControlAction::Load(load)],
+        };
+        self.note_host_events();
+        actions
+    }
+
+    /// A need of this host's own requests.
+    pub(super) fn on_request(
+        &mut self,
+        request: ControlRequest,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let me = self.hosts.me().peer;
+        match request {
+            ControlRequest::Want { holder, want } if holder == me => self.on_want(me, &want, now),
+            ControlRequest::Want { holder, want } => vec![ControlAction::Send {
+                to: holder,
+                message: Message::Want(want),
+            }],
+            ControlRequest::Usage { holder, usage } if holder == me => {
+                if let Some(desk) = self.desks.get_mut(&usage.target) {
+                    desk.on_usage(me, &usage, now);
+                }
+                Vec::new()
+            }
+            ControlRequest::Usage { holder, usage } => vec![ControlAction::Send {
+                to: holder,
+                message: Message::Usage(usage),
+            }],
+            ControlRequest::Missing { target, adapter } => {
+                if let Some(desk) = self.desks.get_mut(&target) {
+                    desk.on_missing(&adapter, now);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Sends a message to a host, or hands it to this host's own requests.
+    pub(super) fn send(
+        &self,
+        to: SocketAddr,
+        message: Message,
+    ) -> ControlAction {
+        if to != self.hosts.me().peer {
+            return ControlAction::Send { to, message };
+        }
+        match message {
+            Message::Placement(placement) => ControlAction::Place(placement),
+            Message::EngineLoad(load) => ControlAction::Load(load),
+            message => ControlAction::Send { to, message },
+        }
+    }
+
+    fn on_ping(
+        &mut self,
+        from: SocketAddr,
+        ping: &Ping,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut actions = self.on_host_news(&ping.sender, &ping.rumors, now);
+        actions.extend(self.on_freshness(from, &ping.freshness, now));
+        if !ping.one_way {
+            let ack = Ack {
+                sender: self.my_rumor(now),
+                freshness: self.freshness(now),
+                rumors: self.hosts.take_rumors(),
+            };
+            actions.push(ControlAction::Send {
+                to: from,
+                message: Message::Ack(ack),
+            });
+        }
+        actions
+    }
+
+    fn on_host_news(
+        &mut self,
+        sender: &HostRumor,
+        rumors: &[HostRumor],
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let known = self.hosts.get(sender.peer.into()).cloned();
+        self.hosts.on_heard(sender, now);
+        let heard = self.hosts.get(sender.peer.into());
+        let matters = match (&known, heard) {
+            (Some(old), Some(new)) => old.holds != new.holds || old.ready != new.ready,
+            _ => true,
+        };
+        self.changed |= matters;
+        let mut actions = Vec::new();
+        for rumor in rumors {
+            let wanted = self.hosts.on_rumor(rumor, now);
+            actions.extend(self.host_actions(wanted, now));
+        }
+        actions
+    }
+
+    fn on_ping_request(
+        &mut self,
+        from: SocketAddr,
+        request: &PingRequest,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let peer: SocketAddr = request.peer.into();
+        let heard_lately = self.hosts.get(peer).is_some_and(|host| {
+            let recent = |at: Instant| now.saturating_duration_since(at).as_millis() < 300;
+            host.state.is_up() && host.heard.is_some_and(recent)
+        });
+        if heard_lately {
+            let vouch = Vouch { peer: request.peer };
+            return vec![ControlAction::Send {
+                to: from,
+                message: Message::Vouch(vouch),
+            }];
+        }
+        vec![ControlAction::Send {
+            to: peer,
+            message: Message::Ping(self.ping_message(false, now)),
+        }]
+    }
+
+    fn host_actions(
+        &mut self,
+        wanted: Vec<HostAction>,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        wanted
+            .into_iter()
+            .map(|action| match action {
+                HostAction::Ping { peer } => ControlAction::Send {
+                    to: peer,
+                    message: Message::Ping(self.ping_message(false, now)),
+                },
+                HostAction::PingRequest { via, peer } => ControlAction::Send {
+                    to: via,
+                    message: Message::PingRequest(PingRequest { peer: peer.into() }),
+                },
+            })
+            .collect()
+    }
+
+    fn note_host_events(&mut self) {
+        for event in self.hosts.take_events() {
+            self.changed = true;
+            if let HostEvent::StateChanged {
+                peer,
+                state: HostState::Dead,
+                ..
+            } = event
+            {
+                for desk in self.desks.values_mut() {
+                    desk.on_host_gone(peer);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/process/host/control_runner.rs
@@ -0,0 +1,326 @@
+//! Carries the control thread's actions out, and brings back how they ended.
+
+use {
+    super::{
+        ControlAction, ControlEvent, HostControl, TableName,
+        peer_pages::{changes_call, parse_changes},
+        traffic::TrafficInput,
+    },
+    crate::{
+        connection::{datagram::DatagramSocket, http1::CallClient, store::StoreClient},
+        formats::{Formats, HttpCall, HttpReply, Order, Transaction},
+        process::{holding::HOLDING_TABLE, ownership::SessionLease, settings::NodeSettings},
+    },
+    std::{
+        cell::RefCell,
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::task::spawn_local,
+};
+
+/// Longest time for a call to the store.
+const STORE_LIMIT: Duration = Duration::from_millis(900);
+
+/// Longest time for an engine's answer to an order or a report.
+const ENGINE_LIMIT: Duration = Duration::from_millis(400);
+
+/// Longest time for another host's copy of a table.
+const PULL_LIMIT: Duration = Duration::from_millis(500);
+
+/// An order is not sent so shortly before the lease ends.
+const LEASE_MARGIN: Duration = Duration::from_millis(200);
+
+/// Time between two ticks of the control thread.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Runs the control thread's decisions against the world.
+pub struct ControlRunner {
+    control: Rc<RefCell<HostControl>>,
+    formats: Arc<dyn Formats>,
+    store: Rc<StoreClient>,
+    socket: Rc<DatagramSocket>,
+    lease: SessionLease,
+    events: flume::Sender<ControlEvent>,
+    inbox: flume::Receiver<ControlEvent>,
+    requests: flume::Receiver<crate::connection::targets::ControlRequest>,
+    traffic: flume::Sender<TrafficInput>,
+    /// Connections to engines and other hosts that rest.
+    clients: Rc<RefCell<HashMap<SocketAddr, CallClient>>>,
+}
+
+impl ControlRunner {
+    pub fn new(
+        control: Rc<RefCell<HostControl>>,
+        formats: Arc<dyn Formats>,
+        settings: &NodeSettings,
+        socket: DatagramSocket,
+        requests: flume::Receiver<crate::connection::targets::ControlRequest>,
+        traffic: flume::Sender<TrafficInput>,
+    ) -> Self {
+        let (events, inbox) = flume::unbounded();
+        let lease = control.borrow().lease();
+        Self {
+            store: Rc::new(StoreClient::new(
+                settings.store,
+                formats.clone(),
+                STORE_LIMIT,
+            )),
+            control,
+            formats,
+            socket: Rc::new(socket),
+            lease,
+            events,
+            inbox,
+            requests,
+            traffic,
+            clients: Rc::default(),
+        }
+    }
+
+    /// Where events go that come from elsewhere.
+    pub fn events(&self) -> flume::Sender<ControlEvent> {
+        self.events.clone()
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(self) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                biased;
+                event = self.inbox.recv_async() => match event {
+                    Ok(event) => event,
+                    Err(_) => return,
+                },
+                request = self.requests.recv_async() => match request {
+                    Ok(request) => ControlEvent::Request(request),
+                    Err(_) => return,
+                },
+                (from, message) = self.socket.receive() => ControlEvent::Message { from, message },
+                _ = ticks.tick() => ControlEvent::Tick,
+            };
+            let actions = self.control.borrow_mut().on(event, Instant::now());
+            for action in actions {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(
+        &self,
+        action: ControlAction,
+    ) {
+        match action {
+            ControlAction::Send { to, message } => self.socket.send(to, message),
+            ControlAction::ReadChanges { table, since } => self.read_changes(table, since),
+            ControlAction::ReadTable { table } => self.read_table(table),
+            ControlAction::PullChanges { table, from, since } => self.pull(table, from, since),
+            ControlAction::Renew { transaction } => self.renew(transaction),
+            ControlAction::ReadHolders { term } => self.read_holders(term),
+            ControlAction::Take {
+                target,
+                fence,
+                term,
+                transaction,
+            } => self.take(target, fence, term, transaction),
+            ControlAction::Order {
+                target,
+                address,
+                term,
+                order,
+            } => self.order(target, address, term, order),
+            ControlAction::AskReport { target, address } => self.ask_report(target, address),
+            ControlAction::Publish(view) => self.tell_traffic(TrafficInput::View(view)),
+            ControlAction::Place(placement) => {
+                self.tell_traffic(TrafficInput::Placement(placement));
+            }
+            ControlAction::Load(load) => self.tell_traffic(TrafficInput::Load(load)),
+        }
+    }
+
+    fn tell_traffic(
+        &self,
+        input: TrafficInput,
+    ) {
+        let _ = self.traffic.send(input);
+    }
+
+    fn table(
+        &self,
+        table: TableName,
+    ) -> String {
+        match table {
+            TableName::Declared => self.formats.declared_table().to_string(),
+            TableName::Targets => self.formats.target_table().to_string(),
+        }
+    }
+
+    fn read_changes(
+        &self,
+        table: TableName,
+        since: u64,
+    ) {
+        let (store, events, name) = (self.store.clone(), self.events.clone(), self.table(table));
+        spawn_local(async move {
+            let asked = Instant::now();
+            let reply = store.read_changes(&name, since, Duration::ZERO).await.ok();
+            let _ = events.send(ControlEvent::ChangesRead {
+                table,
+                asked,
+                reply,
+            });
+        });
+    }
+
+    fn read_table(
+        &self,
+        table: TableName,
+    ) {
+        let (store, events, name) = (self.store.clone(), self.events.clone(), self.table(table));
+        spawn_local(async move {
+            let asked = Instant::now();
+            let rows = store.read_table(&name).await.ok();
+            let _ = events.send(ControlEvent::TableRead { table, asked, rows });
+        });
+    }
+
+    fn pull(
+        &self,
+        table: TableName,
+        from: SocketAddr,
+        since: u64,
+    ) {
+        let events = self.events.clone();
+        let clients = self.clients.clone();
+        spawn_local(async move {
+            let call = changes_call(table, since);
+            let reply = call_once(&clients, from, &call, "", PULL_LIMIT).await;
+            let now = Instant::now();
+            let changes = reply
+                .filter(|reply| reply.status == 200)
+                .and_then(|reply| parse_changes(&reply.body))
+                .and_then(|(changes, age)| Some((changes, now.checked_sub(age)?)));
+            let _ = events.send(ControlEvent::ChangesPulled {
+                table,
+                from,
+                changes,
+            });
+        });
+    }
+
+    fn renew(
+        &self,
+        transaction: Transaction,
+    ) {
+        let (store, events) = (self.store.clone(), self.events.clone());
+        spawn_local(async move {
+            let sent = Instant::now();
+            let commit = store.commit(&transaction).await.ok();
+            let _ = events.send(ControlEvent::Renewed { sent, commit });
+        });
+    }
+
+    fn read_holders(
+        &self,
+        term: u64,
+    ) {
+        let (store, events) = (self.store.clone(), self.events.clone());
+        spawn_local(async move {
+            let rows = store.read_table(HOLDING_TABLE).await.ok();
+            let _ = events.send(ControlEvent::HoldersRead { term, rows });
+        });
+    }
+
+    fn take(
+        &self,
+        target: String,
+        fence: u64,
+        term: u64,
+        transaction: Transaction,
+    ) {
+        let (store, events) = (self.store.clone(), self.events.clone());
+        spawn_local(async move {
+            let commit = store.commit(&transaction).await.ok();
+            let _ = events.send(ControlEvent::Taken {
+                target,
+                fence,
+                term,
+                commit,
+            });
+        });
+    }
+
+    fn order(
+        &self,
+        target: String,
+        address: SocketAddr,
+        term: u64,
+        order: Order,
+    ) {
+        let (events, clients, formats) = (
+            self.events.clone(),
+            self.clients.clone(),
+            self.formats.clone(),
+        );
+        let lease = self.lease.clone();
+        spawn_local(async move {
+            let expect = expect_line(&formats, &target);
+            let call = formats.order_call(&order);
+            // The last moment before the order leaves.
+            if !lease.holds_in(term, Instant::now() + LEASE_MARGIN) {
+                let _ = events.send(ControlEvent::OrderWithheld { target });
+                return;
+            }
+            let reply = call_once(&clients, address, &call, &expect, ENGINE_LIMIT).await;
+            let reply = reply.and_then(|reply| formats.order_reply(reply.status).ok());
+            let _ = events.send(ControlEvent::OrderEnded { target, reply });
+        });
+    }
+
+    fn ask_report(
+        &self,
+        target: String,
+        address: SocketAddr,
+    ) {
+        let (events, clients, formats) = (
+            self.events.clone(),
+            self.clients.clone(),
+            self.formats.clone(),
+        );
+        spawn_local(async move {
+            let expect = expect_line(&formats, &target);
+            let call = formats.report_call();
+            let reply = call_once(&clients, address, &call, &expect, ENGINE_LIMIT).await;
+            let report = reply.and_then(|reply| formats.report_reply(&reply).ok());
+            let _ = events.send(ControlEvent::Reported { target, report });
+        });
+    }
+}
+
+/// The header line that lets only one target answer.
+fn expect_line(
+    formats: &Arc<dyn Formats>,
+    target: &str,
+) -> String {
+    format!("{}: {target}\r\n", formats.headers().expect_target)
+}
+
+/// Makes a call over a connection that rests, or a new one.
+async fn call_once(
+    clients: &Rc<RefCell<HashMap<SocketAddr, CallClient>>>,
+    address: SocketAddr,
+    call: &HttpCall,
+    headers: &str,
+    limit: Duration,
+) -> Option<HttpReply> {
+    let idle = clients.borrow_mut().remove(&address);
+    let mut client = idle.unwrap_or_else(|| CallClient::new(address));
+    let reply = client.call(call, headers, limit).await;
+    clients.borrow_mut().insert(address, client);
+    reply.ok()
+}
--- /dev/null
+++ b/src/process/host/control_tables.rs
@@ -0,0 +1,315 @@
+//! The control thread's part for the copies of the store's tables.
+
+use {
+    super::{ControlAction, HostControl, TableName, host_control::ListedTarget},
+    crate::{
+        connection::{
+            datagram::{Freshness, Message},
+            targets::NewestVersion,
+        },
+        formats::{Declared, Formats, Row, RowBatch, RowsReply, TargetState},
+        process::tables::TableChanges,
+        version::routing::RoutingTable,
+    },
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+impl HostControl {
+    /// Reads the tables whose copies have got too old.
+    pub(super) fn read_tables(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let place = self.reading_place();
+        let mut actions = Vec::new();
+        for table in [TableName::Declared, TableName::Targets] {
+            let kept = self.kept(table);
+            let age = kept.copy.age(now);
+            if kept.schedule.start(age, place, now) {
+                actions.push(match kept.copy.is_known() {
+                    true => ControlAction::ReadChanges {
+                        table,
+                        since: kept.copy.version(),
+                    },
+                    false => ControlAction::ReadTable { table },
+                });
+            }
+        }
+        actions
+    }
+
+    pub(super) fn on_changes_read(
+        &mut self,
+        table: TableName,
+        asked: Instant,
+        reply: Option<RowsReply>,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let Some(RowsReply::Rows(batch)) = reply else {
+            let history_gone = reply == Some(RowsReply::HistoryGone);
+            if history_gone {
+                return vec![ControlAction::ReadTable { table }];
+            }
+            self.kept(table).schedule.on_end(false, now);
+            return Vec::new();
+        };
+        let same = is_same(table, &self.formats);
+        let kept = self.kept(table);
+        kept.schedule.on_end(true, now);
+        let changed = kept.copy.apply_changes(batch, asked, same);
+        self.take_rows(table, &changed, now);
+        self.tell_news(now)
+    }
+
+    pub(super) fn on_table_read(
+        &mut self,
+        table: TableName,
+        asked: Instant,
+        rows: Option<RowBatch>,
+        now: Instant,
+    ) {
+        let same = is_same(table, &self.formats);
+        let kept = self.kept(table);
+        kept.schedule.on_end(rows.is_some(), now);
+        let Some(rows) = rows else {
+            return;
+        };
+        let changed = kept.copy.apply_whole(rows, asked, same);
+        self.take_rows(table, &changed, now);
+    }
+
+    /// Another host told how new its copies are.
+    pub(super) fn on_freshness(
+        &mut self,
+        from: SocketAddr,
+        freshness: &Freshness,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let told = [
+            (
+                TableName::Declared,
+                freshness.declared_version,
+                freshness.declared_age_ms,
+            ),
+            (
+                TableName::Targets,
+                freshness.targets_version,
+                freshness.targets_age_ms,
+            ),
+        ];
+        let mut actions = Vec::new();
+        for (table, version, age_ms) in told {
+            let age = Duration::from_millis(u64::from(age_ms));
+            let Some(as_of) = now.checked_sub(age) else {
+                continue;
+            };
+            if age_ms == u32::MAX {
+                continue;
+            }
+            let kept = self.kept(table);
+            if kept.copy.confirm_from(version, as_of) || kept.pulling.is_some() {
+                continue;
+            }
+            kept.pulling = Some(from);
+            actions.push(ControlAction::PullChanges {
+                table,
+                from,
+                since: kept.copy.changed_version(),
+            });
+        }
+        actions
+    }
+
+    pub(super) fn on_changes_pulled(
+        &mut self,
+        table: TableName,
+        from: SocketAddr,
+        changes: Option<(TableChanges, Instant)>,
+        now: Instant,
+    ) {
+        let same = is_same(table, &self.formats);
+        let kept = self.kept(table);
+        if kept.pulling == Some(from) {
+            kept.pulling = None;
+        }
+        let Some((changes, as_of)) = changes else {
+            return;
+        };
+        let changed = kept.copy.apply_from_host(changes, as_of, same);
+        self.take_rows(table, &changed, now);
+    }
+
+    /// What this host's copy of a table tells another host.
+    pub fn changes_for_host(
+        &self,
+        table: TableName,
+        since: u64,
+        now: Instant,
+    ) -> (TableChanges, Option<Duration>) {
+        let copy = match table {
+            TableName::Declared => &self.declared.copy,
+            TableName::Targets => &self.listed.copy,
+        };
+        (copy.changes_since(since), copy.age(now))
+    }
+
+    /// This host's place among those that answer, in an order that all agree on.
+    fn reading_place(&self) -> usize {
+        let eligible = self.hosts.eligible();
+        let me = self.hosts.me().peer;
+        eligible.iter().filter(|peer| **peer < me).count()
+    }
+
+    /// Tells all hosts how new this host's copies are, after a read of its own.
+    fn tell_news(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        self.tell_all(now)
+    }
+
+    /// Sends every host a message that needs no answer.
+    pub(super) fn tell_all(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let peers: Vec<SocketAddr> = self
+            .hosts
+            .hosts()
+            .filter(|host| host.state.is_up())
+            .map(|host| host.identity.peer)
+            .collect();
+        peers
+            .into_iter()
+            .map(|to| ControlAction::Send {
+                to,
+                message: Message::Ping(self.ping_message(true, now)),
+            })
+            .collect()
+    }
+
+    fn take_rows(
+        &mut self,
+        table: TableName,
+        rows: &[Row],
+        now: Instant,
+    ) {
+        for row in rows {
+            match table {
+                TableName::Declared => self.take_declared(row, now),
+                TableName::Targets => self.take_target(row, now),
+            }
+        }
+    }
+
+    fn take_declared(
+        &mut self,
+        row: &Row,
+        now: Instant,
+    ) {
+        match self.formats.declared(row) {
+            Ok(Declared::Routing(routing)) => self.take_routing(routing, now),
+            Ok(Declared::AdapterVersion {
+                model,
+                adapter,
+                version,
+            }) => self.take_newest(format!("{model}/{adapter}"), version, now),
+            Ok(Declared::Other) => {}
+            Err(problem) => log::warn!("row {}: {problem}", row.key),
+        }
+    }
+
+    fn take_routing(
+        &mut self,
+        routing: Arc<RoutingTable>,
+        now: Instant,
+    ) {
+        if routing.version <= self.routing.version {
+            return;
+        }
+        self.routing = routing;
+        self.changed = true;
+        self.set_engine_specs(now);
+    }
+
+    fn take_newest(
+        &mut self,
+        adapter: String,
+        version: u64,
+        now: Instant,
+    ) {
+        let known = self.newest.get(&adapter).map_or(0, |newest| newest.version);
+        if version <= known {
+            return;
+        }
+        for desk in self.desks.values_mut() {
+            desk.on_newest(&adapter, version);
+        }
+        let newest = NewestVersion {
+            version,
+            since: now,
+        };
+        Arc::make_mut(&mut self.newest).insert(adapter, newest);
+        self.changed = true;
+    }
+
+    fn take_target(
+        &mut self,
+        row: &Row,
+        now: Instant,
+    ) {
+        self.changed = true;
+        if row.value.is_none() {
+            let until = self.vanished_until(now);
+            if let Some(target) = self.targets.get_mut(&*row.key) {
+                // One that was leaving has been taken out already.
+                target.vanished_until.get_or_insert(until);
+            }
+            return;
+        }
+        match self.formats.target_record(row) {
+            Ok(record) => {
+                let listed = ListedTarget {
+                    record,
+                    vanished_until: None,
+                };
+                self.targets.insert(row.key.to_string(), listed);
+            }
+            Err(problem) => log::warn!("row {}: {problem}", row.key),
+        }
+    }
+
+    /// True if a target takes new requests.
+    pub(super) fn is_usable(
+        &self,
+        target: &str,
+    ) -> bool {
+        self.targets
+            .get(target)
+            .is_some_and(|target| target.record.state == TargetState::Ready)
+    }
+}
+
+/// Two values of a target's row mean the same here if only what it holds has changed.
+fn is_same(
+    table: TableName,
+    formats: &Arc<dyn Formats>,
+) -> impl Fn(&Row, &Row) -> bool + use<> {
+    let formats = formats.clone();
+    move |old, new| {
+        if table == TableName::Declared {
+            return old.value == new.value;
+        }
+        let (Ok(mut old), Ok(mut new)) = (formats.target_record(old), formats.target_record(new))
+        else {
+            return false;
+        };
+        old.models.clear();
+        new.models.clear();
+        old == new
+    }
+}
--- /dev/null
+++ b/src/process/host/host_control.rs
@@ -0,0 +1,325 @@
+use {
+    super::{ControlAction, ControlEvent, TableName},
+    crate::{
+        connection::{
+            datagram::{Freshness, HostRumor, Ping},
+            targets::{FleetView, NewestVersion, TargetView},
+        },
+        formats::{Formats, TargetRecord, TargetState},
+        process::{
+            engines::EngineDesk,
+            holding::{Holding, HoldingTimings, HostRow},
+            hosts::{HostIdentity, HostTable, HostTimings},
+            ownership::SessionLease,
+            settings::NodeSettings,
+            tables::{ReadSchedule, ReadTimings, TableCopy},
+        },
+        version::routing::RoutingTable,
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time between reports of how busy engines are.
+const LOAD_PERIOD: Duration = Duration::from_millis(250);
+
+/// A target whose entry has vanished from the list is used for so long, as a share of the bound.
+const VANISHED_SHARE: f64 = 0.55;
+
+/// A target as the list has it.
+#[derive(Debug, Clone)]
+pub(super) struct ListedTarget {
+    pub record: TargetRecord,
+    /// Its entry has vanished without a word; it is used until then.
+    pub vanished_until: Option<Instant>,
+}
+
+/// A copy of a table, and when this host reads it.
+pub(super) struct KeptTable {
+    pub copy: TableCopy,
+    pub schedule: ReadSchedule,
+    /// Whom this host asks for changes at this moment.
+    pub pulling: Option<SocketAddr>,
+}
+
+/// All control state of one host; events go in, actions come out.
+pub struct HostControl {
+    pub(super) settings: NodeSettings,
+    pub(super) formats: Arc<dyn Formats>,
+    pub(super) hosts: HostTable,
+    pub(super) declared: KeptTable,
+    pub(super) listed: KeptTable,
+    pub(super) holding: Holding,
+    pub(super) desks: BTreeMap<String, EngineDesk>,
+    pub(super) targets: BTreeMap<String, ListedTarget>,
+    pub(super) routing: Arc<RoutingTable>,
+    pub(super) newest: Arc<HashMap<String, NewestVersion>>,
+    /// Another view must be published.
+    pub(super) changed: bool,
+    next_loads: Instant,
+    seeds_pinged: bool,
+}
+
+impl HostControl {
+    pub fn new(
+        settings: NodeSettings,
+        formats: Arc<dyn Formats>,
+        process: u64,
+        now: Instant,
+    ) -> Self {
+        let identity = HostIdentity {
+            peer: settings.listen.peers,
+            name: settings.name.clone(),
+            hall: settings.hall.clone(),
+            front: settings.listen.front,
+            process,
+        };
+        let row = HostRow {
+            peer: identity.peer,
+            name: identity.name.clone(),
+            hall: identity.hall.clone(),
+            front: identity.front,
+            process,
+        };
+        let timings = HoldingTimings::with_gap(settings.bounds.lease_gap);
+        let table = |bound| KeptTable {
+            copy: TableCopy::default(),
+            schedule: ReadSchedule::new(ReadTimings::within(bound)),
+            pulling: None,
+        };
+        Self {
+            declared: table(settings.bounds.config),
+            listed: table(settings.bounds.drain),
+            hosts: HostTable::new(identity, HostTimings::default()),
+            holding: Holding::new(row, timings, now),
+            settings,
+            formats,
+            desks: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            routing: Arc::default(),
+            newest: Arc::default(),
+            changed: true,
+            next_loads: now,
+            seeds_pinged: false,
+        }
+    }
+
+    /// This host's lease, to be looked at right before each order.
+    pub fn lease(&self) -> SessionLease {
+        self.holding.lease().clone()
+    }
+
+    /// True if this host takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.routing.version > 0 && !self.hosts.is_leaving()
+    }
+
+    /// Addresses for callers: the hosts that take requests.
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> = self
+            .hosts
+            .hosts()
+            .filter(|host| host.ready && host.state == crate::process::hosts::HostState::Alive)
+            .map(|host| host.identity.front)
+            .collect();
+        if self.is_ready() {
+            addresses.push(self.settings.listen.front);
+        }
+        addresses.sort_unstable();
+        addresses
+    }
+
+    /// Takes one event in.
+    pub fn on(
+        &mut self,
+        event: ControlEvent,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut actions = match event {
+            ControlEvent::Tick => self.on_tick(now),
+            ControlEvent::Message { from, message } => self.on_message(from, message, now),
+            ControlEvent::Request(request) => self.on_request(request, now),
+            ControlEvent::ChangesRead {
+                table,
+                asked,
+                reply,
+            } => self.on_changes_read(table, asked, reply, now),
+            ControlEvent::TableRead { table, asked, rows } => {
+                self.on_table_read(table, asked, rows, now);
+                Vec::new()
+            }
+            ControlEvent::ChangesPulled {
+                table,
+                from,
+                changes,
+            } => {
+                self.on_changes_pulled(table, from, changes, now);
+                Vec::new()
+            }
+            ControlEvent::Renewed { sent, commit } => {
+                self.on_renewed(sent, commit, now);
+                Vec::new()
+            }
+            ControlEvent::HoldersRead { term, rows } => {
+                self.on_holders_read(term, rows, now);
+                Vec::new()
+            }
+            ControlEvent::Taken {
+                target,
+                fence,
+                term,
+                commit,
+            } => {
+                self.on_taken(&target, fence, term, commit, now);
+                Vec::new()
+            }
+            ControlEvent::OrderEnded { target, reply } => {
+                self.at_desk(&target, now, |desk| desk.on_order_end(reply, now))
+            }
+            ControlEvent::OrderWithheld { target } => {
+                if let Some(desk) = self.desks.get_mut(&target) {
+                    desk.on_order_withheld();
+                }
+                Vec::new()
+            }
+            ControlEvent::Reported { target, report } => {
+                self.at_desk(&target, now, |desk| desk.on_report(report, now))
+            }
+            ControlEvent::SettingsRead(_) => Vec::new(),
+            ControlEvent::Stop => self.on_stop(now),
+        };
+        if self.changed {
+            self.changed = false;
+            actions.push(ControlAction::Publish(Arc::new(self.view(now))));
+        }
+        actions
+    }
+
+    fn on_tick(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
+        if !self.seeds_pinged {
+            self.seeds_pinged = true;
+            actions.extend(self.ping_seeds(now));
+        }
+        actions.extend(self.tick_hosts(now));
+        actions.extend(self.read_tables(now));
+        self.drop_vanished(now);
+        actions.extend(self.tick_engines(now));
+        if now >= self.next_loads {
+            self.next_loads = now + LOAD_PERIOD;
+            actions.extend(self.tell_loads());
+        }
+        actions
+    }
+
+    fn on_stop(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        self.hosts.leave();
+        self.changed = true;
+        self.tell_all(now)
+    }
+
+    /// This host, as it is told of to others.
+    pub(super) fn my_rumor(
+        &self,
+        now: Instant,
+    ) -> HostRumor {
+        let holds = self.holding.held(now).map(|(target, _)| target.clone());
+        self.hosts.my_rumor(
+            holds.collect(),
+            self.holding.lease_version(),
+            self.is_ready(),
+        )
+    }
+
+    /// How new this host's copies are.
+    pub(super) fn freshness(
+        &self,
+        now: Instant,
+    ) -> Freshness {
+        let age = |copy: &TableCopy| {
+            let age = copy.age(now).map_or(u128::MAX, |age| age.as_millis());
+            u32::try_from(age).unwrap_or(u32::MAX)
+        };
+        Freshness {
+            declared_version: self.declared.copy.changed_version(),
+            declared_age_ms: age(&self.declared.copy),
+            targets_version: self.listed.copy.changed_version(),
+            targets_age_ms: age(&self.listed.copy),
+        }
+    }
+
+    /// A ping from this host.
+    pub(super) fn ping_message(
+        &mut self,
+        one_way: bool,
+        now: Instant,
+    ) -> Ping {
+        Ping {
+            sender: self.my_rumor(now),
+            freshness: self.freshness(now),
+            rumors: self.hosts.take_rumors(),
+            one_way,
+        }
+    }
+
+    pub(super) fn kept(
+        &mut self,
+        table: TableName,
+    ) -> &mut KeptTable {
+        match table {
+            TableName::Declared => &mut self.declared,
+            TableName::Targets => &mut self.listed,
+        }
+    }
+
+    /// A target's entry has vanished: how long it is still used.
+    pub(super) fn vanished_until(
+        &self,
+        now: Instant,
+    ) -> Instant {
+        now + self.settings.bounds.drain.mul_f64(VANISHED_SHARE)
+    }
+
+    fn drop_vanished(
+        &mut self,
+        now: Instant,
+    ) {
+        let before = self.targets.len();
+        self.targets
+            .retain(|_, target| target.vanished_until.is_none_or(|until| now < until));
+        self.changed |= self.targets.len() != before;
+    }
+
+    fn view(
+        &self,
+        now: Instant,
+    ) -> FleetView {
+        let targets = self
+            .targets
+            .iter()
+            .filter(|(_, target)| target.record.state == TargetState::Ready)
+            .map(|(id, target)| {
+                let view = TargetView {
+                    record: target.record.clone(),
+                    holder: self.holder_of(id, now),
+                };
+                (id.clone(), Arc::new(view))
+            });
+        FleetView {
+            routing: self.routing.clone(),
+            targets: targets.collect(),
+            newest: self.newest.clone(),
+            hosts: self.hosts.up_count(),
+        }
+    }
+}
--- /dev/null
+++ b/src/process/host/host_process.rs
@@ -0,0 +1,152 @@
+use {
+    super::{
+        ControlEvent, HostControl,
+        control_runner::ControlRunner,
+        public_pages::PublicPages,
+        traffic::{TrafficParts, run_traffic},
+    },
+    crate::{
+        connection::{datagram::DatagramSocket, front::FrontStop},
+        errors::RunError,
+        formats::Formats,
+        process::settings::NodeSettings,
+    },
+    std::{
+        cell::RefCell,
+        net::SocketAddr,
+        rc::Rc,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::TcpListener,
+        runtime::Builder,
+        signal::unix::{SignalKind, signal},
+        sync::watch,
+        task::{LocalSet, spawn_local},
+    },
+};
+
+/// Share of the grace time after which new requests are refused.
+const REFUSE_SHARE: f64 = 0.35;
+
+/// Share of the grace time after which the process ends whatever runs.
+const END_SHARE: f64 = 0.96;
+
+/// Time between looks whether the last connection has ended.
+const END_PERIOD: Duration = Duration::from_millis(50);
+
+/// A planned stop takes at least so long, so that callers hear of it.
+const LEAST_STOP: Duration = Duration::from_millis(300);
+
+/// Runs one host until it is told to stop.
+pub fn run_host_process(
+    settings: NodeSettings,
+    formats: Arc<dyn Formats>,
+) -> Result<(), RunError> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|problem| RunError::Call(problem.to_string()))?;
+    LocalSet::new().block_on(&runtime, serve(settings, formats))
+}
+
+async fn serve(
+    settings: NodeSettings,
+    formats: Arc<dyn Formats>,
+) -> Result<(), RunError> {
+    let control = HostControl::new(
+        settings.clone(),
+        formats.clone(),
+        rand::random(),
+        Instant::now(),
+    );
+    let control = Rc::new(RefCell::new(control));
+    let listen = &settings.listen;
+    let front = std::net::TcpListener::bind(listen.front)
+        .map_err(|problem| listen_error(listen.front, &problem))?;
+    let pages = Rc::new(PublicPages::new(
+        control.clone(),
+        formats.clone(),
+        settings.bounds.entry_life,
+    ));
+    for address in [listen.entry, listen.ready, listen.peers] {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|problem| listen_error(address, &problem))?;
+        spawn_local(pages.clone().serve(listener));
+    }
+    let socket = DatagramSocket::bind(listen.peers)
+        .await
+        .map_err(|problem| listen_error(listen.peers, &problem))?;
+    let (stop, stop_seen) = watch::channel(FrontStop::Serving);
+    let (control_sender, requests) = flume::unbounded();
+    let (traffic, inputs) = flume::unbounded();
+    let open_connections = Arc::new(AtomicUsize::new(0));
+    let parts = TrafficParts {
+        settings: settings.clone(),
+        formats: formats.clone(),
+        listener: front,
+        inputs,
+        control: control_sender,
+        stop: stop_seen,
+        open_connections: open_connections.clone(),
+    };
+    std::thread::Builder::new()
+        .name("traffic".to_string())
+        .spawn(move || run_traffic(parts))
+        .map_err(|problem| RunError::Call(problem.to_string()))?;
+    let runner = ControlRunner::new(control, formats, &settings, socket, requests, traffic);
+    let events = runner.events();
+    spawn_local(runner.run());
+    wait_for_stop().await?;
+    let _ = events.send(ControlEvent::Stop);
+    leave(&stop, &open_connections, settings.bounds.grace).await;
+    Ok(())
+}
+
+async fn wait_for_stop() -> Result<(), RunError> {
+    let call = |problem: std::io::Error| RunError::Call(problem.to_string());
+    let mut terminate = signal(SignalKind::terminate()).map_err(call)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(call)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(call)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => {}
+        }
+    }
+}
+
+/// Lets what runs come to its end, as long as the grace time allows.
+async fn leave(
+    stop: &watch::Sender<FrontStop>,
+    open_connections: &AtomicUsize,
+    grace: Duration,
+) {
+    let begun = Instant::now();
+    let _ = stop.send(FrontStop::Leaving);
+    loop {
+        tokio::time::sleep(END_PERIOD).await;
+        let passed = begun.elapsed();
+        if passed >= grace.mul_f64(REFUSE_SHARE) {
+            let _ = stop.send(FrontStop::Refusing);
+        }
+        let idle = open_connections.load(Ordering::Relaxed) == 0;
+        if passed >= grace.mul_f64(END_SHARE) || idle && passed >= LEAST_STOP {
+            return;
+        }
+    }
+}
+
+fn listen_error(
+    address: SocketAddr,
+    problem: &std::io::Error,
+) -> RunError {
+    RunError::Listen {
+        address: address.to_string(),
+        problem: problem.to_string(),
+    }
+}
--- /dev/null
+++ b/src/process/host/mod.rs
@@ -0,0 +1,21 @@
+//! One host that sends requests straight to their targets: its control thread, its traffic thread
+//! and its pages.
+
+mod control_action;
+mod control_engines;
+mod control_event;
+mod control_peers;
+mod control_runner;
+mod control_tables;
+mod host_control;
+mod host_process;
+mod peer_pages;
+mod public_pages;
+mod traffic;
+
+pub use {
+    control_action::ControlAction,
+    control_event::{ControlEvent, TableName},
+    host_control::HostControl,
+    host_process::run_host_process,
+};
--- /dev/null
+++ b/src/process/host/public_pages.rs
@@ -0,0 +1,121 @@
+//! The pages for callers that ask where to go, for whoever asks whether the host is ready, and for
+//! other hosts.
+
+use {
+    super::{HostControl, peer_pages::changes_page},
+    crate::{
+        connection::front::AnswerBody,
+        formats::{Formats, PublicCall},
+    },
+    http::{HeaderValue, Request, Response, StatusCode, header},
+    hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{
+        cell::RefCell,
+        convert::Infallible,
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpListener, task::spawn_local},
+};
+
+/// An idle connection to a page is closed after this time.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Callers keep an answer for this share of the longest time that they may.
+const LIFE_SHARE: f64 = 0.6;
+
+/// Serves the pages of one host.
+pub struct PublicPages {
+    control: Rc<RefCell<HostControl>>,
+    formats: Arc<dyn Formats>,
+    entry_life: Duration,
+}
+
+impl PublicPages {
+    pub fn new(
+        control: Rc<RefCell<HostControl>>,
+        formats: Arc<dyn Formats>,
+        longest_life: Duration,
+    ) -> Self {
+        Self {
+            control,
+            formats,
+            entry_life: longest_life.mul_f64(LIFE_SHARE),
+        }
+    }
+
+    /// Accepts connections for as long as the process runs.
+    pub async fn serve(
+        self: Rc<Self>,
+        listener: TcpListener,
+    ) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let pages = self.clone();
+            let service = service_fn(move |request| {
+                let response = pages.answer(&request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_LIMIT)
+                .serve_connection(TokioIo::new(stream), service);
+            spawn_local(async move {
+                let _ = connection.await;
+            });
+        }
+    }
+
+    fn answer(
+        &self,
+        request: &Request<Incoming>,
+    ) -> Response<AnswerBody> {
+        let target = request
+            .uri()
+            .path_and_query()
+            .map_or("/", |text| text.as_str());
+        let control = self.control.borrow();
+        match self.formats.public_call(request.method(), target) {
+            PublicCall::Ready if control.is_ready() => page(StatusCode::OK, Vec::new()),
+            PublicCall::Ready => page(StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+            PublicCall::Entry { .. } => {
+                let addresses = control.entry_addresses();
+                if addresses.is_empty() {
+                    return page(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+                }
+                let body = self.formats.entry_body(&addresses, self.entry_life);
+                let mut response = page(StatusCode::OK, body);
+                response.headers_mut().insert(
+                    header::CONTENT_TYPE,
+                    HeaderValue::from_static("application/json"),
+                );
+                response
+            }
+            PublicCall::Unknown => {
+                let (path, query) = target.split_once('?').unwrap_or((target, ""));
+                match changes_page(&control, path, query, Instant::now()) {
+                    Some(body) => page(StatusCode::OK, body),
+                    None => page(StatusCode::NOT_FOUND, Vec::new()),
+                }
+            }
+        }
+    }
+}
+
+fn page(
+    status: StatusCode,
+    body: Vec<u8>,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/process/host/traffic.rs
@@ -0,0 +1,102 @@
+//! The traffic thread: callers' requests, and the board of targets that they rest on.
+
+use {
+    crate::{
+        connection::{
+            datagram::{EngineLoad, Placement},
+            front::{FrontListener, FrontStop},
+            targets::{BoardSettings, ControlRequest, FleetView, TargetBoard},
+        },
+        errors::RunError,
+        formats::Formats,
+        process::settings::NodeSettings,
+    },
+    std::{
+        cell::RefCell,
+        net::TcpListener,
+        rc::Rc,
+        sync::{Arc, atomic::AtomicUsize},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        runtime::Builder,
+        sync::watch,
+        task::{LocalSet, spawn_local},
+    },
+};
+
+/// Time between reports of use to the holders of engines.
+const USAGE_PERIOD: Duration = Duration::from_millis(250);
+
+/// What the control thread tells the traffic thread.
+#[derive(Debug, Clone)]
+pub enum TrafficInput {
+    View(Arc<FleetView>),
+    Placement(Placement),
+    Load(EngineLoad),
+}
+
+/// What the traffic thread needs from its start.
+pub struct TrafficParts {
+    pub settings: NodeSettings,
+    pub formats: Arc<dyn Formats>,
+    pub listener: TcpListener,
+    pub inputs: flume::Receiver<TrafficInput>,
+    pub control: flume::Sender<ControlRequest>,
+    pub stop: watch::Receiver<FrontStop>,
+    /// Callers' connections that are open, for whoever waits for the last.
+    pub open_connections: Arc<AtomicUsize>,
+}
+
+/// Runs until the process ends.
+pub fn run_traffic(parts: TrafficParts) -> Result<(), RunError> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|problem| RunError::Call(problem.to_string()))?;
+    LocalSet::new().block_on(&runtime, serve(parts))
+}
+
+async fn serve(parts: TrafficParts) -> Result<(), RunError> {
+    let bounds = &parts.settings.bounds;
+    let settings = BoardSettings {
+        budget_window: bounds.budget_window,
+        budget_ratio: bounds.budget_ratio,
+        budget_extra: bounds.budget_extra,
+    };
+    let board = Rc::new(RefCell::new(TargetBoard::new(settings, parts.control)));
+    let listener = parts
+        .listener
+        .set_nonblocking(true)
+        .and_then(|()| tokio::net::TcpListener::from_std(parts.listener))
+        .map_err(|problem| RunError::Call(problem.to_string()))?;
+    let front = FrontListener::new(
+        board.clone(),
+        parts.formats,
+        &parts.settings.hall,
+        parts.stop,
+        parts.open_connections,
+    );
+    spawn_local(Rc::new(front).serve(listener));
+    let mut usage = tokio::time::interval(USAGE_PERIOD);
+    loop {
+        tokio::select! {
+            input = parts.inputs.recv_async() => match input {
+                Ok(input) => take(&board, input),
+                // The control thread is gone, and the process with it.
+                Err(_) => return Ok(()),
+            },
+            _ = usage.tick() => board.borrow_mut().report_usage(),
+        }
+    }
+}
+
+fn take(
+    board: &Rc<RefCell<TargetBoard>>,
+    input: TrafficInput,
+) {
+    let mut board = board.borrow_mut();
+    match input {
+        TrafficInput::View(view) => board.set_view(view),
+        TrafficInput::Placement(placement) => board.on_placement(&placement, Instant::now()),
+        TrafficInput::Load(load) => board.on_engine_load(&load),
+    }
+}
--- /dev/null
+++ b/src/process/hosts/mod.rs
@@ -0,0 +1,9 @@
+//! The other hosts: who is there, who answers callers, and who gives orders to which engine.
+
+mod host_table;
+mod known_host;
+
+pub use {
+    host_table::{HostAction, HostEvent, HostTable, HostTimings},
+    known_host::{HostIdentity, HostState, KnownHost},
+};
--- a/src/process/settings/mod.rs
+++ b/src/process/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod host_settings;
 mod ini_reader;
+mod node_settings;
 
 pub use {
     host_settings::{
@@ -9,4 +10,5 @@
         PlatformSettings, PolicySettings,
     },
     ini_reader::IniReader,
+    node_settings::{Bounds, ListenSettings, NodeSettings},
 };
--- /dev/null
+++ b/src/process/settings/node_settings.rs
@@ -0,0 +1,158 @@
+use {
+    super::IniReader,
+    crate::errors::{RunError, SettingsProblem},
+    std::{
+        net::{IpAddr, SocketAddr},
+        path::Path,
+        time::Duration,
+    },
+};
+
+/// Where one host listens.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListenSettings {
+    /// Callers' requests.
+    pub front: SocketAddr,
+    /// Callers that ask which hosts to use.
+    pub entry: SocketAddr,
+    /// Whoever asks whether the host takes requests.
+    pub ready: SocketAddr,
+    /// Other hosts, by datagrams and by connections.
+    pub peers: SocketAddr,
+}
+
+/// The times and sizes that the platform wants kept.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Bounds {
+    /// A leaving target gets no new requests after this time.
+    pub drain: Duration,
+    /// An accepted configuration is in force after this time.
+    pub config: Duration,
+    /// Orders of two hosts to one engine lie so far apart.
+    pub lease_gap: Duration,
+    /// Repeats allowed for each request, and besides, over a sliding window.
+    pub budget_ratio: f64,
+    pub budget_extra: f64,
+    pub budget_window: Duration,
+    /// Longest time that callers keep an entry answer.
+    pub entry_life: Duration,
+    /// Time from the order to stop until the process is killed.
+    pub grace: Duration,
+}
+
+/// Everything that one host on a platform needs to know at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NodeSettings {
+    pub name: String,
+    pub hall: String,
+    pub listen: ListenSettings,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Hosts that may be there already.
+    pub seeds: Vec<IpAddr>,
+    pub bounds: Bounds,
+}
+
+impl NodeSettings {
+    /// Reads and checks a settings file; every problem is reported at once.
+    pub fn read(file: &Path) -> Result<Self, RunError> {
+        let text = std::fs::read_to_string(file).map_err(|source| RunError::File {
+            file: file.to_path_buf(),
+            source,
+        })?;
+        Self::parse(file, &text).map_err(RunError::Settings)
+    }
+
+    /// Parses the text of a settings file.
+    pub fn parse(
+        file: &Path,
+        text: &str,
+    ) -> Result<Self, Vec<SettingsProblem>> {
+        let mut ini = IniReader::new(file, text);
+        let settings = Self::from_ini(&mut ini);
+        let problems = ini.finish();
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => Err(problems),
+        }
+    }
+
+    fn from_ini(ini: &mut IniReader) -> Option<Self> {
+        let name = ini.required("host", "name");
+        let hall = ini.required("host", "hall");
+        let listen = listen(ini);
+        let store = ini.required("store", "address");
+        let seeds = seeds(ini);
+        let bounds = bounds(ini);
+        Some(Self {
+            name: name?,
+            hall: hall?,
+            listen: listen?,
+            store: store?,
+            seeds,
+            bounds,
+        })
+    }
+
+    /// Where seeds listen for other hosts: all hosts use the same port.
+    pub fn seed_peers(&self) -> impl Iterator<Item = SocketAddr> {
+        let port = self.listen.peers.port();
+        self.seeds.iter().map(move |ip| SocketAddr::new(*ip, port))
+    }
+}
+
+fn listen(ini: &mut IniReader) -> Option<ListenSettings> {
+    const SECTION: &str = "listen";
+    let front = ini.required(SECTION, "front");
+    let entry = ini.required(SECTION, "entry");
+    let ready = ini.required(SECTION, "ready");
+    let peers_ip: Option<IpAddr> = ini.required(SECTION, "peers_ip");
+    let peers_port: Option<u16> = ini.required(SECTION, "peers_port");
+    Some(ListenSettings {
+        front: front?,
+        entry: entry?,
+        ready: ready?,
+        peers: SocketAddr::new(peers_ip?, peers_port?),
+    })
+}
+
+/// A list of addresses; only their IP numbers count, and what is no address is passed over.
+fn seeds(ini: &mut IniReader) -> Vec<IpAddr> {
+    let text: Option<String> = ini.optional("peers", "seeds");
+    let text = text.unwrap_or_default();
+    text.split(',')
+        .filter_map(|seed| seed.trim().parse::<SocketAddr>().ok())
+        .map(|seed| seed.ip())
+        .collect()
+}
+
+fn bounds(ini: &mut IniReader) -> Bounds {
+    const SECTION: &str = "bounds";
+    Bounds {
+        drain: millis(ini, "drain_ms", 2_000.0),
+        config: millis(ini, "config_ms", 2_000.0),
+        lease_gap: millis(ini, "lease_ms", 3_000.0),
+        budget_ratio: ini.number(SECTION, "budget_ratio", 0.2, 0.0..=10.0),
+        budget_extra: ini.number(SECTION, "budget_extra", 50.0, 0.0..=1e6),
+        budget_window: seconds(ini, "budget_window_s", 10.0),
+        entry_life: seconds(ini, "entry_life_s", 5.0),
+        grace: seconds(ini, "grace_s", 8.0),
+    }
+}
+
+/// A time that may be written with a fraction.
+fn seconds(
+    ini: &mut IniReader,
+    key: &str,
+    default: f64,
+) -> Duration {
+    Duration::from_secs_f64(ini.number("bounds", key, default, 0.0..=86_400.0))
+}
+
+fn millis(
+    ini: &mut IniReader,
+    key: &str,
+    default: f64,
+) -> Duration {
+    Duration::from_secs_f64(ini.number("bounds", key, default, 0.0..=86_400_000.0) / 1000.0)
+}
--- /dev/null
+++ b/src/process/tables/mod.rs
@@ -0,0 +1,9 @@
+//! Copies of the store's tables: how new they are, and whose turn it is to read.
+
+mod read_schedule;
+mod table_copy;
+
+pub use {
+    read_schedule::{ReadSchedule, ReadTimings},
+    table_copy::{TableChanges, TableCopy},
+};
--- /dev/null
+++ b/src/process/tables/read_schedule.rs
@@ -0,0 +1,98 @@
+use std::time::{Duration, Instant};
+
+/// How often tables are read, and how long others wait before they read themselves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadTimings {
+    /// The first reader lets its copy get so old before it reads again.
+    pub period: Duration,
+    /// Each further host waits so much longer.
+    pub step: Duration,
+    /// No host waits longer than this.
+    pub most: Duration,
+    /// First pause after a failed read; it doubles with each further one.
+    pub retry: Duration,
+    pub most_retry: Duration,
+}
+
+impl ReadTimings {
+    /// Timings that keep every copy younger than `bound`, with room for one read that fails.
+    pub fn within(bound: Duration) -> Self {
+        Self {
+            period: bound.mul_f64(0.30),
+            step: bound.mul_f64(0.12),
+            most: bound.mul_f64(0.60),
+            retry: bound.mul_f64(0.10),
+            most_retry: bound.mul_f64(0.50),
+        }
+    }
+}
+
+/// Decides when this host reads a table from the store.
+///
+/// The hosts that answer are in an order that all agree on. The first reads each period and tells
+/// the others; a further one reads when what it was told has got too old for its place in the order.
+#[derive(Debug)]
+pub struct ReadSchedule {
+    timings: ReadTimings,
+    reading: bool,
+    failures: u32,
+    not_before: Option<Instant>,
+}
+
+impl ReadSchedule {
+    pub fn new(timings: ReadTimings) -> Self {
+        Self {
+            timings,
+            reading: false,
+            failures: 0,
+            not_before: None,
+        }
+    }
+
+    /// True if this host should read now; it must say later how that ended.
+    pub fn start(
+        &mut self,
+        age: Option<Duration>,
+        place: usize,
+        now: Instant,
+    ) -> bool {
+        let waits = self.not_before.is_some_and(|at| now < at);
+        if self.reading || waits {
+            return false;
+        }
+        let due = age.is_none_or(|age| age >= self.limit(place));
+        self.reading = due;
+        due
+    }
+
+    /// The read ended.
+    pub fn on_end(
+        &mut self,
+        succeeded: bool,
+        now: Instant,
+    ) {
+        self.reading = false;
+        if succeeded {
+            self.failures = 0;
+            self.not_before = None;
+            return;
+        }
+        let pause = self.timings.retry * 2u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.not_before = Some(now + pause.min(self.timings.most_retry));
+    }
+
+    /// Reads that failed since the last one that succeeded.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    fn limit(
+        &self,
+        place: usize,
+    ) -> Duration {
+        let place = u32::try_from(place).unwrap_or(u32::MAX);
+        let limit = self.timings.period + self.timings.step.saturating_mul(place);
+        limit.min(self.timings.most.max(self.timings.period))
+    }
+}
--- /dev/null
+++ b/src/request/direct/call_request.rs
@@ -0,0 +1,50 @@
+use {
+    super::Generation,
+    crate::version::routing::{Route, TargetService},
+    bytes::Bytes,
+    http::{HeaderMap, HeaderValue, Method},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// One attempt of a caller, whole.
+#[derive(Debug, Clone)]
+pub struct CallRequest {
+    /// Made by the caller.
+    pub id: Option<HeaderValue>,
+    pub method: Method,
+    pub path_and_query: String,
+    /// Headers that pass through.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub arrived: Instant,
+    /// When the final answer must be given: the caller's deadline or the route's time-out.
+    pub ends: Instant,
+    pub route: Arc<Route>,
+    pub service: Arc<TargetService>,
+    /// Set for requests to model engines.
+    pub generation: Option<Generation>,
+}
+
+impl CallRequest {
+    /// The request's id for logs.
+    pub fn id_text(&self) -> &str {
+        let id = self.id.as_ref().and_then(|id| id.to_str().ok());
+        id.unwrap_or("-")
+    }
+
+    /// Time that is left.
+    pub fn left(
+        &self,
+        now: Instant,
+    ) -> Duration {
+        self.ends.saturating_duration_since(now)
+    }
+
+    /// When an answer stops being in time.
+    pub fn aim(&self) -> Instant {
+        self.arrived + self.route.aim
+    }
+}
--- /dev/null
+++ b/src/request/direct/mod.rs
@@ -0,0 +1,19 @@
+//! The decisions on one request that is sent straight to its target. Nothing here waits or sends.
+
+mod attempt_end;
+mod call_request;
+mod engine_choice;
+mod generation;
+mod next_step;
+mod plain_choice;
+mod resend_window;
+
+pub use {
+    attempt_end::AttemptEnd,
+    call_request::CallRequest,
+    engine_choice::{CopyState, EngineCandidate, EngineChoice, choose_engine},
+    generation::{Generation, PromptPart},
+    next_step::{NextStep, RequestHistory, next_step},
+    plain_choice::{PlainCandidate, choose_plain},
+    resend_window::ResendWindow,
+};
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod attempt_ledger;
 mod caller_request;
 mod claim_store;
+pub mod direct;
 mod entry_end;
 mod entry_progress;
 mod entry_service;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -6,6 +6,7 @@
 mod kind_spec;
 mod outfitter_spec;
 mod revision_body;
+pub mod routing;
 mod service_spec;
 mod site_config;
 mod target_spec;
