--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -29,7 +29,7 @@
 const COME_BACK: Duration = Duration::from_millis(400);
 
 /// Old versions of an adapter are still used for so long after a newer one was named.
-const OLD_VERSION_GRACE: Duration = Duration::from_millis(2500);
+const OLD_VERSION_GRACE: Duration = Duration::from_millis(900);
 
 /// A request waits for an engine at least this long before it looks again.
 const LEAST_WAIT: Duration = Duration::from_millis(2);
