--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -143,9 +143,6 @@
     /// Time until it should be there, when it is coming.
     #[prost(uint32, tag = "5")]
     pub due_ms: u32,
-    /// Engines over which the adapter's requests should be spread.
-    #[prost(uint32, tag = "6")]
-    pub copies: u32,
 }
 
 /// How much one adapter was used through one host.
@@ -174,6 +171,9 @@
     /// Tokens of those requests.
     #[prost(uint32, tag = "4")]
     pub tokens: u32,
+    /// Tokens of the prompts among them that have brought no event yet.
+    #[prost(uint32, tag = "5")]
+    pub unread_tokens: u32,
 }
 
 /// The holder of an engine tells how busy it is.
@@ -181,14 +181,15 @@
 pub struct EngineLoad {
     #[prost(string, tag = "1")]
     pub target: String,
-    /// Requests of all hosts that run there.
+    /// Requests that run there, those of the receiver left out.
     #[prost(uint32, tag = "2")]
     pub in_flight: u32,
-    /// Those of the receiver among them.
+    /// Tokens of those requests.
     #[prost(uint32, tag = "3")]
-    pub yours: u32,
-    #[prost(uint32, tag = "4")]
     pub tokens: u32,
+    /// Tokens of the prompts among them that have brought no event yet.
+    #[prost(uint32, tag = "4")]
+    pub unread_tokens: u32,
 }
 
 /// Any message between hosts.
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -8,8 +8,8 @@
         connection::targets::TargetBoard,
         formats::{Formats, HeaderNames},
         request::direct::{
-            AttemptEnd, CallRequest, CopyState, EngineCandidate, EngineChoice, NextStep,
-            PlainCandidate, RequestHistory, choose_engine, choose_plain, next_step,
+            AttemptEnd, CallRequest, ChoiceTerms, CopyState, EngineCandidate, EngineChoice,
+            NextStep, PlainCandidate, RequestHistory, choose_engine, choose_plain, next_step,
         },
         version::routing::RouteKind,
     },
@@ -31,6 +31,12 @@
 /// Old versions of an adapter are still used for so long after a newer one was named.
 const OLD_VERSION_GRACE: Duration = Duration::from_millis(900);
 
+/// Wait for the answer of a holder that was just asked.
+const ASK_WAIT: Duration = Duration::from_millis(60);
+
+/// Price of a copy of an adapter that is asked for once in a few seconds over all hosts.
+const COPY_PRICE: Duration = Duration::from_millis(300);
+
 /// A request waits for an engine at least this long before it looks again.
 const LEAST_WAIT: Duration = Duration::from_millis(2);
 
@@ -80,10 +86,7 @@
         &self,
         request: CallRequest,
     ) -> Response<AnswerBody> {
-        self.board
-            .borrow_mut()
-            .budget(&request.service.name)
-            .on_request(request.arrived);
+        self.note_demand(&request);
         let mut tries = Tries::default();
         let served = self.try_targets(&request, &mut tries);
         match timeout_at(request.ends.into(), served).await {
@@ -92,6 +95,19 @@
         }
     }
 
+    fn note_demand(
+        &self,
+        request: &CallRequest,
+    ) {
+        let mut board = self.board.borrow_mut();
+        board
+            .budget(&request.service.name)
+            .on_request(request.arrived);
+        if let Some(adapter) = request.generation.as_ref().and_then(|g| g.adapter()) {
+            board.demand.on_request(adapter, request.arrived);
+        }
+    }
+
     async fn try_targets(
         &self,
         request: &CallRequest,
@@ -260,15 +276,20 @@
         tries: &Tries,
         now: Instant,
     ) -> Choice {
-        let board = self.board.borrow();
-        let targets = board.targets_of(&request.service.name);
+        let mut board = self.board.borrow_mut();
+        let targets = board.targets_of(&request.service.name).to_vec();
         let candidates: Vec<EngineCandidate> = targets
             .iter()
-            .map(|target| self.candidate(&board, target, CopyState::Ready, tries, now))
+            .map(|target| self.candidate(&mut board, request, target, CopyState::Ready, tries, now))
             .collect();
-        match choose_engine(&candidates, now) {
-            EngineChoice::Send(at) => Choice::Send(Destination {
-                target: targets[at].clone(),
+        let terms = ChoiceTerms {
+            copy_price: Duration::ZERO,
+            aim_left: request.aim().saturating_duration_since(now),
+            now,
+        };
+        match choose_engine(&candidates, &terms) {
+            EngineChoice::Send { to, .. } => Choice::Send(Destination {
+                target: targets[to].clone(),
                 version: None,
             }),
             _ => Choice::Nowhere,
@@ -288,22 +309,28 @@
         let grace = newest
             .is_some_and(|newest| now.saturating_duration_since(newest.since) < OLD_VERSION_GRACE);
         let targets = settle_order(&board, &request.service.name, adapter);
-        let candidates: Vec<EngineCandidate> = targets
-            .iter()
-            .map(|target| {
-                let copy = match board.adapters.get(adapter, target) {
-                    Some(copy) if copy.version < least && is_there(copy.state) && !grace => {
-                        CopyState::Unknown
-                    }
-                    Some(copy) => copy.state,
-                    None => CopyState::Unknown,
-                };
-                self.candidate(&board, target, copy, tries, now)
-            })
-            .collect();
-        match choose_engine(&candidates, now) {
-            EngineChoice::Send(at) => {
-                let target = targets[at].clone();
+        let mut candidates = Vec::with_capacity(targets.len());
+        for target in &targets {
+            let copy = match board.adapters.get(adapter, target) {
+                Some(copy) if copy.version < least && is_there(copy.state) && !grace => {
+                    CopyState::Unknown
+                }
+                Some(copy) => copy.state,
+                None => CopyState::Unknown,
+            };
+            candidates.push(self.candidate(&mut board, request, target, copy, tries, now));
+        }
+        let terms = ChoiceTerms {
+            copy_price: copy_price(&board, adapter, now),
+            aim_left: request.aim().saturating_duration_since(now),
+            now,
+        };
+        match choose_engine(&candidates, &terms) {
+            EngineChoice::Send { to, ask } => {
+                if let Some(ask) = ask {
+                    board.ask(adapter, &targets[ask], least, now);
+                }
+                let target = targets[to].clone();
                 let version = board
                     .adapters
                     .get(adapter, &target)
@@ -312,15 +339,15 @@
             }
             EngineChoice::Ask(at) => {
                 board.ask(adapter, &targets[at], least, now);
-                Choice::Wait(now + Duration::from_millis(60))
+                Choice::Wait(now + ASK_WAIT)
             }
             EngineChoice::Wait(until) => {
-                let asked = targets.iter().find(|target| {
+                // Whoever is late is asked again; asks that come too often are held back there.
+                for target in &targets {
                     let copy = board.adapters.get(adapter, target);
-                    copy.is_some_and(|copy| copy.state == CopyState::Asked)
-                });
-                if let Some(asked) = asked.cloned() {
-                    board.ask(adapter, &asked, least, now);
+                    if copy.is_some_and(|copy| is_late(copy.state, now)) {
+                        board.ask(adapter, target, least, now);
+                    }
                 }
                 Choice::Wait(until.max(now + LEAST_WAIT))
             }
@@ -330,18 +357,28 @@
 
     fn candidate(
         &self,
-        board: &TargetBoard,
+        board: &mut TargetBoard,
+        request: &CallRequest,
         target: &str,
         copy: CopyState,
         tries: &Tries,
         now: Instant,
     ) -> EngineCandidate {
+        let speed = *board.speed(&request.service.name);
         let link = &board.links[target];
+        let generation = request.generation.as_ref();
+        let prompt = generation.map_or(0, |generation| u64::from(generation.tokens_in));
+        let answer = generation.map_or(0, |generation| u64::from(generation.tokens_out));
+        let engine = request.service.engine.as_ref();
+        let memory = engine.map_or(u64::MAX, |engine| engine.memory_tokens.max(1));
+        let tokens = link.running_tokens() + prompt + answer;
         EngineCandidate {
             copy,
-            load: link.load(),
+            wait: speed.time_for(link.backlog_tokens() + prompt),
+            memory: tokens as f64 / memory as f64,
+            batch: f64::from(link.running() + 1) / f64::from(link.view.record.slots.max(1)),
             near: link.view.record.hall == self.hall,
-            avoided_for: link.health.avoided_for(now),
+            avoided: !link.health.avoided_for(now).is_zero(),
             has_holder: link.view.holder.is_some(),
             tried: tries.tried.iter().any(|tried| tried == target),
         }
@@ -465,6 +502,28 @@
         .collect()
 }
 
+/// The more requests share a copy, the less each pays for it.
+fn copy_price(
+    board: &TargetBoard,
+    adapter: &str,
+    now: Instant,
+) -> Duration {
+    let everywhere = board.demand.recent(adapter, now) * board.view.hosts as f64;
+    COPY_PRICE.div_f64(everywhere.max(1.0))
+}
+
+/// True if the holder should have told of the adapter by now.
+fn is_late(
+    state: CopyState,
+    now: Instant,
+) -> bool {
+    match state {
+        CopyState::Asked => true,
+        CopyState::Coming { due } => due + ASK_WAIT <= now,
+        _ => false,
+    }
+}
+
 fn is_there(state: CopyState) -> bool {
     matches!(state, CopyState::Ready | CopyState::Coming { .. })
 }
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -2,7 +2,7 @@
     crate::{
         connection::{
             http1::{BodyDecoder, ExchangeError, HttpConnection, ResponseHead},
-            targets::TargetBoard,
+            targets::{RequestTokens, TargetBoard},
         },
         formats::HeaderNames,
         request::direct::{AttemptEnd, CallRequest},
@@ -10,7 +10,7 @@
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, StatusCode, header},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -36,7 +36,9 @@
     board: Rc<RefCell<TargetBoard>>,
     target: String,
     adapter: Option<String>,
-    tokens: u64,
+    tokens: RequestTokens,
+    /// Nothing of the answer has come yet.
+    unread: Cell<bool>,
 }
 
 impl Flight {
@@ -47,8 +49,9 @@
     ) -> Self {
         let generation = request.generation.as_ref();
         let adapter = generation.and_then(|generation| generation.adapter());
-        let tokens = generation.map_or(0, |generation| {
-            u64::from(generation.tokens_in) + u64::from(generation.tokens_out)
+        let tokens = generation.map_or(RequestTokens::default(), |generation| RequestTokens {
+            all: u64::from(generation.tokens_in) + u64::from(generation.tokens_out),
+            prompt: u64::from(generation.tokens_in),
         });
         if let Some(link) = board.borrow_mut().links.get_mut(target) {
             link.start(adapter, tokens);
@@ -58,6 +61,17 @@
             target: target.to_string(),
             adapter: adapter.map(str::to_string),
             tokens,
+            unread: Cell::new(true),
+        }
+    }
+
+    /// The first of the answer has come, or none will.
+    fn on_prompt_read(&self) {
+        if !self.unread.replace(false) {
+            return;
+        }
+        if let Some(link) = self.board.borrow_mut().links.get_mut(&self.target) {
+            link.on_prompt_read(self.tokens);
         }
     }
 
@@ -75,6 +89,7 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        self.on_prompt_read();
         if let Some(link) = self.board.borrow_mut().links.get_mut(&self.target) {
             link.end(self.adapter.as_deref(), self.tokens);
         }
@@ -141,6 +156,8 @@
     destination: &Destination,
     streams: bool,
 ) -> Sent {
+    let begun = Instant::now();
+    let no_backlog = backlog(board, &destination.target) == 0;
     let flight = Flight::start(board, request, &destination.target);
     let Some(mut connection) = connect(board, &destination.target).await else {
         return Sent::Ended(AttemptEnd::NotSent);
@@ -184,6 +201,15 @@
         }
     }
     trust(board, &destination.target);
+    source.flight.on_prompt_read();
+    if no_backlog {
+        let time = begun.elapsed();
+        let tokens = source.flight.tokens.prompt;
+        let mut board = board.borrow_mut();
+        board
+            .speed(&request.service.name)
+            .on_first_event(tokens, time);
+    }
     Sent::Open(Box::new(OpenAnswer {
         status: head.status,
         headers: passed_headers(head.headers),
@@ -192,6 +218,17 @@
     }))
 }
 
+fn backlog(
+    board: &Rc<RefCell<TargetBoard>>,
+    target: &str,
+) -> u64 {
+    let board = board.borrow();
+    board
+        .links
+        .get(target)
+        .map_or(0, |link| link.backlog_tokens())
+}
+
 async fn connect(
     board: &Rc<RefCell<TargetBoard>>,
     target: &str,
--- /dev/null
+++ b/src/connection/targets/adapter_demand.rs
@@ -0,0 +1,65 @@
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+/// Time after which half of a past request is forgotten.
+const HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// Adapters that are counted; the quietest are dropped beyond that.
+const MAX_ADAPTERS: usize = 4096;
+
+/// Counts below this are dropped when room is made.
+const QUIET: f64 = 0.25;
+
+#[derive(Debug, Clone, Copy)]
+struct Count {
+    requests: f64,
+    at: Instant,
+}
+
+/// How often each adapter was asked for through this host lately.
+#[derive(Debug, Default)]
+pub struct AdapterDemand {
+    counts: HashMap<String, Count>,
+}
+
+impl AdapterDemand {
+    /// A request asks for an adapter.
+    pub fn on_request(
+        &mut self,
+        adapter: &str,
+        now: Instant,
+    ) {
+        if self.counts.len() >= MAX_ADAPTERS {
+            self.counts.retain(|_, count| decayed(count, now) >= QUIET);
+        }
+        let requests = self.recent(adapter, now) + 1.0;
+        let count = Count { requests, at: now };
+        match self.counts.get_mut(adapter) {
+            Some(known) => *known = count,
+            None => {
+                self.counts.insert(adapter.to_string(), count);
+            }
+        }
+    }
+
+    /// Requests of the last seconds; recent ones count more.
+    pub fn recent(
+        &self,
+        adapter: &str,
+        now: Instant,
+    ) -> f64 {
+        self.counts
+            .get(adapter)
+            .map_or(0.0, |count| decayed(count, now))
+    }
+}
+
+fn decayed(
+    count: &Count,
+    now: Instant,
+) -> f64 {
+    let passed = now.saturating_duration_since(count.at).as_secs_f64();
+    count.requests * 0.5f64.powf(passed / HALF_LIFE.as_secs_f64())
+}
--- a/src/connection/targets/adapter_map.rs
+++ b/src/connection/targets/adapter_map.rs
@@ -1,5 +1,5 @@
 use {
-    crate::request::direct::CopyState,
+    crate::{formats::HeldModel, request::direct::CopyState},
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -62,6 +62,20 @@
         self.entry(adapter).insert(target.to_string(), copy);
     }
 
+    /// An engine that was just listed says that it holds these models.
+    pub fn assume_held(
+        &mut self,
+        target: &str,
+        models: &[HeldModel],
+    ) {
+        for model in models {
+            for adapter in &model.adapters {
+                let name = format!("{}/{}", model.name, adapter.name);
+                self.set(&name, target, adapter.version, CopyState::Ready);
+            }
+        }
+    }
+
     /// The holder is to be asked; false if it was asked a moment ago.
     pub fn ask(
         &mut self,
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -1,15 +1,20 @@
 //! Targets as requests see them: connections, requests in flight, failures, and where adapters are.
 
+mod adapter_demand;
 mod adapter_map;
+
 mod fleet_view;
+mod reading_speed;
 mod target_board;
 mod target_health;
 mod target_link;
 
 pub use {
+    adapter_demand::AdapterDemand,
     adapter_map::{AdapterCopy, AdapterMap},
     fleet_view::{FleetView, NewestVersion, TargetView},
+    reading_speed::ReadingSpeed,
     target_board::{BoardSettings, ControlRequest, TargetBoard},
     target_health::TargetHealth,
-    target_link::{IdleConnection, TargetLink},
+    target_link::{IdleConnection, RequestTokens, TargetLink},
 };
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AdapterMap, FleetView, TargetLink},
+    super::{AdapterDemand, AdapterMap, FleetView, ReadingSpeed, TargetLink},
     crate::{
         connection::datagram::{AdapterUsage, EngineLoad, Placement, PlacementState, Usage, Want},
         request::direct::{CopyState, ResendWindow},
@@ -48,6 +48,8 @@
     /// Ids of targets by service.
     by_service: HashMap<String, Vec<String>>,
     pub adapters: AdapterMap,
+    pub demand: AdapterDemand,
+    speeds: HashMap<String, ReadingSpeed>,
     budgets: HashMap<String, ResendWindow>,
     /// Requests that wait for news of an adapter.
     waiting: HashMap<String, Waiting>,
@@ -71,6 +73,8 @@
             links: HashMap::new(),
             by_service: HashMap::new(),
             adapters: AdapterMap::default(),
+            demand: AdapterDemand::default(),
+            speeds: HashMap::new(),
             budgets: HashMap::new(),
             waiting: HashMap::new(),
             control,
@@ -160,8 +164,9 @@
         load: &EngineLoad,
     ) {
         if let Some(link) = self.links.get_mut(&load.target) {
-            link.others_in_flight = load.in_flight.saturating_sub(load.yours);
-            link.others_tokens = u64::from(load.tokens).saturating_sub(link.tokens);
+            link.others_in_flight = load.in_flight;
+            link.others_tokens = u64::from(load.tokens);
+            link.others_unread_tokens = u64::from(load.unread_tokens);
         }
     }
 
@@ -236,6 +241,18 @@
         }
     }
 
+    /// How fast the engines of a service read prompts.
+    pub fn speed(
+        &mut self,
+        service: &str,
+    ) -> &mut ReadingSpeed {
+        if !self.speeds.contains_key(service) {
+            self.speeds
+                .insert(service.to_string(), ReadingSpeed::default());
+        }
+        self.speeds.get_mut(service).expect("it was just put there")
+    }
+
     /// The budget of repeats of a service.
     pub fn budget(
         &mut self,
@@ -261,10 +278,10 @@
             let Some(holder) = link.view.holder else {
                 continue;
             };
-            if !link.uses_changed {
+            if link.reports_due == 0 {
                 continue;
             }
-            link.uses_changed = false;
+            link.reports_due -= 1;
             let mut adapters = Vec::new();
             for (adapter, count) in &mut link.uses {
                 adapters.push(AdapterUsage {
@@ -281,6 +298,7 @@
                 adapters,
                 in_flight: link.in_flight,
                 tokens: u32::try_from(link.tokens).unwrap_or(u32::MAX),
+                unread_tokens: u32::try_from(link.unread_tokens).unwrap_or(u32::MAX),
             };
             let _ = self.control.send(ControlRequest::Usage { holder, usage });
         }
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -17,6 +17,9 @@
 /// Idle connections kept to one target.
 const MAX_IDLE: usize = 64;
 
+/// Times that a change of use is told to the holder.
+const REPORTS: u8 = 2;
+
 /// A connection that rests.
 #[derive(Debug)]
 pub struct IdleConnection {
@@ -24,6 +27,14 @@
     until: Instant,
 }
 
+/// Tokens that a request takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RequestTokens {
+    /// Of the prompt and, at the most, of the answer.
+    pub all: u64,
+    pub prompt: u64,
+}
+
 /// How much one adapter is used through this host.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct UseCount {
@@ -40,13 +51,16 @@
     /// Requests of this host that run there, and their tokens.
     pub in_flight: u32,
     pub tokens: u64,
-    /// Requests of other hosts, as the holder last told.
+    /// Tokens of the prompts among them that have brought no event yet.
+    pub unread_tokens: u64,
+    /// The same of other hosts, as the holder last told.
     pub others_in_flight: u32,
     pub others_tokens: u64,
+    pub others_unread_tokens: u64,
     /// Use of adapters, for the holder.
     pub uses: HashMap<String, UseCount>,
-    /// Something was sent or ended since the holder was told last.
-    pub uses_changed: bool,
+    /// Times that the holder is still to be told of the use, since reports may be lost.
+    pub reports_due: u8,
     idle: Vec<IdleConnection>,
 }
 
@@ -57,10 +71,12 @@
             health: TargetHealth::default(),
             in_flight: 0,
             tokens: 0,
+            unread_tokens: 0,
             others_in_flight: 0,
             others_tokens: 0,
+            others_unread_tokens: 0,
             uses: HashMap::new(),
-            uses_changed: false,
+            reports_due: 0,
             idle: Vec::new(),
         }
     }
@@ -100,11 +116,12 @@
     pub fn start(
         &mut self,
         adapter: Option<&str>,
-        tokens: u64,
+        tokens: RequestTokens,
     ) {
         self.in_flight += 1;
-        self.tokens += tokens;
-        self.uses_changed = true;
+        self.tokens += tokens.all;
+        self.unread_tokens += tokens.prompt;
+        self.reports_due = REPORTS;
         if let Some(adapter) = adapter {
             let count = match self.uses.get_mut(adapter) {
                 Some(count) => count,
@@ -115,23 +132,41 @@
         }
     }
 
+    /// A request that was sent there has brought its first event, or has ended without one.
+    pub fn on_prompt_read(
+        &mut self,
+        tokens: RequestTokens,
+    ) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(tokens.prompt);
+        self.reports_due = REPORTS;
+    }
+
     /// A request that was sent there ended.
     pub fn end(
         &mut self,
         adapter: Option<&str>,
-        tokens: u64,
+        tokens: RequestTokens,
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.tokens = self.tokens.saturating_sub(tokens);
-        self.uses_changed = true;
+        self.tokens = self.tokens.saturating_sub(tokens.all);
+        self.reports_due = REPORTS;
         if let Some(count) = adapter.and_then(|adapter| self.uses.get_mut(adapter)) {
             count.in_flight = count.in_flight.saturating_sub(1);
         }
     }
 
-    /// Requests of all hosts that run there, against what it works on at once.
-    pub fn load(&self) -> f64 {
-        let running = self.in_flight + self.others_in_flight;
-        f64::from(running) / f64::from(self.view.record.slots.max(1))
+    /// Requests of all hosts that run there.
+    pub fn running(&self) -> u32 {
+        self.in_flight + self.others_in_flight
+    }
+
+    /// Tokens of the requests of all hosts that run there.
+    pub fn running_tokens(&self) -> u64 {
+        self.tokens + self.others_tokens
+    }
+
+    /// Tokens of prompts that wait to be read there, of all hosts.
+    pub fn backlog_tokens(&self) -> u64 {
+        self.unread_tokens + self.others_unread_tokens
     }
 }
--- a/src/process/engines/adapter_place.rs
+++ b/src/process/engines/adapter_place.rs
@@ -87,6 +87,14 @@
         self.uses_at = now;
     }
 
+    /// A host told what it uses, and this adapter is not among it.
+    pub fn on_unused(
+        &mut self,
+        host: SocketAddr,
+    ) {
+        self.users.remove(&host);
+    }
+
     /// A host is gone, and its requests with it.
     pub fn on_host_gone(
         &mut self,
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AdapterPlace, LoadMemory, PlaceState},
+    super::{AdapterPlace, EngineUse, LoadMemory, PlaceState},
     crate::{
         connection::datagram::{Placement, PlacementState, Usage, Want},
         formats::{OrderKind, OrderReply, TargetReport},
@@ -21,8 +21,11 @@
 /// Time that an adapter takes which the engine held lately.
 const RELOAD_TIME: Duration = Duration::from_millis(27);
 
-/// Added to a load's expected time when it was found not to be over.
-const LOAD_EXTENSION: Duration = Duration::from_millis(40);
+/// Pause before a load that was found not to be over is looked at again.
+const LOOK_PAUSE: Duration = Duration::from_millis(16);
+
+/// Told as the time of a load that is not ordered yet.
+const QUEUED_LOAD_TIME: Duration = Duration::from_millis(300);
 
 /// A load that is not over after so long is looked up in the engine's report.
 const LOAD_OVERDUE: Duration = Duration::from_millis(1500);
@@ -45,9 +48,19 @@
 /// Pause before a base model is ordered again.
 const MODEL_RETRY: Duration = Duration::from_secs(2);
 
+/// Why an order is given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderPurpose {
+    /// Something is to change at the engine.
+    Change,
+    /// A load is ordered again only to learn whether it is over; engines take that for no new order.
+    Look,
+}
+
 /// An order as the desk wants it; whoever sends it adds the holder and the fence.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DeskOrder {
+    pub purpose: OrderPurpose,
     pub kind: OrderKind,
     pub model: String,
     pub adapter: Option<String>,
@@ -97,8 +110,8 @@
     report_asked: Option<Instant>,
     report_due: Option<Instant>,
     model_not_before: Instant,
-    /// Requests in flight through each host, and their tokens.
-    in_flight: BTreeMap<SocketAddr, (u32, u32)>,
+    /// What runs there.
+    usage: EngineUse,
 }
 
 impl EngineDesk {
@@ -123,7 +136,7 @@
             report_asked: None,
             report_due: Some(now),
             model_not_before: now,
-            in_flight: BTreeMap::new(),
+            usage: EngineUse::default(),
         }
     }
 
@@ -144,9 +157,22 @@
         &self.places
     }
 
-    /// Requests in flight there through each host, and their tokens.
-    pub fn in_flight(&self) -> &BTreeMap<SocketAddr, (u32, u32)> {
-        &self.in_flight
+    /// What runs there.
+    pub fn usage(&self) -> &EngineUse {
+        &self.usage
+    }
+
+    /// When the desk has something to decide without being told anything.
+    pub fn next_due(&self) -> Option<Instant> {
+        if self.under_way.is_some() {
+            return None;
+        }
+        let looks = self.places.values().filter_map(|place| match place.state {
+            PlaceState::Coming { due } => Some(due),
+            _ => None,
+        });
+        let reports = self.report_due.filter(|_| self.report_asked.is_none());
+        looks.chain(reports).min()
     }
 
     /// A newer version of an adapter was named; `adapter` is `MODEL/NAME`.
@@ -201,15 +227,6 @@
         if place.version < version || place.state == PlaceState::Going {
             return self.wish(host, want, version, now);
         }
-        if let PlaceState::Coming { due } = place.state
-            && due <= now
-            && want.waiting > 0
-        {
-            // Whoever asks again was told by the engine that the load is not over.
-            let due = now + LOAD_EXTENSION;
-            place.state = PlaceState::Coming { due };
-            self.report_due.get_or_insert(now + LOAD_OVERDUE);
-        }
         vec![self.tell(host, &want.adapter, now)]
     }
 
@@ -234,10 +251,11 @@
         usage: &Usage,
         now: Instant,
     ) {
-        self.in_flight.insert(host, (usage.in_flight, usage.tokens));
-        for used in &usage.adapters {
-            if let Some(place) = self.places.get_mut(&used.adapter) {
-                place.on_usage(host, used.in_flight, used.started, now);
+        self.usage.on_usage(host, usage);
+        for (adapter, place) in &mut self.places {
+            match usage.adapters.iter().find(|used| used.adapter == *adapter) {
+                Some(used) => place.on_usage(host, used.in_flight, used.started, now),
+                None => place.on_unused(host),
             }
         }
     }
@@ -247,7 +265,7 @@
         &mut self,
         host: SocketAddr,
     ) {
-        self.in_flight.remove(&host);
+        self.usage.on_host_gone(host);
         for place in self.places.values_mut() {
             place.on_host_gone(host);
         }
@@ -263,16 +281,19 @@
             return Vec::new();
         };
         match reply {
-            Some(OrderReply::Accepted | OrderReply::Done) => {
-                self.on_order_taken(&order, reply, now)
-            }
+            Some(reply @ (OrderReply::Accepted | OrderReply::Done)) => match order.purpose {
+                OrderPurpose::Change => self.on_order_taken(&order, reply, now),
+                OrderPurpose::Look => self.on_look(&order, reply, now),
+            },
             Some(_) => {
                 self.forget_ordered(&order);
                 self.learn_anew(now);
                 Vec::new()
             }
             None => {
-                self.unsettled = Some(order);
+                if order.purpose == OrderPurpose::Change {
+                    self.unsettled = Some(order);
+                }
                 self.learn_anew(now);
                 Vec::new()
             }
@@ -291,32 +312,42 @@
         &mut self,
         now: Instant,
     ) -> Vec<DeskAction> {
-        for place in self.places.values_mut() {
-            if let PlaceState::Coming { due } = place.state
-                && now >= due + LOAD_EXTENSION
-            {
+        self.next_orders(now)
+    }
+
+    /// The engine told whether a load is over.
+    fn on_look(
+        &mut self,
+        order: &DeskOrder,
+        reply: OrderReply,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        let adapter = key(&order.model, order.adapter.as_deref().unwrap_or_default());
+        let mut actions = Vec::new();
+        if let Some(place) = self.places.get_mut(&adapter) {
+            if reply == OrderReply::Done {
                 place.state = PlaceState::Held;
+                actions.extend(self.tell_interested(&adapter, now));
+            } else {
+                let due = now + LOOK_PAUSE;
+                place.state = PlaceState::Coming { due };
             }
         }
-        self.next_orders(now)
+        actions.extend(self.next_orders(now));
+        actions
     }
 
     fn on_order_taken(
         &mut self,
         order: &DeskOrder,
-        reply: Option<OrderReply>,
+        reply: OrderReply,
         now: Instant,
     ) -> Vec<DeskAction> {
         // An order from before that has no answer expected another sequence: it is void now.
         self.unsettled = None;
-        let already_there = reply == Some(OrderReply::Done) && order.kind == OrderKind::Load;
-        self.sequence = match already_there {
-            // Whether it counted is not known.
-            true => None,
-            false => self.sequence.map(|sequence| sequence + 1),
-        };
-        if already_there {
-            self.learn_anew(now);
+        let counts = reply == OrderReply::Accepted || order.kind == OrderKind::Unload;
+        if counts {
+            self.sequence = self.sequence.map(|sequence| sequence + 1);
         }
         let mut actions = Vec::new();
         match (&order.adapter, order.kind) {
@@ -324,11 +355,11 @@
             (None, OrderKind::Unload) => self.learn_anew(now),
             (Some(adapter), OrderKind::Load) => {
                 let key = key(&order.model, adapter);
-                actions.extend(self.on_load_taken(&key, order.version.unwrap_or(1), now));
+                actions.extend(self.on_load_taken(&key, order.version.unwrap_or(1), reply, now));
             }
             (Some(adapter), OrderKind::Unload) => {
                 let key = key(&order.model, adapter);
-                if reply == Some(OrderReply::Done) {
+                if reply == OrderReply::Done {
                     actions.extend(self.remove_place(&key, now));
                 } else {
                     self.report_due.get_or_insert(now + LOAD_OVERDUE);
@@ -343,6 +374,7 @@
         &mut self,
         adapter: &str,
         version: u64,
+        reply: OrderReply,
         now: Instant,
     ) -> Vec<DeskAction> {
         let time = match self.memory.contains(adapter, version) {
@@ -353,12 +385,22 @@
         let Some(place) = self.places.get_mut(adapter) else {
             return Vec::new();
         };
-        place.state = PlaceState::Coming { due: now + time };
-        let hosts: Vec<SocketAddr> = place.interested.iter().copied().collect();
-        hosts
-            .into_iter()
-            .map(|host| self.tell(host, adapter, now))
-            .collect()
+        place.state = match reply {
+            OrderReply::Done => PlaceState::Held,
+            _ => PlaceState::Coming { due: now + time },
+        };
+        self.tell_interested(adapter, now)
+    }
+
+    /// Tells the hosts that may send requests for an adapter where it stands.
+    fn tell_interested(
+        &self,
+        adapter: &str,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        let hosts = self.places.get(adapter).map(|place| &place.interested);
+        let hosts = hosts.into_iter().flatten();
+        hosts.map(|host| self.tell(*host, adapter, now)).collect()
     }
 
     /// Puts an adapter on the list of those to be loaded.
@@ -395,8 +437,7 @@
                 adapter: want.adapter.clone(),
                 version,
                 state: state as i32,
-                due_ms: millis(LOAD_TIME + LOAD_EXTENSION),
-                copies: 1,
+                due_ms: millis(QUEUED_LOAD_TIME),
             };
             actions.push(DeskAction::Tell { host, placement });
         }
@@ -458,6 +499,9 @@
         let Some(model) = self.model.clone() else {
             return self.choose_model(sequence, now);
         };
+        if let Some(order) = self.choose_look(&model, sequence, now) {
+            return Some(order);
+        }
         if let Some(order) = self.choose_load(&model, sequence, now) {
             return Some(order);
         }
@@ -480,6 +524,7 @@
             .iter()
             .find(|model| model.weights_mb <= self.spec.weights_mb)?;
         Some(DeskOrder {
+            purpose: OrderPurpose::Change,
             kind: OrderKind::Load,
             model: fits.name.clone(),
             adapter: None,
@@ -488,6 +533,32 @@
         })
     }
 
+    /// The load that should be over by now.
+    fn choose_look(
+        &self,
+        model: &str,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<DeskOrder> {
+        let due = |place: &AdapterPlace| match place.state {
+            PlaceState::Coming { due } if due <= now => Some(due),
+            _ => None,
+        };
+        let (adapter, place, _) = self
+            .places
+            .iter()
+            .filter_map(|(adapter, place)| Some((adapter, place, due(place)?)))
+            .min_by_key(|(_, _, due)| *due)?;
+        Some(DeskOrder {
+            purpose: OrderPurpose::Look,
+            kind: OrderKind::Load,
+            model: model.to_string(),
+            adapter: Some(name_of(adapter, model)?.to_string()),
+            version: Some(place.version),
+            expected_sequence: sequence,
+        })
+    }
+
     /// The most urgent wish for which there is a place.
     fn choose_load(
         &mut self,
@@ -525,6 +596,7 @@
         place.interested.extend(wish.hosts);
         self.places.insert(next, place);
         Some(DeskOrder {
+            purpose: OrderPurpose::Change,
             kind: OrderKind::Load,
             model: model.to_string(),
             adapter: Some(name),
@@ -549,6 +621,7 @@
         let name = name_of(&victim, model)?.to_string();
         self.places.get_mut(&victim)?.state = PlaceState::Going;
         Some(DeskOrder {
+            purpose: OrderPurpose::Change,
             kind: OrderKind::Unload,
             model: model.to_string(),
             adapter: Some(name),
@@ -609,6 +682,9 @@
         let Some(adapter) = &order.adapter else {
             return;
         };
+        if order.purpose == OrderPurpose::Look {
+            return;
+        }
         let key = key(&order.model, adapter);
         match order.kind {
             OrderKind::Load => {
@@ -704,7 +780,6 @@
             version: place.map_or(0, |place| place.version),
             state: state as i32,
             due_ms: millis(due),
-            copies: 1,
         };
         DeskAction::Tell { host, placement }
     }
--- a/src/process/engines/mod.rs
+++ b/src/process/engines/mod.rs
@@ -2,10 +2,12 @@
 
 mod adapter_place;
 mod engine_desk;
+mod engine_use;
 mod load_memory;
 
 pub use {
     adapter_place::{AdapterPlace, PlaceState},
-    engine_desk::{DeskAction, DeskOrder, EngineDesk},
+    engine_desk::{DeskAction, DeskOrder, EngineDesk, OrderPurpose},
+    engine_use::{EngineUse, UseSum},
     load_memory::LoadMemory,
 };
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -21,6 +21,16 @@
     ) -> Vec<ControlAction> {
         let mut actions = self.decide_holding(now);
         self.open_desks(now);
+        actions.extend(self.tick_desks(now));
+        actions
+    }
+
+    /// Lets each desk decide what has become due.
+    pub(super) fn tick_desks(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
         let held: Vec<String> = self.desks.keys().cloned().collect();
         for target in held {
             actions.extend(self.at_desk(&target, now, |desk| desk.on_tick(now)));
@@ -46,6 +56,11 @@
         actions
     }
 
+    /// When a desk has something to decide without being told anything.
+    pub(super) fn next_desk_due(&self) -> Option<Instant> {
+        self.desks.values().filter_map(EngineDesk::next_due).min()
+    }
+
     pub(super) fn on_want(
         &mut self,
         from: SocketAddr,
@@ -62,7 +77,6 @@
             version: 0,
             state: PlacementState::NotHolder as i32,
             due_ms: 0,
-            copies: 1,
         };
         vec![self.send(from, Message::Placement(placement))]
     }
@@ -166,16 +180,15 @@
     pub(super) fn tell_loads(&mut self) -> Vec<ControlAction> {
         let mut actions = Vec::new();
         for (target, desk) in &self.desks {
-            let in_flight: u32 = desk.in_flight().values().map(|(count, _)| count).sum();
-            let tokens: u32 = desk.in_flight().values().map(|(_, tokens)| tokens).sum();
-            for (host, (yours, _)) in desk.in_flight() {
+            for host in desk.usage().hosts() {
+                let others = desk.usage().of_others(host);
                 let load = EngineLoad {
                     target: target.clone(),
-                    in_flight,
-                    yours: *yours,
-                    tokens,
+                    in_flight: others.in_flight,
+                    tokens: others.tokens,
+                    unread_tokens: others.unread_tokens,
                 };
-                actions.push(self.send(*host, Message::EngineLoad(load)));
+                actions.push(self.send(host, Message::EngineLoad(load)));
             }
         }
         actions
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -34,9 +34,6 @@
 /// An order is not sent so shortly before the lease ends.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
-/// Time between two ticks of the control thread.
-const TICK: Duration = Duration::from_millis(50);
-
 /// Runs the control thread's decisions against the world.
 pub struct ControlRunner {
     control: Rc<RefCell<HostControl>>,
@@ -88,9 +85,8 @@
 
     /// Runs until the process ends.
     pub async fn run(self) {
-        let mut ticks = tokio::time::interval(TICK);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
+            let wake = self.control.borrow().next_wake(Instant::now());
             let event = tokio::select! {
                 biased;
                 event = self.inbox.recv_async() => match event {
@@ -102,7 +98,7 @@
                     Err(_) => return,
                 },
                 (from, message) = self.socket.receive() => ControlEvent::Message { from, message },
-                _ = ticks.tick() => ControlEvent::Tick,
+                _ = tokio::time::sleep_until(wake.into()) => ControlEvent::Tick,
             };
             let actions = self.control.borrow_mut().on(event, Instant::now());
             for action in actions {
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -24,8 +24,11 @@
     },
 };
 
+/// Time between two looks at everything.
+const TICK: Duration = Duration::from_millis(50);
+
 /// Time between reports of how busy engines are.
-const LOAD_PERIOD: Duration = Duration::from_millis(250);
+const LOAD_PERIOD: Duration = Duration::from_millis(150);
 
 /// A target whose entry has vanished from the list is used for so long, as a share of the bound.
 const VANISHED_SHARE: f64 = 0.55;
@@ -61,6 +64,7 @@
     /// Another view must be published.
     pub(super) changed: bool,
     next_loads: Instant,
+    next_tick: Instant,
     seeds_pinged: bool,
 }
 
@@ -104,6 +108,7 @@
             newest: Arc::default(),
             changed: true,
             next_loads: now,
+            next_tick: now,
             seeds_pinged: false,
         }
     }
@@ -133,6 +138,16 @@
         addresses
     }
 
+    /// When something must be decided, if no event comes before; not before `now`.
+    pub fn next_wake(
+        &self,
+        now: Instant,
+    ) -> Instant {
+        let tick = self.next_tick;
+        let due = self.next_desk_due().unwrap_or(tick);
+        due.min(tick).max(now)
+    }
+
     /// Takes one event in.
     pub fn on(
         &mut self,
@@ -204,6 +219,11 @@
         now: Instant,
     ) -> Vec<ControlAction> {
         let mut actions = Vec::new();
+        if now < self.next_tick {
+            actions.extend(self.tick_desks(now));
+            return actions;
+        }
+        self.next_tick = now + TICK;
         if !self.seeds_pinged {
             self.seeds_pinged = true;
             actions.extend(self.ping_seeds(now));
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -26,7 +26,7 @@
 };
 
 /// Time between reports of use to the holders of engines.
-const USAGE_PERIOD: Duration = Duration::from_millis(250);
+const USAGE_PERIOD: Duration = Duration::from_millis(150);
 
 /// What the control thread tells the traffic thread.
 #[derive(Debug, Clone)]
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -5,7 +5,7 @@
 pub enum CopyState {
     Unknown,
     Ready,
-    /// It should be there at `due`.
+    /// It should be there at `due`; its holder tells when it is.
     Coming {
         due: Instant,
     },
@@ -21,12 +21,16 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EngineCandidate {
     pub copy: CopyState,
-    /// Requests of all hosts that run there, against its batch.
-    pub load: f64,
+    /// Expected time to the first event there, if the adapter were there.
+    pub wait: Duration,
+    /// Share of its memory for prompts and answers that would be taken, this request included.
+    pub memory: f64,
+    /// Share of its batch that would be taken.
+    pub batch: f64,
     /// It stands in this host's hall.
     pub near: bool,
-    /// Time for which it is avoided after failures; zero if it is trusted.
-    pub avoided_for: Duration,
+    /// It is avoided after failures.
+    pub avoided: bool,
     /// Somebody gives orders to it.
     pub has_holder: bool,
     /// This request was turned away there.
@@ -36,8 +40,8 @@
 /// What is done with a request for an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EngineChoice {
-    /// Send it to the candidate with this index.
-    Send(usize),
+    /// Send it to the candidate with this index, and ask for another copy at `ask` if there is one.
+    Send { to: usize, ask: Option<usize> },
     /// Ask the holder of this candidate for the adapter, and wait.
     Ask(usize),
     /// Wait for what is on its way, until this time at the most.
@@ -46,80 +50,128 @@
     Nowhere,
 }
 
-/// A distant engine counts as so much fuller.
-const DISTANCE_COST: f64 = 0.02;
+/// What a request weighs beside the engines' load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ChoiceTerms {
+    /// Price of another copy of the adapter, as a time that requests would rather wait.
+    pub copy_price: Duration,
+    /// Time that is left until the answer is late.
+    pub aim_left: Duration,
+    pub now: Instant,
+}
+
+/// A distant engine counts as so much slower.
+const DISTANCE: f64 = 0.004;
+
+/// Expected time of a load, in seconds.
+const LOAD: f64 = 0.27;
+
+/// Each place further from an adapter's first engine counts as so much slower, in seconds.
+const PLACE: f64 = 0.03;
+
+/// Memory or batch beyond this share makes an engine slower.
+const PRESSED: f64 = 0.85;
+
+/// Slowness of an engine that is wholly taken, in seconds.
+const PRESSURE: f64 = 1.5;
 
-/// An engine this full is used only if there is no other.
-const CROWDED: f64 = 0.9;
+/// A request goes to a busy copy while another one comes, if it loses no more than this, in seconds.
+const TOLERABLE: f64 = 0.1;
 
-/// Chooses an engine for a request; the candidates come in the order in which adapters settle.
+/// A busy copy is good enough if it uses no more than this share of the time that is left.
+const AIM_SHARE: f64 = 0.6;
+
+/// Wait for the answer of a holder that was asked.
+const ASKED_WAIT: Duration = Duration::from_millis(60);
+
+/// Chooses an engine for a request; the candidates come in the order in which the adapter settles.
 pub fn choose_engine(
     candidates: &[EngineCandidate],
-    now: Instant,
+    terms: &ChoiceTerms,
 ) -> EngineChoice {
-    let usable = |at: &usize| {
-        let candidate = &candidates[*at];
-        candidate.avoided_for.is_zero() && !candidate.tried
+    let best = |accept: &dyn Fn(&EngineCandidate) -> bool| {
+        let priced = candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, candidate)| !candidate.tried && !candidate.avoided && accept(candidate))
+            .map(|(at, candidate)| (at, cost(at, candidate, terms)));
+        priced.min_by(|a, b| a.1.total_cmp(&b.1))
     };
-    let ready = |at: &usize| is_ready(&candidates[*at], now);
-    let best = (0..candidates.len())
-        .filter(usable)
-        .filter(ready)
-        .min_by(|a, b| cost(&candidates[*a]).total_cmp(&cost(&candidates[*b])));
-    if let Some(best) = best
-        && candidates[best].load < CROWDED
-    {
-        return EngineChoice::Send(best);
-    }
-    let awaited = candidates
-        .iter()
-        .filter_map(|candidate| match candidate.copy {
-            CopyState::Coming { due } if !candidate.tried || due > now => Some(due),
-            _ => None,
-        })
-        .min();
-    let asked = candidates
-        .iter()
-        .any(|candidate| candidate.copy == CopyState::Asked);
-    if best.is_none() {
-        if let Some(due) = awaited {
-            return EngineChoice::Wait(due);
+    let ready = best(&|candidate| candidate.copy == CopyState::Ready);
+    let coming = best(&|candidate| is_coming(candidate.copy));
+    let open = best(&|candidate| is_open(candidate, terms.now));
+    let ready_cost = ready.map_or(f64::INFINITY, |(_, cost)| cost);
+    let coming_cost = coming.map_or(f64::INFINITY, |(_, cost)| cost);
+    let open_cost = open.map_or(f64::INFINITY, |(_, cost)| cost);
+    let other_cost = coming_cost.min(open_cost);
+    let good_enough = ready_cost <= other_cost + TOLERABLE
+        || ready_cost <= AIM_SHARE * terms.aim_left.as_secs_f64();
+    match (ready, coming, open) {
+        (Some((to, _)), _, _) if good_enough => {
+            let wants_copy = open_cost < ready_cost && open_cost < coming_cost;
+            let ask = open.filter(|_| wants_copy).map(|(at, _)| at);
+            EngineChoice::Send { to, ask }
         }
-        if asked {
-            return EngineChoice::Wait(now + Duration::from_millis(50));
+        (_, Some((at, _)), _) if coming_cost <= open_cost => {
+            EngineChoice::Wait(wait_until(&candidates[at], terms.now))
         }
+        (_, _, Some((at, _))) => EngineChoice::Ask(at),
+        (Some((to, _)), None, None) => EngineChoice::Send { to, ask: None },
+        _ => EngineChoice::Nowhere,
     }
-    let open = (0..candidates.len()).filter(usable).find(|at| {
-        let candidate = &candidates[*at];
-        let unknown = match candidate.copy {
-            CopyState::Unknown => true,
-            CopyState::Full { until } => until <= now,
-            _ => false,
-        };
-        unknown && candidate.has_holder && candidate.load < CROWDED
-    });
-    match (best, open) {
-        (None, Some(open)) => EngineChoice::Ask(open),
-        (Some(best), _) => EngineChoice::Send(best),
-        (None, None) => EngineChoice::Nowhere,
-    }
 }
 
-fn is_ready(
+fn is_coming(copy: CopyState) -> bool {
+    matches!(copy, CopyState::Coming { .. } | CopyState::Asked)
+}
+
+/// True if the adapter can be asked for there.
+fn is_open(
     candidate: &EngineCandidate,
     now: Instant,
 ) -> bool {
-    match candidate.copy {
-        CopyState::Ready => true,
-        CopyState::Coming { due } => due <= now,
+    let free = match candidate.copy {
+        CopyState::Unknown => true,
+        CopyState::Full { until } => until <= now,
         _ => false,
+    };
+    free && candidate.has_holder
+}
+
+fn wait_until(
+    candidate: &EngineCandidate,
+    now: Instant,
+) -> Instant {
+    match candidate.copy {
+        // Its holder tells when it is there; past that time it is asked again.
+        CopyState::Coming { due } => due.max(now) + ASKED_WAIT,
+        _ => now + ASKED_WAIT,
     }
 }
 
-fn cost(candidate: &EngineCandidate) -> f64 {
+/// Expected time to the first event, in seconds, with what else speaks against the engine.
+fn cost(
+    place: usize,
+    candidate: &EngineCandidate,
+    terms: &ChoiceTerms,
+) -> f64 {
+    let wait = candidate.wait.as_secs_f64();
     let distance = match candidate.near {
         true => 0.0,
-        false => DISTANCE_COST,
+        false => DISTANCE,
+    };
+    let pressure = pressure(candidate.memory) + pressure(candidate.batch);
+    let arrival = match candidate.copy {
+        CopyState::Ready => 0.0,
+        CopyState::Coming { due } => due.saturating_duration_since(terms.now).as_secs_f64(),
+        CopyState::Asked => LOAD,
+        CopyState::Unknown | CopyState::Full { .. } => {
+            LOAD + terms.copy_price.as_secs_f64() + place as f64 * PLACE
+        }
     };
-    candidate.load + distance
+    wait.max(arrival) + 0.2 * wait.min(arrival) + distance + pressure
+}
+
+fn pressure(share: f64) -> f64 {
+    (share - PRESSED).max(0.0) / (1.0 - PRESSED) * PRESSURE
 }
--- a/src/request/direct/mod.rs
+++ b/src/request/direct/mod.rs
@@ -11,7 +11,7 @@
 pub use {
     attempt_end::AttemptEnd,
     call_request::CallRequest,
-    engine_choice::{CopyState, EngineCandidate, EngineChoice, choose_engine},
+    engine_choice::{ChoiceTerms, CopyState, EngineCandidate, EngineChoice, choose_engine},
     generation::{Generation, PromptPart},
     next_step::{NextStep, RequestHistory, next_step},
     plain_choice::{PlainCandidate, choose_plain},
