--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -112,6 +112,9 @@
     /// Most urgent priority among them.
     #[prost(uint32, tag = "5")]
     pub priority: u32,
+    /// There is a copy elsewhere, which only is busy.
+    #[prost(bool, tag = "6")]
+    pub spare: bool,
 }
 
 /// Where an adapter stands on one engine.
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -9,7 +9,8 @@
         formats::{Formats, HeaderNames},
         request::direct::{
             AttemptEnd, CallRequest, ChoiceTerms, CopyState, EngineCandidate, EngineChoice,
-            NextStep, PlainCandidate, RequestHistory, choose_engine, choose_plain, next_step,
+            NextStep, Patience, PlainCandidate, RequestHistory, RequestTime, choose_engine,
+            choose_plain, next_step, wait_or_refuse,
         },
         version::routing::RouteKind,
     },
@@ -55,6 +56,8 @@
 enum Choice {
     Send(Destination),
     Wait(Instant),
+    /// Tell the caller to come back after this time.
+    Refuse(Duration),
     Nowhere,
 }
 
@@ -120,7 +123,10 @@
                     self.wait(request, until).await;
                     continue;
                 }
-                Choice::Nowhere => return self.nowhere(request, tries),
+                Choice::Refuse(come_back) if tries.history.runs == 0 => {
+                    return self.refuse(request, OwnCause::NoAdapter, come_back);
+                }
+                Choice::Refuse(_) | Choice::Nowhere => return self.nowhere(request, tries),
             };
             let names = self.formats.headers();
             let streams = request.route.kind == RouteKind::Stream;
@@ -325,10 +331,15 @@
             aim_left: request.aim().saturating_duration_since(now),
             now,
         };
-        match choose_engine(&candidates, &terms) {
+        let choice = choose_engine(&candidates, &terms);
+        log::debug!(
+            "choice id={} adapter={adapter} {choice:?} {candidates:?}",
+            request.id_text()
+        );
+        match choice {
             EngineChoice::Send { to, ask } => {
                 if let Some(ask) = ask {
-                    board.ask(adapter, &targets[ask], least, now);
+                    board.ask(adapter, &targets[ask], least, true, now);
                 }
                 let target = targets[to].clone();
                 let version = board
@@ -338,18 +349,21 @@
                 Choice::Send(Destination { target, version })
             }
             EngineChoice::Ask(at) => {
-                board.ask(adapter, &targets[at], least, now);
+                board.ask(adapter, &targets[at], least, false, now);
                 Choice::Wait(now + ASK_WAIT)
             }
-            EngineChoice::Wait(until) => {
+            EngineChoice::Wait { until, expected } => {
                 // Whoever is late is asked again; asks that come too often are held back there.
                 for target in &targets {
                     let copy = board.adapters.get(adapter, target);
                     if copy.is_some_and(|copy| is_late(copy.state, now)) {
-                        board.ask(adapter, target, least, now);
+                        board.ask(adapter, target, least, false, now);
                     }
                 }
-                Choice::Wait(until.max(now + LEAST_WAIT))
+                match expected.map(|expected| wait_or_refuse(&time_of(request, now), expected)) {
+                    Some(Patience::Refuse { come_back }) => Choice::Refuse(come_back),
+                    _ => Choice::Wait(until.max(now + LEAST_WAIT)),
+                }
             }
             EngineChoice::Nowhere => Choice::Nowhere,
         }
@@ -502,14 +516,26 @@
         .collect()
 }
 
+fn time_of(
+    request: &CallRequest,
+    now: Instant,
+) -> RequestTime {
+    RequestTime {
+        passed: now.saturating_duration_since(request.arrived),
+        aim: request.route.aim,
+        left: request.left(now),
+    }
+}
+
 /// The more requests share a copy, the less each pays for it.
 fn copy_price(
     board: &TargetBoard,
     adapter: &str,
     now: Instant,
 ) -> Duration {
-    let everywhere = board.demand.recent(adapter, now) * board.view.hosts as f64;
-    COPY_PRICE.div_f64(everywhere.max(1.0))
+    // One request here tells nothing of the other hosts; several do.
+    let here = (board.demand.recent(adapter, now) - 1.0).max(0.0);
+    COPY_PRICE.div_f64(1.0 + here * board.view.hosts as f64)
 }
 
 /// True if the holder should have told of the adapter by now.
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -171,11 +171,14 @@
     }
 
     /// Asks the holder of an engine for an adapter, unless it was asked a moment ago.
+    ///
+    /// `spare` says that there is a copy elsewhere, which only is busy.
     pub fn ask(
         &mut self,
         adapter: &str,
         target: &str,
         version: u64,
+        spare: bool,
         now: Instant,
     ) {
         let holder = self.links.get(target).and_then(|link| link.view.holder);
@@ -195,6 +198,7 @@
             version,
             waiting,
             priority: u32::from(priority),
+            spare,
         };
         let _ = self.control.send(ControlRequest::Want { holder, want });
     }
--- a/src/process/engines/adapter_place.rs
+++ b/src/process/engines/adapter_place.rs
@@ -10,8 +10,9 @@
 /// Whether an adapter can be used at its engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlaceState {
-    /// Ordered; it should be there at `due`.
+    /// Ordered at `since`; it should be there at `due`.
     Coming {
+        since: Instant,
         due: Instant,
     },
     Held,
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -21,11 +21,16 @@
 /// Time that an adapter takes which the engine held lately.
 const RELOAD_TIME: Duration = Duration::from_millis(27);
 
-/// Pause before a load that was found not to be over is looked at again.
-const LOOK_PAUSE: Duration = Duration::from_millis(16);
+/// Pause before a load that was found not to be over is looked at again, as a share of its time so far.
+const LOOK_SHARE: f64 = 0.08;
 
-/// Told as the time of a load that is not ordered yet.
-const QUEUED_LOAD_TIME: Duration = Duration::from_millis(300);
+const LEAST_LOOK_PAUSE: Duration = Duration::from_millis(14);
+
+/// Loads that take longer than this show that the weight store has too much to do for spare copies.
+const STORE_BUSY: Duration = Duration::from_millis(380);
+
+/// Weight of a new measurement of the time of loads.
+const LOAD_TIME_WEIGHT: f64 = 0.2;
 
 /// A load that is not over after so long is looked up in the engine's report.
 const LOAD_OVERDUE: Duration = Duration::from_millis(1500);
@@ -83,6 +88,8 @@
 #[derive(Debug, Clone)]
 struct Wish {
     version: u64,
+    /// There is a copy elsewhere.
+    spare: bool,
     priority: u32,
     since: Instant,
     hosts: Vec<SocketAddr>,
@@ -99,6 +106,8 @@
     room: usize,
     wishes: HashMap<String, Wish>,
     memory: LoadMemory,
+    /// Time that loads from the weight store take at present.
+    load_time: Duration,
     /// Newest version of adapters that have more than one.
     newest: HashMap<String, u64>,
     /// Orders that the engine has taken; `None` until a report told.
@@ -129,6 +138,7 @@
             room: 0,
             wishes: HashMap::new(),
             memory,
+            load_time: LOAD_TIME,
             newest: HashMap::new(),
             sequence: None,
             under_way: None,
@@ -168,7 +178,7 @@
             return None;
         }
         let looks = self.places.values().filter_map(|place| match place.state {
-            PlaceState::Coming { due } => Some(due),
+            PlaceState::Coming { due, .. } => Some(due),
             _ => None,
         });
         let reports = self.report_due.filter(|_| self.report_asked.is_none());
@@ -325,18 +335,40 @@
         let adapter = key(&order.model, order.adapter.as_deref().unwrap_or_default());
         let mut actions = Vec::new();
         if let Some(place) = self.places.get_mut(&adapter) {
+            let since = match place.state {
+                PlaceState::Coming { since, .. } => since,
+                _ => now,
+            };
+            let passed = now.saturating_duration_since(since);
             if reply == OrderReply::Done {
                 place.state = PlaceState::Held;
+                self.note_load_time(passed);
                 actions.extend(self.tell_interested(&adapter, now));
             } else {
-                let due = now + LOOK_PAUSE;
-                place.state = PlaceState::Coming { due };
+                let pause = passed.mul_f64(LOOK_SHARE).max(LEAST_LOOK_PAUSE);
+                place.state = PlaceState::Coming {
+                    since,
+                    due: now + pause,
+                };
             }
         }
         actions.extend(self.next_orders(now));
         actions
     }
 
+    /// Loads of what the engine held lately tell nothing of the weight store.
+    fn note_load_time(
+        &mut self,
+        time: Duration,
+    ) {
+        if time < LOAD_TIME.mul_f64(0.8) {
+            return;
+        }
+        let time = time.min(LOAD_OVERDUE);
+        let old = self.load_time.mul_f64(1.0 - LOAD_TIME_WEIGHT);
+        self.load_time = old + time.mul_f64(LOAD_TIME_WEIGHT);
+    }
+
     fn on_order_taken(
         &mut self,
         order: &DeskOrder,
@@ -379,7 +411,7 @@
     ) -> Vec<DeskAction> {
         let time = match self.memory.contains(adapter, version) {
             true => RELOAD_TIME,
-            false => LOAD_TIME,
+            false => self.load_time,
         };
         self.memory.note(adapter, version);
         let Some(place) = self.places.get_mut(adapter) else {
@@ -387,7 +419,10 @@
         };
         place.state = match reply {
             OrderReply::Done => PlaceState::Held,
-            _ => PlaceState::Coming { due: now + time },
+            _ => PlaceState::Coming {
+                since: now,
+                due: now + time,
+            },
         };
         self.tell_interested(adapter, now)
     }
@@ -413,19 +448,22 @@
     ) -> Vec<DeskAction> {
         let wish = self.wishes.entry(want.adapter.clone()).or_insert(Wish {
             version,
+            spare: want.spare,
             priority: want.priority,
             since: now,
             hosts: Vec::new(),
         });
         wish.version = wish.version.max(version);
         wish.priority = wish.priority.min(want.priority);
+        wish.spare &= want.spare;
         if !wish.hosts.contains(&host) {
             wish.hosts.push(host);
         }
         let mut actions = self.next_orders(now);
         if self.wishes.contains_key(&want.adapter) {
             // It waits for other orders, or for a place.
-            let state = match self.has_prospect(&want.adapter, now) {
+            let busy = want.spare && self.load_time > STORE_BUSY;
+            let state = match !busy && self.has_prospect(&want.adapter, now) {
                 true => PlacementState::Coming,
                 false => PlacementState::Full,
             };
@@ -437,7 +475,7 @@
                 adapter: want.adapter.clone(),
                 version,
                 state: state as i32,
-                due_ms: millis(QUEUED_LOAD_TIME),
+                due_ms: millis(self.load_time),
             };
             actions.push(DeskAction::Tell { host, placement });
         }
@@ -541,7 +579,7 @@
         now: Instant,
     ) -> Option<DeskOrder> {
         let due = |place: &AdapterPlace| match place.state {
-            PlaceState::Coming { due } if due <= now => Some(due),
+            PlaceState::Coming { due, .. } if due <= now => Some(due),
             _ => None,
         };
         let (adapter, place, _) = self
@@ -582,13 +620,14 @@
                 Some(place) => place.in_flight() == 0 && place.state == PlaceState::Held,
                 None => free > 0,
             })
-            .min_by_key(|(_, wish)| (wish.priority, wish.since))
+            .min_by_key(|(_, wish)| (wish.spare, wish.priority, wish.since))
             .map(|(adapter, _)| adapter.clone())?;
         let name = name_of(&next, model)?.to_string();
         let wish = self.wishes.remove(&next)?;
         let mut place = AdapterPlace::new(
             wish.version,
             PlaceState::Coming {
+                since: now,
                 due: now + LOAD_TIME,
             },
             now,
@@ -742,14 +781,19 @@
         }
         for (model, name, version) in &report.coming {
             let key = key(model, name);
-            let due = now + LOAD_TIME;
+            let coming = PlaceState::Coming {
+                since: now,
+                due: now + LOAD_TIME,
+            };
             let mut place = self
                 .places
                 .remove(&key)
                 .or_else(|| old.remove(&key))
-                .unwrap_or_else(|| AdapterPlace::new(*version, PlaceState::Coming { due }, now));
+                .unwrap_or_else(|| AdapterPlace::new(*version, coming, now));
             place.version = *version;
-            place.state = PlaceState::Coming { due };
+            if !matches!(place.state, PlaceState::Coming { .. }) {
+                place.state = coming;
+            }
             self.places.insert(key, place);
         }
     }
@@ -769,7 +813,7 @@
         let place = self.places.get(adapter);
         let (state, due) = match place.map(|place| place.state) {
             Some(PlaceState::Held) => (PlacementState::Ready, Duration::ZERO),
-            Some(PlaceState::Coming { due }) => {
+            Some(PlaceState::Coming { due, .. }) => {
                 (PlacementState::Coming, due.saturating_duration_since(now))
             }
             Some(PlaceState::Going) | None => (PlacementState::Absent, Duration::ZERO),
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -154,6 +154,9 @@
         event: ControlEvent,
         now: Instant,
     ) -> Vec<ControlAction> {
+        if !matches!(event, ControlEvent::Tick) {
+            log::debug!("event {event:?}");
+        }
         let mut actions = match event {
             ControlEvent::Tick => self.on_tick(now),
             ControlEvent::Message { from, message } => self.on_message(from, message, now),
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -44,8 +44,12 @@
     Send { to: usize, ask: Option<usize> },
     /// Ask the holder of this candidate for the adapter, and wait.
     Ask(usize),
-    /// Wait for what is on its way, until this time at the most.
-    Wait(Instant),
+    /// Wait for what is on its way, until this time at the most; the first event is expected after
+    /// `expected`, if anything is known of that.
+    Wait {
+        until: Instant,
+        expected: Option<Duration>,
+    },
     /// No engine can take it.
     Nowhere,
 }
@@ -66,8 +70,12 @@
 /// Expected time of a load, in seconds.
 const LOAD: f64 = 0.27;
 
-/// Each place further from an adapter's first engine counts as so much slower, in seconds.
-const PLACE: f64 = 0.03;
+/// An engine that is not the adapter's first one counts as so much slower, in seconds: an adapter
+/// comes back much faster where it was before, so it should come back to the same engine.
+const AWAY: f64 = 0.25;
+
+/// Each further place counts as so much slower, in seconds.
+const PLACE: f64 = 0.02;
 
 /// Memory or batch beyond this share makes an engine slower.
 const PRESSED: f64 = 0.85;
@@ -100,27 +108,38 @@
     let ready = best(&|candidate| candidate.copy == CopyState::Ready);
     let coming = best(&|candidate| is_coming(candidate.copy));
     let open = best(&|candidate| is_open(candidate, terms.now));
-    let ready_cost = ready.map_or(f64::INFINITY, |(_, cost)| cost);
-    let coming_cost = coming.map_or(f64::INFINITY, |(_, cost)| cost);
-    let open_cost = open.map_or(f64::INFINITY, |(_, cost)| cost);
-    let other_cost = coming_cost.min(open_cost);
-    let good_enough = ready_cost <= other_cost + TOLERABLE
-        || ready_cost <= AIM_SHARE * terms.aim_left.as_secs_f64();
+    // What is on its way somewhere is asked for nowhere else: if it is slow, loads are slow everywhere.
+    let open = open.filter(|_| coming.is_none());
+    let other_cost = coming.or(open).map_or(f64::INFINITY, |(_, cost)| cost);
     match (ready, coming, open) {
-        (Some((to, _)), _, _) if good_enough => {
-            let wants_copy = open_cost < ready_cost && open_cost < coming_cost;
-            let ask = open.filter(|_| wants_copy).map(|(at, _)| at);
+        (Some((to, cost)), _, _) if is_good_enough(cost, other_cost, terms) => {
+            let ask = open.filter(|(_, other)| *other < cost).map(|(at, _)| at);
             EngineChoice::Send { to, ask }
         }
-        (_, Some((at, _)), _) if coming_cost <= open_cost => {
-            EngineChoice::Wait(wait_until(&candidates[at], terms.now))
-        }
-        (_, _, Some((at, _))) => EngineChoice::Ask(at),
+        (_, Some((at, cost)), _) => EngineChoice::Wait {
+            until: wait_until(&candidates[at], terms.now),
+            expected: is_timed(candidates[at].copy).then(|| Duration::from_secs_f64(cost)),
+        },
+        (_, None, Some((at, _))) => EngineChoice::Ask(at),
         (Some((to, _)), None, None) => EngineChoice::Send { to, ask: None },
-        _ => EngineChoice::Nowhere,
+        (None, None, None) => EngineChoice::Nowhere,
     }
 }
 
+/// True if a copy that is there is better than one that comes, or good enough meanwhile.
+fn is_good_enough(
+    cost: f64,
+    other_cost: f64,
+    terms: &ChoiceTerms,
+) -> bool {
+    cost <= other_cost + TOLERABLE || cost <= AIM_SHARE * terms.aim_left.as_secs_f64()
+}
+
+/// True if it is known when the copy should be there.
+fn is_timed(copy: CopyState) -> bool {
+    matches!(copy, CopyState::Coming { .. })
+}
+
 fn is_coming(copy: CopyState) -> bool {
     matches!(copy, CopyState::Coming { .. } | CopyState::Asked)
 }
@@ -166,12 +185,19 @@
         CopyState::Coming { due } => due.saturating_duration_since(terms.now).as_secs_f64(),
         CopyState::Asked => LOAD,
         CopyState::Unknown | CopyState::Full { .. } => {
-            LOAD + terms.copy_price.as_secs_f64() + place as f64 * PLACE
+            LOAD + terms.copy_price.as_secs_f64() + away(place)
         }
     };
     wait.max(arrival) + 0.2 * wait.min(arrival) + distance + pressure
 }
 
+fn away(place: usize) -> f64 {
+    match place {
+        0 => 0.0,
+        place => AWAY + place as f64 * PLACE,
+    }
+}
+
 fn pressure(share: f64) -> f64 {
     (share - PRESSED).max(0.0) / (1.0 - PRESSED) * PRESSURE
 }
--- a/src/request/direct/mod.rs
+++ b/src/request/direct/mod.rs
@@ -5,6 +5,7 @@
 mod engine_choice;
 mod generation;
 mod next_step;
+mod patience;
 mod plain_choice;
 mod resend_window;
 
@@ -14,6 +15,7 @@
     engine_choice::{ChoiceTerms, CopyState, EngineCandidate, EngineChoice, choose_engine},
     generation::{Generation, PromptPart},
     next_step::{NextStep, RequestHistory, next_step},
+    patience::{Patience, RequestTime, wait_or_refuse},
     plain_choice::{PlainCandidate, choose_plain},
     resend_window::ResendWindow,
 };
