--- a/src/cli/host.rs
+++ b/src/cli/host.rs
@@ -1,5 +1,5 @@
 use {
-    super::{exit::exit_code, logging::start_logging},
+    super::{exit::exit_code, logging::start_line_logging},
     crate::{
         errors::RunError,
         formats::Formats,
@@ -17,7 +17,6 @@
     settings: Option<PathBuf>,
 ) -> ExitCode {
     let arguments = command().get_matches();
-    start_logging("warn");
     exit_code(serve(&arguments, formats, settings))
 }
 
@@ -55,5 +54,6 @@
         println!("{}: good", file.display());
         return Ok(());
     }
+    start_line_logging("info", &settings.name);
     run_host_process(settings, formats)
 }
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -2,16 +2,19 @@
     super::{
         AnswerBody, OwnAnswer, OwnCause,
         exchange::{Destination, Sent, WholeAnswer, send},
+        request_trace::{RequestTrace, TraceStep, millis},
         stream_relay::relay,
     },
     crate::{
         connection::targets::TargetBoard,
         formats::{Formats, HeaderNames},
+        note,
         request::direct::{
             AttemptEnd, CallRequest, ChoiceTerms, CopyState, EngineCandidate, EngineChoice,
             NextStep, Patience, PlainCandidate, RequestHistory, RequestTime, choose_engine,
             choose_plain, next_step, wait_or_refuse,
         },
+        timeline::Event,
         version::routing::RouteKind,
     },
     http::Response,
@@ -55,7 +58,10 @@
 /// What is decided for the next send.
 enum Choice {
     Send(Destination),
-    Wait(Instant),
+    Wait {
+        until: Instant,
+        expected: Option<Duration>,
+    },
     /// Tell the caller to come back after this time.
     Refuse(Duration),
     Nowhere,
@@ -69,6 +75,7 @@
     tried: Vec<String>,
     /// The last failure that a target gave as an answer.
     failure: Option<WholeAnswer>,
+    trace: RequestTrace,
 }
 
 impl Dispatcher {
@@ -91,11 +98,15 @@
     ) -> Response<AnswerBody> {
         self.note_demand(&request);
         let mut tries = Tries::default();
+        let unserved = Unserved::new(&request);
         let served = self.try_targets(&request, &mut tries);
-        match timeout_at(request.ends.into(), served).await {
+        let response = match timeout_at(request.ends.into(), served).await {
             Ok(response) => response,
             Err(_) => self.time_over(&request, &mut tries),
-        }
+        };
+        unserved.is_served();
+        tell(&request, &tries, &response, Instant::now());
+        response
     }
 
     fn note_demand(
@@ -119,7 +130,10 @@
         loop {
             let destination = match self.choose(request, tries) {
                 Choice::Send(destination) => destination,
-                Choice::Wait(until) => {
+                Choice::Wait { until, expected } => {
+                    tries
+                        .trace
+                        .add(TraceStep::Waits { expected }, Instant::now());
                     self.wait(request, until).await;
                     continue;
                 }
@@ -136,7 +150,7 @@
             tries.history.runs -= 1;
             let end = match sent {
                 Sent::Whole(answer) => return pass_on(answer),
-                Sent::Open(answer) => return relay(*answer, request.ends),
+                Sent::Open(answer) => return relay(*answer, request),
                 Sent::Failed(answer) => {
                     let status = answer.status.as_u16();
                     tries.failure = Some(answer);
@@ -152,6 +166,7 @@
                 Sent::Ended(end) => end,
             };
             tries.history.note(end);
+            tries.trace.add(step_of(&destination, end), Instant::now());
             if let Some(response) = self.after(request, tries, &destination, end).await {
                 return response;
             }
@@ -178,6 +193,7 @@
                 if repeats {
                     self.board.borrow_mut().budget(service).on_repeat(now);
                 }
+                tries.trace.add(TraceStep::Resent { repeats }, now);
                 if self.is_coming(request, destination, end) {
                     tokio::time::sleep(LOAD_PAUSE).await;
                 } else {
@@ -232,7 +248,7 @@
     fn choose(
         &self,
         request: &CallRequest,
-        tries: &Tries,
+        tries: &mut Tries,
     ) -> Choice {
         let now = Instant::now();
         match &request.generation {
@@ -247,7 +263,7 @@
     fn choose_plain(
         &self,
         request: &CallRequest,
-        tries: &Tries,
+        tries: &mut Tries,
         now: Instant,
     ) -> Choice {
         let board = self.board.borrow();
@@ -267,10 +283,15 @@
             .collect();
         let draw = rand::rng().random::<f64>();
         match choose_plain(&candidates, draw) {
-            Some(at) => Choice::Send(Destination {
-                target: targets[at].clone(),
-                version: None,
-            }),
+            Some(at) => {
+                let target = &targets[at];
+                let step = chosen_step(&board, target, targets.len(), targets.len(), now);
+                tries.trace.add(step, now);
+                Choice::Send(Destination {
+                    target: target.clone(),
+                    version: None,
+                })
+            }
             None => Choice::Nowhere,
         }
     }
@@ -279,7 +300,7 @@
     fn choose_base(
         &self,
         request: &CallRequest,
-        tries: &Tries,
+        tries: &mut Tries,
         now: Instant,
     ) -> Choice {
         let mut board = self.board.borrow_mut();
@@ -294,10 +315,15 @@
             now,
         };
         match choose_engine(&candidates, &terms) {
-            EngineChoice::Send { to, .. } => Choice::Send(Destination {
-                target: targets[to].clone(),
-                version: None,
-            }),
+            EngineChoice::Send { to, .. } => {
+                let target = &targets[to];
+                let step = chosen_step(&board, target, targets.len(), targets.len(), now);
+                tries.trace.add(step, now);
+                Choice::Send(Destination {
+                    target: target.clone(),
+                    version: None,
+                })
+            }
             _ => Choice::Nowhere,
         }
     }
@@ -305,7 +331,7 @@
     fn choose_for_adapter(
         &self,
         request: &CallRequest,
-        tries: &Tries,
+        tries: &mut Tries,
         adapter: &str,
         now: Instant,
     ) -> Choice {
@@ -331,17 +357,20 @@
             aim_left: request.aim().saturating_duration_since(now),
             now,
         };
-        let choice = choose_engine(&candidates, &terms);
-        log::debug!(
-            "choice id={} adapter={adapter} {choice:?} {candidates:?}",
-            request.id_text()
-        );
-        match choice {
+        match choose_engine(&candidates, &terms) {
             EngineChoice::Send { to, ask } => {
-                if let Some(ask) = ask {
-                    board.ask(adapter, &targets[ask], least, true, now);
+                if let Some(ask) = ask
+                    && board.ask(adapter, &targets[ask], least, true, now)
+                {
+                    tries.trace.add(asks_step(&targets[ask], true), now);
                 }
                 let target = targets[to].clone();
+                let ready = candidates
+                    .iter()
+                    .filter(|candidate| candidate.copy == CopyState::Ready)
+                    .count();
+                let step = chosen_step(&board, &target, targets.len(), ready, now);
+                tries.trace.add(step, now);
                 let version = board
                     .adapters
                     .get(adapter, &target)
@@ -349,8 +378,13 @@
                 Choice::Send(Destination { target, version })
             }
             EngineChoice::Ask(at) => {
-                board.ask(adapter, &targets[at], least, false, now);
-                Choice::Wait(now + ASK_WAIT)
+                if board.ask(adapter, &targets[at], least, false, now) {
+                    tries.trace.add(asks_step(&targets[at], false), now);
+                }
+                Choice::Wait {
+                    until: now + ASK_WAIT,
+                    expected: None,
+                }
             }
             EngineChoice::Wait { until, expected } => {
                 // Whoever is late is asked again; asks that come too often are held back there.
@@ -362,7 +396,10 @@
                 }
                 match expected.map(|expected| wait_or_refuse(&time_of(request, now), expected)) {
                     Some(Patience::Refuse { come_back }) => Choice::Refuse(come_back),
-                    _ => Choice::Wait(until.max(now + LEAST_WAIT)),
+                    _ => Choice::Wait {
+                        until: until.max(now + LEAST_WAIT),
+                        expected,
+                    },
                 }
             }
             EngineChoice::Nowhere => Choice::Nowhere,
@@ -467,6 +504,39 @@
     }
 }
 
+/// Tells that the caller has gone, if a request is dropped before its final answer.
+struct Unserved {
+    id: String,
+    arrived: Instant,
+    served: bool,
+}
+
+impl Unserved {
+    fn new(request: &CallRequest) -> Self {
+        Self {
+            id: request.id_text().to_string(),
+            arrived: request.arrived,
+            served: false,
+        }
+    }
+
+    fn is_served(mut self) {
+        self.served = true;
+    }
+}
+
+impl Drop for Unserved {
+    fn drop(&mut self) {
+        if !self.served {
+            note!(
+                Event::RequestCallerGone,
+                id = self.id,
+                after_ms = millis(self.arrived.elapsed())
+            );
+        }
+    }
+}
+
 /// Counts a request as waiting for an adapter until dropped.
 struct Waiter {
     board: Rc<RefCell<TargetBoard>>,
@@ -516,6 +586,80 @@
         .collect()
 }
 
+fn step_of(
+    destination: &Destination,
+    end: AttemptEnd,
+) -> TraceStep {
+    let target = destination.target.clone();
+    match end {
+        AttemptEnd::NotSent => TraceStep::NotReached { target },
+        AttemptEnd::NotRun { status, .. } => TraceStep::TurnedAway { target, status },
+        AttemptEnd::Failed { status } => TraceStep::FailedThere { target, status },
+        AttemptEnd::Lost => TraceStep::Lost { target },
+    }
+}
+
+fn asks_step(
+    target: &str,
+    spare: bool,
+) -> TraceStep {
+    TraceStep::Asks {
+        target: target.to_string(),
+        spare,
+    }
+}
+
+fn chosen_step(
+    board: &TargetBoard,
+    target: &str,
+    candidates: usize,
+    ready: usize,
+    now: Instant,
+) -> TraceStep {
+    let link = &board.links[target];
+    TraceStep::Chosen {
+        target: target.to_string(),
+        candidates,
+        ready,
+        running: link.running(),
+        unread_tokens: link.backlog_tokens(),
+        load_age: link
+            .others_told
+            .map(|told| now.saturating_duration_since(told)),
+    }
+}
+
+/// Tells how a request went: in one line if it went smoothly, else with every step.
+fn tell(
+    request: &CallRequest,
+    tries: &Tries,
+    response: &Response<AnswerBody>,
+    now: Instant,
+) {
+    let id = request.id_text();
+    let status = response.status().as_u16();
+    let passed = now.saturating_duration_since(request.arrived);
+    let smooth = status < 400 && passed <= request.route.aim;
+    if !smooth {
+        tries.trace.tell(id, now);
+    }
+    let own = response.extensions().get::<OwnCause>();
+    let adapter = request.generation.as_ref().and_then(|g| g.adapter());
+    note!(
+        Event::RequestServed,
+        id = id,
+        route = request.route.name,
+        status = status,
+        cause = own.map_or("-", |cause| cause.word()),
+        target = tries.trace.last_target(),
+        adapter = adapter.unwrap_or("-"),
+        first_ms = millis(passed),
+        aim_ms = millis(request.route.aim),
+        arrivals = tries.history.arrivals,
+        late = passed > request.route.aim,
+    );
+}
+
 fn time_of(
     request: &CallRequest,
     now: Instant,
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -128,6 +128,11 @@
         self.connection.body_piece(&mut self.decoder).await
     }
 
+    /// The target that answers.
+    pub fn target(&self) -> &str {
+        &self.flight.target
+    }
+
     /// The body is over.
     pub fn finish(self) {
         if self.reusable {
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -6,6 +6,7 @@
 mod front_listener;
 mod own_answer;
 mod request_reader;
+mod request_trace;
 mod stream_relay;
 
 pub use {
--- a/src/connection/front/own_answer.rs
+++ b/src/connection/front/own_answer.rs
@@ -98,6 +98,7 @@
     ) -> Response<AnswerBody> {
         let mut response = Response::new(AnswerBody::whole(self.cause.word()));
         *response.status_mut() = self.cause.status();
+        response.extensions_mut().insert(self.cause);
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         if let Some(id) = id {
--- /dev/null
+++ b/src/connection/front/request_trace.rs
@@ -0,0 +1,186 @@
+use {
+    crate::{note, timeline::Event},
+    std::time::{Duration, Instant},
+};
+
+/// Steps of one request that are kept; later ones are only counted.
+const MAX_STEPS: usize = 24;
+
+/// A decision on a request, or something that happened to it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum TraceStep {
+    /// A target was chosen, among so many candidates of which so many were ready.
+    Chosen {
+        target: String,
+        candidates: usize,
+        ready: usize,
+        /// Requests and unread tokens there, of all hosts.
+        running: u32,
+        unread_tokens: u64,
+        /// Age of what other hosts' part of that rests on.
+        load_age: Option<Duration>,
+    },
+    /// The holder of an engine was asked for the adapter.
+    Asks {
+        target: String,
+        spare: bool,
+    },
+    /// The request waits for an adapter that should be there after `expected`.
+    Waits {
+        expected: Option<Duration>,
+    },
+    NotReached {
+        target: String,
+    },
+    TurnedAway {
+        target: String,
+        status: u16,
+    },
+    FailedThere {
+        target: String,
+        status: u16,
+    },
+    Lost {
+        target: String,
+    },
+    /// It is sent once more; `repeats` draws on the shared budget.
+    Resent {
+        repeats: bool,
+    },
+}
+
+/// What was decided for one request, told only if it does not go smoothly.
+#[derive(Debug, Default)]
+pub struct RequestTrace {
+    steps: Vec<(Instant, TraceStep)>,
+    left_out: usize,
+}
+
+impl RequestTrace {
+    pub fn add(
+        &mut self,
+        step: TraceStep,
+        now: Instant,
+    ) {
+        match self.steps.len() < MAX_STEPS {
+            true => self.steps.push((now, step)),
+            false => self.left_out += 1,
+        }
+    }
+
+    /// The target that was chosen last.
+    pub fn last_target(&self) -> &str {
+        let chosen = self.steps.iter().rev().find_map(|(_, step)| match step {
+            TraceStep::Chosen { target, .. } => Some(target.as_str()),
+            _ => None,
+        });
+        chosen.unwrap_or("-")
+    }
+
+    /// Writes a line for each step.
+    pub fn tell(
+        &self,
+        id: &str,
+        now: Instant,
+    ) {
+        for (at, step) in &self.steps {
+            tell_step(id, now.saturating_duration_since(*at), step);
+        }
+    }
+}
+
+fn tell_step(
+    id: &str,
+    ago: Duration,
+    step: &TraceStep,
+) {
+    let ago_ms = millis(ago);
+    match step {
+        TraceStep::Chosen {
+            target,
+            candidates,
+            ready,
+            running,
+            unread_tokens,
+            load_age,
+        } => {
+            let load_age_ms = load_age.map_or(-1.0, millis);
+            note!(
+                Event::RequestChosen,
+                id = id,
+                ago_ms = ago_ms,
+                target = target,
+                candidates = candidates,
+                ready = ready,
+                running = running,
+                unread_tokens = unread_tokens,
+                load_age_ms = load_age_ms,
+            );
+        }
+        TraceStep::Asks { target, spare } => {
+            note!(
+                Event::RequestAsks,
+                id = id,
+                ago_ms = ago_ms,
+                target = target,
+                spare = spare
+            );
+        }
+        TraceStep::Waits { expected } => {
+            let expected_ms = expected.map_or(-1.0, millis);
+            note!(
+                Event::RequestWaits,
+                id = id,
+                ago_ms = ago_ms,
+                expected_ms = expected_ms
+            );
+        }
+        TraceStep::NotReached { target } => {
+            note!(
+                Event::RequestNotReached,
+                id = id,
+                ago_ms = ago_ms,
+                target = target
+            );
+        }
+        TraceStep::TurnedAway { target, status } => {
+            note!(
+                Event::RequestTurnedAway,
+                id = id,
+                ago_ms = ago_ms,
+                target = target,
+                status = status
+            );
+        }
+        TraceStep::FailedThere { target, status } => {
+            note!(
+                Event::RequestFailedThere,
+                id = id,
+                ago_ms = ago_ms,
+                target = target,
+                status = status
+            );
+        }
+        TraceStep::Lost { target } => {
+            note!(
+                Event::RequestLost,
+                id = id,
+                ago_ms = ago_ms,
+                target = target
+            );
+        }
+        TraceStep::Resent { repeats } => {
+            note!(
+                Event::RequestResent,
+                id = id,
+                ago_ms = ago_ms,
+                repeats = repeats
+            );
+        }
+    }
+}
+
+/// Milliseconds with a fraction, for lines.
+pub fn millis(time: Duration) -> f64 {
+    (time.as_secs_f64() * 10_000.0).round() / 10.0
+}
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -2,7 +2,9 @@
     super::{
         AnswerBody, BrokenAnswer,
         exchange::{AnswerSource, OpenAnswer},
+        request_trace::millis,
     },
+    crate::{note, request::direct::CallRequest, timeline::Event},
     bytes::Bytes,
     http::Response,
     std::time::Instant,
@@ -15,49 +17,81 @@
 /// Passes an answer on piece by piece, until `ends` at the latest.
 pub fn relay(
     answer: OpenAnswer,
-    ends: Instant,
+    request: &CallRequest,
 ) -> Response<AnswerBody> {
     let (sender, pieces) = mpsc::channel(PIECES);
     let mut response = Response::new(AnswerBody::Stream(pieces));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
-    tokio::task::spawn_local(pass_on(answer.first, answer.source, sender, ends));
+    let relay = StreamRelay {
+        id: request.id_text().to_string(),
+        arrived: request.arrived,
+        ends: request.ends,
+        caller: sender,
+    };
+    tokio::task::spawn_local(relay.pass_on(answer.first, answer.source));
     response
 }
 
-async fn pass_on(
-    first: Bytes,
-    mut source: AnswerSource,
-    caller: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
+/// One answer on its way.
+struct StreamRelay {
+    id: String,
+    arrived: Instant,
     ends: Instant,
-) {
-    if caller.send(Ok(first)).await.is_err() {
-        return;
-    }
-    loop {
-        let piece = tokio::select! {
-            piece = source.next() => piece,
-            // The caller is gone: what the target still does for it is ended with the connection.
-            _ = caller.closed() => return,
-            _ = tokio::time::sleep_until(ends.into()) => {
-                let _ = caller.send(Err(BrokenAnswer)).await;
-                return;
-            }
-        };
-        match piece {
-            Ok(Some(piece)) => {
-                if caller.send(Ok(piece)).await.is_err() {
-                    return;
+    caller: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
+}
+
+impl StreamRelay {
+    async fn pass_on(
+        self,
+        first: Bytes,
+        mut source: AnswerSource,
+    ) {
+        if self.caller.send(Ok(first)).await.is_err() {
+            return self.caller_gone();
+        }
+        loop {
+            let piece = tokio::select! {
+                piece = source.next() => piece,
+                // What the target still does for the caller is ended with the connection.
+                _ = self.caller.closed() => return self.caller_gone(),
+                _ = tokio::time::sleep_until(self.ends.into()) => {
+                    return self.cut("time_over", &source).await;
                 }
-            }
-            Ok(None) => {
-                source.finish();
-                return;
-            }
-            Err(_) => {
-                let _ = caller.send(Err(BrokenAnswer)).await;
-                return;
+            };
+            match piece {
+                Ok(Some(piece)) => {
+                    if self.caller.send(Ok(piece)).await.is_err() {
+                        return self.caller_gone();
+                    }
+                }
+                Ok(None) => return source.finish(),
+                Err(_) => return self.cut("target_broke_off", &source).await,
             }
         }
     }
+
+    fn caller_gone(&self) {
+        note!(
+            Event::RequestCallerGone,
+            id = self.id,
+            after_ms = millis(self.arrived.elapsed())
+        );
+    }
+
+    /// Ends the answer so that it does not look whole.
+    async fn cut(
+        &self,
+        cause: &str,
+        source: &AnswerSource,
+    ) {
+        note!(
+            Event::RequestCut,
+            id = self.id,
+            cause = cause,
+            target = source.target(),
+            after_ms = millis(self.arrived.elapsed())
+        );
+        let _ = self.caller.send(Err(BrokenAnswer)).await;
+    }
 }
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -162,17 +162,19 @@
     pub fn on_engine_load(
         &mut self,
         load: &EngineLoad,
+        now: Instant,
     ) {
         if let Some(link) = self.links.get_mut(&load.target) {
             link.others_in_flight = load.in_flight;
             link.others_tokens = u64::from(load.tokens);
             link.others_unread_tokens = u64::from(load.unread_tokens);
+            link.others_told = Some(now);
         }
     }
 
     /// Asks the holder of an engine for an adapter, unless it was asked a moment ago.
     ///
-    /// `spare` says that there is a copy elsewhere, which only is busy.
+    /// `spare` says that there is a copy elsewhere, which only is busy. True if it is asked.
     pub fn ask(
         &mut self,
         adapter: &str,
@@ -180,13 +182,13 @@
         version: u64,
         spare: bool,
         now: Instant,
-    ) {
+    ) -> bool {
         let holder = self.links.get(target).and_then(|link| link.view.holder);
         let Some(holder) = holder else {
-            return;
+            return false;
         };
         if !self.adapters.ask(adapter, target, now) {
-            return;
+            return false;
         }
         let (waiting, priority) = self
             .waiting
@@ -201,6 +203,7 @@
             spare,
         };
         let _ = self.control.send(ControlRequest::Want { holder, want });
+        true
     }
 
     /// An engine said that it does not hold an adapter.
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -57,6 +57,8 @@
     pub others_in_flight: u32,
     pub others_tokens: u64,
     pub others_unread_tokens: u64,
+    /// When the holder last told.
+    pub others_told: Option<Instant>,
     /// Use of adapters, for the holder.
     pub uses: HashMap<String, UseCount>,
     /// Times that the holder is still to be told of the use, since reports may be lost.
@@ -75,6 +77,7 @@
             others_in_flight: 0,
             others_tokens: 0,
             others_unread_tokens: 0,
+            others_told: None,
             uses: HashMap::new(),
             reports_due: 0,
             idle: Vec::new(),
--- a/src/formats/order.rs
+++ b/src/formats/order.rs
@@ -22,6 +22,20 @@
     pub fence: u64,
 }
 
+impl OrderReply {
+    /// The reply in logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Done => "done",
+            Self::Conflict => "conflict",
+            Self::Fenced => "fenced",
+            Self::Refused => "refused",
+            Self::OtherTarget => "other_target",
+        }
+    }
+}
+
 /// What an engine says to an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderReply {
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -71,6 +71,8 @@
     pub adapter: Option<String>,
     pub version: Option<u64>,
     pub expected_sequence: u64,
+    /// Why, for logs.
+    pub reason: &'static str,
 }
 
 /// What the desk wants done.
@@ -488,7 +490,11 @@
         adapter: &str,
         now: Instant,
     ) -> bool {
-        if self.sequence.is_none() || self.model.is_none() {
+        let fits = self
+            .model
+            .as_deref()
+            .and_then(|model| name_of(adapter, model));
+        if self.sequence.is_none() || fits.is_none() {
             return false;
         }
         let replaces = self.places.get(adapter);
@@ -568,6 +574,7 @@
             adapter: None,
             version: None,
             expected_sequence: sequence,
+            reason: "empty",
         })
     }
 
@@ -594,6 +601,7 @@
             adapter: Some(name_of(adapter, model)?.to_string()),
             version: Some(place.version),
             expected_sequence: sequence,
+            reason: "look",
         })
     }
 
@@ -616,6 +624,7 @@
         let next = self
             .wishes
             .iter()
+            .filter(|(adapter, _)| name_of(adapter, model).is_some())
             .filter(|(adapter, _)| match self.places.get(*adapter) {
                 Some(place) => place.in_flight() == 0 && place.state == PlaceState::Held,
                 None => free > 0,
@@ -633,6 +642,11 @@
             now,
         );
         place.interested.extend(wish.hosts);
+        let reason = match self.memory.contains(&next, wish.version) {
+            true => "held_lately",
+            false if wish.spare => "spare",
+            false => "missing",
+        };
         self.places.insert(next, place);
         Some(DeskOrder {
             purpose: OrderPurpose::Change,
@@ -641,6 +655,7 @@
             adapter: Some(name),
             version: Some(wish.version),
             expected_sequence: sequence,
+            reason,
         })
     }
 
@@ -652,9 +667,9 @@
         now: Instant,
     ) -> Option<DeskOrder> {
         let short = self.free_places() < FREE_PLACES + self.wishes.len().min(MAX_COMING);
-        let victim = match self.stale_and_idle(now) {
-            Some(stale) => stale,
-            None if short => self.victim(now)?,
+        let (victim, reason) = match self.stale_and_idle(now) {
+            Some(stale) => (stale, "old_version"),
+            None if short => (self.victim(now)?, "room"),
             None => return None,
         };
         let name = name_of(&victim, model)?.to_string();
@@ -666,6 +681,7 @@
             adapter: Some(name),
             version: None,
             expected_sequence: sequence,
+            reason,
         })
     }
 
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -4,11 +4,13 @@
     super::{ControlAction, HostControl},
     crate::{
         connection::datagram::{EngineLoad, Message, Placement, PlacementState, Want},
-        formats::{Commit, Order, RowBatch},
+        formats::{Commit, Order, OrderKind, OrderReply, RowBatch},
+        note,
         process::{
-            engines::{DeskAction, EngineDesk},
+            engines::{DeskAction, DeskOrder, EngineDesk, OrderPurpose},
             holding::{HoldingAction, HostRow, KnownLease},
         },
+        timeline::Event,
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Instant},
 };
@@ -56,6 +58,23 @@
         actions
     }
 
+    /// An order was answered, or not.
+    pub(super) fn on_order_ended(
+        &mut self,
+        target: &str,
+        reply: Option<OrderReply>,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        match reply {
+            None => note!(Event::OrderUnanswered, target = target),
+            Some(OrderReply::Accepted | OrderReply::Done) => {}
+            Some(reply) => {
+                note!(Event::OrderRefused, target = target, reply = reply.word());
+            }
+        }
+        self.at_desk(target, now, |desk| desk.on_order_end(reply, now))
+    }
+
     /// When a desk has something to decide without being told anything.
     pub(super) fn next_desk_due(&self) -> Option<Instant> {
         self.desks.values().filter_map(EngineDesk::next_due).min()
@@ -87,10 +106,24 @@
         commit: Option<Commit>,
         now: Instant,
     ) {
+        let term = self.holding.lease().term();
         match commit {
-            Some(Commit::Done { version }) => self.holding.on_renewed(sent, Some(version), now),
-            Some(Commit::Conflict { rows }) => self.holding.on_renewal_conflict(&rows, now),
-            None => self.holding.on_renewed(sent, None, now),
+            Some(Commit::Done { version }) => {
+                self.holding.on_renewed(sent, Some(version), now);
+                note!(Event::SessionRenewed, row_version = version);
+            }
+            Some(Commit::Conflict { rows }) => {
+                note!(Event::SessionNotRenewed, cause = "conflict");
+                self.holding.on_renewal_conflict(&rows, now);
+            }
+            None => {
+                note!(Event::SessionNotRenewed, cause = "no_reply");
+                self.holding.on_renewed(sent, None, now);
+            }
+        }
+        let new_term = self.holding.lease().term();
+        if new_term != term {
+            note!(Event::SessionOpened, term = new_term);
         }
     }
 
@@ -134,7 +167,10 @@
         now: Instant,
     ) {
         match commit {
-            Some(Commit::Done { version }) => self.holding.on_taken(target, version, fence, term),
+            Some(Commit::Done { version }) => {
+                note!(Event::TargetTaken, target = target, fence = fence);
+                self.holding.on_taken(target, version, fence, term);
+            }
             Some(Commit::Conflict { rows }) => self.holding.on_take_conflict(target, &rows, now),
             None => self.holding.on_take_lost(),
         }
@@ -252,9 +288,17 @@
             .held(now)
             .map(|(target, _)| target.clone())
             .collect();
-        let count = self.desks.len();
-        self.desks.retain(|target, _| held.contains(target));
-        self.changed |= self.desks.len() != count;
+        let lost: Vec<String> = self
+            .desks
+            .keys()
+            .filter(|target| !held.contains(target))
+            .cloned()
+            .collect();
+        for target in lost {
+            note!(Event::TargetLost, target = target);
+            self.desks.remove(&target);
+            self.changed = true;
+        }
         for target in held {
             if self.desks.contains_key(&target) {
                 continue;
@@ -302,6 +346,7 @@
                     }
                     return None;
                 };
+                tell_order(target, &order, held.fence);
                 Some(ControlAction::Order {
                     target: target.to_string(),
                     address,
@@ -320,3 +365,28 @@
         }
     }
 }
+
+/// An order that changes something gets a line; looks do not.
+fn tell_order(
+    target: &str,
+    order: &DeskOrder,
+    fence: u64,
+) {
+    if order.purpose == OrderPurpose::Look {
+        return;
+    }
+    let event = match order.kind {
+        OrderKind::Load => Event::LoadOrdered,
+        OrderKind::Unload => Event::DropOrdered,
+    };
+    note!(
+        event,
+        target = target,
+        model = order.model,
+        adapter = order.adapter.as_deref().unwrap_or("-"),
+        version = order.version.unwrap_or_default(),
+        sequence = order.expected_sequence,
+        fence = fence,
+        reason = order.reason,
+    );
+}
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -7,7 +7,9 @@
             datagram::{Ack, HostRumor, Message, Ping, PingRequest, Vouch},
             targets::ControlRequest,
         },
+        note,
         process::hosts::{HostAction, HostEvent, HostState},
+        timeline::Event,
     },
     std::{net::SocketAddr, time::Instant},
 };
@@ -213,16 +215,28 @@
     fn note_host_events(&mut self) {
         for event in self.hosts.take_events() {
             self.changed = true;
-            if let HostEvent::StateChanged {
-                peer,
-                state: HostState::Dead,
-                ..
-            } = event
-            {
-                for desk in self.desks.values_mut() {
-                    desk.on_host_gone(peer);
+            match event {
+                HostEvent::StateChanged { peer, name, state } => {
+                    note!(event_of(state), peer = name, address = peer);
+                    if state == HostState::Dead {
+                        for desk in self.desks.values_mut() {
+                            desk.on_host_gone(peer);
+                        }
+                    }
+                }
+                HostEvent::Refuted { incarnation } => {
+                    note!(Event::SelfRefuted, incarnation = incarnation);
                 }
             }
         }
     }
 }
+
+fn event_of(state: HostState) -> Event {
+    match state {
+        HostState::Alive => Event::PeerAlive,
+        HostState::Leaving => Event::PeerLeaving,
+        HostState::Suspect => Event::PeerSuspect,
+        HostState::Dead => Event::PeerDead,
+    }
+}
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -8,7 +8,9 @@
             targets::NewestVersion,
         },
         formats::{Declared, Formats, Row, RowBatch, RowsReply, TargetState},
+        note,
         process::tables::TableChanges,
+        timeline::Event,
         version::routing::RoutingTable,
     },
     std::{
@@ -54,15 +56,14 @@
             if history_gone {
                 return vec![ControlAction::ReadTable { table }];
             }
-            self.kept(table).schedule.on_end(false, now);
+            self.note_read_end(table, false, now);
             return Vec::new();
         };
         let same = is_same(table, &self.formats);
-        let kept = self.kept(table);
-        kept.schedule.on_end(true, now);
-        let changed = kept.copy.apply_changes(batch, asked, same);
-        self.take_rows(table, &changed, now);
-        self.tell_news(now)
+        self.note_read_end(table, true, now);
+        let changed = self.kept(table).copy.apply_changes(batch, asked, same);
+        self.take_rows(table, &changed, "store", now);
+        self.tell_all(now)
     }
 
     pub(super) fn on_table_read(
@@ -73,13 +74,12 @@
         now: Instant,
     ) {
         let same = is_same(table, &self.formats);
-        let kept = self.kept(table);
-        kept.schedule.on_end(rows.is_some(), now);
+        self.note_read_end(table, rows.is_some(), now);
         let Some(rows) = rows else {
             return;
         };
-        let changed = kept.copy.apply_whole(rows, asked, same);
-        self.take_rows(table, &changed, now);
+        let changed = self.kept(table).copy.apply_whole(rows, asked, same);
+        self.take_rows(table, &changed, "store", now);
     }
 
     /// Another host told how new its copies are.
@@ -140,7 +140,7 @@
             return;
         };
         let changed = kept.copy.apply_from_host(changes, as_of, same);
-        self.take_rows(table, &changed, now);
+        self.take_rows(table, &changed, &from.to_string(), now);
     }
 
     /// What this host's copy of a table tells another host.
@@ -164,12 +164,30 @@
         eligible.iter().filter(|peer| **peer < me).count()
     }
 
-    /// Tells all hosts how new this host's copies are, after a read of its own.
-    fn tell_news(
+    /// A read of a table from the store ended.
+    fn note_read_end(
         &mut self,
+        table: TableName,
+        succeeded: bool,
         now: Instant,
-    ) -> Vec<ControlAction> {
-        self.tell_all(now)
+    ) {
+        let kept = self.kept(table);
+        let failures = kept.schedule.failures();
+        kept.schedule.on_end(succeeded, now);
+        let age_ms = kept
+            .copy
+            .age(now)
+            .map_or(-1.0, |age| age.as_secs_f64() * 1000.0);
+        if !succeeded && failures == 0 {
+            note!(
+                Event::TableUnreachable,
+                table = table.word(),
+                age_ms = age_ms
+            );
+        }
+        if succeeded && failures > 0 {
+            note!(Event::TableBack, table = table.word(), failures = failures);
+        }
     }
 
     /// Sends every host a message that needs no answer.
@@ -196,12 +214,13 @@
         &mut self,
         table: TableName,
         rows: &[Row],
+        source: &str,
         now: Instant,
     ) {
         for row in rows {
             match table {
-                TableName::Declared => self.take_declared(row, now),
-                TableName::Targets => self.take_target(row, now),
+                TableName::Declared => self.take_declared(row, source, now),
+                TableName::Targets => self.take_target(row, source, now),
             }
         }
     }
@@ -209,28 +228,43 @@
     fn take_declared(
         &mut self,
         row: &Row,
+        source: &str,
         now: Instant,
     ) {
         match self.formats.declared(row) {
-            Ok(Declared::Routing(routing)) => self.take_routing(routing, now),
+            Ok(Declared::Routing(routing)) => self.take_routing(routing, source, now),
             Ok(Declared::AdapterVersion {
                 model,
                 adapter,
                 version,
-            }) => self.take_newest(format!("{model}/{adapter}"), version, now),
+            }) => self.take_newest(format!("{model}/{adapter}"), version, source, now),
             Ok(Declared::Other) => {}
-            Err(problem) => log::warn!("row {}: {problem}", row.key),
+            Err(problem) => {
+                note!(
+                    Event::ConfigUnreadable,
+                    row = row.key,
+                    problem = quoted(&problem)
+                );
+            }
         }
     }
 
     fn take_routing(
         &mut self,
         routing: Arc<RoutingTable>,
+        source: &str,
         now: Instant,
     ) {
         if routing.version <= self.routing.version {
             return;
         }
+        note!(
+            Event::ConfigApplied,
+            version = routing.version,
+            before = self.routing.version,
+            source = source,
+            routes = routing.routes().count(),
+        );
         self.routing = routing;
         self.changed = true;
         self.set_engine_specs(now);
@@ -240,12 +274,19 @@
         &mut self,
         adapter: String,
         version: u64,
+        source: &str,
         now: Instant,
     ) {
         let known = self.newest.get(&adapter).map_or(0, |newest| newest.version);
         if version <= known {
             return;
         }
+        note!(
+            Event::AdapterVersionSeen,
+            adapter = adapter,
+            version = version,
+            source = source
+        );
         for desk in self.desks.values_mut() {
             desk.on_newest(&adapter, version);
         }
@@ -260,6 +301,7 @@
     fn take_target(
         &mut self,
         row: &Row,
+        source: &str,
         now: Instant,
     ) {
         self.changed = true;
@@ -268,18 +310,36 @@
             if let Some(target) = self.targets.get_mut(&*row.key) {
                 // One that was leaving has been taken out already.
                 target.vanished_until.get_or_insert(until);
+                note!(Event::TargetVanished, target = row.key, source = source);
             }
             return;
         }
         match self.formats.target_record(row) {
             Ok(record) => {
+                let event = match record.state {
+                    TargetState::Ready => Event::TargetListed,
+                    TargetState::Leaving => Event::TargetLeaving,
+                };
+                note!(
+                    event,
+                    target = record.id,
+                    service = record.service,
+                    address = record.address,
+                    source = source
+                );
                 let listed = ListedTarget {
                     record,
                     vanished_until: None,
                 };
                 self.targets.insert(row.key.to_string(), listed);
             }
-            Err(problem) => log::warn!("row {}: {problem}", row.key),
+            Err(problem) => {
+                note!(
+                    Event::ConfigUnreadable,
+                    row = row.key,
+                    problem = quoted(&problem)
+                );
+            }
         }
     }
 
@@ -294,6 +354,11 @@
     }
 }
 
+/// A text with blanks as one value of a line.
+fn quoted(text: &impl ToString) -> String {
+    format!("{:?}", text.to_string())
+}
+
 /// Two values of a target's row mean the same here if only what it holds has changed.
 fn is_same(
     table: TableName,
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -6,6 +6,7 @@
             targets::{FleetView, NewestVersion, TargetView},
         },
         formats::{Formats, TargetRecord, TargetState},
+        note,
         process::{
             engines::EngineDesk,
             holding::{Holding, HoldingTimings, HostRow},
@@ -14,6 +15,7 @@
             settings::NodeSettings,
             tables::{ReadSchedule, ReadTimings, TableCopy},
         },
+        timeline::Event,
         version::routing::RoutingTable,
     },
     std::{
@@ -195,9 +197,7 @@
                 self.on_taken(&target, fence, term, commit, now);
                 Vec::new()
             }
-            ControlEvent::OrderEnded { target, reply } => {
-                self.at_desk(&target, now, |desk| desk.on_order_end(reply, now))
-            }
+            ControlEvent::OrderEnded { target, reply } => self.on_order_ended(&target, reply, now),
             ControlEvent::OrderWithheld { target } => {
                 if let Some(desk) = self.desks.get_mut(&target) {
                     desk.on_order_withheld();
@@ -317,10 +317,17 @@
         &mut self,
         now: Instant,
     ) {
-        let before = self.targets.len();
-        self.targets
-            .retain(|_, target| target.vanished_until.is_none_or(|until| now < until));
-        self.changed |= self.targets.len() != before;
+        let gone: Vec<String> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| target.vanished_until.is_some_and(|until| now >= until))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            note!(Event::TargetForgotten, target = id);
+            self.targets.remove(&id);
+            self.changed = true;
+        }
     }
 
     fn view(
--- a/src/process/host/peer_pages.rs
+++ b/src/process/host/peer_pages.rs
@@ -14,7 +14,7 @@
 const PATH: &str = "/changes/";
 
 impl TableName {
-    fn word(self) -> &'static str {
+    pub(super) fn word(self) -> &'static str {
         match self {
             Self::Declared => "declared",
             Self::Targets => "targets",
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -97,6 +97,6 @@
     match input {
         TrafficInput::View(view) => board.set_view(view),
         TrafficInput::Placement(placement) => board.on_placement(&placement, Instant::now()),
-        TrafficInput::Load(load) => board.on_engine_load(&load),
+        TrafficInput::Load(load) => board.on_engine_load(&load, Instant::now()),
     }
 }
