--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -80,10 +80,16 @@
 pub enum DeskAction {
     Order(DeskOrder),
     AskReport,
+    /// Tell one host, which asked.
     Tell {
         host: SocketAddr,
         placement: Placement,
     },
+    /// Tell every host, or at least those that may send requests for the adapter.
+    Announce {
+        interested: Vec<SocketAddr>,
+        placement: Placement,
+    },
 }
 
 /// An adapter that somebody waits for and that is not ordered yet.
@@ -345,7 +351,7 @@
             if reply == OrderReply::Done {
                 place.state = PlaceState::Held;
                 self.note_load_time(passed);
-                actions.extend(self.tell_interested(&adapter, now));
+                actions.extend(self.announce(&adapter, now));
             } else {
                 let pause = passed.mul_f64(LOOK_SHARE).max(LEAST_LOOK_PAUSE);
                 place.state = PlaceState::Coming {
@@ -394,7 +400,7 @@
             (Some(adapter), OrderKind::Unload) => {
                 let key = key(&order.model, adapter);
                 if reply == OrderReply::Done {
-                    actions.extend(self.remove_place(&key, now));
+                    self.places.remove(&key);
                 } else {
                     self.report_due.get_or_insert(now + LOAD_OVERDUE);
                 }
@@ -426,18 +432,20 @@
                 due: now + time,
             },
         };
-        self.tell_interested(adapter, now)
+        self.announce(adapter, now).into_iter().collect()
     }
 
-    /// Tells the hosts that may send requests for an adapter where it stands.
-    fn tell_interested(
+    /// Tells where an adapter stands.
+    fn announce(
         &self,
         adapter: &str,
         now: Instant,
-    ) -> Vec<DeskAction> {
-        let hosts = self.places.get(adapter).map(|place| &place.interested);
-        let hosts = hosts.into_iter().flatten();
-        hosts.map(|host| self.tell(*host, adapter, now)).collect()
+    ) -> Option<DeskAction> {
+        let place = self.places.get(adapter)?;
+        Some(DeskAction::Announce {
+            interested: place.interested.iter().copied().collect(),
+            placement: self.placement(adapter, now),
+        })
     }
 
     /// Puts an adapter on the list of those to be loaded.
@@ -529,12 +537,25 @@
             return actions;
         };
         if let Some(order) = self.choose(sequence, now) {
+            if order.kind == OrderKind::Unload {
+                // Hosts hear of it before the engine does, and send nothing more for it.
+                actions.extend(self.announce_order(&order, now));
+            }
             self.under_way = Some(order.clone());
             actions.push(DeskAction::Order(order));
         }
         actions
     }
 
+    fn announce_order(
+        &self,
+        order: &DeskOrder,
+        now: Instant,
+    ) -> Option<DeskAction> {
+        let adapter = order.adapter.as_deref()?;
+        self.announce(&key(&order.model, adapter), now)
+    }
+
     fn choose(
         &mut self,
         sequence: u64,
@@ -762,18 +783,6 @@
         self.report_due = Some(now + REPORT_LAG);
     }
 
-    fn remove_place(
-        &mut self,
-        adapter: &str,
-        now: Instant,
-    ) -> Vec<DeskAction> {
-        let Some(place) = self.places.remove(adapter) else {
-            return Vec::new();
-        };
-        let hosts = place.interested.into_iter();
-        hosts.map(|host| self.tell(host, adapter, now)).collect()
-    }
-
     /// Takes over what a report says; what is known besides is kept.
     fn take_places(
         &mut self,
@@ -826,6 +835,17 @@
         adapter: &str,
         now: Instant,
     ) -> DeskAction {
+        DeskAction::Tell {
+            host,
+            placement: self.placement(adapter, now),
+        }
+    }
+
+    fn placement(
+        &self,
+        adapter: &str,
+        now: Instant,
+    ) -> Placement {
         let place = self.places.get(adapter);
         let (state, due) = match place.map(|place| place.state) {
             Some(PlaceState::Held) => (PlacementState::Ready, Duration::ZERO),
@@ -834,14 +854,13 @@
             }
             Some(PlaceState::Going) | None => (PlacementState::Absent, Duration::ZERO),
         };
-        let placement = Placement {
+        Placement {
             target: self.target.clone(),
             adapter: adapter.to_string(),
             version: place.map_or(0, |place| place.version),
             state: state as i32,
             due_ms: millis(due),
-        };
-        DeskAction::Tell { host, placement }
+        }
     }
 }
 
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -15,6 +15,9 @@
     std::{collections::BTreeMap, net::SocketAddr, time::Instant},
 };
 
+/// Hosts up to which all are told where adapters stand.
+const MAX_ANNOUNCED: usize = 24;
+
 impl HostControl {
     /// Leases, takeovers, and the desks of the engines held here.
     pub(super) fn tick_engines(
@@ -327,42 +330,78 @@
         target: &str,
         action: DeskAction,
         now: Instant,
-    ) -> Option<ControlAction> {
-        let address = self.targets.get(target).map(|target| target.record.address);
+    ) -> Vec<ControlAction> {
         match action {
             DeskAction::Tell { host, placement } => {
-                Some(self.send(host, Message::Placement(placement)))
-            }
-            DeskAction::AskReport => Some(ControlAction::AskReport {
-                target: target.to_string(),
-                address: address?,
-            }),
-            DeskAction::Order(order) => {
-                let held = self.holding.may_order(target, now);
-                let (Some(held), Some(address), true) = (held, address, self.is_usable(target))
-                else {
-                    if let Some(desk) = self.desks.get_mut(target) {
-                        desk.on_order_withheld();
-                    }
-                    return None;
-                };
-                tell_order(target, &order, held.fence);
-                Some(ControlAction::Order {
-                    target: target.to_string(),
-                    address,
-                    term: held.term,
-                    order: Order {
-                        kind: order.kind,
-                        model: order.model,
-                        adapter: order.adapter,
-                        version: order.version,
-                        expected_sequence: Some(order.expected_sequence),
-                        holder: self.settings.name.clone(),
-                        fence: held.fence,
-                    },
-                })
+                vec![self.send(host, Message::Placement(placement))]
             }
+            DeskAction::Announce {
+                interested,
+                placement,
+            } => self.announce(&interested, &placement),
+            DeskAction::AskReport => self.ask_report(target).into_iter().collect(),
+            DeskAction::Order(order) => self.order(target, order, now).into_iter().collect(),
+        }
+    }
+
+    /// Tells every host of a small site, and the interested ones of a large one.
+    fn announce(
+        &self,
+        interested: &[SocketAddr],
+        placement: &Placement,
+    ) -> Vec<ControlAction> {
+        let me = self.hosts.me().peer;
+        let up = self.hosts.hosts().filter(|host| host.state.is_up());
+        let mut receivers: Vec<SocketAddr> = up.map(|host| host.identity.peer).collect();
+        receivers.push(me);
+        if receivers.len() > MAX_ANNOUNCED {
+            receivers = interested.to_vec();
         }
+        receivers
+            .into_iter()
+            .map(|host| self.send(host, Message::Placement(placement.clone())))
+            .collect()
+    }
+
+    fn ask_report(
+        &self,
+        target: &str,
+    ) -> Option<ControlAction> {
+        Some(ControlAction::AskReport {
+            target: target.to_string(),
+            address: self.targets.get(target)?.record.address,
+        })
+    }
+
+    fn order(
+        &mut self,
+        target: &str,
+        order: DeskOrder,
+        now: Instant,
+    ) -> Option<ControlAction> {
+        let address = self.targets.get(target).map(|target| target.record.address);
+        let held = self.holding.may_order(target, now);
+        let (Some(held), Some(address), true) = (held, address, self.is_usable(target)) else {
+            if let Some(desk) = self.desks.get_mut(target) {
+                desk.on_order_withheld();
+            }
+            return None;
+        };
+        tell_order(target, &order, held.fence);
+        Some(ControlAction::Order {
+            target: target.to_string(),
+            address,
+            term: held.term,
+            order: Order {
+                kind: order.kind,
+                model: order.model,
+                adapter: order.adapter,
+                version: order.version,
+                expected_sequence: Some(order.expected_sequence),
+                holder: self.settings.name.clone(),
+                fence: held.fence,
+            },
+        })
     }
 }
 
