Streams that may be resumed go on at another target; silent targets are avoided

Cause: the two kinds of request worth most may be resumed and were cut when their engine crashed; engines that go dark kept getting requests.

--- /dev/null
+++ b/src/connection/front/chooser.rs
@@ -0,0 +1,334 @@
+use {
+    super::{exchange::Destination, request_trace::TraceStep, tries::Tries},
+    crate::{
+        connection::targets::TargetBoard,
+        request::direct::{
+            CallRequest, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Patience,
+            PlainCandidate, RequestTime, choose_engine, choose_plain, wait_or_refuse,
+        },
+    },
+    rand::RngExt,
+    std::{
+        cell::RefCell,
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Old versions of an adapter are still used for so long after a newer one was named.
+const OLD_VERSION_GRACE: Duration = Duration::from_millis(900);
+
+/// Wait for the answer of a holder that was just asked.
+const ASK_WAIT: Duration = Duration::from_millis(60);
+
+/// Price of a copy of an adapter that is asked for once in a few seconds over all hosts.
+const COPY_PRICE: Duration = Duration::from_millis(300);
+
+/// A request waits for an engine at least this long before it looks again.
+const LEAST_WAIT: Duration = Duration::from_millis(2);
+
+/// Engines on which an adapter may settle, besides those that hold it.
+const SETTLING_PLACES: usize = 8;
+
+/// What is decided for the next send.
+pub enum Choice {
+    Send(Destination),
+    Wait {
+        until: Instant,
+        expected: Option<Duration>,
+    },
+    /// Tell the caller to come back after this time.
+    Refuse(Duration),
+    Nowhere,
+}
+
+/// Chooses the target of each send.
+pub struct Chooser {
+    board: Rc<RefCell<TargetBoard>>,
+    /// The hall of this host.
+    hall: String,
+}
+
+impl Chooser {
+    pub fn new(
+        board: Rc<RefCell<TargetBoard>>,
+        hall: &str,
+    ) -> Self {
+        Self {
+            board,
+            hall: hall.to_string(),
+        }
+    }
+
+    /// Chooses where a request goes next.
+    pub fn choose(
+        &self,
+        request: &CallRequest,
+        tries: &mut Tries,
+        now: Instant,
+    ) -> Choice {
+        let mut board = self.board.borrow_mut();
+        match &request.generation {
+            Some(generation) => match generation.adapter() {
+                Some(adapter) => self.choose_for_adapter(&mut board, request, tries, adapter, now),
+                None => self.choose_base(&mut board, request, tries, now),
+            },
+            None => self.choose_plain(&board, request, tries, now),
+        }
+    }
+
+    fn choose_plain(
+        &self,
+        board: &TargetBoard,
+        request: &CallRequest,
+        tries: &mut Tries,
+        now: Instant,
+    ) -> Choice {
+        let targets = board.targets_of(&request.service.name);
+        let candidates: Vec<PlainCandidate> = targets
+            .iter()
+            .map(|target| {
+                let link = &board.links[&target.id];
+                PlainCandidate {
+                    in_flight: link.in_flight,
+                    slots: link.view.record.slots,
+                    near: link.view.record.hall == self.hall,
+                    avoided_for: link.avoided_for(now),
+                    tried: tries.has_tried(&target.id),
+                }
+            })
+            .collect();
+        let draw = rand::rng().random::<f64>();
+        let Some(at) = choose_plain(&candidates, draw) else {
+            return Choice::Nowhere;
+        };
+        send_to(
+            board,
+            tries,
+            &targets[at].id,
+            None,
+            (targets.len(), targets.len()),
+            now,
+        )
+    }
+
+    /// A request for the base model alone runs at any engine that holds it.
+    fn choose_base(
+        &self,
+        board: &mut TargetBoard,
+        request: &CallRequest,
+        tries: &mut Tries,
+        now: Instant,
+    ) -> Choice {
+        let targets: Vec<Arc<str>> = board
+            .targets_of(&request.service.name)
+            .iter()
+            .map(|target| target.id.clone())
+            .collect();
+        let candidates: Vec<EngineCandidate> = targets
+            .iter()
+            .map(|target| self.candidate(board, request, target, CopyState::Ready, tries, now))
+            .collect();
+        let terms = ChoiceTerms {
+            copy_price: Duration::ZERO,
+            aim_left: request.aim().saturating_duration_since(now),
+            now,
+        };
+        match choose_engine(&candidates, &terms) {
+            EngineChoice::Send { to, .. } => send_to(
+                board,
+                tries,
+                &targets[to],
+                None,
+                (targets.len(), targets.len()),
+                now,
+            ),
+            _ => Choice::Nowhere,
+        }
+    }
+
+    fn choose_for_adapter(
+        &self,
+        board: &mut TargetBoard,
+        request: &CallRequest,
+        tries: &mut Tries,
+        adapter: &str,
+        now: Instant,
+    ) -> Choice {
+        let newest = board.view.newest.get(adapter).copied();
+        let least = newest.map_or(1, |newest| newest.version);
+        let grace = newest
+            .is_some_and(|newest| now.saturating_duration_since(newest.since) < OLD_VERSION_GRACE);
+        let targets = board.settle_order(&request.service.name, adapter, SETTLING_PLACES);
+        let mut candidates = Vec::with_capacity(targets.len());
+        for target in &targets {
+            let copy = match board.adapters.get(adapter, target) {
+                Some(copy) if copy.version < least && is_there(copy.state) && !grace => {
+                    CopyState::Unknown
+                }
+                Some(copy) => copy.state,
+                None => CopyState::Unknown,
+            };
+            candidates.push(self.candidate(board, request, target, copy, tries, now));
+        }
+        let terms = ChoiceTerms {
+            copy_price: copy_price(board, adapter, now),
+            aim_left: request.aim().saturating_duration_since(now),
+            now,
+        };
+        match choose_engine(&candidates, &terms) {
+            EngineChoice::Send { to, ask } => {
+                if let Some(ask) = ask {
+                    ask_for(board, tries, adapter, &targets[ask], least, true, now);
+                }
+                let is_ready = |candidate: &&EngineCandidate| candidate.copy == CopyState::Ready;
+                let ready = candidates.iter().filter(is_ready).count();
+                let version = board.adapters.get(adapter, &targets[to]);
+                let version = version.map(|copy| copy.version);
+                send_to(
+                    board,
+                    tries,
+                    &targets[to],
+                    version,
+                    (targets.len(), ready),
+                    now,
+                )
+            }
+            EngineChoice::Ask(at) => {
+                ask_for(board, tries, adapter, &targets[at], least, false, now);
+                Choice::Wait {
+                    until: now + ASK_WAIT,
+                    expected: None,
+                }
+            }
+            EngineChoice::Wait { until, expected } => {
+                // Whoever is late is asked again; asks that come too often are held back there.
+                for target in &targets {
+                    let copy = board.adapters.get(adapter, target);
+                    if copy.is_some_and(|copy| is_late(copy.state, now)) {
+                        ask_for(board, tries, adapter, target, least, false, now);
+                    }
+                }
+                match expected.map(|expected| wait_or_refuse(&time_of(request, now), expected)) {
+                    Some(Patience::Refuse { come_back }) => Choice::Refuse(come_back),
+                    _ => Choice::Wait {
+                        until: until.max(now + LEAST_WAIT),
+                        expected,
+                    },
+                }
+            }
+            EngineChoice::Nowhere => Choice::Nowhere,
+        }
+    }
+
+    fn candidate(
+        &self,
+        board: &mut TargetBoard,
+        request: &CallRequest,
+        target: &str,
+        copy: CopyState,
+        tries: &Tries,
+        now: Instant,
+    ) -> EngineCandidate {
+        let speed = *board.speed(&request.service.name);
+        let link = &board.links[target];
+        let generation = request.generation.as_ref();
+        let prompt = generation.map_or(0, |generation| u64::from(generation.tokens_in));
+        let answer = generation.map_or(0, |generation| u64::from(generation.tokens_out));
+        let engine = request.service.engine.as_ref();
+        let memory = engine.map_or(u64::MAX, |engine| engine.memory_tokens.max(1));
+        let tokens = link.running_tokens() + prompt + answer;
+        EngineCandidate {
+            copy,
+            wait: speed.time_for(link.backlog_tokens() + prompt),
+            memory: tokens as f64 / memory as f64,
+            batch: f64::from(link.running() + 1) / f64::from(link.view.record.slots.max(1)),
+            near: link.view.record.hall == self.hall,
+            avoided: !link.avoided_for(now).is_zero(),
+            has_holder: link.view.holder.is_some(),
+            tried: tries.has_tried(target),
+        }
+    }
+}
+
+/// Decides on a target; `counts` are the candidates and those of them that were ready.
+fn send_to(
+    board: &TargetBoard,
+    tries: &mut Tries,
+    target: &Arc<str>,
+    version: Option<u64>,
+    counts: (usize, usize),
+    now: Instant,
+) -> Choice {
+    let link = &board.links[target];
+    let step = TraceStep::Chosen {
+        target: target.clone(),
+        candidates: counts.0,
+        ready: counts.1,
+        running: link.running(),
+        unread_tokens: link.backlog_tokens(),
+        load_age: link
+            .others_told
+            .map(|told| now.saturating_duration_since(told)),
+    };
+    tries.trace.add(step, now);
+    Choice::Send(Destination {
+        target: target.clone(),
+        version,
+        resume_after: None,
+    })
+}
+
+fn ask_for(
+    board: &mut TargetBoard,
+    tries: &mut Tries,
+    adapter: &str,
+    target: &Arc<str>,
+    version: u64,
+    spare: bool,
+    now: Instant,
+) {
+    if board.ask(adapter, target, version, spare, now) {
+        let target = target.clone();
+        tries.trace.add(TraceStep::Asks { target, spare }, now);
+    }
+}
+
+fn time_of(
+    request: &CallRequest,
+    now: Instant,
+) -> RequestTime {
+    RequestTime {
+        passed: now.saturating_duration_since(request.arrived),
+        aim: request.route.aim,
+        left: request.left(now),
+    }
+}
+
+/// The more requests share a copy, the less each pays for it.
+fn copy_price(
+    board: &TargetBoard,
+    adapter: &str,
+    now: Instant,
+) -> Duration {
+    // One request here tells nothing of the other hosts; several do.
+    let here = (board.demand.recent(adapter, now) - 1.0).max(0.0);
+    COPY_PRICE.div_f64(1.0 + here * board.view.hosts as f64)
+}
+
+/// True if the holder should have told of the adapter by now.
+fn is_late(
+    state: CopyState,
+    now: Instant,
+) -> bool {
+    match state {
+        CopyState::Asked => true,
+        CopyState::Coming { due } => due + ASK_WAIT <= now,
+        _ => false,
+    }
+}
+
+fn is_there(state: CopyState) -> bool {
+    matches!(state, CopyState::Ready | CopyState::Coming { .. })
+}
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -12,6 +12,7 @@
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::time::timeout,
@@ -26,15 +27,28 @@
 /// Where a request goes, and on what condition it may run there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Destination {
-    pub target: String,
+    pub target: Arc<str>,
     /// Version of the adapter that must be there.
     pub version: Option<u64>,
+    /// The answer goes on behind this event.
+    pub resume_after: Option<u64>,
+}
+
+impl Destination {
+    /// A target, without conditions.
+    pub fn of(target: &str) -> Self {
+        Self {
+            target: target.into(),
+            version: None,
+            resume_after: None,
+        }
+    }
 }
 
 /// One request that runs, or may run, at a target; it counts as ended when dropped.
 pub struct Flight {
     board: Rc<RefCell<TargetBoard>>,
-    target: String,
+    target: Arc<str>,
     adapter: Option<String>,
     tokens: RequestTokens,
     /// Nothing of the answer has come yet.
@@ -45,7 +59,7 @@
     fn start(
         board: &Rc<RefCell<TargetBoard>>,
         request: &CallRequest,
-        target: &str,
+        target: &Arc<str>,
     ) -> Self {
         let generation = request.generation.as_ref();
         let adapter = generation.and_then(|generation| generation.adapter());
@@ -58,13 +72,20 @@
         }
         Self {
             board: board.clone(),
-            target: target.to_string(),
+            target: target.clone(),
             adapter: adapter.map(str::to_string),
             tokens,
             unread: Cell::new(true),
         }
     }
 
+    /// Something came from the target.
+    fn on_heard(&self) {
+        if let Some(link) = self.board.borrow_mut().links.get_mut(&self.target) {
+            link.heard = Some(Instant::now());
+        }
+    }
+
     /// The first of the answer has come, or none will.
     fn on_prompt_read(&self) {
         if !self.unread.replace(false) {
@@ -125,7 +146,21 @@
 impl AnswerSource {
     /// The next piece; `None` at the body's end.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
-        self.connection.body_piece(&mut self.decoder).await
+        let piece = self.connection.body_piece(&mut self.decoder).await;
+        if matches!(piece, Ok(Some(_))) {
+            self.flight.on_heard();
+        }
+        piece
+    }
+
+    /// True if the target has sent nothing at all to this host for so long.
+    pub fn target_is_silent(
+        &self,
+        time: Duration,
+    ) -> bool {
+        let board = self.flight.board.borrow();
+        let link = board.links.get(&self.flight.target);
+        link.is_none_or(|link| link.is_silent(time, Instant::now()))
     }
 
     /// The target that answers.
@@ -355,9 +390,21 @@
         b" HTTP/1.1",
     ]);
     line(&[b"host: ", request.route.host.as_bytes()]);
+    let resumes = destination.resume_after.is_some();
     for (name, value) in &request.headers {
+        if resumes && name == names.last_event_id {
+            continue;
+        }
         line(&[name.as_str().as_bytes(), b": ", value.as_bytes()]);
     }
+    if let Some(after) = destination.resume_after {
+        let after = after.to_string();
+        line(&[
+            names.last_event_id.as_str().as_bytes(),
+            b": ",
+            after.as_bytes(),
+        ]);
+    }
     let left = request.left(now).as_millis().to_string();
     line(&[
         names.deadline_ms.as_str().as_bytes(),
--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -43,7 +43,7 @@
 
 /// Takes callers' connections and serves their requests.
 pub struct FrontListener {
-    dispatcher: Dispatcher,
+    dispatcher: Rc<Dispatcher>,
     reader: RequestReader,
     board: Rc<RefCell<TargetBoard>>,
     formats: Arc<dyn Formats>,
@@ -60,7 +60,7 @@
         open_connections: Arc<AtomicUsize>,
     ) -> Self {
         Self {
-            dispatcher: Dispatcher::new(board.clone(), formats.clone(), hall),
+            dispatcher: Rc::new(Dispatcher::new(board.clone(), formats.clone(), hall)),
             reader: RequestReader::new(formats.clone()),
             board,
             formats,
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -1,17 +1,22 @@
 //! Callers: their connections, reading their requests, sending these to targets, and the answers.
 
 mod answer_body;
+mod chooser;
 mod dispatcher;
+mod event_splitter;
 mod exchange;
 mod front_listener;
 mod own_answer;
 mod request_reader;
 mod request_trace;
 mod stream_relay;
+mod tries;
+mod waiter;
 
 pub use {
     answer_body::{AnswerBody, BrokenAnswer},
     dispatcher::Dispatcher,
+    event_splitter::{BrokenStream, EventSplitter},
     front_listener::{FrontListener, FrontStop},
     own_answer::{OwnAnswer, OwnCause},
     request_reader::{RequestProblem, RequestReader},
--- a/src/connection/front/request_trace.rs
+++ b/src/connection/front/request_trace.rs
@@ -1,6 +1,9 @@
 use {
     crate::{note, timeline::Event},
-    std::time::{Duration, Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Steps of one request that are kept; later ones are only counted.
@@ -11,7 +14,7 @@
 pub enum TraceStep {
     /// A target was chosen, among so many candidates of which so many were ready.
     Chosen {
-        target: String,
+        target: Arc<str>,
         candidates: usize,
         ready: usize,
         /// Requests and unread tokens there, of all hosts.
@@ -22,7 +25,7 @@
     },
     /// The holder of an engine was asked for the adapter.
     Asks {
-        target: String,
+        target: Arc<str>,
         spare: bool,
     },
     /// The request waits for an adapter that should be there after `expected`.
@@ -30,18 +33,18 @@
         expected: Option<Duration>,
     },
     NotReached {
-        target: String,
+        target: Arc<str>,
     },
     TurnedAway {
-        target: String,
+        target: Arc<str>,
         status: u16,
     },
     FailedThere {
-        target: String,
+        target: Arc<str>,
         status: u16,
     },
     Lost {
-        target: String,
+        target: Arc<str>,
     },
     /// It is sent once more; `repeats` draws on the shared budget.
     Resent {
@@ -71,7 +74,7 @@
     /// The target that was chosen last.
     pub fn last_target(&self) -> &str {
         let chosen = self.steps.iter().rev().find_map(|(_, step)| match step {
-            TraceStep::Chosen { target, .. } => Some(target.as_str()),
+            TraceStep::Chosen { target, .. } => Some(&**target),
             _ => None,
         });
         chosen.unwrap_or("-")
--- /dev/null
+++ b/src/connection/front/tries.rs
@@ -0,0 +1,47 @@
+use {
+    super::{
+        exchange::{Destination, WholeAnswer},
+        request_trace::{RequestTrace, TraceStep},
+    },
+    crate::request::direct::{AttemptEnd, RequestHistory},
+    std::time::Instant,
+};
+
+/// What was tried for one request.
+#[derive(Default)]
+pub struct Tries {
+    pub history: RequestHistory,
+    /// Targets that turned it away, were not reached, or broke off.
+    pub tried: Vec<String>,
+    /// The last failure that a target gave as an answer.
+    pub failure: Option<WholeAnswer>,
+    pub trace: RequestTrace,
+}
+
+impl Tries {
+    /// A send ended without an answer that can be passed on.
+    pub fn note_end(
+        &mut self,
+        destination: &Destination,
+        end: AttemptEnd,
+        now: Instant,
+    ) {
+        self.history.note(end);
+        let target = destination.target.clone();
+        let step = match end {
+            AttemptEnd::NotSent => TraceStep::NotReached { target },
+            AttemptEnd::NotRun { status, .. } => TraceStep::TurnedAway { target, status },
+            AttemptEnd::Failed { status } => TraceStep::FailedThere { target, status },
+            AttemptEnd::Lost => TraceStep::Lost { target },
+        };
+        self.trace.add(step, now);
+    }
+
+    /// True if this target is not to be tried again.
+    pub fn has_tried(
+        &self,
+        target: &str,
+    ) -> bool {
+        self.tried.iter().any(|tried| tried == target)
+    }
+}
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -13,6 +13,7 @@
         time::{Duration, Instant},
     },
     tokio::sync::Notify,
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
 /// An engine that can't take an adapter is not asked again for so long.
@@ -44,9 +45,8 @@
 pub struct TargetBoard {
     settings: BoardSettings,
     pub view: Arc<FleetView>,
-    pub links: HashMap<String, TargetLink>,
-    /// Ids of targets by service.
-    by_service: HashMap<String, Vec<String>>,
+    pub links: HashMap<Arc<str>, TargetLink>,
+    by_service: HashMap<String, Vec<ServiceTarget>>,
     pub adapters: AdapterMap,
     pub demand: AdapterDemand,
     speeds: HashMap<String, ReadingSpeed>,
@@ -56,6 +56,14 @@
     control: flume::Sender<ControlRequest>,
 }
 
+/// A target of one service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceTarget {
+    pub id: Arc<str>,
+    /// Stands for its address where adapters settle: a target that starts anew keeps its place.
+    key: u64,
+}
+
 struct Waiting {
     count: u32,
     priority: u8,
@@ -85,23 +93,48 @@
         &self.view.routing
     }
 
-    /// Ids of the targets of a service.
+    /// The targets of a service.
     pub fn targets_of(
         &self,
         service: &str,
-    ) -> &[String] {
+    ) -> &[ServiceTarget] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The engines that hold an adapter, or on which it settles, in the order in which it does; the
+    /// order is the same on every host. At most `places` that do not hold it are among them.
+    pub fn settle_order(
+        &self,
+        service: &str,
+        adapter: &str,
+        places: usize,
+    ) -> Vec<Arc<str>> {
+        let seed = xxh3_64(adapter.as_bytes());
+        let mut ranked: Vec<(u64, &ServiceTarget)> = self
+            .targets_of(service)
+            .iter()
+            .map(|target| (xxh3_64_with_seed(&target.key.to_le_bytes(), seed), target))
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+        ranked
+            .into_iter()
+            .enumerate()
+            .filter(|(at, (_, target))| {
+                *at < places || self.adapters.get(adapter, &target.id).is_some()
+            })
+            .map(|(_, (_, target))| target.id.clone())
+            .collect()
+    }
+
     /// Takes a new view over.
     pub fn set_view(
         &mut self,
         view: Arc<FleetView>,
     ) {
-        let gone: Vec<String> = self
+        let gone: Vec<Arc<str>> = self
             .links
             .keys()
-            .filter(|id| !view.targets.contains_key(*id))
+            .filter(|id| !view.targets.contains_key(&***id))
             .cloned()
             .collect();
         for id in gone {
@@ -110,20 +143,26 @@
         }
         self.by_service.clear();
         for (id, target) in &view.targets {
-            match self.links.get_mut(id) {
+            let id: Arc<str> = id.as_str().into();
+            match self.links.get_mut(&id) {
                 Some(link) => link.view = target.clone(),
                 None => {
+                    self.adapters.assume_held(&id, &target.record.models);
                     self.links
                         .insert(id.clone(), TargetLink::new(target.clone()));
                 }
             }
+            let address = target.record.address.to_string();
             self.by_service
                 .entry(target.record.service.clone())
                 .or_default()
-                .push(id.clone());
+                .push(ServiceTarget {
+                    id,
+                    key: xxh3_64(address.as_bytes()),
+                });
         }
         for targets in self.by_service.values_mut() {
-            targets.sort_unstable();
+            targets.sort_unstable_by(|a, b| a.id.cmp(&b.id));
         }
         self.view = view;
         for waiting in self.waiting.values() {
@@ -164,7 +203,7 @@
         load: &EngineLoad,
         now: Instant,
     ) {
-        if let Some(link) = self.links.get_mut(&load.target) {
+        if let Some(link) = self.links.get_mut(load.target.as_str()) {
             link.others_in_flight = load.in_flight;
             link.others_tokens = u64::from(load.tokens);
             link.others_unread_tokens = u64::from(load.unread_tokens);
@@ -301,7 +340,7 @@
             adapters.truncate(MAX_USES);
             link.uses.retain(|_, count| count.in_flight > 0);
             let usage = Usage {
-                target: id.clone(),
+                target: id.to_string(),
                 adapters,
                 in_flight: link.in_flight,
                 tokens: u32::try_from(link.tokens).unwrap_or(u32::MAX),
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -17,6 +17,12 @@
 /// Idle connections kept to one target.
 const MAX_IDLE: usize = 64;
 
+/// A target that has requests and sends nothing for so long is avoided.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// Counts as the time for which a silent target is avoided.
+const SILENCE_PAUSE: Duration = Duration::from_millis(200);
+
 /// Times that a change of use is told to the holder.
 const REPORTS: u8 = 2;
 
@@ -59,6 +65,10 @@
     pub others_unread_tokens: u64,
     /// When the holder last told.
     pub others_told: Option<Instant>,
+    /// When anything last came from it.
+    pub heard: Option<Instant>,
+    /// When the oldest of the requests that run there now can't have been sent before.
+    busy_since: Option<Instant>,
     /// Use of adapters, for the holder.
     pub uses: HashMap<String, UseCount>,
     /// Times that the holder is still to be told of the use, since reports may be lost.
@@ -78,6 +88,8 @@
             others_tokens: 0,
             others_unread_tokens: 0,
             others_told: None,
+            heard: None,
+            busy_since: None,
             uses: HashMap::new(),
             reports_due: 0,
             idle: Vec::new(),
@@ -121,6 +133,9 @@
         adapter: Option<&str>,
         tokens: RequestTokens,
     ) {
+        if self.in_flight == 0 {
+            self.busy_since = Some(Instant::now());
+        }
         self.in_flight += 1;
         self.tokens += tokens.all;
         self.unread_tokens += tokens.prompt;
@@ -158,6 +173,29 @@
         }
     }
 
+    /// True if requests run there and nothing has come for so long.
+    pub fn is_silent(
+        &self,
+        time: Duration,
+        now: Instant,
+    ) -> bool {
+        let since = self.heard.max(self.busy_since);
+        let quiet = since.is_some_and(|since| now.saturating_duration_since(since) >= time);
+        self.in_flight > 0 && quiet
+    }
+
+    /// Time for which the target is avoided: after failures, and while it is silent.
+    pub fn avoided_for(
+        &self,
+        now: Instant,
+    ) -> Duration {
+        let after_failures = self.health.avoided_for(now);
+        match self.is_silent(SILENCE, now) {
+            true => after_failures.max(SILENCE_PAUSE),
+            false => after_failures,
+        }
+    }
+
     /// Requests of all hosts that run there.
     pub fn running(&self) -> u32 {
         self.in_flight + self.others_in_flight
