--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -70,7 +70,7 @@
         let unserved = Unserved::new(&request);
         let tried = self.try_targets(&request, &mut tries, None);
         let outcome = timeout_at(request.ends.into(), tried).await;
-        unserved.is_served();
+        unserved.disarm();
         let response = match outcome {
             Ok(Outcome::Final(response)) => response,
             Err(_) => self.time_over(&request, &mut tries),
@@ -337,7 +337,7 @@
         }
     }
 
-    fn is_served(mut self) {
+    fn disarm(mut self) {
         self.served = true;
     }
 }
--- a/src/process/holding/holding.rs
+++ b/src/process/holding/holding.rs
@@ -52,8 +52,8 @@
 /// What membership knows of another host's lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KnownLease {
-    /// It answers.
-    pub up: bool,
+    /// It answers, and says that it gives orders to the engine in question.
+    pub claims: bool,
     pub version: u64,
     /// When this host first knew of the version.
     pub known_since: Instant,
@@ -108,6 +108,7 @@
     lease: SessionLease,
     /// Version of this host's row, once known; 0 if it is absent.
     row_version: Option<u64>,
+    renewed_version: u64,
     renewing: bool,
     next_renewal: Instant,
     reading: bool,
@@ -133,6 +134,7 @@
             lease: SessionLease::new(timings.lease),
             timings,
             row_version: None,
+            renewed_version: 0,
             renewing: false,
             next_renewal: now,
             reading: false,
@@ -151,9 +153,9 @@
         &self.lease
     }
 
-    /// Version of this host's lease row, 0 if it has none.
+    /// Version of this host's lease row when it was last renewed, 0 before the first time.
     pub fn lease_version(&self) -> u64 {
-        self.row_version.unwrap_or_default()
+        self.renewed_version
     }
 
     /// Engines that this host gives orders to now.
@@ -181,12 +183,12 @@
     /// What should be done now.
     ///
     /// `engines` are the engines there are, with the key by which they are shared out; `eligible`
-    /// the hosts that take engines; `lease_of` what membership knows of another host.
+    /// the hosts that take engines; `lease_of` what membership knows of another host and an engine.
     pub fn decide(
         &mut self,
         engines: &BTreeMap<String, String>,
         eligible: &[SocketAddr],
-        lease_of: impl Fn(SocketAddr) -> Option<KnownLease>,
+        lease_of: impl Fn(SocketAddr, &str) -> Option<KnownLease>,
         now: Instant,
     ) -> Vec<HoldingAction> {
         let mut actions = Vec::new();
@@ -228,6 +230,7 @@
         match version {
             Some(version) => {
                 self.row_version = Some(version);
+                self.renewed_version = version;
                 self.lease.renewed(sent, now);
                 self.next_renewal = sent + self.timings.renew;
             }
@@ -418,7 +421,7 @@
         target: &str,
         key: &str,
         eligible: &[SocketAddr],
-        lease_of: &impl Fn(SocketAddr) -> Option<KnownLease>,
+        lease_of: &impl Fn(SocketAddr, &str) -> Option<KnownLease>,
         now: Instant,
     ) -> Option<HoldingAction> {
         let seen = self.holders.get(target).cloned();
@@ -429,8 +432,8 @@
             }
             return None;
         }
-        let membership = holder.and_then(lease_of);
-        if membership.is_some_and(|lease| lease.up) {
+        let membership = holder.and_then(|holder| lease_of(holder, target));
+        if membership.is_some_and(|lease| lease.claims) {
             self.vacant.remove(target);
             return None;
         }
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -245,9 +245,9 @@
             .collect();
         let eligible = self.hosts.eligible();
         let hosts = &self.hosts;
-        let lease_of = |peer| {
+        let lease_of = |peer, target: &str| {
             hosts.get(peer).map(|host| KnownLease {
-                up: host.state.is_up(),
+                claims: host.state.is_up() && host.holds.iter().any(|held| held == target),
                 version: host.lease_version,
                 known_since: host.lease_known_since,
             })
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -259,7 +259,7 @@
         if !restarted && rumor.incarnation < known.incarnation {
             return;
         }
-        let lease_changed = known.lease_version != rumor.lease_version;
+        let lease_changed = known.lease_version < rumor.lease_version;
         let held = std::mem::take(&mut known.holds);
         known.identity.process = rumor.process;
         known.identity.name.clone_from(&rumor.name);
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -70,12 +70,12 @@
 /// Expected time of a load, in seconds.
 const LOAD: f64 = 0.27;
 
-/// An engine that is not the adapter's first one counts as so much slower, in seconds: an adapter
-/// comes back much faster where it was before, so it should come back to the same engine.
-const AWAY: f64 = 0.25;
+/// An engine that is not the adapter's first one counts as slower by this share of a copy's price:
+/// an adapter comes back much faster where it was before, so it should come back to the same engine.
+const AWAY: f64 = 0.8;
 
-/// Each further place counts as so much slower, in seconds.
-const PLACE: f64 = 0.02;
+/// Each further place counts as slower by this share of a copy's price.
+const PLACE: f64 = 0.07;
 
 /// Memory or batch beyond this share makes an engine slower.
 const PRESSED: f64 = 0.85;
@@ -185,7 +185,7 @@
         CopyState::Coming { due } => due.saturating_duration_since(terms.now).as_secs_f64(),
         CopyState::Asked => LOAD,
         CopyState::Unknown | CopyState::Full { .. } => {
-            LOAD + terms.copy_price.as_secs_f64() + away(place)
+            LOAD + terms.copy_price.as_secs_f64() * (1.0 + away(place))
         }
     };
     wait.max(arrival) + 0.2 * wait.min(arrival) + distance + pressure
--- /dev/null
+++ b/tests/engine_desk.rs
@@ -0,0 +1,582 @@
+//! The desk of one engine, against an engine that obeys as the platform's pages say: orders may be
+//! left unanswered and carried out late, and the engine falls if it is told to hold too much.
+
+use {
+    coveproxy::{
+        connection::datagram::{AdapterUsage, Placement, PlacementState, Usage, Want},
+        formats::{HeldAdapter, HeldModel, OrderKind, OrderReply, TargetReport},
+        process::engines::{DeskAction, DeskOrder, EngineDesk, OrderPurpose},
+        version::routing::{BaseModel, EngineSpec},
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+const MODEL: &str = "m0";
+const SLOTS: usize = 6;
+const STEP: Duration = Duration::from_millis(10);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        models: vec![BaseModel {
+            name: MODEL.to_string(),
+            weights_mb: 40_000.0,
+            adapter_mb: 10.0,
+            load_time: ms(600),
+        }],
+        slots: 8,
+        memory_tokens: 100_000,
+        weights_mb: 41_000.0,
+        adapter_slots: SLOTS,
+        loads_per_second: 3.0,
+    }
+}
+
+fn host(at: u8) -> SocketAddr {
+    format!("10.0.0.{at}:7000").parse().unwrap()
+}
+
+fn want(
+    adapter: &str,
+    version: u64,
+) -> Want {
+    Want {
+        target: "engine".to_string(),
+        adapter: format!("{MODEL}/{adapter}"),
+        version,
+        waiting: 1,
+        priority: 1,
+        spare: false,
+    }
+}
+
+/// An engine, as the pages describe it.
+#[derive(Default)]
+struct Engine {
+    model: bool,
+    model_ready: Option<Instant>,
+    held: BTreeMap<String, u64>,
+    coming: BTreeMap<String, (u64, Instant)>,
+    /// Unloads and replacements that wait for runs to end.
+    waiting: BTreeMap<String, Option<u64>>,
+    lately: HashSet<(String, u64)>,
+    runs: HashMap<String, Vec<Instant>>,
+    sequence: u64,
+    loads_from_store: usize,
+    newest: HashMap<String, u64>,
+}
+
+impl Engine {
+    fn pass(
+        &mut self,
+        now: Instant,
+    ) {
+        if self.model_ready.is_some_and(|at| at <= now) {
+            self.model_ready = None;
+            self.model = true;
+        }
+        for runs in self.runs.values_mut() {
+            runs.retain(|end| *end > now);
+        }
+        let over: Vec<String> = self
+            .coming
+            .iter()
+            .filter(|(_, (_, at))| *at <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in over {
+            let (version, _) = self.coming.remove(&name).unwrap();
+            self.lately.insert((name.clone(), version));
+            self.held.insert(name, version);
+        }
+        let free: Vec<String> = self
+            .waiting
+            .keys()
+            .filter(|name| self.runs_of(name) == 0)
+            .cloned()
+            .collect();
+        for name in free {
+            match self.waiting.remove(&name).unwrap() {
+                None => {
+                    self.held.remove(&name);
+                }
+                Some(version) => {
+                    self.held.insert(name, version);
+                }
+            }
+        }
+    }
+
+    fn runs_of(
+        &self,
+        name: &str,
+    ) -> usize {
+        self.runs.get(name).map_or(0, Vec::len)
+    }
+
+    fn carry_out(
+        &mut self,
+        order: &DeskOrder,
+        now: Instant,
+    ) -> OrderReply {
+        self.pass(now);
+        if order.expected_sequence != self.sequence {
+            return OrderReply::Conflict;
+        }
+        match (&order.adapter, order.kind) {
+            (None, OrderKind::Load) if self.model => OrderReply::Done,
+            (None, OrderKind::Load) => {
+                self.model_ready = Some(now + ms(600));
+                self.sequence += 1;
+                OrderReply::Accepted
+            }
+            (None, OrderKind::Unload) => OrderReply::Refused,
+            (Some(name), OrderKind::Load) => self.load(name, order.version, now),
+            (Some(name), OrderKind::Unload) => self.unload(name),
+        }
+    }
+
+    fn load(
+        &mut self,
+        name: &str,
+        version: Option<u64>,
+        now: Instant,
+    ) -> OrderReply {
+        let newest = self.newest.get(name).copied().unwrap_or(1);
+        let version = version.unwrap_or(newest);
+        if !self.model || version > newest {
+            return OrderReply::Refused;
+        }
+        if self
+            .coming
+            .get(name)
+            .is_some_and(|(coming, _)| *coming == version)
+        {
+            return OrderReply::Accepted;
+        }
+        if self.held.get(name) == Some(&version) {
+            return OrderReply::Done;
+        }
+        if self.coming.len() >= 4 {
+            return OrderReply::Conflict;
+        }
+        if self.held.contains_key(name) {
+            self.sequence += 1;
+            self.waiting.insert(name.to_string(), Some(version));
+            return OrderReply::Accepted;
+        }
+        assert!(
+            self.held.len() + self.coming.len() < SLOTS,
+            "the engine falls: {name} is one adapter too many"
+        );
+        let lately = self.lately.contains(&(name.to_string(), version));
+        let time = match lately {
+            true => ms(25),
+            false => ms(250),
+        };
+        self.loads_from_store += usize::from(!lately);
+        self.coming.insert(name.to_string(), (version, now + time));
+        self.sequence += 1;
+        OrderReply::Accepted
+    }
+
+    fn unload(
+        &mut self,
+        name: &str,
+    ) -> OrderReply {
+        if !self.held.contains_key(name) {
+            return OrderReply::Done;
+        }
+        self.sequence += 1;
+        if self.runs_of(name) > 0 {
+            self.waiting.insert(name.to_string(), None);
+            return OrderReply::Accepted;
+        }
+        self.held.remove(name);
+        OrderReply::Done
+    }
+
+    fn report(&self) -> TargetReport {
+        let adapters = self.held.iter().map(|(name, version)| HeldAdapter {
+            name: name.clone(),
+            version: *version,
+        });
+        let models = self.model.then(|| HeldModel {
+            name: MODEL.to_string(),
+            adapters: adapters.collect(),
+        });
+        let coming = self.coming.iter();
+        TargetReport {
+            models: models.into_iter().collect(),
+            coming: coming
+                .map(|(name, (version, _))| (MODEL.to_string(), name.clone(), *version))
+                .collect(),
+            busy: self.model_ready.is_some(),
+            sequence: self.sequence,
+            waiting: 0,
+            running: 0,
+            memory_used: 0,
+            memory_total: 100_000,
+        }
+    }
+}
+
+/// Something under way between desk and engine.
+enum Due {
+    Order { order: DeskOrder, reply: bool },
+    OrderEnd(Option<OrderReply>),
+    Report,
+    ReportEnd(Option<TargetReport>),
+}
+
+struct World {
+    rng: StdRng,
+    now: Instant,
+    desk: EngineDesk,
+    engine: Engine,
+    due: Vec<(Instant, Due)>,
+    /// Where each adapter stands, as the host was told last.
+    told: HashMap<String, Placement>,
+    unanswered: u32,
+    looks: usize,
+}
+
+impl World {
+    fn new(
+        seed: u64,
+        unanswered: u32,
+    ) -> Self {
+        let now = Instant::now();
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            now,
+            desk: EngineDesk::new("engine", spec(), now),
+            engine: Engine::default(),
+            due: Vec::new(),
+            told: HashMap::new(),
+            unanswered,
+            looks: 0,
+        }
+    }
+
+    fn run(
+        &mut self,
+        time: Duration,
+    ) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            let actions = self.desk.on_tick(self.now);
+            self.take(actions);
+        }
+    }
+
+    fn want(
+        &mut self,
+        adapter: &str,
+        version: u64,
+    ) {
+        let want = want(adapter, version);
+        let actions = self.desk.on_want(host(1), &want, self.now);
+        self.take(actions);
+    }
+
+    fn state(
+        &self,
+        adapter: &str,
+    ) -> PlacementState {
+        let placement = self.told.get(&format!("{MODEL}/{adapter}"));
+        placement.map_or(PlacementState::Absent, Placement::state)
+    }
+
+    fn take(
+        &mut self,
+        actions: Vec<DeskAction>,
+    ) {
+        for action in actions {
+            match action {
+                DeskAction::Order(order) => self.send(order),
+                DeskAction::AskReport => self.due.push((self.now + ms(2), Due::Report)),
+                DeskAction::Tell { placement, .. } | DeskAction::Announce { placement, .. } => {
+                    self.told.insert(placement.adapter.clone(), placement);
+                }
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        order: DeskOrder,
+    ) {
+        self.looks += usize::from(order.purpose == OrderPurpose::Look);
+        let lost = self.rng.random_range(0..100) < self.unanswered;
+        let delay = match lost {
+            true => ms(self.rng.random_range(2_000..12_000)),
+            false => ms(1),
+        };
+        if lost {
+            self.due.push((self.now + ms(400), Due::OrderEnd(None)));
+        }
+        let reply = !lost;
+        self.due
+            .push((self.now + delay, Due::Order { order, reply }));
+    }
+
+    fn deliver(&mut self) {
+        loop {
+            let next = (0..self.due.len())
+                .filter(|at| self.due[*at].0 <= self.now)
+                .min_by_key(|at| self.due[*at].0);
+            let Some(next) = next else {
+                self.engine.pass(self.now);
+                return;
+            };
+            let (at, due) = self.due.swap_remove(next);
+            match due {
+                Due::Order { order, reply } => {
+                    let outcome = self.engine.carry_out(&order, at);
+                    if reply {
+                        self.due.push((at + ms(1), Due::OrderEnd(Some(outcome))));
+                    }
+                }
+                Due::OrderEnd(reply) => {
+                    let actions = self.desk.on_order_end(reply, self.now);
+                    self.take(actions);
+                }
+                Due::Report => {
+                    self.engine.pass(at);
+                    let report = self.engine.report();
+                    self.due.push((at + ms(2), Due::ReportEnd(Some(report))));
+                }
+                Due::ReportEnd(report) => {
+                    let actions = self.desk.on_report(report, self.now);
+                    self.take(actions);
+                }
+            }
+        }
+    }
+
+    /// The host sends a request if it was told that the adapter is there, and tells of its use.
+    fn request(
+        &mut self,
+        adapter: &str,
+        version: u64,
+    ) -> bool {
+        let key = format!("{MODEL}/{adapter}");
+        let ready =
+            self.state(adapter) == PlacementState::Ready && self.told[&key].version >= version;
+        if !ready {
+            self.want(adapter, version);
+            return false;
+        }
+        let end = self.now + ms(self.rng.random_range(50..2_500));
+        self.engine
+            .runs
+            .entry(adapter.to_string())
+            .or_default()
+            .push(end);
+        true
+    }
+
+    fn tell_usage(
+        &mut self,
+        started: &[String],
+    ) {
+        let adapters = self.engine.runs.iter().map(|(name, runs)| AdapterUsage {
+            adapter: format!("{MODEL}/{name}"),
+            in_flight: runs.len() as u32,
+            started: started.iter().filter(|started| *started == name).count() as u32,
+        });
+        let usage = Usage {
+            target: "engine".to_string(),
+            adapters: adapters
+                .filter(|usage| usage.in_flight + usage.started > 0)
+                .collect(),
+            in_flight: 0,
+            tokens: 0,
+            unread_tokens: 0,
+        };
+        self.desk.on_usage(host(1), &usage, self.now);
+    }
+}
+
+#[test]
+fn an_empty_engine_gets_its_base_model_and_then_adapters() {
+    let mut world = World::new(1, 0);
+    world.run(ms(3_000));
+    assert!(world.engine.model);
+    world.want("a1", 1);
+    world.run(ms(400));
+    assert_eq!(world.state("a1"), PlacementState::Ready);
+    assert_eq!(world.engine.held.get("a1"), Some(&1));
+}
+
+#[test]
+fn whoever_asked_hears_when_the_load_is_over_and_not_before() {
+    let mut world = World::new(1, 0);
+    world.run(ms(3_000));
+    world.want("a1", 1);
+    world.run(ms(40));
+    assert_eq!(world.state("a1"), PlacementState::Coming);
+    while world.state("a1") != PlacementState::Ready {
+        world.run(STEP);
+        let there = world.engine.held.contains_key("a1");
+        assert!(there || world.state("a1") != PlacementState::Ready);
+    }
+    let late = world.looks;
+    assert!(late <= 6, "{late} looks for one load");
+}
+
+#[test]
+fn what_was_held_lately_is_expected_sooner() {
+    let mut world = World::new(1, 0);
+    world.run(ms(3_000));
+    for name in ["a1", "a2", "a3", "a4", "a5", "a6", "a7"] {
+        world.want(name, 1);
+        world.run(ms(1_500));
+    }
+    // a1 made way; it comes back at once.
+    assert!(!world.engine.held.contains_key("a1"));
+    let before = world.engine.loads_from_store;
+    world.want("a1", 1);
+    world.run(ms(70));
+    assert_eq!(world.state("a1"), PlacementState::Ready);
+    assert_eq!(world.engine.loads_from_store, before);
+}
+
+#[test]
+fn the_least_used_idle_adapter_makes_way() {
+    let mut world = World::new(1, 0);
+    world.run(ms(3_000));
+    for name in ["a1", "a2", "a3", "a4", "a5"] {
+        world.want(name, 1);
+        world.run(ms(400));
+        if name != "a3" {
+            for _ in 0..5 {
+                world.request(name, 1);
+            }
+            world.tell_usage(&[name.to_string(), name.to_string()]);
+        }
+    }
+    world.run(ms(3_000));
+    world.tell_usage(&[]);
+    world.want("a6", 1);
+    world.run(ms(400));
+    assert_eq!(world.state("a6"), PlacementState::Ready);
+    world.run(ms(3_000));
+    assert!(
+        !world.engine.held.contains_key("a3"),
+        "{:?}",
+        world.engine.held
+    );
+}
+
+#[test]
+fn a_full_engine_whose_adapters_are_all_in_use_says_so() {
+    let mut world = World::new(1, 0);
+    world.run(ms(3_000));
+    for at in 0..SLOTS {
+        let name = format!("a{at}");
+        world.want(&name, 1);
+        world.run(ms(400));
+        world.request(&name, 1);
+        world.engine.runs.get_mut(&name).unwrap()[0] = world.now + Duration::from_secs(60);
+        world.tell_usage(&[]);
+    }
+    world.want("b", 1);
+    world.run(ms(100));
+    assert_eq!(world.state("b"), PlacementState::Full);
+}
+
+#[test]
+fn a_newer_version_replaces_an_idle_old_one() {
+    let mut world = World::new(1, 0);
+    world.run(ms(3_000));
+    world.want("a1", 1);
+    world.run(ms(400));
+    world.engine.newest.insert("a1".to_string(), 2);
+    world.desk.on_newest("m0/a1", 2);
+    world.run(ms(1_500));
+    world.want("a1", 2);
+    world.run(ms(400));
+    assert_eq!(world.state("a1"), PlacementState::Ready);
+    assert_eq!(world.told["m0/a1"].version, 2);
+    assert_eq!(world.engine.held.get("a1"), Some(&2));
+}
+
+#[test]
+fn an_old_version_in_use_is_not_touched() {
+    let mut world = World::new(1, 0);
+    world.run(ms(3_000));
+    world.want("a1", 1);
+    world.run(ms(400));
+    assert!(world.request("a1", 1));
+    world.engine.runs.get_mut("a1").unwrap()[0] = world.now + ms(5_000);
+    world.tell_usage(&[]);
+    world.engine.newest.insert("a1".to_string(), 2);
+    world.desk.on_newest("m0/a1", 2);
+    world.want("a1", 2);
+    assert_eq!(world.state("a1"), PlacementState::Full);
+    world.run(ms(4_000));
+    assert_eq!(world.engine.held.get("a1"), Some(&1));
+    assert!(world.engine.waiting.is_empty());
+}
+
+/// Random use with orders that are left unanswered and carried out late. The engine itself checks
+/// that it is never told to hold too much.
+#[test]
+fn an_engine_is_never_told_to_hold_too_much() {
+    let (mut served, mut asked) = (0, 0);
+    for seed in 0..60 {
+        let unanswered = [0, 20, 50][seed as usize % 3];
+        let mut world = World::new(seed, unanswered);
+        world.run(ms(3_000));
+        for step in 0..400 {
+            let name = format!("a{}", world.rng.random_range(0..12u32));
+            let version = world.engine.newest.get(&name).copied().unwrap_or(1);
+            asked += 1;
+            let mut started = Vec::new();
+            if world.request(&name, version) {
+                served += 1;
+                started.push(name.clone());
+            }
+            if world.rng.random_range(0..60) == 0 {
+                world.engine.newest.insert(name.clone(), version + 1);
+                world
+                    .desk
+                    .on_newest(&format!("{MODEL}/{name}"), version + 1);
+            }
+            if step % 2 == 0 {
+                world.tell_usage(&started);
+            }
+            let pause = ms(world.rng.random_range(20..200));
+            world.run(pause);
+        }
+    }
+    assert!(
+        served * 3 > asked,
+        "{served} of {asked} found their adapter"
+    );
+}
+
+#[test]
+fn a_host_that_is_gone_uses_nothing() {
+    let mut world = World::new(1, 0);
+    world.run(ms(3_000));
+    world.want("a1", 1);
+    world.run(ms(400));
+    world.request("a1", 1);
+    world.tell_usage(&[]);
+    assert_eq!(world.desk.places()["m0/a1"].in_flight(), 1);
+    world.desk.on_host_gone(host(1));
+    assert_eq!(world.desk.places()["m0/a1"].in_flight(), 0);
+}
--- /dev/null
+++ b/tests/holding.rs
@@ -0,0 +1,542 @@
+//! Who gives orders to an engine: leases and holder rows, against a store that loses replies, does
+//! writes late and turns hosts away, with hosts that stand still and start anew.
+
+use {
+    coveproxy::{
+        formats::{Commit, Row, RowKey, Transaction},
+        process::holding::{
+            HOLDING_TABLE, HeldEngine, Holding, HoldingAction, HoldingTimings, HostRow, KnownLease,
+        },
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    rstest::rstest,
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+const GAP: Duration = Duration::from_secs(3);
+const STEP: Duration = Duration::from_millis(50);
+const ENGINES: usize = 4;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn address(host: usize) -> SocketAddr {
+    format!("10.0.0.{}:7000", host + 1).parse().unwrap()
+}
+
+/// The rows, under conditions, with one version for the whole store.
+#[derive(Default)]
+struct Store {
+    rows: BTreeMap<String, (u64, Vec<u8>)>,
+    version: u64,
+}
+
+impl Store {
+    fn commit(
+        &mut self,
+        transaction: &Transaction,
+    ) -> Commit {
+        let version = |row: &RowKey| self.rows.get(&*row.key).map_or(0, |(version, _)| *version);
+        let holds = transaction
+            .expected
+            .iter()
+            .all(|expected| version(&expected.row) == expected.version);
+        if !holds {
+            let named = transaction
+                .expected
+                .iter()
+                .map(|expected| &expected.row.key);
+            let found = named.filter_map(|key| self.row(key)).collect();
+            return Commit::Conflict { rows: found };
+        }
+        self.version += 1;
+        for write in &transaction.writes {
+            assert_eq!(&*write.row.table, HOLDING_TABLE);
+            let value = write.value.clone().unwrap();
+            self.rows
+                .insert(write.row.key.to_string(), (self.version, value));
+        }
+        Commit::Done {
+            version: self.version,
+        }
+    }
+
+    fn row(
+        &self,
+        key: &str,
+    ) -> Option<Row> {
+        let (version, value) = self.rows.get(key)?;
+        Some(Row {
+            key: key.into(),
+            version: *version,
+            value: Some(value.as_slice().into()),
+        })
+    }
+
+    fn all(&self) -> Vec<Row> {
+        self.rows.keys().filter_map(|key| self.row(key)).collect()
+    }
+}
+
+/// Something that happens at a time.
+enum Due {
+    /// The store gets a call and answers, unless the reply is lost.
+    Call {
+        host: usize,
+        life: u64,
+        action: HoldingAction,
+        sent: Instant,
+        term: u64,
+        reply: bool,
+    },
+    Reply {
+        host: usize,
+        life: u64,
+        action: HoldingAction,
+        sent: Instant,
+        term: u64,
+        outcome: Option<Result<Commit, Vec<Row>>>,
+    },
+}
+
+struct Host {
+    holding: Option<Holding>,
+    life: u64,
+    paused_until: Instant,
+    cut_until: Instant,
+    starts_at: Instant,
+}
+
+struct World {
+    rng: StdRng,
+    now: Instant,
+    store: Store,
+    hosts: Vec<Host>,
+    due: Vec<(Instant, Due)>,
+    engines: BTreeMap<String, String>,
+    /// What each host last told of its lease, and since when others know.
+    told: HashMap<usize, (u64, Instant)>,
+    last_order: HashMap<String, (usize, Instant, u64)>,
+    orders: usize,
+    turns: usize,
+    /// Share of calls whose reply is lost, in percent.
+    lost: u32,
+}
+
+impl World {
+    fn new(
+        seed: u64,
+        hosts: usize,
+        lost: u32,
+    ) -> Self {
+        let now = Instant::now();
+        let engines = (0..ENGINES).map(|at| (format!("engine-{at}"), format!("key-{at}")));
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now,
+            store: Store::default(),
+            hosts: Vec::new(),
+            due: Vec::new(),
+            engines: engines.collect(),
+            told: HashMap::new(),
+            last_order: HashMap::new(),
+            orders: 0,
+            turns: 0,
+            lost,
+        };
+        for at in 0..hosts {
+            world.hosts.push(Host {
+                holding: None,
+                life: at as u64,
+                paused_until: now,
+                cut_until: now,
+                starts_at: now,
+            });
+        }
+        world
+    }
+
+    fn start(
+        &mut self,
+        host: usize,
+    ) {
+        let row = HostRow {
+            peer: address(host),
+            name: format!("host-{host}"),
+            hall: "a".to_string(),
+            front: address(host),
+            process: self.rng.random(),
+        };
+        let timings = HoldingTimings::with_gap(GAP);
+        self.hosts[host].holding = Some(Holding::new(row, timings, self.now));
+        self.hosts[host].life += 100;
+    }
+
+    fn is_up(
+        &self,
+        host: usize,
+    ) -> bool {
+        self.hosts[host].holding.is_some() && self.hosts[host].paused_until <= self.now
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].holding.is_none() && self.hosts[host].starts_at <= self.now {
+                self.start(host);
+            }
+            if self.is_up(host) {
+                self.tick(host);
+            }
+        }
+    }
+
+    /// Orders come out of what a host believes at this moment, and arrive a little later.
+    fn tick(
+        &mut self,
+        host: usize,
+    ) {
+        let up: Vec<SocketAddr> = (0..self.hosts.len())
+            .filter(|other| self.is_up(*other))
+            .map(address)
+            .collect();
+        let now = self.now;
+        let engines = self.engines.clone();
+        let mut leases: HashMap<(SocketAddr, &str), KnownLease> = HashMap::new();
+        for other in 0..self.hosts.len() {
+            let Some((version, known_since)) = self.told.get(&other).copied() else {
+                continue;
+            };
+            for engine in engines.keys() {
+                let holding = self.hosts[other].holding.as_ref();
+                let holds = holding.is_some_and(|holding| holding.may_order(engine, now).is_some());
+                let lease = KnownLease {
+                    claims: self.is_up(other) && holds,
+                    version,
+                    known_since,
+                };
+                leases.insert((address(other), engine), lease);
+            }
+        }
+        let holding = self.hosts[host].holding.as_mut().unwrap();
+        let lease_of = |peer: SocketAddr, engine: &str| leases.get(&(peer, engine)).copied();
+        let actions = holding.decide(&engines, &up, lease_of, now);
+        let version = holding.lease_version();
+        let term = holding.lease().term();
+        let ordered: Vec<(String, HeldEngine)> = engines
+            .keys()
+            .filter_map(|engine| Some((engine.clone(), holding.may_order(engine, now)?)))
+            .collect();
+        if self.told.get(&host).map(|(told, _)| *told) != Some(version) {
+            self.told.insert(host, (version, now));
+        }
+        for (engine, held) in ordered {
+            self.order(host, &engine, held);
+        }
+        for action in actions {
+            self.send(host, action, term);
+        }
+    }
+
+    fn order(
+        &mut self,
+        host: usize,
+        engine: &str,
+        held: HeldEngine,
+    ) {
+        let arrives = self.now + ms(self.rng.random_range(0..100));
+        if let Some((last, at, fence)) = self.last_order.get(engine) {
+            if *last != host {
+                self.turns += 1;
+                assert!(
+                    arrives >= *at + GAP,
+                    "orders of two holders of {engine} lie {:?} apart",
+                    arrives.saturating_duration_since(*at)
+                );
+                assert!(held.fence > *fence, "{engine}: two holders share a fence");
+            }
+            assert!(held.fence >= *fence, "{engine}: the fence went back");
+        }
+        self.orders += 1;
+        self.last_order
+            .insert(engine.to_string(), (host, arrives, held.fence));
+    }
+
+    fn send(
+        &mut self,
+        host: usize,
+        action: HoldingAction,
+        term: u64,
+    ) {
+        let life = self.hosts[host].life;
+        let (now, sent) = (self.now, self.now);
+        if self.hosts[host].cut_until > now {
+            let reply = Due::Reply {
+                host,
+                life,
+                action,
+                sent,
+                term,
+                outcome: None,
+            };
+            self.due.push((now + ms(900), reply));
+            return;
+        }
+        let lost = self.rng.random_range(0..100) < self.lost;
+        let late = lost && self.rng.random_bool(0.5);
+        let delay = match late {
+            true => ms(self.rng.random_range(500..6_000)),
+            false => ms(self.rng.random_range(4..40)),
+        };
+        if lost {
+            let reply = Due::Reply {
+                host,
+                life,
+                action: action.clone(),
+                sent,
+                term,
+                outcome: None,
+            };
+            self.due.push((now + ms(900), reply));
+        }
+        let call = Due::Call {
+            host,
+            life,
+            action,
+            sent,
+            term,
+            reply: !lost,
+        };
+        self.due.push((now + delay, call));
+    }
+
+    fn deliver(&mut self) {
+        loop {
+            let next = (0..self.due.len())
+                .filter(|at| self.due[*at].0 <= self.now)
+                .min_by_key(|at| self.due[*at].0);
+            let Some(next) = next else {
+                return;
+            };
+            let (at, due) = self.due.swap_remove(next);
+            self.happen(at, due);
+        }
+    }
+
+    fn happen(
+        &mut self,
+        at: Instant,
+        due: Due,
+    ) {
+        match due {
+            Due::Call {
+                host,
+                life,
+                action,
+                sent,
+                term,
+                reply,
+            } => {
+                let outcome = match &action {
+                    HoldingAction::Renew { transaction }
+                    | HoldingAction::Take { transaction, .. } => Ok(self.store.commit(transaction)),
+                    HoldingAction::ReadTable => Err(self.store.all()),
+                };
+                if reply {
+                    let reply = Due::Reply {
+                        host,
+                        life,
+                        action,
+                        sent,
+                        term,
+                        outcome: Some(outcome),
+                    };
+                    self.due.push((at + ms(2), reply));
+                }
+            }
+            Due::Reply { host, life, .. }
+                if self.hosts[host].life != life || self.hosts[host].holding.is_none() => {}
+            Due::Reply { host, .. } if !self.is_up(host) => {
+                // It reads the reply once it wakes.
+                let wakes = self.hosts[host].paused_until;
+                self.due.push((wakes, due));
+            }
+            Due::Reply {
+                host,
+                action,
+                sent,
+                term,
+                outcome,
+                ..
+            } => self.reply(host, action, sent, term, outcome),
+        }
+    }
+
+    fn reply(
+        &mut self,
+        host: usize,
+        action: HoldingAction,
+        sent: Instant,
+        term: u64,
+        outcome: Option<Result<Commit, Vec<Row>>>,
+    ) {
+        let now = self.now;
+        let holding = self.hosts[host].holding.as_mut().unwrap();
+        match (action, outcome) {
+            (HoldingAction::Renew { .. }, Some(Ok(Commit::Done { version }))) => {
+                holding.on_renewed(sent, Some(version), now);
+            }
+            (HoldingAction::Renew { .. }, Some(Ok(Commit::Conflict { rows }))) => {
+                holding.on_renewal_conflict(&rows, now);
+            }
+            (HoldingAction::Renew { .. }, _) => holding.on_renewed(sent, None, now),
+            (HoldingAction::ReadTable, Some(Err(rows))) => {
+                holding.on_table(Some(&rows), term, now);
+            }
+            (HoldingAction::ReadTable, _) => holding.on_table(None, term, now),
+            (HoldingAction::Take { target, fence, .. }, Some(Ok(Commit::Done { version }))) => {
+                holding.on_taken(&target, version, fence, term);
+            }
+            (HoldingAction::Take { target, .. }, Some(Ok(Commit::Conflict { rows }))) => {
+                holding.on_take_conflict(&target, &rows, now);
+            }
+            (HoldingAction::Take { .. }, _) => holding.on_take_lost(),
+        }
+    }
+
+    fn strike(&mut self) {
+        let host = self.rng.random_range(0..self.hosts.len());
+        let now = self.now;
+        let time = ms(self.rng.random_range(200..16_000));
+        match self.rng.random_range(0..4) {
+            0 => self.hosts[host].paused_until = now + time,
+            1 => self.hosts[host].cut_until = now + time,
+            2 => {
+                self.hosts[host].holding = None;
+                self.hosts[host].starts_at = now + time;
+            }
+            _ => {
+                // Everything loses power at once.
+                for host in &mut self.hosts {
+                    host.holding = None;
+                    host.starts_at = now + ms(700);
+                }
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case::replies_arrive(0)]
+#[case::replies_are_lost(30)]
+fn orders_of_two_holders_never_come_close(#[case] lost: u32) {
+    let (mut orders, mut turns) = (0, 0);
+    for seed in 0..150 {
+        let mut world = World::new(seed, 3, lost);
+        for step in 0..2_400 {
+            world.step();
+            if step > 200 && world.rng.random_range(0..120) == 0 {
+                world.strike();
+            }
+        }
+        orders += world.orders;
+        turns += world.turns;
+    }
+    // The check would be empty if nobody gave orders, or nobody took over.
+    assert!(orders > 100_000, "{orders} orders");
+    assert!(turns > 200, "{turns} changes of holder");
+}
+
+#[test]
+fn every_engine_gets_a_holder_within_a_second_of_a_calm_start() {
+    let mut world = World::new(1, 7, 0);
+    for _ in 0..20 {
+        world.step();
+    }
+    assert_eq!(world.last_order.len(), ENGINES);
+}
+
+#[test]
+fn a_host_that_starts_anew_goes_on_at_once() {
+    let mut world = World::new(2, 3, 0);
+    for _ in 0..100 {
+        world.step();
+    }
+    let before = world.last_order.clone();
+    for host in &mut world.hosts {
+        host.holding = None;
+        host.starts_at = world.now + ms(700);
+    }
+    world.last_order.clear();
+    for _ in 0..40 {
+        world.step();
+    }
+    for (engine, (host, _, fence)) in before {
+        let (now, _, now_fence) = world.last_order[&engine];
+        assert_eq!((now, now_fence), (host, fence), "{engine}");
+    }
+}
+
+#[test]
+fn a_short_outage_of_the_store_stops_no_orders() {
+    let mut world = World::new(3, 3, 0);
+    for _ in 0..100 {
+        world.step();
+    }
+    for host in &mut world.hosts {
+        host.cut_until = world.now + ms(5_500);
+    }
+    let mut quiet = Duration::ZERO;
+    for _ in 0..140 {
+        world.step();
+        for (_, at, _) in world.last_order.values() {
+            quiet = quiet.max(world.now.saturating_duration_since(*at));
+        }
+    }
+    assert!(quiet < ms(200), "no orders for {quiet:?}");
+}
+
+#[test]
+fn an_engine_of_a_lost_host_is_taken_after_its_lease_and_the_gap() {
+    let mut world = World::new(4, 2, 0);
+    for _ in 0..100 {
+        world.step();
+    }
+    let lost = world.last_order.values().next().unwrap().0;
+    world.hosts[lost].holding = None;
+    world.hosts[lost].starts_at = world.now + Duration::from_secs(1_000);
+    let begin = world.now;
+    while world.last_order.values().any(|(host, _, _)| *host == lost) {
+        world.step();
+        let passed = world.now.saturating_duration_since(begin);
+        assert!(
+            passed < Duration::from_secs(16),
+            "still not taken after {passed:?}"
+        );
+    }
+}
+
+#[test]
+fn a_host_that_answers_but_lost_its_lease_is_replaced() {
+    let mut world = World::new(5, 2, 0);
+    for _ in 0..100 {
+        world.step();
+    }
+    let cut = world.last_order.values().next().unwrap().0;
+    world.hosts[cut].cut_until = world.now + Duration::from_secs(1_000);
+    let begin = world.now;
+    while world.last_order.values().any(|(host, _, _)| *host == cut) {
+        world.step();
+        let passed = world.now.saturating_duration_since(begin);
+        assert!(
+            passed < Duration::from_secs(18),
+            "still not taken after {passed:?}"
+        );
+    }
+}
--- /dev/null
+++ b/tests/http1.rs
@@ -0,0 +1,299 @@
+//! HTTP/1.1 towards targets, against a peer that answers from a script.
+
+use {
+    bytes::BytesMut,
+    coveproxy::{
+        connection::http1::{
+            BodyDecoder, BodyFraming, CallClient, CallFailure, Decoded, ExchangeError,
+            HttpConnection, ResponseHead,
+        },
+        formats::HttpCall,
+    },
+    http::Method,
+    rstest::rstest,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+    },
+};
+
+const REQUEST: &[u8] = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nhi";
+
+/// What a scripted peer does on its next connection.
+enum Script {
+    /// Reads the request, then writes this and keeps the connection.
+    Answer(&'static [u8]),
+    /// The same, but closes afterwards.
+    AnswerAndClose(&'static [u8]),
+    /// The same, but resets afterwards.
+    AnswerAndReset(&'static [u8]),
+    /// Writes this before it reads anything.
+    AnswerFirst(&'static [u8]),
+}
+
+async fn peer(script: Script) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        match script {
+            Script::Answer(bytes) => {
+                read_request(&mut stream).await;
+                stream.write_all(bytes).await.unwrap();
+                std::future::pending::<()>().await;
+            }
+            Script::AnswerAndClose(bytes) => {
+                read_request(&mut stream).await;
+                stream.write_all(bytes).await.unwrap();
+            }
+            Script::AnswerAndReset(bytes) => {
+                read_request(&mut stream).await;
+                stream.write_all(bytes).await.unwrap();
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                stream.set_zero_linger().unwrap();
+            }
+            Script::AnswerFirst(bytes) => {
+                stream.write_all(bytes).await.unwrap();
+                std::future::pending::<()>().await;
+            }
+        }
+    });
+    address
+}
+
+async fn read_request(stream: &mut TcpStream) {
+    let mut bytes = [0u8; 4096];
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"hi") {
+        let size = stream.read(&mut bytes).await.unwrap();
+        assert!(size > 0);
+        seen.extend_from_slice(&bytes[..size]);
+    }
+}
+
+fn is_mine(head: &ResponseHead) -> bool {
+    head.headers.get("x-id").is_some_and(|id| id == "mine")
+}
+
+async fn exchange(
+    script: Script
+) -> Result<(ResponseHead, Result<Vec<u8>, ExchangeError>), ExchangeError> {
+    let mut connection = HttpConnection::open(peer(script).await).await.unwrap();
+    let (head, _) = connection.exchange(REQUEST, &Method::POST, is_mine).await?;
+    let mut decoder = BodyDecoder::new(head.framing);
+    let mut body = Vec::new();
+    let body = loop {
+        match connection.body_piece(&mut decoder).await {
+            Ok(Some(piece)) => body.extend_from_slice(&piece),
+            Ok(None) => break Ok(body),
+            Err(problem) => break Err(problem),
+        }
+    };
+    Ok((head, body))
+}
+
+/// Whole answers in each framing, and answers that are not whole.
+#[rstest]
+#[case::length(
+    Script::Answer(b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 3\r\n\r\nabc"),
+    Ok("abc")
+)]
+#[case::chunked(Script::Answer(b"HTTP/1.1 200 OK\r\nx-id: mine\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"), Ok("abc"))]
+#[case::chunked_with_trailer(Script::Answer(b"HTTP/1.1 200 OK\r\nx-id: mine\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nx: y\r\n\r\n"), Ok("abc"))]
+#[case::no_length(
+    Script::AnswerAndClose(b"HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nabc"),
+    Ok("abc")
+)]
+#[case::no_length_reset(
+    Script::AnswerAndReset(b"HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nabc"),
+    Err(ExchangeError::Reset)
+)]
+#[case::length_cut(
+    Script::AnswerAndClose(b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 9\r\n\r\nabc"),
+    Err(ExchangeError::Closed)
+)]
+#[case::chunks_cut(
+    Script::AnswerAndClose(
+        b"HTTP/1.1 200 OK\r\nx-id: mine\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"
+    ),
+    Err(ExchangeError::Closed)
+)]
+#[case::empty(
+    Script::Answer(b"HTTP/1.1 204 No Content\r\nx-id: mine\r\n\r\n"),
+    Ok("")
+)]
+#[case::interim_first(
+    Script::Answer(
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 1\r\n\r\na"
+    ),
+    Ok("a")
+)]
+#[case::surplus_first(Script::Answer(b"HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 3\r\n\r\nxyzHTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 1\r\n\r\na"), Ok("a"))]
+#[case::two_surplus_first(Script::Answer(b"HTTP/1.1 200 OK\r\nx-id: o\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\nHTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 1\r\n\r\na"), Ok("a"))]
+#[case::more_behind(
+    Script::Answer(
+        b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\n"
+    ),
+    Ok("a")
+)]
+#[tokio::test]
+async fn bodies_are_read_whole_or_not_at_all(
+    #[case] script: Script,
+    #[case] expected: Result<&str, ExchangeError>,
+) {
+    let (_, body) = exchange(script).await.unwrap();
+    let expected = expected.map(|text| text.as_bytes().to_vec());
+    assert_eq!(body, expected);
+}
+
+#[rstest]
+#[case::no_protocol(Script::Answer(b"\x01\x02\x03\x04nonsense\r\n\r\n"))]
+#[case::two_lengths(Script::Answer(
+    b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab"
+))]
+#[case::bad_length(Script::Answer(b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: x\r\n\r\n"))]
+#[case::odd_coding(Script::Answer(
+    b"HTTP/1.1 200 OK\r\nx-id: mine\r\ntransfer-encoding: gzip\r\n\r\n"
+))]
+#[case::closed_at_once(Script::AnswerAndClose(b""))]
+#[case::closed_in_the_head(Script::AnswerAndClose(b"HTTP/1.1 200 OK\r\nx-id: mi"))]
+#[case::only_a_surplus_answer(Script::AnswerAndClose(
+    b"HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 0\r\n\r\n"
+))]
+#[tokio::test]
+async fn what_is_no_answer_is_none(#[case] script: Script) {
+    assert!(exchange(script).await.is_err());
+}
+
+#[tokio::test]
+async fn an_answer_before_the_request_is_sent_leaves_the_connection_unusable() {
+    let early = Script::AnswerFirst(b"HTTP/1.1 413 No\r\nx-id: mine\r\ncontent-length: 0\r\n\r\n");
+    let mut connection = HttpConnection::open(peer(early).await).await.unwrap();
+    // More than the buffers between the two take, so that it can't be sent to its end.
+    let mut request = b"POST /x HTTP/1.1\r\ncontent-length: 64000000\r\n\r\n".to_vec();
+    request.resize(64_000_000, b'.');
+    let (head, sent_whole) = connection
+        .exchange(&request, &Method::POST, is_mine)
+        .await
+        .unwrap();
+    assert_eq!(head.status, 413);
+    assert!(!sent_whole);
+}
+
+#[rstest]
+#[case::kept(
+    b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 0\r\nkeep-alive: timeout=7\r\n\r\n",
+    true,
+    Some(7)
+)]
+#[case::told_to_close(
+    b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 0\r\nconnection: Close\r\n\r\n",
+    false,
+    None
+)]
+#[case::old_version(
+    b"HTTP/1.0 200 OK\r\nx-id: mine\r\ncontent-length: 0\r\n\r\n",
+    false,
+    None
+)]
+#[case::no_length(b"HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\n", false, None)]
+fn whether_a_connection_can_be_kept(
+    #[case] head: &[u8],
+    #[case] keeps_alive: bool,
+    #[case] seconds: Option<u64>,
+) {
+    let mut buffer = BytesMut::from(head);
+    let head = ResponseHead::take(&mut buffer, &Method::GET)
+        .unwrap()
+        .unwrap();
+    assert_eq!(head.keeps_alive, keeps_alive);
+    assert_eq!(head.idle_limit, seconds.map(Duration::from_secs));
+}
+
+#[test]
+fn bodies_come_out_however_the_bytes_arrive() {
+    let body: &[u8] = b"5\r\nhello\r\n1;ext=1\r\n \r\n5\r\nworld\r\n0\r\n\r\nrest";
+    for step in 1..body.len() {
+        let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+        let mut buffer = BytesMut::new();
+        let mut out = Vec::new();
+        let mut ended = false;
+        for piece in body.chunks(step) {
+            buffer.extend_from_slice(piece);
+            while !ended {
+                match decoder.decode(&mut buffer).unwrap() {
+                    Decoded::Data(data) => out.extend_from_slice(&data),
+                    Decoded::Incomplete => break,
+                    Decoded::End => ended = true,
+                }
+            }
+        }
+        assert_eq!(out, b"hello world", "in steps of {step}");
+        assert!(ended);
+        assert!(b"rest".ends_with(&buffer[..]) || buffer.starts_with(b"rest"));
+    }
+}
+
+#[rstest]
+#[case::no_size(b"zz\r\n")]
+#[case::no_end(b"1\r\nab\r\n")]
+fn nonsense_in_chunks_is_seen(#[case] bytes: &[u8]) {
+    let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+    let mut buffer = BytesMut::from(bytes);
+    let outcome = loop {
+        match decoder.decode(&mut buffer) {
+            Ok(Decoded::Data(_)) => {}
+            Ok(other) => panic!("{other:?}"),
+            Err(problem) => break problem,
+        }
+    };
+    assert!(matches!(outcome, ExchangeError::Nonsense(_)));
+}
+
+#[tokio::test]
+async fn a_resting_connection_that_was_closed_or_spoken_on_is_not_quiet() {
+    for (script, quiet) in [
+        (
+            Script::Answer(b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 0\r\n\r\n"),
+            true,
+        ),
+        (
+            Script::AnswerAndClose(b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 0\r\n\r\n"),
+            false,
+        ),
+        (
+            Script::Answer(
+                b"HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200 O",
+            ),
+            false,
+        ),
+    ] {
+        let mut connection = HttpConnection::open(peer(script).await).await.unwrap();
+        connection
+            .exchange(REQUEST, &Method::POST, is_mine)
+            .await
+            .unwrap();
+        let mut looks = 0;
+        while connection.is_quiet() != quiet {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            looks += 1;
+            assert!(looks < 500);
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_call_without_a_reply_tells_whether_it_may_have_been_done() {
+    let call = HttpCall::post("/x".to_string(), b"hi".to_vec());
+    let limit = Duration::from_millis(300);
+    let silent = peer(Script::Answer(b"")).await;
+    let outcome = CallClient::new(silent).call(&call, "", limit).await;
+    assert_eq!(outcome, Err(CallFailure::Unknown));
+    let nobody = {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        listener.local_addr().unwrap()
+    };
+    let outcome = CallClient::new(nobody).call(&call, "", limit).await;
+    assert_eq!(outcome, Err(CallFailure::NotSent));
+}
--- /dev/null
+++ b/tests/request_decisions.rs
@@ -0,0 +1,436 @@
+//! Decisions on one request that is sent straight to its target.
+
+use {
+    coveproxy::{
+        request::direct::{
+            AttemptEnd, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Generation,
+            NextStep, Patience, PlainCandidate, PromptPart, RequestHistory, RequestTime,
+            ResendWindow, choose_engine, choose_plain, next_step, wait_or_refuse,
+        },
+        version::routing::{
+            BaseModel, EngineSpec, FrontLimits, Route, RouteKind, RoutingTable, TargetService,
+            WeightedService,
+        },
+    },
+    rstest::rstest,
+    std::time::{Duration, Instant},
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn route(
+    kind: RouteKind,
+    resumable: bool,
+    max_attempts: u32,
+) -> Route {
+    Route {
+        name: "r".to_string(),
+        host: "h.example".to_string(),
+        path_prefix: "/a/".to_string(),
+        kind,
+        timeout: ms(15_000),
+        aim: ms(800),
+        gap_aim: ms(250),
+        priority: 1,
+        services: vec![weighted("s", 1)],
+        max_attempts,
+        resumable,
+    }
+}
+
+fn weighted(
+    service: &str,
+    weight: u32,
+) -> WeightedService {
+    WeightedService {
+        service: service.to_string(),
+        weight,
+    }
+}
+
+const NOT_RUN: AttemptEnd = AttemptEnd::NotRun {
+    status: 503,
+    retry_after: None,
+};
+const FAILED: AttemptEnd = AttemptEnd::Failed { status: 500 };
+const FIRST: NextStep = NextStep::Resend { repeats: false };
+const AGAIN: NextStep = NextStep::Resend { repeats: true };
+
+/// What follows the first send of a request, by what its route lets be repeated.
+#[rstest]
+#[case::never_left(RouteKind::Unsafe, false, 1, AttemptEnd::NotSent, true, FIRST)]
+#[case::turned_away(RouteKind::Unsafe, false, 1, NOT_RUN, true, AGAIN)]
+#[case::turned_away_without_budget(RouteKind::Unsafe, false, 1, NOT_RUN, false, NextStep::Refuse)]
+#[case::unsafe_lost(RouteKind::Unsafe, false, 3, AttemptEnd::Lost, true, NextStep::Fail)]
+#[case::unsafe_failed(RouteKind::Unsafe, false, 3, FAILED, true, NextStep::PassOn)]
+#[case::safe_lost(RouteKind::Safe, false, 2, AttemptEnd::Lost, true, AGAIN)]
+#[case::safe_lost_at_its_last(RouteKind::Safe, false, 1, AttemptEnd::Lost, true, NextStep::Fail)]
+#[case::safe_lost_without_budget(
+    RouteKind::Safe,
+    false,
+    2,
+    AttemptEnd::Lost,
+    false,
+    NextStep::Fail
+)]
+#[case::safe_failed(RouteKind::Safe, false, 2, FAILED, true, AGAIN)]
+#[case::safe_failed_without_budget(RouteKind::Safe, false, 2, FAILED, false, NextStep::PassOn)]
+#[case::stream_lost(RouteKind::Stream, false, 2, AttemptEnd::Lost, true, NextStep::Fail)]
+#[case::resumable_lost(RouteKind::Stream, true, 2, AttemptEnd::Lost, true, AGAIN)]
+fn what_follows_the_first_send(
+    #[case] kind: RouteKind,
+    #[case] resumable: bool,
+    #[case] max_attempts: u32,
+    #[case] end: AttemptEnd,
+    #[case] budget_left: bool,
+    #[case] expected: NextStep,
+) {
+    let mut history = RequestHistory::default();
+    history.note(end);
+    let route = route(kind, resumable, max_attempts);
+    assert_eq!(next_step(&route, &history, end, budget_left), expected);
+}
+
+#[test]
+fn a_request_that_may_have_run_is_never_called_not_run() {
+    let route = route(RouteKind::Safe, false, 2);
+    let mut history = RequestHistory::default();
+    history.note(AttemptEnd::Lost);
+    history.note(NOT_RUN);
+    for budget_left in [true, false] {
+        let step = next_step(&route, &history, NOT_RUN, budget_left);
+        assert_ne!(step, NextStep::Refuse);
+    }
+}
+
+#[test]
+fn a_request_is_not_sent_round_and_round() {
+    let route = route(RouteKind::Unsafe, false, 1);
+    let mut history = RequestHistory::default();
+    let mut sends = 0;
+    loop {
+        history.note(NOT_RUN);
+        sends += 1;
+        if next_step(&route, &history, NOT_RUN, true) == NextStep::Refuse {
+            break;
+        }
+        assert!(sends < 20);
+    }
+    assert_eq!(sends, 8);
+}
+
+fn plain(
+    in_flight: u32,
+    near: bool,
+) -> PlainCandidate {
+    PlainCandidate {
+        in_flight,
+        slots: 6,
+        near,
+        avoided_for: Duration::ZERO,
+        tried: false,
+    }
+}
+
+#[rstest]
+#[case::least_busy(vec![plain(3, true), plain(0, true), plain(2, true)], Some(1))]
+#[case::near_if_as_busy(vec![plain(1, false), plain(1, true)], Some(1))]
+#[case::far_if_near_is_busy(vec![plain(0, false), plain(4, true)], Some(0))]
+#[case::not_one_that_failed(
+    vec![PlainCandidate { avoided_for: ms(100), ..plain(0, true) }, plain(5, false)], Some(1))]
+#[case::not_where_it_was(vec![PlainCandidate { tried: true, ..plain(0, true) }, plain(5, true)], Some(1))]
+#[case::a_failed_one_if_there_is_no_other(
+    vec![PlainCandidate { avoided_for: ms(100), ..plain(0, true) }], Some(0))]
+#[case::none(vec![], None)]
+fn the_plain_target_with_most_room_is_chosen(
+    #[case] candidates: Vec<PlainCandidate>,
+    #[case] expected: Option<usize>,
+) {
+    for draw in [0.0, 0.3, 0.7, 0.999] {
+        assert_eq!(choose_plain(&candidates, draw), expected);
+    }
+}
+
+fn engine(
+    copy: CopyState,
+    wait_ms: u64,
+) -> EngineCandidate {
+    EngineCandidate {
+        copy,
+        wait: ms(wait_ms),
+        memory: 0.3,
+        batch: 0.3,
+        near: true,
+        avoided: false,
+        has_holder: true,
+        tried: false,
+    }
+}
+
+fn terms(
+    price_ms: u64,
+    now: Instant,
+) -> ChoiceTerms {
+    ChoiceTerms {
+        copy_price: ms(price_ms),
+        aim_left: ms(800),
+        now,
+    }
+}
+
+fn send(to: usize) -> EngineChoice {
+    EngineChoice::Send { to, ask: None }
+}
+
+#[rstest]
+#[case::nearest_end(vec![(CopyState::Ready, 300), (CopyState::Ready, 80)], send(1))]
+#[case::the_copy_rather_than_a_load(vec![(CopyState::Unknown, 50), (CopyState::Ready, 200)], send(1))]
+#[case::a_load_if_there_is_no_copy(vec![(CopyState::Unknown, 50), (CopyState::Unknown, 50)], EngineChoice::Ask(0))]
+#[case::home_though_others_are_idler(vec![(CopyState::Unknown, 200), (CopyState::Unknown, 0)], EngineChoice::Ask(0))]
+#[case::away_if_home_is_drowned(vec![(CopyState::Unknown, 3_000), (CopyState::Unknown, 0)], EngineChoice::Ask(1))]
+#[case::busy_copy_and_another_one(
+    vec![(CopyState::Ready, 420), (CopyState::Unknown, 20)], EngineChoice::Send { to: 0, ask: Some(1) })]
+#[case::wait_if_the_copy_is_hopeless(vec![(CopyState::Ready, 6_000), (CopyState::Unknown, 20)], EngineChoice::Ask(1))]
+fn engines_are_chosen_by_expected_time(
+    #[case] candidates: Vec<(CopyState, u64)>,
+    #[case] expected: EngineChoice,
+) {
+    let now = Instant::now();
+    let candidates: Vec<EngineCandidate> = candidates
+        .into_iter()
+        .map(|(copy, wait)| engine(copy, wait))
+        .collect();
+    // A copy of a popular adapter costs each request little.
+    let price = match expected {
+        EngineChoice::Send { ask: Some(_), .. } => 5,
+        _ => 300,
+    };
+    assert_eq!(choose_engine(&candidates, &terms(price, now)), expected);
+}
+
+#[test]
+fn a_rare_adapter_gets_no_second_copy_for_a_little_haste() {
+    let now = Instant::now();
+    let candidates = [
+        engine(CopyState::Ready, 420),
+        engine(CopyState::Unknown, 20),
+    ];
+    assert_eq!(choose_engine(&candidates, &terms(300, now)), send(0));
+}
+
+#[test]
+fn what_is_on_its_way_is_asked_for_nowhere_else() {
+    let now = Instant::now();
+    let due = now + ms(1_100);
+    let candidates = [
+        engine(CopyState::Coming { due }, 20),
+        engine(CopyState::Unknown, 20),
+        engine(CopyState::Unknown, 20),
+    ];
+    let choice = choose_engine(&candidates, &terms(300, now));
+    assert!(matches!(choice, EngineChoice::Wait { until, .. } if until > due));
+}
+
+#[test]
+fn a_full_engine_is_asked_again_only_later() {
+    let now = Instant::now();
+    let full = CopyState::Full {
+        until: now + ms(400),
+    };
+    let candidates = [engine(full, 20), engine(CopyState::Unknown, 20)];
+    assert_eq!(
+        choose_engine(&candidates, &terms(300, now)),
+        EngineChoice::Ask(1)
+    );
+    let alone = [engine(full, 20)];
+    assert_eq!(
+        choose_engine(&alone, &terms(300, now)),
+        EngineChoice::Nowhere
+    );
+    let later = terms(300, now + ms(401));
+    assert_eq!(choose_engine(&alone, &later), EngineChoice::Ask(0));
+}
+
+#[rstest]
+#[case::avoided(EngineCandidate { avoided: true, ..engine(CopyState::Ready, 0) })]
+#[case::turned_away_there(EngineCandidate { tried: true, ..engine(CopyState::Ready, 0) })]
+#[case::no_holder_and_no_copy(EngineCandidate { has_holder: false, ..engine(CopyState::Unknown, 0) })]
+fn engines_that_can_not_serve_are_left_out(#[case] candidate: EngineCandidate) {
+    let now = Instant::now();
+    assert_eq!(
+        choose_engine(&[candidate], &terms(0, now)),
+        EngineChoice::Nowhere
+    );
+}
+
+#[test]
+fn an_engine_short_of_memory_is_used_last() {
+    let now = Instant::now();
+    let pressed = EngineCandidate {
+        memory: 0.99,
+        ..engine(CopyState::Ready, 0)
+    };
+    let candidates = [pressed, engine(CopyState::Ready, 400)];
+    assert_eq!(choose_engine(&candidates, &terms(300, now)), send(1));
+}
+
+#[rstest]
+#[case::in_time(0, 300, Patience::Wait)]
+#[case::late_and_prompt(10, 1_000, Patience::Refuse { come_back: ms(1_040) })]
+#[case::late_but_no_longer_prompt(200, 1_000, Patience::Wait)]
+#[case::later_than_callers_come_back(10, 6_000, Patience::Wait)]
+fn who_would_be_late_is_told_at_once(
+    #[case] passed: u64,
+    #[case] expected: u64,
+    #[case] patience: Patience,
+) {
+    let time = RequestTime {
+        passed: ms(passed),
+        aim: ms(800),
+        left: ms(15_000),
+    };
+    assert_eq!(wait_or_refuse(&time, ms(expected)), patience);
+}
+
+#[test]
+fn the_budget_of_repeats_follows_requests_and_hosts() {
+    let begin = Instant::now();
+    let repeats = |hosts: usize, requests: u32| {
+        let mut window = ResendWindow::new(ms(10_000), 0.2, 50.0);
+        for _ in 0..requests {
+            window.on_request(begin);
+        }
+        let mut repeats = 0;
+        while window.allows(hosts, begin) {
+            window.on_repeat(begin);
+            repeats += 1;
+        }
+        repeats
+    };
+    assert_eq!(repeats(1, 0), 40);
+    assert_eq!(repeats(5, 0), 8);
+    assert_eq!(repeats(5, 100), 24);
+    // All hosts together stay within ratio and extra, whatever each has seen.
+    for hosts in [2, 7, 91] {
+        let total = repeats(hosts, 100) * hosts as u32;
+        assert!(f64::from(total) <= 0.2 * 100.0 * hosts as f64 + 50.0);
+    }
+}
+
+#[test]
+fn repeats_leave_the_window_with_time() {
+    let begin = Instant::now();
+    let mut window = ResendWindow::new(ms(10_000), 0.0, 10.0);
+    while window.allows(1, begin) {
+        window.on_repeat(begin);
+    }
+    assert!(!window.allows(1, begin + ms(9_000)));
+    assert!(window.allows(1, begin + ms(10_700)));
+}
+
+#[test]
+fn a_generation_is_understood() {
+    let mut generation = Generation {
+        model: "m0/a17".to_string(),
+        ..Generation::default()
+    };
+    generation.set_token_counts("1460,80");
+    generation.set_parts("5c1e07a2:800,nonsense,91bd3f06:410");
+    assert_eq!((generation.tokens_in, generation.tokens_out), (1460, 80));
+    assert_eq!(generation.base_model(), "m0");
+    assert_eq!(generation.adapter(), Some("m0/a17"));
+    let part = |id, tokens| PromptPart { id, tokens };
+    assert_eq!(
+        generation.parts,
+        [part(0x5c1e_07a2, 800), part(0x91bd_3f06, 410)]
+    );
+    let base = Generation {
+        model: "m0".to_string(),
+        ..Generation::default()
+    };
+    assert_eq!(base.adapter(), None);
+}
+
+fn table() -> RoutingTable {
+    let with_prefix = |name: &str, prefix: &str| Route {
+        name: name.to_string(),
+        path_prefix: prefix.to_string(),
+        ..route(RouteKind::Safe, false, 1)
+    };
+    let routes = vec![with_prefix("short", "/a/"), with_prefix("long", "/a/b/")];
+    let service = TargetService {
+        name: "s".to_string(),
+        health_path: "/health".to_string(),
+        max_connections: 10,
+        engine: None,
+    };
+    RoutingTable::new(3, FrontLimits::default(), vec![service], routes)
+}
+
+#[rstest]
+#[case("h.example", "/a/x", Some("short"))]
+#[case("h.example", "/a/b/x", Some("long"))]
+#[case("H.Example", "/a/b/x", Some("long"))]
+#[case("h.example", "/a", None)]
+#[case("h.example", "/ab/", None)]
+#[case("other.example", "/a/x", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let table = table();
+    let found = table.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_split_route_shares_its_requests_by_weight() {
+    let split = Route {
+        services: vec![
+            weighted("old", 90),
+            weighted("new", 10),
+            weighted("none", 0),
+        ],
+        ..route(RouteKind::Safe, false, 1)
+    };
+    let mut counts = [0; 3];
+    for draw in 0..1000 {
+        match split.service(f64::from(draw) / 1000.0).unwrap() {
+            "old" => counts[0] += 1,
+            "new" => counts[1] += 1,
+            _ => counts[2] += 1,
+        }
+    }
+    assert_eq!(counts, [900, 100, 0]);
+}
+
+#[rstest]
+#[case::places(44_000.0, 42_700.0, 66.0, 10, 10)]
+#[case::memory(43_000.0, 42_700.0, 66.0, 10, 4)]
+#[case::too_large(40_000.0, 42_700.0, 66.0, 10, 0)]
+fn adapters_that_fit_beside_a_base_model(
+    #[case] memory: f64,
+    #[case] weights: f64,
+    #[case] adapter: f64,
+    #[case] slots: usize,
+    #[case] room: usize,
+) {
+    let model = BaseModel {
+        name: "m".to_string(),
+        weights_mb: weights,
+        adapter_mb: adapter,
+        load_time: ms(600),
+    };
+    let spec = EngineSpec {
+        models: vec![model.clone()],
+        slots: 12,
+        memory_tokens: 58_000,
+        weights_mb: memory,
+        adapter_slots: slots,
+        loads_per_second: 3.0,
+    };
+    assert_eq!(spec.adapter_room(&model), room);
+}
