An order without an answer is given again at once, under the same condition

The same order again settles the matter: the engine takes it, and the first is void, or says that the first was done. Ruled out: a report first (lags by 100 to 200 ms). Change: 120 ms, then the same order up to four times, then the report.

--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -47,6 +47,9 @@
 /// Reports are this old when they arrive, at the most.
 const REPORT_LAG: Duration = Duration::from_millis(250);
 
+/// Sends of one order that gets no answer, before the engine's report is asked for.
+const MAX_TRIES: u32 = 4;
+
 /// Pause before a report is asked for again that did not come.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
 
@@ -73,6 +76,8 @@
     pub expected_sequence: u64,
     /// Why, for logs.
     pub reason: &'static str,
+    /// How often it was sent, this time included.
+    pub tries: u32,
 }
 
 /// What the desk wants done.
@@ -220,6 +225,11 @@
             return Vec::new();
         }
         self.sequence = Some(report.sequence);
+        // Once the engine has taken another order, one from before is void.
+        self.unsettled = self
+            .unsettled
+            .take()
+            .filter(|order| order.expected_sequence == report.sequence);
         self.model = report.models.first().map(|model| model.name.clone());
         self.take_places(&report, now);
         self.count_room();
@@ -308,13 +318,46 @@
                 self.learn_anew(now);
                 Vec::new()
             }
-            None => {
-                if order.purpose == OrderPurpose::Change {
-                    self.unsettled = Some(order);
-                }
-                self.learn_anew(now);
-                Vec::new()
-            }
+            None => self.on_unanswered(order, now),
+        }
+    }
+
+    /// An order without an answer may be carried out at any time, as long as the engine has taken no
+    /// other since. The same order again settles that: if it is accepted, the first is void.
+    fn on_unanswered(
+        &mut self,
+        order: DeskOrder,
+        now: Instant,
+    ) -> Vec<DeskAction> {
+        if order.purpose == OrderPurpose::Look {
+            self.postpone_look(&order, now);
+            return Vec::new();
+        }
+        self.unsettled = Some(order.clone());
+        if order.tries >= MAX_TRIES {
+            self.learn_anew(now);
+            return Vec::new();
+        }
+        let again = DeskOrder {
+            tries: order.tries + 1,
+            ..order
+        };
+        self.under_way = Some(again.clone());
+        vec![DeskAction::Order(again)]
+    }
+
+    fn postpone_look(
+        &mut self,
+        order: &DeskOrder,
+        now: Instant,
+    ) {
+        let adapter = key(&order.model, order.adapter.as_deref().unwrap_or_default());
+        let Some(place) = self.places.get_mut(&adapter) else {
+            return;
+        };
+        if let PlaceState::Coming { since, .. } = place.state {
+            let due = now + LEAST_LOOK_PAUSE;
+            place.state = PlaceState::Coming { since, due };
         }
     }
 
@@ -596,6 +639,7 @@
             version: None,
             expected_sequence: sequence,
             reason: "empty",
+            tries: 1,
         })
     }
 
@@ -623,6 +667,7 @@
             version: Some(place.version),
             expected_sequence: sequence,
             reason: "look",
+            tries: 1,
         })
     }
 
@@ -677,6 +722,7 @@
             version: Some(wish.version),
             expected_sequence: sequence,
             reason,
+            tries: 1,
         })
     }
 
@@ -703,6 +749,7 @@
             version: None,
             expected_sequence: sequence,
             reason,
+            tries: 1,
         })
     }
 
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -25,8 +25,11 @@
 /// Longest time for a call to the store.
 const STORE_LIMIT: Duration = Duration::from_millis(900);
 
-/// Longest time for an engine's answer to an order or a report.
-const ENGINE_LIMIT: Duration = Duration::from_millis(400);
+/// Longest time for an engine's answer to an order; engines answer within some milliseconds.
+const ORDER_LIMIT: Duration = Duration::from_millis(120);
+
+/// Longest time for an engine's report.
+const REPORT_LIMIT: Duration = Duration::from_millis(400);
 
 /// Longest time for another host's copy of a table.
 const PULL_LIMIT: Duration = Duration::from_millis(500);
@@ -272,7 +275,7 @@
                 let _ = events.send(ControlEvent::OrderWithheld { target });
                 return;
             }
-            let reply = call_once(&clients, address, &call, &expect, ENGINE_LIMIT).await;
+            let reply = call_once(&clients, address, &call, &expect, ORDER_LIMIT).await;
             let reply = reply.and_then(|reply| formats.order_reply(reply.status).ok());
             let _ = events.send(ControlEvent::OrderEnded { target, reply });
         });
@@ -291,7 +294,7 @@
         spawn_local(async move {
             let expect = expect_line(&formats, &target);
             let call = formats.report_call();
-            let reply = call_once(&clients, address, &call, &expect, ENGINE_LIMIT).await;
+            let reply = call_once(&clients, address, &call, &expect, REPORT_LIMIT).await;
             let report = reply.and_then(|reply| formats.report_reply(&reply).ok());
             let _ = events.send(ControlEvent::Reported { target, report });
         });
--- a/tests/engine_desk.rs
+++ b/tests/engine_desk.rs
@@ -324,7 +324,7 @@
             false => ms(1),
         };
         if lost {
-            self.due.push((self.now + ms(400), Due::OrderEnd(None)));
+            self.due.push((self.now + ms(120), Due::OrderEnd(None)));
         }
         let reply = !lost;
         self.due
@@ -535,7 +535,7 @@
 /// that it is never told to hold too much.
 #[test]
 fn an_engine_is_never_told_to_hold_too_much() {
-    let (mut served, mut asked) = (0, 0);
+    let (mut served, mut asked) = ([0; 3], 0);
     for seed in 0..60 {
         let unanswered = [0, 20, 50][seed as usize % 3];
         let mut world = World::new(seed, unanswered);
@@ -546,7 +546,7 @@
             asked += 1;
             let mut started = Vec::new();
             if world.request(&name, version) {
-                served += 1;
+                served[seed as usize % 3] += 1;
                 started.push(name.clone());
             }
             if world.rng.random_range(0..60) == 0 {
@@ -562,9 +562,11 @@
             world.run(pause);
         }
     }
+    // Twelve adapters take turns on six places; of 8,000 requests each at 0, 20 and 50% unanswered.
+    assert_eq!(asked, 24_000);
     assert!(
-        served * 3 > asked,
-        "{served} of {asked} found their adapter"
+        served[0] > 3_000 && served[1] > 2_800 && served[2] > 1_500,
+        "{served:?}"
     );
 }
 
