Loads are looked at from their earliest end on; a long queue of loads is passed on

Cause, two faults seen in load_done lines: a load's expected time was the mean of those before, and the first look came only then, so one slow load made all later ones slow (585 ms at 13 loads a second, 270 once it had recovered); and a request waited for an engine whose queue of loads was 8.8 s long, or whose holder was gone, until its caller gave up. Ruled out: the weight store's speed (it carries 30 a second). Change: looks from 252 ms on; a window of loads that follows their time; an engine with more than 0.9 s of queue answers Full; loads of a holder that is gone are awaited no longer; engines that held an adapter lately come first; crowded engines give popular adapters away. Test: one_slow_load_does_not_make_the_ next_ones_slow (fails before: took 2.1 s and more).

--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -126,9 +126,12 @@
             .iter()
             .map(|target| target.id.clone())
             .collect();
+        let mean = board.mean_tokens(&request.service.name);
         let candidates: Vec<EngineCandidate> = targets
             .iter()
-            .map(|target| self.candidate(board, request, target, CopyState::Ready, tries, now))
+            .map(|target| {
+                self.candidate(board, request, target, CopyState::Ready, tries, mean, now)
+            })
             .collect();
         let terms = ChoiceTerms {
             copy_price: Duration::ZERO,
@@ -161,16 +164,22 @@
         let grace = newest
             .is_some_and(|newest| now.saturating_duration_since(newest.since) < OLD_VERSION_GRACE);
         let targets = board.settle_order(&request.service.name, adapter, SETTLING_PLACES);
+        let mean = board.mean_tokens(&request.service.name);
         let mut candidates = Vec::with_capacity(targets.len());
         for target in &targets {
             let copy = match board.adapters.get(adapter, target) {
-                Some(copy) if copy.version < least && is_there(copy.state) && !grace => {
+                Some(copy) if copy.version < least && is_of_no_use(copy.state, grace) => {
                     CopyState::Unknown
                 }
                 Some(copy) => copy.state,
                 None => CopyState::Unknown,
             };
-            candidates.push(self.candidate(board, request, target, copy, tries, now));
+            let copy = match board.links[target].view.holder {
+                // Nobody is left who would tell that it is there.
+                None if is_coming(copy) => CopyState::Unknown,
+                _ => copy,
+            };
+            candidates.push(self.candidate(board, request, target, copy, tries, mean, now));
         }
         let terms = ChoiceTerms {
             copy_price: copy_price(board, adapter, now),
@@ -229,6 +238,7 @@
         target: &str,
         copy: CopyState,
         tries: &Tries,
+        mean_tokens: f64,
         now: Instant,
     ) -> EngineCandidate {
         let speed = *board.speed(&request.service.name);
@@ -244,6 +254,7 @@
             wait: speed.time_for(link.backlog_tokens() + prompt),
             memory: tokens as f64 / memory as f64,
             batch: f64::from(link.running() + 1) / f64::from(link.view.record.slots.max(1)),
+            crowd: tokens as f64 / (mean_tokens + (prompt + answer) as f64).max(1.0),
             near: link.view.record.hall == self.hall,
             avoided: !link.avoided_for(now).is_zero(),
             has_holder: link.view.holder.is_some(),
@@ -329,6 +340,18 @@
     }
 }
 
-fn is_there(state: CopyState) -> bool {
-    matches!(state, CopyState::Ready | CopyState::Coming { .. })
+fn is_coming(copy: CopyState) -> bool {
+    matches!(copy, CopyState::Coming { .. } | CopyState::Asked)
+}
+
+/// True if a copy of an old version is as good as none; `grace` says that old ones still serve.
+fn is_of_no_use(
+    state: CopyState,
+    grace: bool,
+) -> bool {
+    match state {
+        CopyState::Ready | CopyState::Coming { .. } => !grace,
+        CopyState::Remembered => true,
+        _ => false,
+    }
 }
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -66,11 +66,10 @@
         request: CallRequest,
     ) -> Response<AnswerBody> {
         self.note_demand(&request);
-        let mut tries = Tries::default();
-        let unserved = Unserved::new(&request);
-        let tried = self.try_targets(&request, &mut tries, None);
+        let mut unserved = Unserved::new(&request);
+        let tried = self.try_targets(&request, &mut unserved.tries, None);
         let outcome = timeout_at(request.ends.into(), tried).await;
-        unserved.disarm();
+        let mut tries = unserved.disarm();
         let response = match outcome {
             Ok(Outcome::Final(response)) => response,
             Err(_) => self.time_over(&request, &mut tries),
@@ -326,6 +325,7 @@
     id: String,
     arrived: Instant,
     served: bool,
+    tries: Tries,
 }
 
 impl Unserved {
@@ -334,17 +334,20 @@
             id: request.id_text().to_string(),
             arrived: request.arrived,
             served: false,
+            tries: Tries::default(),
         }
     }
 
-    fn disarm(mut self) {
+    fn disarm(mut self) -> Tries {
         self.served = true;
+        std::mem::take(&mut self.tries)
     }
 }
 
 impl Drop for Unserved {
     fn drop(&mut self) {
         if !self.served {
+            self.tries.trace.tell(&self.id, Instant::now());
             note!(
                 Event::RequestCallerGone,
                 id = self.id,
--- a/src/connection/targets/adapter_map.rs
+++ b/src/connection/targets/adapter_map.rs
@@ -1,7 +1,7 @@
 use {
     crate::{formats::HeldModel, request::direct::CopyState},
     std::{
-        collections::HashMap,
+        collections::{HashMap, VecDeque},
         time::{Duration, Instant},
     },
 };
@@ -29,6 +29,8 @@
 pub struct AdapterMap {
     /// By `MODEL/ADAPTER`, then by the engine's id.
     copies: HashMap<String, HashMap<String, AdapterCopy>>,
+    /// Adapters that each engine held lately, the latest last.
+    remembered: HashMap<String, VecDeque<String>>,
 }
 
 impl AdapterMap {
@@ -49,10 +51,6 @@
         version: u64,
         state: CopyState,
     ) {
-        if state == CopyState::Unknown {
-            self.forget(adapter, target);
-            return;
-        }
         let copy = AdapterCopy {
             version,
             state,
@@ -62,6 +60,36 @@
         self.entry(adapter).insert(target.to_string(), copy);
     }
 
+    /// An adapter is gone from an engine, which remembers so many.
+    pub fn set_gone(
+        &mut self,
+        adapter: &str,
+        target: &str,
+        remembered: usize,
+    ) {
+        let copies = self.copies.get_mut(adapter);
+        let Some(copy) = copies.and_then(|copies| copies.get_mut(target)) else {
+            return;
+        };
+        if !matches!(copy.state, CopyState::Ready | CopyState::Coming { .. }) {
+            return;
+        }
+        copy.state = CopyState::Remembered;
+        let order = self.remembered.entry(target.to_string()).or_default();
+        order.retain(|known| known != adapter);
+        order.push_back(adapter.to_string());
+        let dropped = match order.len() > remembered {
+            true => order.pop_front(),
+            false => None,
+        };
+        if let Some(dropped) = dropped {
+            let copy = self.get(&dropped, target);
+            if copy.is_some_and(|copy| copy.state == CopyState::Remembered) {
+                self.forget(&dropped, target);
+            }
+        }
+    }
+
     /// An engine that was just listed says that it holds these models.
     pub fn assume_held(
         &mut self,
@@ -96,7 +124,7 @@
         if copy.asked.is_some_and(recent) {
             return false;
         }
-        if copy.state == CopyState::Asked && copy.asks >= MAX_ASKS {
+        if copy.asks >= MAX_ASKS {
             let until = now + SILENT_PAUSE;
             copy.state = CopyState::Full { until };
             copy.asks = 0;
@@ -133,6 +161,7 @@
             copies.remove(target);
             !copies.is_empty()
         });
+        self.remembered.remove(target);
     }
 
     fn entry(
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -16,6 +16,9 @@
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
+/// Adapters that an engine is thought to remember, as a multiple of its places.
+const REMEMBERED_PER_SLOT: usize = 4;
+
 /// An engine that can't take an adapter is not asked again for so long.
 const FULL_PAUSE: Duration = Duration::from_millis(400);
 
@@ -101,6 +104,18 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Tokens that run at an engine of a service, in the mean.
+    pub fn mean_tokens(
+        &self,
+        service: &str,
+    ) -> f64 {
+        let targets = self.targets_of(service);
+        let tokens = targets
+            .iter()
+            .map(|target| self.links[&target.id].running_tokens());
+        tokens.sum::<u64>() as f64 / targets.len().max(1) as f64
+    }
+
     /// The engines that hold an adapter, or on which it settles, in the order in which it does; the
     /// order is the same on every host. At most `places` that do not hold it are among them.
     pub fn settle_order(
@@ -181,7 +196,7 @@
             PlacementState::Coming => CopyState::Coming {
                 due: now + Duration::from_millis(u64::from(placement.due_ms)),
             },
-            PlacementState::Absent => CopyState::Unknown,
+            PlacementState::Absent => return self.on_gone(placement),
             PlacementState::Full | PlacementState::NotHolder => CopyState::Full {
                 until: now + FULL_PAUSE,
             },
@@ -197,6 +212,26 @@
         }
     }
 
+    /// A holder told that an adapter is not there.
+    fn on_gone(
+        &mut self,
+        placement: &Placement,
+    ) {
+        let service = self.links.get(placement.target.as_str());
+        let service = service.and_then(|link| self.view.routing.service(&link.view.record.service));
+        let slots = service
+            .and_then(|service| service.engine.as_ref())
+            .map_or(0, |engine| engine.adapter_slots);
+        self.adapters.set_gone(
+            &placement.adapter,
+            &placement.target,
+            slots * REMEMBERED_PER_SLOT,
+        );
+        if let Some(waiting) = self.waiting.get(&placement.adapter) {
+            waiting.news.notify_waiters();
+        }
+    }
+
     /// A holder told how busy its engine is.
     pub fn on_engine_load(
         &mut self,
--- a/src/process/engines/adapter_place.rs
+++ b/src/process/engines/adapter_place.rs
@@ -27,6 +27,8 @@
     pub state: PlaceState,
     /// When a request for it was last known to start, or when it came.
     pub last_used: Instant,
+    /// It comes, or came, from the weight store.
+    pub from_store: bool,
     /// Hosts that may send requests for it.
     pub interested: BTreeSet<SocketAddr>,
     /// Requests in flight through each host.
@@ -46,6 +48,7 @@
             version,
             state,
             last_used: now,
+            from_store: false,
             interested: BTreeSet::new(),
             users: BTreeMap::new(),
             uses: 0.0,
@@ -53,6 +56,11 @@
         }
     }
 
+    /// True while it is on its way from the weight store.
+    pub fn comes_from_store(&self) -> bool {
+        self.from_store && matches!(self.state, PlaceState::Coming { .. })
+    }
+
     /// Requests in flight through all hosts.
     pub fn in_flight(&self) -> u32 {
         self.users.values().sum()
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -29,6 +29,18 @@
 /// Loads that take longer than this show that the weight store has too much to do for spare copies.
 const STORE_BUSY: Duration = Duration::from_millis(380);
 
+/// A load that takes less than this multiple of its time alone was not held up by others.
+const UNCROWDED: f64 = 1.8;
+
+/// Growth of the window of loads after one that was not held up.
+const WINDOW_STEP: f64 = 0.5;
+
+/// What is left of the window after a load that was held up.
+const WINDOW_CUT: f64 = 0.8;
+
+/// A load that would have to wait for longer than this is better ordered at another engine.
+const MOST_QUEUE: Duration = Duration::from_millis(900);
+
 /// Weight of a new measurement of the time of loads.
 const LOAD_TIME_WEIGHT: f64 = 0.2;
 
@@ -95,6 +107,11 @@
         interested: Vec<SocketAddr>,
         placement: Placement,
     },
+    /// A load that was ordered is over, after this time; for logs.
+    LoadOver {
+        adapter: String,
+        time: Duration,
+    },
 }
 
 /// An adapter that somebody waits for and that is not ordered yet.
@@ -121,6 +138,8 @@
     memory: LoadMemory,
     /// Time that loads from the weight store take at present.
     load_time: Duration,
+    /// Loads from the weight store that this engine may have on their way at once at present.
+    window: f64,
     /// Newest version of adapters that have more than one.
     newest: HashMap<String, u64>,
     /// Orders that the engine has taken; `None` until a report told.
@@ -152,6 +171,7 @@
             wishes: HashMap::new(),
             memory,
             load_time: LOAD_TIME,
+            window: 2.0,
             newest: HashMap::new(),
             sequence: None,
             under_way: None,
@@ -394,6 +414,10 @@
             if reply == OrderReply::Done {
                 place.state = PlaceState::Held;
                 self.note_load_time(passed);
+                actions.push(DeskAction::LoadOver {
+                    adapter: adapter.clone(),
+                    time: passed,
+                });
                 actions.extend(self.announce(&adapter, now));
             } else {
                 let pause = passed.mul_f64(LOOK_SHARE).max(LEAST_LOOK_PAUSE);
@@ -418,6 +442,11 @@
         let time = time.min(LOAD_OVERDUE);
         let old = self.load_time.mul_f64(1.0 - LOAD_TIME_WEIGHT);
         self.load_time = old + time.mul_f64(LOAD_TIME_WEIGHT);
+        // Loads at once share the store: more of them are only slower, and in no better order.
+        self.window = match time < LOAD_TIME.mul_f64(UNCROWDED) {
+            true => (self.window + WINDOW_STEP).min(MAX_COMING as f64),
+            false => (self.window * WINDOW_CUT).max(1.0),
+        };
     }
 
     fn on_order_taken(
@@ -462,7 +491,8 @@
     ) -> Vec<DeskAction> {
         let time = match self.memory.contains(adapter, version) {
             true => RELOAD_TIME,
-            false => self.load_time,
+            // Looked at from the earliest end on: who looks late finds every load slow.
+            false => LOAD_TIME,
         };
         self.memory.note(adapter, version);
         let Some(place) = self.places.get_mut(adapter) else {
@@ -515,7 +545,8 @@
         let mut actions = self.next_orders(now);
         if self.wishes.contains_key(&want.adapter) {
             // It waits for other orders, or for a place.
-            let busy = want.spare && self.load_time > STORE_BUSY;
+            let queue_time = self.queue_time();
+            let busy = want.spare && self.load_time > STORE_BUSY || queue_time > MOST_QUEUE;
             let state = match !busy && self.has_prospect(&want.adapter, now) {
                 true => PlacementState::Coming,
                 false => PlacementState::Full,
@@ -528,13 +559,22 @@
                 adapter: want.adapter.clone(),
                 version,
                 state: state as i32,
-                due_ms: millis(self.load_time),
+                due_ms: millis(queue_time),
             };
             actions.push(DeskAction::Tell { host, placement });
         }
         actions
     }
 
+    /// Time after which a load that is asked for now should be over.
+    fn queue_time(&self) -> Duration {
+        let coming = self.places.values();
+        let coming = coming.filter(|place| matches!(place.state, PlaceState::Coming { .. }));
+        let ahead = (coming.count() + self.wishes.len()) as f64;
+        self.load_time
+            .mul_f64((ahead / self.window.max(1.0)).max(1.0))
+    }
+
     /// True if an adapter that waits can be ordered before long.
     fn has_prospect(
         &self,
@@ -687,10 +727,17 @@
             return None;
         }
         let free = self.free_places();
+        let from_store = self
+            .places
+            .iter()
+            .filter(|(_, place)| place.comes_from_store())
+            .count();
+        let crowded = from_store as f64 >= self.window;
         let next = self
             .wishes
             .iter()
             .filter(|(adapter, _)| name_of(adapter, model).is_some())
+            .filter(|(adapter, wish)| !crowded || self.memory.contains(adapter, wish.version))
             .filter(|(adapter, _)| match self.places.get(*adapter) {
                 Some(place) => place.in_flight() == 0 && place.state == PlaceState::Held,
                 None => free > 0,
@@ -708,7 +755,8 @@
             now,
         );
         place.interested.extend(wish.hosts);
-        let reason = match self.memory.contains(&next, wish.version) {
+        place.from_store = !self.memory.contains(&next, wish.version);
+        let reason = match !place.from_store {
             true => "held_lately",
             false if wish.spare => "spare",
             false => "missing",
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -339,6 +339,16 @@
                 interested,
                 placement,
             } => self.announce(&interested, &placement),
+            DeskAction::LoadOver { adapter, time } => {
+                let took_ms = time.as_millis();
+                note!(
+                    Event::LoadDone,
+                    target = target,
+                    adapter = adapter,
+                    took_ms = took_ms
+                );
+                Vec::new()
+            }
             DeskAction::AskReport => self.ask_report(target).into_iter().collect(),
             DeskAction::Order(order) => self.order(target, order, now).into_iter().collect(),
         }
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -4,6 +4,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CopyState {
     Unknown,
+    /// It was there lately, and would come back fast.
+    Remembered,
     Ready,
     /// It should be there at `due`; its holder tells when it is.
     Coming {
@@ -27,6 +29,8 @@
     pub memory: f64,
     /// Share of its batch that would be taken.
     pub batch: f64,
+    /// Tokens that run there, against the mean over all engines of the service.
+    pub crowd: f64,
     /// It stands in this host's hall.
     pub near: bool,
     /// It is avoided after failures.
@@ -70,6 +74,9 @@
 /// Expected time of a load, in seconds.
 const LOAD: f64 = 0.27;
 
+/// Expected time of a load of what was there lately, in seconds.
+const RELOAD: f64 = 0.03;
+
 /// An engine that is not the adapter's first one counts as slower by this share of a copy's price:
 /// an adapter comes back much faster where it was before, so it should come back to the same engine.
 const AWAY: f64 = 0.8;
@@ -77,6 +84,15 @@
 /// Each further place counts as slower by this share of a copy's price.
 const PLACE: f64 = 0.07;
 
+/// An engine with more than this multiple of the mean load makes the answers of all its requests
+/// slower: prompts are read between the steps of running answers.
+const CROWDED: f64 = 1.2;
+
+/// Slowness of an engine for each further mean load, in seconds.
+const CROWDING: f64 = 0.3;
+
+const MOST_CROWDING: f64 = 3.0;
+
 /// Memory or batch beyond this share makes an engine slower.
 const PRESSED: f64 = 0.85;
 
@@ -150,7 +166,7 @@
     now: Instant,
 ) -> bool {
     let free = match candidate.copy {
-        CopyState::Unknown => true,
+        CopyState::Unknown | CopyState::Remembered => true,
         CopyState::Full { until } => until <= now,
         _ => false,
     };
@@ -180,15 +196,17 @@
         false => DISTANCE,
     };
     let pressure = pressure(candidate.memory) + pressure(candidate.batch);
+    let crowding = (candidate.crowd - CROWDED).clamp(0.0, MOST_CROWDING) * CROWDING;
     let arrival = match candidate.copy {
         CopyState::Ready => 0.0,
         CopyState::Coming { due } => due.saturating_duration_since(terms.now).as_secs_f64(),
         CopyState::Asked => LOAD,
+        CopyState::Remembered => RELOAD,
         CopyState::Unknown | CopyState::Full { .. } => {
             LOAD + terms.copy_price.as_secs_f64() * (1.0 + away(place))
         }
     };
-    wait.max(arrival) + 0.2 * wait.min(arrival) + distance + pressure
+    wait.max(arrival) + 0.2 * wait.min(arrival) + distance + pressure + crowding
 }
 
 fn away(place: usize) -> f64 {
--- a/tests/engine_desk.rs
+++ b/tests/engine_desk.rs
@@ -305,6 +305,7 @@
         for action in actions {
             match action {
                 DeskAction::Order(order) => self.send(order),
+                DeskAction::LoadOver { .. } => {}
                 DeskAction::AskReport => self.due.push((self.now + ms(2), Due::Report)),
                 DeskAction::Tell { placement, .. } | DeskAction::Announce { placement, .. } => {
                     self.told.insert(placement.adapter.clone(), placement);
@@ -531,6 +532,27 @@
     assert!(world.engine.waiting.is_empty());
 }
 
+#[test]
+fn one_slow_load_does_not_make_the_next_ones_slow() {
+    let mut world = World::new(1, 0);
+    world.run(ms(3_000));
+    world.want("a1", 1);
+    world.run(ms(60));
+    // The weight store was busy for once.
+    world.engine.coming.get_mut("a1").unwrap().1 = world.now + ms(2_000);
+    world.run(ms(2_500));
+    assert_eq!(world.state("a1"), PlacementState::Ready);
+    for name in ["a2", "a3"] {
+        let begin = world.now;
+        world.want(name, 1);
+        while world.state(name) != PlacementState::Ready {
+            world.run(STEP);
+        }
+        let passed = world.now.saturating_duration_since(begin);
+        assert!(passed < ms(300), "{name} took {passed:?}");
+    }
+}
+
 /// Random use with orders that are left unanswered and carried out late. The engine itself checks
 /// that it is never told to hold too much.
 #[test]
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -162,6 +162,7 @@
         wait: ms(wait_ms),
         memory: 0.3,
         batch: 0.3,
+        crowd: 1.0,
         near: true,
         avoided: false,
         has_holder: true,
@@ -276,6 +277,27 @@
     assert_eq!(choose_engine(&candidates, &terms(300, now)), send(1));
 }
 
+#[test]
+fn a_crowded_engine_gives_popular_adapters_away() {
+    let now = Instant::now();
+    let crowded = EngineCandidate {
+        crowd: 2.0,
+        ..engine(CopyState::Ready, 60)
+    };
+    let candidates = [crowded, engine(CopyState::Ready, 100)];
+    assert_eq!(choose_engine(&candidates, &terms(5, now)), send(1));
+    let candidates = [crowded, engine(CopyState::Unknown, 20)];
+    let choice = choose_engine(&candidates, &terms(5, now));
+    assert_eq!(
+        choice,
+        EngineChoice::Send {
+            to: 0,
+            ask: Some(1)
+        }
+    );
+    assert_eq!(choose_engine(&candidates, &terms(300, now)), send(0));
+}
+
 #[rstest]
 #[case::in_time(0, 300, Patience::Wait)]
 #[case::late_and_prompt(10, 1_000, Patience::Refuse { come_back: ms(1_040) })]
