--- a/src/process/holding/holding.rs
+++ b/src/process/holding/holding.rs
@@ -31,10 +31,14 @@
 
 impl HoldingTimings {
     /// Timings for a platform that wants orders of two holders `gap` apart.
-    pub fn with_gap(gap: Duration) -> Self {
+    pub fn new(
+        lease: Duration,
+        renew: Duration,
+        gap: Duration,
+    ) -> Self {
         Self {
-            lease: Duration::from_secs(9),
-            renew: Duration::from_millis(2500),
+            lease,
+            renew,
             retry: Duration::from_millis(600),
             gap,
             slack: Duration::from_millis(400),
@@ -454,7 +458,9 @@
                 version: lease,
             });
         }
-        let fence = seen.map_or(0, |seen| seen.row.fence) + 1;
+        // Versions of the store's rows only rise, also over the targets that follow one another at
+        // one address.
+        let fence = (seen.map_or(0, |seen| seen.row.fence) + 1).max(self.renewed_version);
         let value = HolderRow {
             holder: self.me.peer,
             fence,
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -91,7 +91,8 @@
             front: identity.front,
             process,
         };
-        let timings = HoldingTimings::with_gap(settings.bounds.lease_gap);
+        let lease = &settings.lease;
+        let timings = HoldingTimings::new(lease.length, lease.renew, settings.bounds.lease_gap);
         let table = |bound| KeptTable {
             copy: TableCopy::default(),
             schedule: ReadSchedule::new(ReadTimings::within(bound)),
--- a/src/process/host/host_process.rs
+++ b/src/process/host/host_process.rs
@@ -24,7 +24,7 @@
     tokio::{
         net::TcpListener,
         runtime::Builder,
-        signal::unix::{SignalKind, signal},
+        signal::unix::{Signal, SignalKind, signal},
         sync::watch,
         task::{LocalSet, spawn_local},
     },
@@ -56,6 +56,8 @@
     settings: NodeSettings,
     formats: Arc<dyn Formats>,
 ) -> Result<(), RunError> {
+    // First of all: a signal that comes before would end the process.
+    let mut signals = Signals::new()?;
     let control = HostControl::new(
         settings.clone(),
         formats.clone(),
@@ -100,22 +102,36 @@
     let runner = ControlRunner::new(control, formats, &settings, socket, requests, traffic);
     let events = runner.events();
     spawn_local(runner.run());
-    wait_for_stop().await?;
+    signals.wait_for_stop().await;
     let _ = events.send(ControlEvent::Stop);
     leave(&stop, &open_connections, settings.bounds.grace).await;
     Ok(())
 }
 
-async fn wait_for_stop() -> Result<(), RunError> {
-    let call = |problem: std::io::Error| RunError::Call(problem.to_string());
-    let mut terminate = signal(SignalKind::terminate()).map_err(call)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(call)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(call)?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => {}
+/// The signals that the process heeds.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, RunError> {
+        let listen = |kind| signal(kind).map_err(|problem| RunError::Call(problem.to_string()));
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            hangup: listen(SignalKind::hangup())?,
+        })
+    }
+
+    async fn wait_for_stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => {}
+            }
         }
     }
 }
--- a/src/process/settings/mod.rs
+++ b/src/process/settings/mod.rs
@@ -10,5 +10,5 @@
         PlatformSettings, PolicySettings,
     },
     ini_reader::IniReader,
-    node_settings::{Bounds, ListenSettings, NodeSettings},
+    node_settings::{Bounds, ListenSettings, NodeSettings, OrderLeaseSettings},
 };
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -40,6 +40,15 @@
     pub grace: Duration,
 }
 
+/// The lease that a host's orders to engines rest on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OrderLeaseSettings {
+    /// Long, so that orders go on while the store is out for a while; an engine whose holder is lost
+    /// gets no orders for so long.
+    pub length: Duration,
+    pub renew: Duration,
+}
+
 /// Everything that one host on a platform needs to know at its start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NodeSettings {
@@ -51,6 +60,7 @@
     /// Hosts that may be there already.
     pub seeds: Vec<IpAddr>,
     pub bounds: Bounds,
+    pub lease: OrderLeaseSettings,
 }
 
 impl NodeSettings {
@@ -84,6 +94,7 @@
         let store = ini.required("store", "address");
         let seeds = seeds(ini);
         let bounds = bounds(ini);
+        let lease = lease(ini);
         Some(Self {
             name: name?,
             hall: hall?,
@@ -91,6 +102,7 @@
             store: store?,
             seeds,
             bounds,
+            lease,
         })
     }
 
@@ -140,6 +152,19 @@
     }
 }
 
+fn lease(ini: &mut IniReader) -> OrderLeaseSettings {
+    const SECTION: &str = "lease";
+    let settings = OrderLeaseSettings {
+        length: ini.millis(SECTION, "length_ms", 9_000, 500..=120_000),
+        renew: ini.millis(SECTION, "renew_ms", 2_500, 50..=60_000),
+    };
+    if settings.renew * 2 > settings.length {
+        let problem = "must be at most half of length_ms";
+        ini.contradiction(SECTION, "renew_ms", problem);
+    }
+    settings
+}
+
 /// A time that may be written with a fraction.
 fn seconds(
     ini: &mut IniReader,
--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -172,7 +172,7 @@
             front: address(host),
             process: self.rng.random(),
         };
-        let timings = HoldingTimings::with_gap(GAP);
+        let timings = HoldingTimings::new(ms(9_000), ms(2_500), GAP);
         self.hosts[host].holding = Some(Holding::new(row, timings, self.now));
         self.hosts[host].life += 100;
     }
