--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -1,7 +1,7 @@
 use {
     super::{exchange::Destination, request_trace::TraceStep, tries::Tries},
     crate::{
-        connection::targets::TargetBoard,
+        connection::targets::{ReadingSpeed, TargetBoard},
         request::direct::{
             CallRequest, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Patience,
             PlainCandidate, RequestTime, choose_engine, choose_plain, wait_or_refuse,
@@ -126,12 +126,10 @@
             .iter()
             .map(|target| target.id.clone())
             .collect();
-        let mean = board.mean_tokens(&request.service.name);
+        let outlook = Outlook::of(board, request, now);
         let candidates: Vec<EngineCandidate> = targets
             .iter()
-            .map(|target| {
-                self.candidate(board, request, target, CopyState::Ready, tries, mean, now)
-            })
+            .map(|target| self.candidate(board, request, target, CopyState::Ready, tries, &outlook))
             .collect();
         let terms = ChoiceTerms {
             copy_price: Duration::ZERO,
@@ -164,7 +162,7 @@
         let grace = newest
             .is_some_and(|newest| now.saturating_duration_since(newest.since) < OLD_VERSION_GRACE);
         let targets = board.settle_order(&request.service.name, adapter, SETTLING_PLACES);
-        let mean = board.mean_tokens(&request.service.name);
+        let outlook = Outlook::of(board, request, now);
         let mut candidates = Vec::with_capacity(targets.len());
         for target in &targets {
             let copy = match board.adapters.get(adapter, target) {
@@ -179,7 +177,7 @@
                 None if is_coming(copy) => CopyState::Unknown,
                 _ => copy,
             };
-            candidates.push(self.candidate(board, request, target, copy, tries, mean, now));
+            candidates.push(self.candidate(board, request, target, copy, tries, &outlook));
         }
         let terms = ChoiceTerms {
             copy_price: copy_price(board, adapter, now),
@@ -233,15 +231,13 @@
 
     fn candidate(
         &self,
-        board: &mut TargetBoard,
+        board: &TargetBoard,
         request: &CallRequest,
         target: &str,
         copy: CopyState,
         tries: &Tries,
-        mean_tokens: f64,
-        now: Instant,
+        outlook: &Outlook,
     ) -> EngineCandidate {
-        let speed = *board.speed(&request.service.name);
         let link = &board.links[target];
         let generation = request.generation.as_ref();
         let prompt = generation.map_or(0, |generation| u64::from(generation.tokens_in));
@@ -251,18 +247,41 @@
         let tokens = link.running_tokens() + prompt + answer;
         EngineCandidate {
             copy,
-            wait: speed.time_for(link.backlog_tokens() + prompt),
+            wait: outlook.speed.time_for(link.backlog_tokens() + prompt),
             memory: tokens as f64 / memory as f64,
             batch: f64::from(link.running() + 1) / f64::from(link.view.record.slots.max(1)),
-            crowd: tokens as f64 / (mean_tokens + (prompt + answer) as f64).max(1.0),
+            crowd: tokens as f64 / (outlook.mean_tokens + (prompt + answer) as f64).max(1.0),
             near: link.view.record.hall == self.hall,
-            avoided: !link.avoided_for(now).is_zero(),
+            avoided: !link.avoided_for(outlook.now).is_zero(),
             has_holder: link.view.holder.is_some(),
             tried: tries.has_tried(target),
         }
     }
 }
 
+/// What all candidates for one request are measured with.
+struct Outlook {
+    speed: ReadingSpeed,
+    /// Tokens that run at an engine of the service, in the mean.
+    mean_tokens: f64,
+    now: Instant,
+}
+
+impl Outlook {
+    fn of(
+        board: &mut TargetBoard,
+        request: &CallRequest,
+        now: Instant,
+    ) -> Self {
+        let service = &request.service.name;
+        Self {
+            speed: *board.speed(service),
+            mean_tokens: board.mean_tokens(service),
+            now,
+        }
+    }
+}
+
 /// Decides on a target; `counts` are the candidates and those of them that were ready.
 fn send_to(
     board: &TargetBoard,
