Copies of tables are compared by what they mean

Change: a digest over what rows mean; a copy that differs after a delta asks for the whole table. Tests: tests/table_copy.rs, with 400 random histories of changes to and fro.

--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -44,17 +44,26 @@
     pub ready: bool,
 }
 
-/// How new a host's copy of the store's tables is.
+/// How a host's copy of one table of the store stands.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct Freshness {
+pub struct CopyState {
     #[prost(uint64, tag = "1")]
-    pub declared_version: u64,
-    #[prost(uint32, tag = "2")]
-    pub declared_age_ms: u32,
-    #[prost(uint64, tag = "3")]
-    pub targets_version: u64,
-    #[prost(uint32, tag = "4")]
-    pub targets_age_ms: u32,
+    pub version: u64,
+    /// Equal for copies that mean the same.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    /// Time since it was known to be right; absent for a table that was never read.
+    #[prost(uint32, optional, tag = "3")]
+    pub age_ms: Option<u32>,
+}
+
+/// How new a host's copies of the store's tables are.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Freshness {
+    #[prost(message, required, tag = "1")]
+    pub declared: CopyState,
+    #[prost(message, required, tag = "2")]
+    pub targets: CopyState,
 }
 
 /// Asks for an answer.
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -28,6 +28,12 @@
 /// A request waits for an engine at least this long before it looks again.
 const LEAST_WAIT: Duration = Duration::from_millis(2);
 
+/// Pause before a request that no engine can take looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+
+/// Share of its aim after which it is refused.
+const LOOK_SHARE: f64 = 0.17;
+
 /// Engines on which an adapter may settle, besides those that hold it.
 const SETTLING_PLACES: usize = 8;
 
@@ -145,7 +151,7 @@
                 (targets.len(), targets.len()),
                 now,
             ),
-            _ => Choice::Nowhere,
+            _ => nowhere_yet(request, now),
         }
     }
 
@@ -225,7 +231,7 @@
                     },
                 }
             }
-            EngineChoice::Nowhere => Choice::Nowhere,
+            EngineChoice::Nowhere => nowhere_yet(request, now),
         }
     }
 
@@ -325,6 +331,21 @@
     }
 }
 
+/// No engine can take a request: it looks again a few times while a refusal is still prompt.
+fn nowhere_yet(
+    request: &CallRequest,
+    now: Instant,
+) -> Choice {
+    let again = now + LOOK_AGAIN;
+    match again.saturating_duration_since(request.arrived) < request.route.aim.mul_f64(LOOK_SHARE) {
+        true => Choice::Wait {
+            until: again,
+            expected: None,
+        },
+        false => Choice::Nowhere,
+    }
+}
+
 fn time_of(
     request: &CallRequest,
     now: Instant,
--- a/src/connection/pull/changes_body.rs
+++ b/src/connection/pull/changes_body.rs
@@ -19,8 +19,8 @@
     pub rows: Vec<RowBody>,
     #[prost(uint64, tag = "2")]
     pub version: u64,
-    #[prost(uint64, tag = "3")]
-    pub changed_version: u64,
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
     #[prost(bool, tag = "4")]
     pub whole: bool,
     /// Time since the copy was known to be right.
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -135,7 +135,8 @@
         term: u64,
         rows: Option<RowBatch>,
         now: Instant,
-    ) {
+    ) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
         let rows = rows.map(|batch| batch.rows);
         self.holding.on_table(rows.as_deref(), term, now);
         for row in rows.iter().flatten() {
@@ -155,10 +156,11 @@
                 lease_version: row.version,
                 ..Default::default()
             };
-            // Its ping goes out with the next round.
-            self.hosts.on_named(&rumor, now);
+            let wanted = self.hosts.on_named(&rumor, now);
+            actions.extend(self.host_actions(wanted, now));
         }
         self.changed = true;
+        actions
     }
 
     pub(super) fn on_taken(
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -192,7 +192,7 @@
         }]
     }
 
-    fn host_actions(
+    pub(super) fn host_actions(
         &mut self,
         wanted: Vec<HostAction>,
         now: Instant,
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -9,7 +9,7 @@
         },
         formats::{Declared, Formats, Row, RowBatch, RowsReply, TargetState},
         note,
-        process::tables::TableChanges,
+        process::tables::{Comparison, TableChanges},
         timeline::Event,
         version::routing::RoutingTable,
     },
@@ -18,6 +18,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 impl HostControl {
@@ -59,9 +60,9 @@
             self.note_read_end(table, false, now);
             return Vec::new();
         };
-        let same = is_same(table, &self.formats);
+        let print = fingerprint(table, &self.formats);
         self.note_read_end(table, true, now);
-        let changed = self.kept(table).copy.apply_changes(batch, asked, same);
+        let changed = self.kept(table).copy.apply_changes(batch, asked, print);
         self.take_rows(table, &changed, "store", now);
         self.tell_all(now)
     }
@@ -73,12 +74,12 @@
         rows: Option<RowBatch>,
         now: Instant,
     ) {
-        let same = is_same(table, &self.formats);
+        let print = fingerprint(table, &self.formats);
         self.note_read_end(table, rows.is_some(), now);
         let Some(rows) = rows else {
             return;
         };
-        let changed = self.kept(table).copy.apply_whole(rows, asked, same);
+        let changed = self.kept(table).copy.apply_whole(rows, asked, print);
         self.take_rows(table, &changed, "store", now);
     }
 
@@ -90,35 +91,27 @@
         now: Instant,
     ) -> Vec<ControlAction> {
         let told = [
-            (
-                TableName::Declared,
-                freshness.declared_version,
-                freshness.declared_age_ms,
-            ),
-            (
-                TableName::Targets,
-                freshness.targets_version,
-                freshness.targets_age_ms,
-            ),
+            (TableName::Declared, freshness.declared),
+            (TableName::Targets, freshness.targets),
         ];
         let mut actions = Vec::new();
-        for (table, version, age_ms) in told {
-            let age = Duration::from_millis(u64::from(age_ms));
-            let Some(as_of) = now.checked_sub(age) else {
+        for (table, state) in told {
+            let age = state
+                .age_ms
+                .map(|age| Duration::from_millis(u64::from(age)));
+            let Some(as_of) = age.and_then(|age| now.checked_sub(age)) else {
                 continue;
             };
-            if age_ms == u32::MAX {
-                continue;
-            }
             let kept = self.kept(table);
-            if kept.copy.confirm_from(version, as_of) || kept.pulling.is_some() {
+            let comparison = kept.copy.compare(state.version, state.digest, as_of);
+            if comparison != Comparison::Newer || kept.pulling.is_some() {
                 continue;
             }
             kept.pulling = Some(from);
             actions.push(ControlAction::PullChanges {
                 table,
                 from,
-                since: kept.copy.changed_version(),
+                since: kept.copy.version(),
             });
         }
         actions
@@ -130,17 +123,29 @@
         from: SocketAddr,
         changes: Option<(TableChanges, Instant)>,
         now: Instant,
-    ) {
-        let same = is_same(table, &self.formats);
+    ) -> Vec<ControlAction> {
+        let print = fingerprint(table, &self.formats);
         let kept = self.kept(table);
         if kept.pulling == Some(from) {
             kept.pulling = None;
         }
         let Some((changes, as_of)) = changes else {
-            return;
+            return Vec::new();
         };
-        let changed = kept.copy.apply_from_host(changes, as_of, same);
+        let whole = changes.whole;
+        let (changed, same) = kept.copy.apply_from_host(changes, as_of, print);
+        let mut actions = Vec::new();
+        if !same && !whole {
+            // A change that was taken back again was missed by one of the two.
+            kept.pulling = Some(from);
+            actions.push(ControlAction::PullChanges {
+                table,
+                from,
+                since: 0,
+            });
+        }
         self.take_rows(table, &changed, &from.to_string(), now);
+        actions
     }
 
     /// What this host's copy of a table tells another host.
@@ -359,22 +364,23 @@
     format!("{:?}", text.to_string())
 }
 
-/// Two values of a target's row mean the same here if only what it holds has changed.
-fn is_same(
+/// Equal for two values of a row that mean the same here; what a target holds does not matter.
+fn fingerprint(
     table: TableName,
     formats: &Arc<dyn Formats>,
-) -> impl Fn(&Row, &Row) -> bool + use<> {
+) -> impl Fn(&Row) -> u64 + use<> {
     let formats = formats.clone();
-    move |old, new| {
+    move |row| {
+        let value = row.value.as_deref().unwrap_or_default();
         if table == TableName::Declared {
-            return old.value == new.value;
+            return xxh3_64(value);
+        }
+        match formats.target_record(row) {
+            Ok(mut record) => {
+                record.models.clear();
+                xxh3_64(format!("{record:?}").as_bytes())
+            }
+            Err(_) => xxh3_64(value),
         }
-        let (Ok(mut old), Ok(mut new)) = (formats.target_record(old), formats.target_record(new))
-        else {
-            return false;
-        };
-        old.models.clear();
-        new.models.clear();
-        old == new
     }
 }
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -2,7 +2,7 @@
     super::{ControlAction, ControlEvent, TableName},
     crate::{
         connection::{
-            datagram::{Freshness, HostRumor, Ping},
+            datagram::{CopyState, Freshness, HostRumor, Ping},
             targets::{FleetView, NewestVersion, TargetView},
         },
         formats::{Formats, TargetRecord, TargetState},
@@ -157,9 +157,6 @@
         event: ControlEvent,
         now: Instant,
     ) -> Vec<ControlAction> {
-        if !matches!(event, ControlEvent::Tick) {
-            log::debug!("event {event:?}");
-        }
         let mut actions = match event {
             ControlEvent::Tick => self.on_tick(now),
             ControlEvent::Message { from, message } => self.on_message(from, message, now),
@@ -177,18 +174,12 @@
                 table,
                 from,
                 changes,
-            } => {
-                self.on_changes_pulled(table, from, changes, now);
-                Vec::new()
-            }
+            } => self.on_changes_pulled(table, from, changes, now),
             ControlEvent::Renewed { sent, commit } => {
                 self.on_renewed(sent, commit, now);
                 Vec::new()
             }
-            ControlEvent::HoldersRead { term, rows } => {
-                self.on_holders_read(term, rows, now);
-                Vec::new()
-            }
+            ControlEvent::HoldersRead { term, rows } => self.on_holders_read(term, rows, now),
             ControlEvent::Taken {
                 target,
                 fence,
@@ -270,15 +261,16 @@
         &self,
         now: Instant,
     ) -> Freshness {
-        let age = |copy: &TableCopy| {
-            let age = copy.age(now).map_or(u128::MAX, |age| age.as_millis());
-            u32::try_from(age).unwrap_or(u32::MAX)
+        let state = |copy: &TableCopy| CopyState {
+            version: copy.version(),
+            digest: copy.digest(),
+            age_ms: copy
+                .age(now)
+                .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
         };
         Freshness {
-            declared_version: self.declared.copy.changed_version(),
-            declared_age_ms: age(&self.declared.copy),
-            targets_version: self.listed.copy.changed_version(),
-            targets_age_ms: age(&self.listed.copy),
+            declared: state(&self.declared.copy),
+            targets: state(&self.listed.copy),
         }
     }
 
--- a/src/process/host/peer_pages.rs
+++ b/src/process/host/peer_pages.rs
@@ -49,7 +49,7 @@
     let body = ChangesBody {
         rows: changes.rows.iter().map(RowBody::from).collect(),
         version: changes.version,
-        changed_version: changes.changed_version,
+        digest: changes.digest,
         whole: changes.whole,
         age_ms: u32::try_from(age?.as_millis()).unwrap_or(u32::MAX),
     };
@@ -62,7 +62,7 @@
     let changes = TableChanges {
         rows: body.rows.into_iter().map(Into::into).collect(),
         version: body.version,
-        changed_version: body.changed_version,
+        digest: body.digest,
         whole: body.whole,
     };
     Some((changes, Duration::from_millis(u64::from(body.age_ms))))
--- a/src/process/tables/mod.rs
+++ b/src/process/tables/mod.rs
@@ -5,5 +5,5 @@
 
 pub use {
     read_schedule::{ReadSchedule, ReadTimings},
-    table_copy::{TableChanges, TableCopy},
+    table_copy::{Comparison, TableChanges, TableCopy},
 };
--- a/src/process/tables/table_copy.rs
+++ b/src/process/tables/table_copy.rs
@@ -1,6 +1,11 @@
 use {
     crate::formats::{Row, RowBatch},
-    std::{collections::BTreeMap, sync::Arc, time::Duration, time::Instant},
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Rows that are gone and still remembered, at the most.
@@ -12,20 +17,39 @@
     pub rows: Vec<Row>,
     /// The copy is as of this version.
     pub version: u64,
-    /// The last version at which something changed that matters.
-    pub changed_version: u64,
+    /// Stands for the meaning of all its rows.
+    pub digest: u64,
     /// `rows` is the whole table; what it does not name is gone.
     pub whole: bool,
 }
 
+/// How another host's copy stands against this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Comparison {
+    /// Both mean the same.
+    Same,
+    /// The other one is newer.
+    Newer,
+    /// This one is newer.
+    Older,
+}
+
+/// A row with what it means here, in short.
+#[derive(Debug, Clone)]
+struct KeptRow {
+    row: Row,
+    /// Equal for two values of a row that mean the same here.
+    fingerprint: u64,
+}
+
 /// A copy of one table of the store, which never goes back to an older version.
 #[derive(Debug, Default)]
 pub struct TableCopy {
-    rows: BTreeMap<Arc<str>, Row>,
+    rows: BTreeMap<Arc<str>, KeptRow>,
     /// The copy holds every change up to this version of the store.
     version: u64,
-    /// The last version at which something changed that matters here.
-    changed_version: u64,
+    /// Sum over the fingerprints of the rows that are there: equal for copies that mean the same.
+    digest: u64,
     /// The copy was right at this time; `None` before the first read.
     as_of: Option<Instant>,
     /// Changes at or before this version may have been forgotten.
@@ -33,14 +57,14 @@
 }
 
 impl TableCopy {
-    /// The version to ask the store for changes since; 0 before the first read.
+    /// The version to ask for changes since; 0 before the first read.
     pub fn version(&self) -> u64 {
         self.version
     }
 
-    /// The version that other hosts compare theirs with.
-    pub fn changed_version(&self) -> u64 {
-        self.changed_version
+    /// Stands for the meaning of all rows.
+    pub fn digest(&self) -> u64 {
+        self.digest
     }
 
     /// True once the table has been read.
@@ -58,37 +82,24 @@
 
     /// The rows that are there.
     pub fn rows(&self) -> impl Iterator<Item = &Row> {
-        self.rows.values().filter(|row| row.value.is_some())
-    }
-
-    pub fn get(
-        &self,
-        key: &str,
-    ) -> Option<&Row> {
-        self.rows.get(key).filter(|row| row.value.is_some())
+        let rows = self.rows.values().map(|kept| &kept.row);
+        rows.filter(|row| row.value.is_some())
     }
 
     /// Takes in changes that were asked for at `asked`; gives the rows that matter.
     ///
-    /// `is_same` says whether a row's new value means the same as its old one.
+    /// `fingerprint` is equal for two values of a row that mean the same.
     pub fn apply_changes(
         &mut self,
         batch: RowBatch,
         asked: Instant,
-        is_same: impl Fn(&Row, &Row) -> bool,
+        fingerprint: impl Fn(&Row) -> u64,
     ) -> Vec<Row> {
         if batch.version < self.version {
             return Vec::new();
         }
         self.confirm(batch.version, asked);
-        let mut changed = Vec::new();
-        for row in batch.rows {
-            if self.put(&row, &is_same) {
-                changed.push(row);
-            }
-        }
-        self.forget_gone();
-        changed
+        self.put_all(batch.rows, &fingerprint)
     }
 
     /// Takes in the whole table, as asked for at `asked`; gives the rows that matter.
@@ -96,71 +107,93 @@
         &mut self,
         batch: RowBatch,
         asked: Instant,
-        is_same: impl Fn(&Row, &Row) -> bool,
+        fingerprint: impl Fn(&Row) -> u64,
     ) -> Vec<Row> {
         if batch.version < self.version {
             return Vec::new();
         }
-        let known = self.is_known();
+        self.confirm(batch.version, asked);
+        self.put_whole(batch, &fingerprint)
+    }
+
+    /// Puts all rows of a table in place of those that are there.
+    fn put_whole(
+        &mut self,
+        batch: RowBatch,
+        fingerprint: &impl Fn(&Row) -> u64,
+    ) -> Vec<Row> {
+        let version = batch.version;
+        let gone = |old: &&Row| !batch.rows.iter().any(|row| row.key == old.key);
         let missing: Vec<Row> = self
             .rows()
-            .filter(|old| !batch.rows.iter().any(|row| row.key == old.key))
+            .filter(gone)
             .map(|old| Row {
                 key: old.key.clone(),
-                version: batch.version,
+                version,
                 value: None,
             })
             .collect();
-        let version = batch.version;
-        let rows = batch.rows.into_iter().chain(missing).collect();
-        let whole = RowBatch {
-            rows,
-            version,
-            more: false,
-        };
-        let changed = self.apply_changes(whole, asked, is_same);
-        if !known {
-            self.floor = version;
-        }
-        changed
+        // Where this copy differs although its row is no older, it missed something in between.
+        let rows = batch.rows.into_iter().map(|row| {
+            let print = print_of(&row, fingerprint);
+            let old = self.rows.get(&row.key);
+            let stale =
+                old.is_some_and(|old| old.fingerprint != print && old.row.version >= row.version);
+            match stale {
+                true => Row { version, ..row },
+                false => row,
+            }
+        });
+        let rows: Vec<Row> = rows.chain(missing).collect();
+        self.floor = self.floor.max(version);
+        self.put_all(rows, fingerprint)
     }
 
-    /// Takes in what another host told of its copy, which was right at `as_of`.
+    /// Takes in what another host told of its copy, which was right at `as_of`; gives the rows that
+    /// matter, and whether both copies now mean the same. If not, the whole table must be asked for.
     pub fn apply_from_host(
         &mut self,
         changes: TableChanges,
         as_of: Instant,
-        is_same: impl Fn(&Row, &Row) -> bool,
-    ) -> Vec<Row> {
+        fingerprint: impl Fn(&Row) -> u64,
+    ) -> (Vec<Row>, bool) {
         if changes.version < self.version {
-            return Vec::new();
+            return (Vec::new(), true);
         }
-        let changed_version = changes.changed_version;
-        let batch = RowBatch {
-            rows: changes.rows,
-            version: changes.version,
-            more: false,
-        };
         let changed = match changes.whole {
-            true => self.apply_whole(batch, as_of, is_same),
-            false => self.apply_changes(batch, as_of, is_same),
+            true => {
+                let batch = RowBatch {
+                    rows: changes.rows,
+                    version: changes.version,
+                    more: false,
+                };
+                self.put_whole(batch, &fingerprint)
+            }
+            false => self.put_all(changes.rows, &fingerprint),
         };
-        self.changed_version = self.changed_version.max(changed_version);
-        changed
+        let same = self.digest == changes.digest;
+        if same {
+            self.confirm(changes.version, as_of);
+        }
+        (changed, same)
     }
 
-    /// Another host's copy bears `changed_version` and was right at `as_of`; true if this copy
-    /// holds all that matters of it, and so was right then, too.
-    pub fn confirm_from(
+    /// Another host's copy stands at this version, has this digest and was right at `as_of`. If both
+    /// mean the same, this copy was right then, too.
+    pub fn compare(
         &mut self,
-        changed_version: u64,
+        version: u64,
+        digest: u64,
         as_of: Instant,
-    ) -> bool {
-        let covers = self.is_known() && self.changed_version >= changed_version;
-        if covers && self.changed_version == changed_version {
-            self.as_of = self.as_of.max(Some(as_of));
+    ) -> Comparison {
+        if self.is_known() && digest == self.digest {
+            self.confirm(version, as_of);
+            return Comparison::Same;
+        }
+        match version > self.version || !self.is_known() {
+            true => Comparison::Newer,
+            false => Comparison::Older,
         }
-        covers
     }
 
     /// What has changed since `version`, for another host.
@@ -169,14 +202,15 @@
         version: u64,
     ) -> TableChanges {
         let whole = version < self.floor || version == 0;
-        let rows = self.rows.values().filter(|row| match whole {
+        let rows = self.rows.values().map(|kept| &kept.row);
+        let rows = rows.filter(|row| match whole {
             true => row.value.is_some(),
             false => row.version > version,
         });
         TableChanges {
             rows: rows.cloned().collect(),
             version: self.version,
-            changed_version: self.changed_version,
+            digest: self.digest,
             whole,
         }
     }
@@ -190,25 +224,48 @@
         self.as_of = self.as_of.max(Some(asked));
     }
 
+    /// Puts rows in place of older ones; gives those that matter.
+    fn put_all(
+        &mut self,
+        rows: Vec<Row>,
+        fingerprint: &impl Fn(&Row) -> u64,
+    ) -> Vec<Row> {
+        let mut changed = Vec::new();
+        for row in rows {
+            if self.put(&row, fingerprint) {
+                changed.push(row);
+            }
+        }
+        self.forget_gone();
+        changed
+    }
+
+    /// Puts a row in place of an older one; true if that matters.
     fn put(
         &mut self,
         row: &Row,
-        is_same: &impl Fn(&Row, &Row) -> bool,
+        fingerprint: &impl Fn(&Row) -> u64,
     ) -> bool {
         let old = self.rows.get(&row.key);
-        if old.is_some_and(|old| old.version >= row.version) {
+        if old.is_some_and(|old| old.row.version >= row.version) {
             return false;
         }
-        let absent = old.is_none_or(|old| old.value.is_none());
-        if absent && row.value.is_none() {
+        let was_there = old.is_some_and(|old| old.row.value.is_some());
+        let is_there = row.value.is_some();
+        if !was_there && !is_there {
             return false;
         }
-        let same = old.is_some_and(|old| is_same(old, row));
-        if same {
+        let old_print = old.map_or(0, |old| old.fingerprint);
+        let print = print_of(row, fingerprint);
+        if was_there && is_there && print == old_print {
             return false;
         }
-        self.changed_version = self.changed_version.max(row.version);
-        self.rows.insert(row.key.clone(), row.clone());
+        self.digest = self.digest.wrapping_sub(old_print).wrapping_add(print);
+        let kept = KeptRow {
+            row: row.clone(),
+            fingerprint: print,
+        };
+        self.rows.insert(row.key.clone(), kept);
         true
     }
 
@@ -217,8 +274,8 @@
         let mut gone: Vec<u64> = self
             .rows
             .values()
-            .filter(|row| row.value.is_none())
-            .map(|row| row.version)
+            .filter(|kept| kept.row.value.is_none())
+            .map(|kept| kept.row.version)
             .collect();
         if gone.len() <= MAX_GONE {
             return;
@@ -227,6 +284,17 @@
         let floor = gone[gone.len() - MAX_GONE / 2];
         self.floor = self.floor.max(floor);
         self.rows
-            .retain(|_, row| row.value.is_some() || row.version > floor);
+            .retain(|_, kept| kept.row.value.is_some() || kept.row.version > floor);
+    }
+}
+
+/// What a row adds to the digest.
+fn print_of(
+    row: &Row,
+    fingerprint: &impl Fn(&Row) -> u64,
+) -> u64 {
+    match row.value.is_some() {
+        true => xxh3_64_with_seed(row.key.as_bytes(), fingerprint(row)),
+        false => 0,
     }
 }
--- /dev/null
+++ b/tests/table_copy.rs
@@ -0,0 +1,271 @@
+//! Copies of the store's tables: how they follow the store and one another.
+
+use {
+    coveproxy::{
+        formats::{Row, RowBatch},
+        process::tables::{Comparison, ReadSchedule, ReadTimings, TableCopy},
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    rstest::rstest,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Only what stands before a comma matters.
+fn fingerprint(row: &Row) -> u64 {
+    let value = row.value.as_deref().unwrap_or_default();
+    let end = value.iter().position(|byte| *byte == b',');
+    value[..end.unwrap_or(value.len())]
+        .iter()
+        .fold(7, |sum, byte| sum * 31 + u64::from(*byte))
+}
+
+fn row(
+    key: &str,
+    version: u64,
+    value: Option<&str>,
+) -> Row {
+    Row {
+        key: key.into(),
+        version,
+        value: value.map(|value| value.as_bytes().into()),
+    }
+}
+
+fn batch(
+    version: u64,
+    rows: Vec<Row>,
+) -> RowBatch {
+    RowBatch {
+        rows,
+        version,
+        more: false,
+    }
+}
+
+fn values(copy: &TableCopy) -> BTreeMap<String, String> {
+    copy.rows()
+        .map(|row| {
+            let value = row.value.as_deref().unwrap();
+            let text = String::from_utf8_lossy(value);
+            let text = text.split(',').next().unwrap();
+            (row.key.to_string(), text.to_string())
+        })
+        .collect()
+}
+
+#[test]
+fn a_copy_never_goes_back() {
+    let now = Instant::now();
+    let mut copy = TableCopy::default();
+    copy.apply_whole(batch(10, vec![row("a", 10, Some("x"))]), now, fingerprint);
+    let later = now + ms(500);
+    let stale = batch(9, vec![row("a", 9, Some("old"))]);
+    assert!(
+        copy.apply_changes(stale.clone(), later, fingerprint)
+            .is_empty()
+    );
+    assert!(copy.apply_whole(stale, later, fingerprint).is_empty());
+    assert_eq!(values(&copy)["a"], "x");
+    // A stale answer confirms nothing either.
+    assert_eq!(copy.age(later), Some(ms(500)));
+}
+
+#[test]
+fn what_does_not_matter_is_no_change() {
+    let now = Instant::now();
+    let mut copy = TableCopy::default();
+    copy.apply_whole(batch(1, vec![row("a", 1, Some("x,1"))]), now, fingerprint);
+    let digest = copy.digest();
+    let changed = copy.apply_changes(batch(2, vec![row("a", 2, Some("x,2"))]), now, fingerprint);
+    assert!(changed.is_empty());
+    assert_eq!(copy.digest(), digest);
+    let changed = copy.apply_changes(batch(3, vec![row("a", 3, Some("y,2"))]), now, fingerprint);
+    assert_eq!(changed.len(), 1);
+    assert_ne!(copy.digest(), digest);
+}
+
+#[test]
+fn rows_that_a_whole_read_lacks_are_gone() {
+    let now = Instant::now();
+    let mut copy = TableCopy::default();
+    let both = vec![row("a", 1, Some("x")), row("b", 2, Some("y"))];
+    copy.apply_whole(batch(2, both), now, fingerprint);
+    let changed = copy.apply_whole(batch(5, vec![row("b", 2, Some("y"))]), now, fingerprint);
+    assert_eq!(changed, [row("a", 5, None)]);
+    assert_eq!(values(&copy).len(), 1);
+    let told = copy.changes_since(4);
+    assert!(told.whole || told.rows.contains(&row("a", 5, None)));
+}
+
+#[rstest]
+#[case::same(5, true, Comparison::Same)]
+#[case::same_though_it_has_read_later(9, true, Comparison::Same)]
+#[case::newer(9, false, Comparison::Newer)]
+#[case::older(3, false, Comparison::Older)]
+fn copies_are_compared_by_what_they_mean(
+    #[case] version: u64,
+    #[case] same: bool,
+    #[case] expected: Comparison,
+) {
+    let now = Instant::now();
+    let mut copy = TableCopy::default();
+    copy.apply_whole(batch(5, vec![row("a", 1, Some("x"))]), now, fingerprint);
+    let digest = match same {
+        true => copy.digest(),
+        false => copy.digest() + 1,
+    };
+    let later = now + ms(300);
+    assert_eq!(copy.compare(version, digest, later), expected);
+    let age = match expected {
+        Comparison::Same => Duration::ZERO,
+        _ => ms(300),
+    };
+    assert_eq!(copy.age(later), Some(age));
+}
+
+/// Hosts read the store at times, and one another; values change to and fro. After a last exchange
+/// all copies mean what the store says.
+#[test]
+fn copies_that_talk_come_to_mean_the_same() {
+    for seed in 0..400 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let begin = Instant::now();
+        let mut store: BTreeMap<String, (u64, Option<String>)> = BTreeMap::new();
+        let mut version = 0;
+        let mut copies: Vec<TableCopy> = (0..4).map(|_| TableCopy::default()).collect();
+        for step in 0..120 {
+            let now = begin + ms(step * 100);
+            for _ in 0..rng.random_range(0..3) {
+                version += 1;
+                let key = format!("k{}", rng.random_range(0..5));
+                let value = match rng.random_range(0..4) {
+                    0 => None,
+                    value => Some(format!("v{value},{}", rng.random_range(0..9))),
+                };
+                store.insert(key, (version, value));
+            }
+            let reader = rng.random_range(0..4);
+            match rng.random_range(0..6) {
+                0 | 1 => read_store(&store, version, &mut copies[reader], now, &mut rng),
+                _ => {
+                    let other = rng.random_range(0..4);
+                    pull(&mut copies, reader, other, now);
+                }
+            }
+        }
+        let now = begin + ms(60_000);
+        read_store(&store, version, &mut copies[0], now, &mut rng);
+        for host in 1..4 {
+            pull(&mut copies, host, 0, now);
+        }
+        let expected: BTreeMap<String, String> = store
+            .iter()
+            .filter_map(|(key, (_, value))| {
+                let value = value.as_ref()?.split(',').next()?.to_string();
+                Some((key.clone(), value))
+            })
+            .collect();
+        for copy in &copies {
+            assert_eq!(values(copy), expected, "seed {seed}");
+            assert_eq!(copy.age(now), Some(Duration::ZERO), "seed {seed}");
+        }
+    }
+}
+
+fn read_store(
+    store: &BTreeMap<String, (u64, Option<String>)>,
+    version: u64,
+    copy: &mut TableCopy,
+    now: Instant,
+    rng: &mut StdRng,
+) {
+    let rows = |since: u64| -> Vec<Row> {
+        let mut rows: Vec<Row> = store
+            .iter()
+            .filter(|(_, (version, _))| *version > since)
+            .map(|(key, (version, value))| row(key, *version, value.as_deref()))
+            .collect();
+        rows.sort_by_key(|row| row.version);
+        rows
+    };
+    if copy.is_known() && rng.random_bool(0.8) {
+        copy.apply_changes(batch(version, rows(copy.version())), now, fingerprint);
+        return;
+    }
+    let there = rows(0).into_iter().filter(|row| row.value.is_some());
+    copy.apply_whole(batch(version, there.collect()), now, fingerprint);
+}
+
+/// One host hears of another's copy and asks for what it lacks, as the control thread does.
+fn pull(
+    copies: &mut [TableCopy],
+    host: usize,
+    from: usize,
+    now: Instant,
+) {
+    if host == from || !copies[from].is_known() {
+        return;
+    }
+    let as_of = now - copies[from].age(now).unwrap();
+    let (version, digest) = (copies[from].version(), copies[from].digest());
+    if copies[host].compare(version, digest, as_of) != Comparison::Newer {
+        return;
+    }
+    let since = match copies[host].is_known() {
+        true => copies[host].version(),
+        false => 0,
+    };
+    let changes = copies[from].changes_since(since);
+    let whole = changes.whole;
+    let (_, same) = copies[host].apply_from_host(changes, as_of, fingerprint);
+    if !same && !whole {
+        let changes = copies[from].changes_since(0);
+        let (_, same) = copies[host].apply_from_host(changes, as_of, fingerprint);
+        assert!(same, "a whole copy brings both together");
+    }
+}
+
+#[test]
+fn the_first_host_reads_and_the_others_wait_their_turn() {
+    let timings = ReadTimings::within(ms(2_000));
+    let now = Instant::now();
+    let reads =
+        |age: u64, place: usize| ReadSchedule::new(timings).start(Some(ms(age)), place, now);
+    assert!(!reads(500, 0) && reads(600, 0));
+    assert!(!reads(800, 1) && reads(840, 1));
+    assert!(!reads(1_190, 90) && reads(1_200, 90));
+}
+
+#[test]
+fn a_read_that_fails_is_tried_again_sooner_than_the_bound() {
+    let timings = ReadTimings::within(ms(2_000));
+    let begin = Instant::now();
+    let mut schedule = ReadSchedule::new(timings);
+    let mut now = begin;
+    let mut reads = 0;
+    while now < begin + ms(20_000) {
+        if schedule.start(Some(ms(5_000)), 0, now) {
+            reads += 1;
+            assert!(
+                !schedule.start(Some(ms(5_000)), 0, now),
+                "one read at a time"
+            );
+            schedule.on_end(false, now);
+        }
+        now += ms(50);
+    }
+    // At most a second between two tries, and no flood.
+    assert!((19..30).contains(&reads), "{reads}");
+    assert!(schedule.failures() >= 19);
+    now += ms(1_000);
+    assert!(schedule.start(None, 0, now));
+    schedule.on_end(true, now);
+    assert!(schedule.start(None, 0, now));
+}
