Figures on a metrics page; few hosts of a large site take engines

On large sites one host for each four engines, eight at the least, takes engines and renews a lease; nobody takes any before the hosts know one another.

--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -11,6 +11,7 @@
     crate::{
         connection::targets::TargetBoard,
         formats::Formats,
+        metrics::{KindLabels, OutcomeLabels, WaitLabels, metrics},
         note,
         request::direct::{AttemptEnd, CallRequest, CopyState, NextStep, next_step},
         timeline::Event,
@@ -196,6 +197,8 @@
                     self.board.borrow_mut().budget(service).on_repeat(now);
                 }
                 tries.trace.add(TraceStep::Resent { repeats }, now);
+                let labels = WaitLabels { cause: end.word() };
+                metrics().resends.get_or_create(&labels).inc();
                 if self.is_coming(request, destination, end) {
                     tokio::time::sleep(LOAD_PAUSE).await;
                 } else {
@@ -371,6 +374,7 @@
     if status >= 400 || late {
         tries.trace.tell(id, now);
     }
+    count(request, tries, status, cause, passed);
     let adapter = request.generation.as_ref().and_then(|g| g.adapter());
     note!(
         Event::RequestServed,
@@ -387,6 +391,36 @@
     );
 }
 
+fn count(
+    request: &CallRequest,
+    tries: &Tries,
+    status: u16,
+    cause: Option<OwnCause>,
+    passed: Duration,
+) {
+    let kind = request.route.kind.word();
+    let outcome = match (status, cause) {
+        (0..400, _) if passed > request.route.aim => "late",
+        (0..400, _) => "answered",
+        (_, None) => "failed_there",
+        (503, Some(_)) => "refused",
+        (_, Some(_)) => "failed",
+    };
+    let metrics = metrics();
+    let labels = OutcomeLabels { kind, outcome };
+    metrics.requests.get_or_create(&labels).inc();
+    if status < 400 {
+        let labels = KindLabels { kind };
+        let histogram = metrics.first_event.get_or_create(&labels);
+        histogram.observe(passed.as_secs_f64());
+    }
+    if let Some(waited) = tries.trace.waited(request.arrived) {
+        let labels = WaitLabels { cause: "adapter" };
+        let histogram = metrics.waits.get_or_create(&labels);
+        histogram.observe(waited.as_secs_f64());
+    }
+}
+
 fn pass_on(answer: WholeAnswer) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(answer.body));
     *response.status_mut() = answer.status;
--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -1,6 +1,10 @@
 use {
     super::{AnswerBody, Dispatcher, OwnAnswer, OwnCause, RequestProblem, RequestReader},
-    crate::{connection::targets::TargetBoard, formats::Formats},
+    crate::{
+        connection::targets::TargetBoard,
+        formats::Formats,
+        metrics::{StateLabels, metrics},
+    },
     http::{Request, Response},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -31,6 +35,9 @@
 /// Callers come back after this time while no configuration is known.
 const NOT_READY_COME_BACK: Duration = Duration::from_millis(300);
 
+/// Connections of callers, among the figures.
+const CALLERS: StateLabels = StateLabels { state: "callers" };
+
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum FrontStop {
@@ -142,6 +149,7 @@
 impl OpenConnection {
     fn start(count: &Arc<AtomicUsize>) -> Self {
         count.fetch_add(1, Ordering::Relaxed);
+        metrics().connections.get_or_create(&CALLERS).inc();
         Self {
             count: count.clone(),
         }
@@ -151,5 +159,6 @@
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.count.fetch_sub(1, Ordering::Relaxed);
+        metrics().connections.get_or_create(&CALLERS).dec();
     }
 }
--- a/src/connection/front/request_trace.rs
+++ b/src/connection/front/request_trace.rs
@@ -80,6 +80,22 @@
         chosen.unwrap_or("-")
     }
 
+    /// Time from the arrival to the last send, if the request had to wait for it.
+    pub fn waited(
+        &self,
+        arrived: Instant,
+    ) -> Option<Duration> {
+        let waits = |(_, step): &(Instant, TraceStep)| matches!(step, TraceStep::Waits { .. });
+        if !self.steps.iter().any(waits) {
+            return None;
+        }
+        let chosen = self.steps.iter().rev().find_map(|(at, step)| match step {
+            TraceStep::Chosen { .. } => Some(*at),
+            _ => None,
+        })?;
+        Some(chosen.saturating_duration_since(arrived))
+    }
+
     /// Writes a line for each step.
     pub fn tell(
         &self,
--- a/src/connection/store/store_client.rs
+++ b/src/connection/store/store_client.rs
@@ -5,6 +5,7 @@
             Commit, FormatError, Formats, HttpCall, HttpReply, Row, RowBatch, RowsReply,
             Transaction,
         },
+        metrics::{CallLabels, metrics},
     },
     std::{cell::RefCell, net::SocketAddr, sync::Arc, time::Duration},
     thiserror::Error,
@@ -83,7 +84,7 @@
         wait: Duration,
     ) -> Result<RowsReply, StoreFailure> {
         let call = self.formats.changes_call(table, since, wait);
-        let reply = self.call(&call, self.limit + wait).await?;
+        let reply = self.call("changes", &call, self.limit + wait).await?;
         Ok(self.formats.rows_reply(&reply)?)
     }
 
@@ -93,7 +94,7 @@
         transaction: &Transaction,
     ) -> Result<Commit, StoreFailure> {
         let call = self.formats.transaction_call(transaction);
-        let reply = self.call(&call, self.limit).await?;
+        let reply = self.call("commit", &call, self.limit).await?;
         Ok(self.formats.commit_reply(&reply)?)
     }
 
@@ -103,7 +104,7 @@
         after: Option<&str>,
     ) -> Result<RowBatch, StoreFailure> {
         let call = self.formats.rows_call(table, after);
-        let reply = self.call(&call, self.limit).await?;
+        let reply = self.call("rows", &call, self.limit).await?;
         match self.formats.rows_reply(&reply)? {
             RowsReply::Rows(batch) => Ok(batch),
             RowsReply::HistoryGone => Err(StoreFailure::TurnedAway(reply.status)),
@@ -111,6 +112,26 @@
     }
 
     async fn call(
+        &self,
+        name: &'static str,
+        call: &HttpCall,
+        limit: Duration,
+    ) -> Result<HttpReply, StoreFailure> {
+        let outcome = self.try_call(call, limit).await;
+        let labels = CallLabels {
+            call: name,
+            result: match &outcome {
+                Ok(_) => "answered",
+                Err(StoreFailure::NotReached) => "not_reached",
+                Err(StoreFailure::NoReply) => "no_reply",
+                Err(_) => "turned_away",
+            },
+        };
+        metrics().store_calls.get_or_create(&labels).inc();
+        outcome
+    }
+
+    async fn try_call(
         &self,
         call: &HttpCall,
         limit: Duration,
--- a/src/formats/order.rs
+++ b/src/formats/order.rs
@@ -5,6 +5,16 @@
     Unload,
 }
 
+impl OrderKind {
+    /// The kind in logs and figures.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Load => "load",
+            Self::Unload => "unload",
+        }
+    }
+}
+
 /// A command to one engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Order {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod errors;
 pub mod formats;
+pub mod metrics;
 pub mod process;
 pub mod request;
 pub mod standin;
--- /dev/null
+++ b/src/metrics/host_metrics.rs
@@ -0,0 +1,188 @@
+use {
+    super::{
+        CallLabels, CopyLabels, KindLabels, OrderLabels, OutcomeLabels, StateLabels, WaitLabels,
+    },
+    prometheus_client::{
+        encoding::text::encode,
+        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+        registry::Registry,
+    },
+    std::sync::{OnceLock, atomic::AtomicU64},
+};
+
+/// Bounds of times in seconds: from a plain call to the end of a caller's patience.
+const TIMES: &[f64] = &[
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0, 10.0,
+];
+
+/// A page of memory, in bytes; the same on every machine that this runs on.
+const PAGE: u64 = 4096;
+
+type Seconds = Gauge<f64, AtomicU64>;
+
+/// All figures of one host.
+pub struct HostMetrics {
+    registry: Registry,
+    pub requests: Family<OutcomeLabels, Counter>,
+    pub first_event: Family<KindLabels, Histogram>,
+    pub waits: Family<WaitLabels, Histogram>,
+    pub resends: Family<WaitLabels, Counter>,
+    pub store_calls: Family<CallLabels, Counter>,
+    pub orders: Family<OrderLabels, Counter>,
+    pub load_time: Histogram,
+    pub hosts: Family<StateLabels, Gauge>,
+    pub targets: Family<StateLabels, Gauge>,
+    pub copy_age: Family<CopyLabels, Seconds>,
+    pub config_version: Gauge,
+    pub lease_held: Gauge,
+    pub engines_held: Gauge,
+    pub adapters_held: Gauge,
+    pub datagrams: Family<StateLabels, Counter>,
+    pub connections: Family<StateLabels, Gauge>,
+    pub lines_lost: Family<StateLabels, Counter>,
+    memory: Gauge,
+}
+
+static METRICS: OnceLock<HostMetrics> = OnceLock::new();
+
+/// The figures of this process.
+pub fn metrics() -> &'static HostMetrics {
+    METRICS.get_or_init(HostMetrics::new)
+}
+
+impl HostMetrics {
+    fn new() -> Self {
+        let mut registry = Registry::with_prefix("coveproxy");
+        let times = || Histogram::new(TIMES.iter().copied());
+        let metrics = Self {
+            requests: Family::default(),
+            first_event: Family::new_with_constructor(times),
+            waits: Family::new_with_constructor(times),
+            resends: Family::default(),
+            store_calls: Family::default(),
+            orders: Family::default(),
+            load_time: times(),
+            hosts: Family::default(),
+            targets: Family::default(),
+            copy_age: Family::default(),
+            config_version: Gauge::default(),
+            lease_held: Gauge::default(),
+            engines_held: Gauge::default(),
+            adapters_held: Gauge::default(),
+            datagrams: Family::default(),
+            connections: Family::default(),
+            lines_lost: Family::default(),
+            memory: Gauge::default(),
+            registry: Registry::default(),
+        };
+        metrics.register(&mut registry);
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+
+    fn register(
+        &self,
+        registry: &mut Registry,
+    ) {
+        registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register(
+            "first_event_seconds",
+            "Time to the answer, or to the first event of a stream",
+            self.first_event.clone(),
+        );
+        registry.register(
+            "wait_seconds",
+            "Time that answered requests waited before they were sent",
+            self.waits.clone(),
+        );
+        registry.register(
+            "resends",
+            "Sends of requests beyond the first",
+            self.resends.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
+        registry.register("orders", "Orders to engines", self.orders.clone());
+        registry.register(
+            "load_seconds",
+            "Time from the order of an adapter until it was there",
+            self.load_time.clone(),
+        );
+        registry.register(
+            "hosts",
+            "Other hosts, by what is believed",
+            self.hosts.clone(),
+        );
+        registry.register(
+            "targets",
+            "Targets, by what is believed",
+            self.targets.clone(),
+        );
+        registry.register(
+            "copy_age_seconds",
+            "Age of this host's copy of a table",
+            self.copy_age.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+        registry.register(
+            "lease_held",
+            "1 while this host may give orders",
+            self.lease_held.clone(),
+        );
+        registry.register(
+            "engines_held",
+            "Engines that this host gives orders to",
+            self.engines_held.clone(),
+        );
+        registry.register(
+            "adapters_held",
+            "Adapters at these engines",
+            self.adapters_held.clone(),
+        );
+        registry.register(
+            "datagrams",
+            "Messages between hosts",
+            self.datagrams.clone(),
+        );
+        registry.register(
+            "connections",
+            "Connections, open to callers and resting to targets",
+            self.connections.clone(),
+        );
+        registry.register(
+            "log_lines_lost",
+            "Lines of the log that were not written",
+            self.lines_lost.clone(),
+        );
+        registry.register(
+            "resident_memory_bytes",
+            "Memory of the process",
+            self.memory.clone(),
+        );
+    }
+
+    /// The page, in the usual exposition format.
+    pub fn page(&self) -> String {
+        self.memory.set(resident_memory().unwrap_or_default());
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// Resident memory of this process in bytes, as the system tells it.
+fn resident_memory() -> Option<i64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = text.split_whitespace().nth(1)?.parse().ok()?;
+    i64::try_from(pages * PAGE).ok()
+}
--- /dev/null
+++ b/src/metrics/labels.rs
@@ -0,0 +1,45 @@
+//! Labels are words of fixed lists: none grows with adapters, callers or targets.
+
+use prometheus_client::encoding::EncodeLabelSet;
+
+/// Kind of a request, and how it ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    pub kind: &'static str,
+    pub outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct KindLabels {
+    pub kind: &'static str,
+}
+
+/// A call to the store, and how it ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct CallLabels {
+    pub call: &'static str,
+    pub result: &'static str,
+}
+
+/// An order to an engine, and its reply.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct OrderLabels {
+    pub order: &'static str,
+    pub reply: &'static str,
+}
+
+/// What a request waited for.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct WaitLabels {
+    pub cause: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct StateLabels {
+    pub state: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct CopyLabels {
+    pub table: &'static str,
+}
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,11 @@
+//! Figures of one host, for its metrics page.
+
+mod host_metrics;
+mod labels;
+
+pub use {
+    host_metrics::{HostMetrics, metrics},
+    labels::{
+        CallLabels, CopyLabels, KindLabels, OrderLabels, OutcomeLabels, StateLabels, WaitLabels,
+    },
+};
--- a/src/process/holding/holding.rs
+++ b/src/process/holding/holding.rs
@@ -186,12 +186,12 @@
 
     /// What should be done now.
     ///
-    /// `engines` are the engines there are, with the key by which they are shared out; `eligible`
-    /// the hosts that take engines; `lease_of` what membership knows of another host and an engine.
+    /// `engines` are the engines there are, with the key by which they are shared out; `takers` the
+    /// hosts that take engines; `lease_of` what membership knows of another host and an engine.
     pub fn decide(
         &mut self,
         engines: &BTreeMap<String, String>,
-        eligible: &[SocketAddr],
+        takers: &[SocketAddr],
         lease_of: impl Fn(SocketAddr, &str) -> Option<KnownLease>,
         now: Instant,
     ) -> Vec<HoldingAction> {
@@ -201,7 +201,8 @@
         let pending = self.timings.pending;
         self.pending
             .retain(|_, since| now.saturating_duration_since(*since) < pending);
-        actions.extend(self.renew(now));
+        let wanted = takers.contains(&self.me.peer) || self.is_named(engines);
+        actions.extend(self.renew(wanted, now));
         if !self.lease.holds(now) {
             return actions;
         }
@@ -213,7 +214,7 @@
             if self.pending.contains_key(target) {
                 continue;
             }
-            if let Some(action) = self.look_at(target, key, eligible, &lease_of, now) {
+            if let Some(action) = self.look_at(target, key, takers, &lease_of, now) {
                 if matches!(action, HoldingAction::Take { .. }) {
                     self.pending.insert(target.clone(), now);
                 }
@@ -332,8 +333,20 @@
         self.holders.get(target).map(|seen| seen.row.holder)
     }
 
+    /// True if the store last named this host as the holder of one of the engines.
+    fn is_named(
+        &self,
+        engines: &BTreeMap<String, String>,
+    ) -> bool {
+        self.holders
+            .iter()
+            .any(|(target, seen)| seen.row.holder == self.me.peer && engines.contains_key(target))
+    }
+
+    /// A host that gives no orders needs no lease, and spares the store.
     fn renew(
         &mut self,
+        wanted: bool,
         now: Instant,
     ) -> Option<HoldingAction> {
         if self.renewing || now < self.next_renewal {
@@ -342,6 +355,9 @@
         let Some(version) = self.row_version else {
             return self.read(now);
         };
+        if !wanted {
+            return None;
+        }
         self.renewing = true;
         let row = RowKey::new(HOLDING_TABLE, &host_key(self.me.peer));
         let value = serde_json::to_vec(&self.me).expect("a host's row can be written");
@@ -424,7 +440,7 @@
         &mut self,
         target: &str,
         key: &str,
-        eligible: &[SocketAddr],
+        takers: &[SocketAddr],
         lease_of: &impl Fn(SocketAddr, &str) -> Option<KnownLease>,
         now: Instant,
     ) -> Option<HoldingAction> {
@@ -442,7 +458,7 @@
             return None;
         }
         let vacant_since = *self.vacant.entry(target.to_string()).or_insert(now);
-        let place = place(key, self.me.peer, eligible)?;
+        let place = place(key, self.me.peer, takers)?;
         if now.saturating_duration_since(vacant_since) < self.timings.turn * place {
             return None;
         }
@@ -514,13 +530,13 @@
 fn place(
     key: &str,
     me: SocketAddr,
-    eligible: &[SocketAddr],
+    takers: &[SocketAddr],
 ) -> Option<u32> {
-    if !eligible.contains(&me) {
+    if !takers.contains(&me) {
         return None;
     }
     let mine = rank(key, &me.to_string());
-    let before = eligible
+    let before = takers
         .iter()
         .filter(|host| rank(key, &host.to_string()) > mine)
         .count();
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -5,16 +5,34 @@
     crate::{
         connection::datagram::{EngineLoad, Message, Placement, PlacementState, Want},
         formats::{Commit, Order, OrderKind, OrderReply, RowBatch},
+        metrics::metrics,
         note,
         process::{
             engines::{DeskAction, DeskOrder, EngineDesk, OrderPurpose},
             holding::{HoldingAction, HostRow, KnownLease},
+            ownership::rank,
         },
         timeline::Event,
     },
-    std::{collections::BTreeMap, net::SocketAddr, time::Instant},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
+/// Hosts that take engines, at the least.
+const LEAST_TAKERS: usize = 8;
+
+/// Engines for each host that takes some, on a large site.
+const ENGINES_PER_TAKER: usize = 4;
+
+/// By this word hosts are drawn that take engines.
+const TAKERS: &str = "takers";
+
+/// Hosts know one another when none has become known for so long.
+const SETTLED: Duration = Duration::from_millis(400);
+
 /// Hosts up to which all are told where adapters stand.
 const MAX_ANNOUNCED: usize = 24;
 
@@ -245,7 +263,7 @@
             .filter(|(_, target)| self.is_engine(&target.record.service))
             .map(|(id, target)| (id.clone(), target.record.address.to_string()))
             .collect();
-        let eligible = self.hosts.eligible();
+        let takers = self.takers(engines.len(), now);
         let hosts = &self.hosts;
         let lease_of = |peer, target: &str| {
             hosts.get(peer).map(|host| KnownLease {
@@ -254,7 +272,7 @@
                 known_since: host.lease_known_since,
             })
         };
-        let wanted = self.holding.decide(&engines, &eligible, lease_of, now);
+        let wanted = self.holding.decide(&engines, &takers, lease_of, now);
         let term = self.holding.lease().term();
         wanted
             .into_iter()
@@ -275,6 +293,24 @@
             .collect()
     }
 
+    /// The hosts that take engines: all of a small site, and enough of a large one.
+    ///
+    /// Nobody takes anything before the hosts have got to know one another.
+    fn takers(
+        &self,
+        engines: usize,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        if !self.hosts.is_settled(SETTLED, now) {
+            return Vec::new();
+        }
+        let mut takers = self.hosts.eligible();
+        let count = LEAST_TAKERS.max(engines.div_ceil(ENGINES_PER_TAKER));
+        takers.sort_by_key(|host| std::cmp::Reverse(rank(TAKERS, &host.to_string())));
+        takers.truncate(count);
+        takers
+    }
+
     fn is_engine(
         &self,
         service: &str,
@@ -343,6 +379,7 @@
             } => self.announce(&interested, &placement),
             DeskAction::LoadOver { adapter, time } => {
                 let took_ms = time.as_millis();
+                metrics().load_time.observe(time.as_secs_f64());
                 note!(
                     Event::LoadDone,
                     target = target,
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -8,7 +8,8 @@
     },
     crate::{
         connection::{datagram::DatagramSocket, http1::CallClient, store::StoreClient},
-        formats::{Formats, HttpCall, HttpReply, Order, Transaction},
+        formats::{Formats, HttpCall, HttpReply, Order, OrderReply, Transaction},
+        metrics::{OrderLabels, StateLabels, metrics},
         process::{holding::HOLDING_TABLE, ownership::SessionLease, settings::NodeSettings},
     },
     std::{
@@ -115,7 +116,11 @@
         action: ControlAction,
     ) {
         match action {
-            ControlAction::Send { to, message } => self.socket.send(to, message),
+            ControlAction::Send { to, message } => {
+                let labels = StateLabels { state: "sent" };
+                metrics().datagrams.get_or_create(&labels).inc();
+                self.socket.send(to, message);
+            }
             ControlAction::ReadChanges { table, since } => self.read_changes(table, since),
             ControlAction::ReadTable { table } => self.read_table(table),
             ControlAction::PullChanges { table, from, since } => self.pull(table, from, since),
@@ -277,6 +282,11 @@
             }
             let reply = call_once(&clients, address, &call, &expect, ORDER_LIMIT).await;
             let reply = reply.and_then(|reply| formats.order_reply(reply.status).ok());
+            let labels = OrderLabels {
+                order: order.kind.word(),
+                reply: reply.map_or("none", OrderReply::word),
+            };
+            metrics().orders.get_or_create(&labels).inc();
             let _ = events.send(ControlEvent::OrderEnded { target, reply });
         });
     }
--- a/src/process/host/host_process.rs
+++ b/src/process/host/host_process.rs
@@ -73,7 +73,8 @@
         formats.clone(),
         settings.bounds.entry_life,
     ));
-    for address in [listen.entry, listen.ready, listen.peers] {
+    let addresses = [listen.entry, listen.ready, listen.peers];
+    for address in addresses.into_iter().chain(listen.metrics) {
         let listener = TcpListener::bind(address)
             .await
             .map_err(|problem| listen_error(address, &problem))?;
--- a/src/process/host/public_pages.rs
+++ b/src/process/host/public_pages.rs
@@ -6,6 +6,7 @@
     crate::{
         connection::front::AnswerBody,
         formats::{Formats, PublicCall},
+        metrics::metrics,
     },
     http::{HeaderValue, Request, Response, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
@@ -23,6 +24,9 @@
 /// An idle connection to a page is closed after this time.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 
+/// Where figures are served.
+const METRICS_PATH: &str = "/metrics";
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -102,6 +106,9 @@
             }
             PublicCall::Unknown => {
                 let (path, query) = target.split_once('?').unwrap_or((target, ""));
+                if path == METRICS_PATH {
+                    return page(StatusCode::OK, metrics().page().into_bytes());
+                }
                 match changes_page(&control, path, query, Instant::now()) {
                     Some(body) => page(StatusCode::OK, body),
                     None => page(StatusCode::NOT_FOUND, Vec::new()),
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -87,6 +87,8 @@
     /// News to be told, by host, with how often it was told.
     news: BTreeMap<SocketAddr, u32>,
     events: Vec<HostEvent>,
+    /// When a host last became known, or this one started.
+    last_new: Instant,
     rng: StdRng,
 }
 
@@ -94,6 +96,7 @@
     pub fn new(
         me: HostIdentity,
         timings: HostTimings,
+        now: Instant,
     ) -> Self {
         Self {
             incarnation: 0,
@@ -105,6 +108,7 @@
             unanswered: BTreeMap::new(),
             news: BTreeMap::new(),
             events: Vec::new(),
+            last_new: now,
             rng: StdRng::seed_from_u64(me.process),
             me,
         }
@@ -135,6 +139,15 @@
         1 + self.hosts().filter(|host| host.state.is_up()).count()
     }
 
+    /// True once no host has become known for so long.
+    pub fn is_settled(
+        &self,
+        time: Duration,
+        now: Instant,
+    ) -> bool {
+        now.saturating_duration_since(self.last_new) >= time
+    }
+
     /// Hosts that take new roles, this one included unless it leaves.
     pub fn eligible(&self) -> Vec<SocketAddr> {
         let mut peers: Vec<SocketAddr> = self
@@ -237,6 +250,7 @@
             return Vec::new();
         }
         self.hosts.insert(peer, KnownHost::from_rumor(rumor, now));
+        self.last_new = now;
         vec![self.ping(peer, now)]
     }
 
@@ -251,6 +265,9 @@
             return;
         }
         self.unanswered.remove(&peer);
+        if !self.hosts.contains_key(&peer) {
+            self.last_new = now;
+        }
         let known = self
             .hosts
             .entry(peer)
--- a/src/process/hosts/known_host.rs
+++ b/src/process/hosts/known_host.rs
@@ -33,6 +33,16 @@
         self < Self::Suspect
     }
 
+    /// The state in logs and figures.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Leaving => "leaving",
+            Self::Suspect => "suspect",
+            Self::Dead => "dead",
+        }
+    }
+
     pub fn to_wire(self) -> RumorState {
         match self {
             Self::Alive => RumorState::Alive,
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -19,6 +19,8 @@
     pub ready: SocketAddr,
     /// Other hosts, by datagrams and by connections.
     pub peers: SocketAddr,
+    /// Whoever gathers figures; none serves none.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// The times and sizes that the platform wants kept.
@@ -120,11 +122,13 @@
     let ready = ini.required(SECTION, "ready");
     let peers_ip: Option<IpAddr> = ini.required(SECTION, "peers_ip");
     let peers_port: Option<u16> = ini.required(SECTION, "peers_port");
+    let metrics = ini.optional(SECTION, "metrics");
     Some(ListenSettings {
         front: front?,
         entry: entry?,
         ready: ready?,
         peers: SocketAddr::new(peers_ip?, peers_port?),
+        metrics,
     })
 }
 
--- a/src/request/direct/attempt_end.rs
+++ b/src/request/direct/attempt_end.rs
@@ -15,3 +15,15 @@
     /// Whether it ran is not known.
     Lost,
 }
+
+impl AttemptEnd {
+    /// The end in figures.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::NotRun { .. } => "not_run",
+            Self::Failed { .. } => "failed",
+            Self::Lost => "lost",
+        }
+    }
+}
--- a/src/timeline/line_writer.rs
+++ b/src/timeline/line_writer.rs
@@ -1,5 +1,6 @@
 use {
     super::{Event, line_gate::take_held_back},
+    crate::metrics::{StateLabels, metrics},
     std::{
         io::{self, Write},
         sync::{
@@ -128,6 +129,10 @@
     if count == 0 {
         return;
     }
+    let labels = StateLabels {
+        state: event.word(),
+    };
+    metrics().lines_lost.get_or_create(&labels).inc_by(count);
     let _ = head.write(event.level(), batch);
     let (number, word) = (event.number(), event.word());
     let _ = writeln!(batch, "event={number} name={word} count={count}");
--- a/src/version/routing/route.rs
+++ b/src/version/routing/route.rs
@@ -11,6 +11,17 @@
     Stream,
 }
 
+impl RouteKind {
+    /// The kind in figures.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Safe => "safe",
+            Self::Unsafe => "unsafe",
+            Self::Stream => "stream",
+        }
+    }
+}
+
 /// One service of a split route.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WeightedService {
