--- a/src/connection/pull/changes_body.rs
+++ b/src/connection/pull/changes_body.rs
@@ -1,4 +1,7 @@
-use {crate::formats::Row, prost::Message};
+use {
+    crate::{connection::datagram::HostRumor, formats::Row},
+    prost::Message,
+};
 
 /// A row on the wire.
 #[derive(Clone, PartialEq, Message)]
@@ -12,6 +15,13 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// The hosts that a host knows, itself included.
+#[derive(Clone, PartialEq, Message)]
+pub struct HostsBody {
+    #[prost(message, repeated, tag = "1")]
+    pub hosts: Vec<HostRumor>,
+}
+
 /// Rows that have changed since a version, or all of them.
 #[derive(Clone, PartialEq, Message)]
 pub struct ChangesBody {
--- a/src/connection/pull/mod.rs
+++ b/src/connection/pull/mod.rs
@@ -1,5 +1,6 @@
-//! What one host tells another of its copy of a table, when asked over a connection.
+//! What one host tells another when asked over a connection: its copy of a table, and the hosts that
+//! it knows.
 
 mod changes_body;
 
-pub use changes_body::{ChangesBody, RowBody};
+pub use changes_body::{ChangesBody, HostsBody, RowBody};
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -30,6 +30,10 @@
         from: SocketAddr,
         since: u64,
     },
+    /// Ask another host for the hosts that it knows.
+    PullHosts {
+        from: SocketAddr,
+    },
     Renew {
         transaction: Transaction,
     },
--- a/src/process/host/control_event.rs
+++ b/src/process/host/control_event.rs
@@ -1,6 +1,9 @@
 use {
     crate::{
-        connection::{datagram::Message, targets::ControlRequest},
+        connection::{
+            datagram::{HostRumor, Message},
+            targets::ControlRequest,
+        },
         errors::RunError,
         formats::{Commit, OrderReply, RowBatch, RowsReply, TargetReport},
         process::tables::TableChanges,
@@ -46,6 +49,8 @@
         from: SocketAddr,
         changes: Option<(TableChanges, Instant)>,
     },
+    /// Another host told the hosts that it knows.
+    HostsPulled(Vec<HostRumor>),
     /// This host's lease was renewed, or not.
     Renewed {
         sent: Instant,
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -8,14 +8,67 @@
             targets::ControlRequest,
         },
         note,
-        process::hosts::{HostAction, HostEvent, HostState},
+        process::hosts::{HostAction, HostEvent, HostState, KnownHost},
         timeline::Event,
     },
-    std::{net::SocketAddr, time::Instant},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
+/// Times after the start at which the seeds are asked.
+const JOINS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(400),
+    Duration::from_millis(1200),
+];
+
 impl HostControl {
-    pub(super) fn ping_seeds(
+    /// Asks the seeds for the hosts that they know, a few times after the start: all hosts of a site
+    /// may start at once.
+    pub(super) fn join(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let passed = now.saturating_duration_since(self.started);
+        if JOINS.get(self.joins).is_none_or(|at| passed < *at) {
+            return Vec::new();
+        }
+        self.joins += 1;
+        let me = self.hosts.me().peer;
+        let seeds = self.settings.seed_peers().filter(|peer| *peer != me);
+        let mut actions: Vec<ControlAction> = seeds
+            .map(|from| ControlAction::PullHosts { from })
+            .collect();
+        actions.extend(self.ping_seeds(now));
+        actions
+    }
+
+    /// Another host told the hosts that it knows: each is pinged that was not known here.
+    pub(super) fn on_hosts_pulled(
+        &mut self,
+        hosts: &[HostRumor],
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
+        for rumor in hosts {
+            let wanted = self.hosts.on_rumor(rumor, now);
+            actions.extend(self.host_actions(wanted, now));
+        }
+        actions
+    }
+
+    /// The hosts that this one knows, itself included.
+    pub(super) fn hosts_for_host(
+        &self,
+        now: Instant,
+    ) -> Vec<HostRumor> {
+        let known = self.hosts.hosts().map(KnownHost::to_rumor);
+        known.chain([self.my_rumor(now)]).collect()
+    }
+
+    fn ping_seeds(
         &mut self,
         now: Instant,
     ) -> Vec<ControlAction> {
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ControlAction, ControlEvent, HostControl, TableName,
-        peer_pages::{changes_call, parse_changes},
+        peer_pages::{changes_call, hosts_call, parse_changes, parse_hosts},
         traffic::TrafficInput,
     },
     crate::{
@@ -124,6 +124,7 @@
             ControlAction::ReadChanges { table, since } => self.read_changes(table, since),
             ControlAction::ReadTable { table } => self.read_table(table),
             ControlAction::PullChanges { table, from, since } => self.pull(table, from, since),
+            ControlAction::PullHosts { from } => self.pull_hosts(from),
             ControlAction::Renew { transaction } => self.renew(transaction),
             ControlAction::ReadHolders { term } => self.read_holders(term),
             ControlAction::Take {
@@ -217,6 +218,21 @@
         });
     }
 
+    fn pull_hosts(
+        &self,
+        from: SocketAddr,
+    ) {
+        let events = self.events.clone();
+        let clients = self.clients.clone();
+        spawn_local(async move {
+            let reply = call_once(&clients, from, &hosts_call(), "", PULL_LIMIT).await;
+            let hosts = reply
+                .filter(|reply| reply.status == 200)
+                .and_then(|reply| parse_hosts(&reply.body));
+            let _ = events.send(ControlEvent::HostsPulled(hosts.unwrap_or_default()));
+        });
+    }
+
     fn renew(
         &self,
         transaction: Transaction,
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -68,7 +68,9 @@
     pub(super) changed: bool,
     next_loads: Instant,
     next_tick: Instant,
-    seeds_pinged: bool,
+    pub(super) started: Instant,
+    /// Looks at the seeds that are over.
+    pub(super) joins: usize,
 }
 
 impl HostControl {
@@ -113,7 +115,8 @@
             changed: true,
             next_loads: now,
             next_tick: now,
-            seeds_pinged: false,
+            started: now,
+            joins: 0,
         }
     }
 
@@ -176,6 +179,7 @@
                 from,
                 changes,
             } => self.on_changes_pulled(table, from, changes, now),
+            ControlEvent::HostsPulled(hosts) => self.on_hosts_pulled(&hosts, now),
             ControlEvent::Renewed { sent, commit } => {
                 self.on_renewed(sent, commit, now);
                 Vec::new()
@@ -220,10 +224,7 @@
             return actions;
         }
         self.next_tick = now + TICK;
-        if !self.seeds_pinged {
-            self.seeds_pinged = true;
-            actions.extend(self.ping_seeds(now));
-        }
+        actions.extend(self.join(now));
         actions.extend(self.tick_hosts(now));
         actions.extend(self.read_tables(now));
         self.drop_vanished(now);
--- a/src/process/host/peer_pages.rs
+++ b/src/process/host/peer_pages.rs
@@ -1,9 +1,12 @@
-//! The page on which one host reads another's copy of a table.
+//! The pages on which one host reads what another knows: its copies of tables, and the hosts.
 
 use {
     super::{HostControl, TableName},
     crate::{
-        connection::pull::{ChangesBody, RowBody},
+        connection::{
+            datagram::HostRumor,
+            pull::{ChangesBody, HostsBody, RowBody},
+        },
         formats::HttpCall,
         process::tables::TableChanges,
     },
@@ -13,6 +16,8 @@
 
 const PATH: &str = "/changes/";
 
+const HOSTS_PATH: &str = "/hosts";
+
 impl TableName {
     pub(super) fn word(self) -> &'static str {
         match self {
@@ -36,8 +41,31 @@
     HttpCall::get(format!("{PATH}{}?since={since}", table.word()))
 }
 
-/// The page's body; `None` for another page.
-pub fn changes_page(
+/// Asks for the hosts that another one knows.
+pub fn hosts_call() -> HttpCall {
+    HttpCall::get(HOSTS_PATH.to_string())
+}
+
+/// Understands the page of hosts.
+pub fn parse_hosts(body: &[u8]) -> Option<Vec<HostRumor>> {
+    Some(HostsBody::decode(body).ok()?.hosts)
+}
+
+/// A page for other hosts; `None` if there is none at this path.
+pub fn peer_page(
+    control: &HostControl,
+    path: &str,
+    query: &str,
+    now: Instant,
+) -> Option<Vec<u8>> {
+    if path == HOSTS_PATH {
+        let hosts = control.hosts_for_host(now);
+        return Some(HostsBody { hosts }.encode_to_vec());
+    }
+    changes_page(control, path, query, now)
+}
+
+fn changes_page(
     control: &HostControl,
     path: &str,
     query: &str,
--- a/src/process/host/public_pages.rs
+++ b/src/process/host/public_pages.rs
@@ -2,7 +2,7 @@
 //! other hosts.
 
 use {
-    super::{HostControl, peer_pages::changes_page},
+    super::{HostControl, peer_pages::peer_page},
     crate::{
         connection::front::AnswerBody,
         formats::{Formats, PublicCall},
@@ -109,7 +109,7 @@
                 if path == METRICS_PATH {
                     return page(StatusCode::OK, metrics().page().into_bytes());
                 }
-                match changes_page(&control, path, query, Instant::now()) {
+                match peer_page(&control, path, query, Instant::now()) {
                     Some(body) => page(StatusCode::OK, body),
                     None => page(StatusCode::NOT_FOUND, Vec::new()),
                 }
