--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -139,6 +139,8 @@
     Full = 3,
     /// The sender gives no orders to that engine.
     NotHolder = 4,
+    /// It was there lately, and would come back fast.
+    Remembered = 5,
 }
 
 /// The holder of an engine tells where an adapter stands.
@@ -155,6 +157,9 @@
     /// Time until it should be there, when it is coming.
     #[prost(uint32, tag = "5")]
     pub due_ms: u32,
+    /// Requests for it that started there lately, through all hosts.
+    #[prost(uint32, tag = "6")]
+    pub uses: u32,
 }
 
 /// How much one adapter was used through one host.
@@ -204,6 +209,25 @@
     pub unread_tokens: u32,
 }
 
+/// Asks the holder of an engine how it stands, right before a request is sent somewhere.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EngineQuery {
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Empty if only the load matters.
+    #[prost(string, tag = "2")]
+    pub adapter: String,
+}
+
+/// Answers a query.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EngineStanding {
+    #[prost(message, required, tag = "1")]
+    pub load: EngineLoad,
+    #[prost(message, optional, tag = "2")]
+    pub placement: Option<Placement>,
+}
+
 /// Any message between hosts.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Message {
@@ -223,11 +247,15 @@
     Usage(Usage),
     #[prost(message, tag = "8")]
     EngineLoad(EngineLoad),
+    #[prost(message, tag = "9")]
+    EngineQuery(EngineQuery),
+    #[prost(message, tag = "10")]
+    EngineStanding(EngineStanding),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
-    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     message: Option<Message>,
 }
 
--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -7,8 +7,9 @@
 pub use {
     address::Address,
     message::{
-        Ack, AdapterUsage, CopyState, EngineLoad, Freshness, HostRumor, Message, Ping, PingRequest,
-        Placement, PlacementState, RumorState, Usage, Vouch, Want, decode, encode,
+        Ack, AdapterUsage, CopyState, EngineLoad, EngineQuery, EngineStanding, Freshness,
+        HostRumor, Message, Ping, PingRequest, Placement, PlacementState, RumorState, Usage, Vouch,
+        Want, decode, encode,
     },
     socket::DatagramSocket,
 };
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -1,5 +1,9 @@
 use {
-    super::{exchange::Destination, request_trace::TraceStep, tries::Tries},
+    super::{
+        exchange::Destination,
+        request_trace::TraceStep,
+        tries::{QueryRound, Tries},
+    },
     crate::{
         connection::targets::{ReadingSpeed, TargetBoard},
         request::direct::{
@@ -7,7 +11,7 @@
             PlainCandidate, RequestTime, choose_engine, choose_plain, wait_or_refuse,
         },
     },
-    rand::RngExt,
+    rand::{RngExt, seq::IndexedRandom},
     std::{
         cell::RefCell,
         rc::Rc,
@@ -37,6 +41,18 @@
 /// Engines on which an adapter may settle, besides those that hold it.
 const SETTLING_PLACES: usize = 8;
 
+/// Wait for what holders tell of their engines.
+const QUERY_WAIT: Duration = Duration::from_millis(20);
+
+/// What a holder told of its engine counts for so long.
+const QUERY_FRESH: Duration = Duration::from_millis(60);
+
+/// Engines whose holders are asked for one request, at the most.
+const MAX_QUERIES: usize = 8;
+
+/// Places in the order in which an adapter settles whose holders are asked, beside known copies.
+const QUERIED_PLACES: usize = 4;
+
 /// What is decided for the next send.
 pub enum Choice {
     Send(Destination),
@@ -47,6 +63,8 @@
     /// Tell the caller to come back after this time.
     Refuse(Duration),
     Nowhere,
+    /// Wait for what holders tell of their engines, until this time at the most.
+    Look { until: Instant },
 }
 
 /// Chooses the target of each send.
@@ -127,11 +145,10 @@
         tries: &mut Tries,
         now: Instant,
     ) -> Choice {
-        let targets: Vec<Arc<str>> = board
-            .targets_of(&request.service.name)
-            .iter()
-            .map(|target| target.id.clone())
-            .collect();
+        let targets = base_targets(board, request, tries);
+        if let Some(look) = look_at(board, tries, &targets, "", now) {
+            return look;
+        }
         let outlook = Outlook::of(board, request, now);
         let candidates: Vec<EngineCandidate> = targets
             .iter()
@@ -168,6 +185,9 @@
         let grace = newest
             .is_some_and(|newest| now.saturating_duration_since(newest.since) < OLD_VERSION_GRACE);
         let targets = board.settle_order(&request.service.name, adapter, SETTLING_PLACES);
+        if let Some(look) = look_at_copies(board, tries, &targets, adapter, now) {
+            return look;
+        }
         let outlook = Outlook::of(board, request, now);
         let mut candidates = Vec::with_capacity(targets.len());
         for target in &targets {
@@ -288,6 +308,87 @@
     }
 }
 
+/// The engines that a request for the base model alone may go to: a sample of a large site's.
+fn base_targets(
+    board: &TargetBoard,
+    request: &CallRequest,
+    tries: &Tries,
+) -> Vec<Arc<str>> {
+    let targets = board.targets_of(&request.service.name);
+    if !board.asks_before_sends() {
+        return targets.iter().map(|target| target.id.clone()).collect();
+    }
+    if let Some(round) = &tries.query {
+        let asked = round.targets.iter();
+        let present = asked.filter(|target| board.links.contains_key(*target));
+        return present.cloned().collect();
+    }
+    targets
+        .sample(&mut rand::rng(), MAX_QUERIES)
+        .map(|target| target.id.clone())
+        .collect()
+}
+
+/// Asks the holders of an adapter's copies, and of the places where it settles first.
+fn look_at_copies(
+    board: &TargetBoard,
+    tries: &mut Tries,
+    targets: &[Arc<str>],
+    adapter: &str,
+    now: Instant,
+) -> Option<Choice> {
+    let matters = |(at, target): &(usize, &Arc<str>)| {
+        *at < QUERIED_PLACES || board.adapters.get(adapter, target).is_some()
+    };
+    let asked: Vec<Arc<str>> = targets
+        .iter()
+        .enumerate()
+        .filter(matters)
+        .map(|(_, target)| target.clone())
+        .take(MAX_QUERIES)
+        .collect();
+    look_at(board, tries, &asked, adapter, now)
+}
+
+/// On a large site, learns how engines stand right before a send: what was last heard is too old.
+fn look_at(
+    board: &TargetBoard,
+    tries: &mut Tries,
+    targets: &[Arc<str>],
+    adapter: &str,
+    now: Instant,
+) -> Option<Choice> {
+    if !board.asks_before_sends() {
+        return None;
+    }
+    let told_since = |target: &str, since: Instant| match board.links.get(target) {
+        Some(link) => link.others_told.is_some_and(|told| told >= since),
+        None => true,
+    };
+    if let Some(round) = &tries.query
+        && now.saturating_duration_since(round.since) < QUERY_FRESH
+    {
+        let until = round.since + QUERY_WAIT;
+        let told = |target: &Arc<str>| told_since(target, round.since);
+        let over = now >= until || round.targets.iter().all(told);
+        return (!over).then_some(Choice::Look { until });
+    }
+    let asked: Vec<Arc<str>> = targets
+        .iter()
+        .filter(|target| board.query(target, adapter))
+        .cloned()
+        .collect();
+    if asked.is_empty() {
+        return None;
+    }
+    tries.query = Some(QueryRound {
+        targets: asked,
+        since: now,
+    });
+    let until = now + QUERY_WAIT;
+    Some(Choice::Look { until })
+}
+
 /// Decides on a target; `counts` are the candidates and those of them that were ready.
 fn send_to(
     board: &TargetBoard,
@@ -365,7 +466,8 @@
 ) -> Duration {
     // One request here tells nothing of the other hosts; several do.
     let here = (board.demand.recent(adapter, now) - 1.0).max(0.0);
-    COPY_PRICE.div_f64(1.0 + here * board.view.hosts as f64)
+    let told = f64::from(board.adapters.uses(adapter));
+    COPY_PRICE.div_f64(1.0 + told.max(here * board.view.hosts as f64))
 }
 
 /// True if the holder should have told of the adapter by now.
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -140,6 +140,10 @@
                     self.wait(request, until).await;
                     continue;
                 }
+                Choice::Look { until } => {
+                    self.wait_for_standings(until).await;
+                    continue;
+                }
                 Choice::Refuse(come_back) if tries.history.runs == 0 => {
                     return self.refuse(request, OwnCause::NoAdapter, come_back);
                 }
@@ -253,6 +257,18 @@
         }
     }
 
+    /// Waits until a holder has told how its engine stands, or until a time.
+    async fn wait_for_standings(
+        &self,
+        until: Instant,
+    ) {
+        let news = self.board.borrow().standing_news();
+        tokio::select! {
+            _ = news.notified() => {}
+            _ = sleep_until(until.into()) => {}
+        }
+    }
+
     /// Waits for news of the adapter, or until a time.
     async fn wait(
         &self,
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -67,9 +67,7 @@
             all: u64::from(generation.tokens_in) + u64::from(generation.tokens_out),
             prompt: u64::from(generation.tokens_in),
         });
-        if let Some(link) = board.borrow_mut().links.get_mut(target) {
-            link.start(adapter, tokens);
-        }
+        board.borrow_mut().start_request(target, adapter, tokens);
         Self {
             board: board.clone(),
             target: target.clone(),
--- a/src/connection/front/tries.rs
+++ b/src/connection/front/tries.rs
@@ -4,7 +4,7 @@
         request_trace::{RequestTrace, TraceStep},
     },
     crate::request::direct::{AttemptEnd, RequestHistory},
-    std::time::Instant,
+    std::{sync::Arc, time::Instant},
 };
 
 /// What was tried for one request.
@@ -16,6 +16,14 @@
     /// The last failure that a target gave as an answer.
     pub failure: Option<WholeAnswer>,
     pub trace: RequestTrace,
+    /// How engines stand was asked of their holders.
+    pub query: Option<QueryRound>,
+}
+
+/// Engines whose holders were asked how they stand.
+pub struct QueryRound {
+    pub targets: Vec<Arc<str>>,
+    pub since: Instant,
 }
 
 impl Tries {
@@ -27,6 +35,7 @@
         now: Instant,
     ) {
         self.history.note(end);
+        self.query = None;
         let target = destination.target.clone();
         let step = match end {
             AttemptEnd::NotSent => TraceStep::NotReached { target },
--- a/src/connection/targets/adapter_map.rs
+++ b/src/connection/targets/adapter_map.rs
@@ -20,6 +20,8 @@
 pub struct AdapterCopy {
     pub version: u64,
     pub state: CopyState,
+    /// Requests for it that started there lately, through all hosts, as last told.
+    pub uses: u32,
     asked: Option<Instant>,
     asks: u32,
 }
@@ -50,10 +52,12 @@
         target: &str,
         version: u64,
         state: CopyState,
+        uses: u32,
     ) {
         let copy = AdapterCopy {
             version,
             state,
+            uses,
             asked: None,
             asks: 0,
         };
@@ -90,6 +94,15 @@
         }
     }
 
+    /// Requests for an adapter that started lately, as far as holders told.
+    pub fn uses(
+        &self,
+        adapter: &str,
+    ) -> u32 {
+        let copies = self.copies.get(adapter);
+        copies.map_or(0, |copies| copies.values().map(|copy| copy.uses).sum())
+    }
+
     /// An engine that was just listed says that it holds these models.
     pub fn assume_held(
         &mut self,
@@ -99,7 +112,7 @@
         for model in models {
             for adapter in &model.adapters {
                 let name = format!("{}/{}", model.name, adapter.name);
-                self.set(&name, target, adapter.version, CopyState::Ready);
+                self.set(&name, target, adapter.version, CopyState::Ready, 0);
             }
         }
     }
@@ -117,6 +130,7 @@
             .or_insert(AdapterCopy {
                 version: 0,
                 state: CopyState::Asked,
+                uses: 0,
                 asked: None,
                 asks: 0,
             });
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -14,7 +14,7 @@
     adapter_map::{AdapterCopy, AdapterMap},
     fleet_view::{FleetView, NewestVersion, TargetView},
     reading_speed::ReadingSpeed,
-    target_board::{BoardSettings, ControlRequest, ServiceTarget, TargetBoard},
+    target_board::{BoardSettings, ControlRequest, MAX_TOLD_HOSTS, ServiceTarget, TargetBoard},
     target_health::TargetHealth,
     target_link::{IdleConnection, RequestTokens, TargetLink},
 };
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -1,7 +1,10 @@
 use {
-    super::{AdapterDemand, AdapterMap, FleetView, ReadingSpeed, TargetLink},
+    super::{AdapterDemand, AdapterMap, FleetView, ReadingSpeed, RequestTokens, TargetLink},
     crate::{
-        connection::datagram::{AdapterUsage, EngineLoad, Placement, PlacementState, Usage, Want},
+        connection::datagram::{
+            AdapterUsage, EngineLoad, EngineQuery, EngineStanding, Placement, PlacementState, Usage,
+            Want,
+        },
         request::direct::{CopyState, ResendWindow},
         version::routing::RoutingTable,
     },
@@ -22,6 +25,9 @@
 /// An engine that can't take an adapter is not asked again for so long.
 const FULL_PAUSE: Duration = Duration::from_millis(400);
 
+/// Hosts up to which all are told where adapters stand and how busy engines are; more ask instead.
+pub const MAX_TOLD_HOSTS: usize = 24;
+
 /// An adapter's use that ended is still told so often before it is dropped from the reports.
 const MAX_USES: usize = 512;
 
@@ -40,6 +46,11 @@
     Want { holder: SocketAddr, want: Want },
     /// Tell the holder of an engine what is sent there.
     Usage { holder: SocketAddr, usage: Usage },
+    /// Ask the holder of an engine how it stands.
+    Query {
+        holder: SocketAddr,
+        query: EngineQuery,
+    },
     /// An engine does not hold an adapter that its holder said it holds.
     Missing { target: String, adapter: String },
 }
@@ -56,6 +67,8 @@
     budgets: HashMap<String, ResendWindow>,
     /// Requests that wait for news of an adapter.
     waiting: HashMap<String, Waiting>,
+    /// Wakes requests that have asked how engines stand.
+    standing_news: Rc<Notify>,
     control: flume::Sender<ControlRequest>,
 }
 
@@ -88,6 +101,7 @@
             speeds: HashMap::new(),
             budgets: HashMap::new(),
             waiting: HashMap::new(),
+            standing_news: Rc::default(),
             control,
         }
     }
@@ -96,6 +110,47 @@
         &self.view.routing
     }
 
+    /// True if there are so many hosts that engines' holders are asked before each send.
+    pub fn asks_before_sends(&self) -> bool {
+        self.view.hosts > MAX_TOLD_HOSTS
+    }
+
+    /// Asks the holder of an engine how it stands; false if it has none.
+    pub fn query(
+        &self,
+        target: &str,
+        adapter: &str,
+    ) -> bool {
+        let holder = self.links.get(target).and_then(|link| link.view.holder);
+        let Some(holder) = holder else {
+            return false;
+        };
+        let query = EngineQuery {
+            target: target.to_string(),
+            adapter: adapter.to_string(),
+        };
+        let _ = self.control.send(ControlRequest::Query { holder, query });
+        true
+    }
+
+    /// A holder told how its engine stands.
+    pub fn on_standing(
+        &mut self,
+        standing: &EngineStanding,
+        now: Instant,
+    ) {
+        self.on_engine_load(&standing.load, now);
+        if let Some(placement) = &standing.placement {
+            self.on_placement(placement, now);
+        }
+        self.standing_news.notify_waiters();
+    }
+
+    /// Wakes when a holder has told how its engine stands.
+    pub fn standing_news(&self) -> Rc<Notify> {
+        self.standing_news.clone()
+    }
+
     /// The targets of a service.
     pub fn targets_of(
         &self,
@@ -196,6 +251,7 @@
             PlacementState::Coming => CopyState::Coming {
                 due: now + Duration::from_millis(u64::from(placement.due_ms)),
             },
+            PlacementState::Remembered => CopyState::Remembered,
             PlacementState::Absent => return self.on_gone(placement),
             PlacementState::Full | PlacementState::NotHolder => CopyState::Full {
                 until: now + FULL_PAUSE,
@@ -206,6 +262,7 @@
             &placement.target,
             placement.version,
             state,
+            placement.uses,
         );
         if let Some(waiting) = self.waiting.get(&placement.adapter) {
             waiting.news.notify_waiters();
@@ -356,32 +413,58 @@
     /// Tells holders what was sent to their engines since they were told last.
     pub fn report_usage(&mut self) {
         for (id, link) in &mut self.links {
-            let Some(holder) = link.view.holder else {
-                continue;
-            };
-            if link.reports_due == 0 {
-                continue;
-            }
-            link.reports_due -= 1;
-            let mut adapters = Vec::new();
-            for (adapter, count) in &mut link.uses {
-                adapters.push(AdapterUsage {
-                    adapter: adapter.clone(),
-                    in_flight: count.in_flight,
-                    started: count.started,
-                });
-                count.started = 0;
+            if link.reports_due > 0 {
+                link.reports_due -= 1;
+                report(&self.control, id, link);
             }
-            adapters.truncate(MAX_USES);
-            link.uses.retain(|_, count| count.in_flight > 0);
-            let usage = Usage {
-                target: id.to_string(),
-                adapters,
-                in_flight: link.in_flight,
-                tokens: u32::try_from(link.tokens).unwrap_or(u32::MAX),
-                unread_tokens: u32::try_from(link.unread_tokens).unwrap_or(u32::MAX),
-            };
-            let _ = self.control.send(ControlRequest::Usage { holder, usage });
         }
     }
+
+    /// A request is sent to a target; on a large site its holder is told at once, since the next host
+    /// may ask it in a moment.
+    pub fn start_request(
+        &mut self,
+        target: &str,
+        adapter: Option<&str>,
+        tokens: RequestTokens,
+    ) {
+        let tells_at_once = self.asks_before_sends();
+        let Some(link) = self.links.get_mut(target) else {
+            return;
+        };
+        link.start(adapter, tokens);
+        if tells_at_once {
+            report(&self.control, target, link);
+        }
+    }
+}
+
+/// Tells the holder of an engine what this host sends there.
+fn report(
+    control: &flume::Sender<ControlRequest>,
+    target: &str,
+    link: &mut TargetLink,
+) {
+    let Some(holder) = link.view.holder else {
+        return;
+    };
+    let mut adapters = Vec::new();
+    for (adapter, count) in &mut link.uses {
+        adapters.push(AdapterUsage {
+            adapter: adapter.clone(),
+            in_flight: count.in_flight,
+            started: count.started,
+        });
+        count.started = 0;
+    }
+    adapters.truncate(MAX_USES);
+    link.uses.retain(|_, count| count.in_flight > 0);
+    let usage = Usage {
+        target: target.to_string(),
+        adapters,
+        in_flight: link.in_flight,
+        tokens: u32::try_from(link.tokens).unwrap_or(u32::MAX),
+        unread_tokens: u32::try_from(link.unread_tokens).unwrap_or(u32::MAX),
+    };
+    let _ = control.send(ControlRequest::Usage { holder, usage });
 }
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -50,6 +50,9 @@
 /// An adapter is dropped only if nobody has used it for so long; hosts tell of use with a delay.
 const IDLE: Duration = Duration::from_millis(900);
 
+/// An adapter that a host has asked about is not dropped for so long: a request may be on its way.
+const QUERY_GUARD: Duration = Duration::from_millis(150);
+
 /// Places that are kept free, so that a load needs not wait for a drop.
 const FREE_PLACES: usize = 1;
 
@@ -278,6 +281,34 @@
         vec![self.tell(host, &want.adapter, now)]
     }
 
+    /// A host asks where an adapter stands, and may send a request for it right away.
+    pub fn on_query(
+        &mut self,
+        host: SocketAddr,
+        adapter: &str,
+        now: Instant,
+    ) -> Option<Placement> {
+        if adapter.is_empty() {
+            return None;
+        }
+        if let Some(place) = self.places.get_mut(adapter) {
+            place.interested.insert(host);
+            let guarded = now.checked_sub(IDLE.saturating_sub(QUERY_GUARD));
+            place.last_used = place.last_used.max(guarded.unwrap_or(place.last_used));
+            return Some(self.placement(adapter, now));
+        }
+        let mut placement = self.placement(adapter, now);
+        if let Some(wish) = self.wishes.get(adapter) {
+            placement.version = wish.version;
+            placement.state = PlacementState::Coming as i32;
+            placement.due_ms = millis(self.queue_time());
+        } else if self.memory.contains(adapter, self.newest_version(adapter)) {
+            placement.version = self.newest_version(adapter);
+            placement.state = PlacementState::Remembered as i32;
+        }
+        Some(placement)
+    }
+
     /// The engine said that it does not hold an adapter that it should hold.
     pub fn on_missing(
         &mut self,
@@ -560,6 +591,7 @@
                 version,
                 state: state as i32,
                 due_ms: millis(queue_time),
+                uses: 0,
             };
             actions.push(DeskAction::Tell { host, placement });
         }
@@ -841,8 +873,14 @@
         &self,
         want: &Want,
     ) -> u64 {
-        let newest = self.newest.get(&want.adapter).copied().unwrap_or(1);
-        newest.max(want.version)
+        self.newest_version(&want.adapter).max(want.version)
+    }
+
+    fn newest_version(
+        &self,
+        adapter: &str,
+    ) -> u64 {
+        self.newest.get(adapter).copied().unwrap_or(1)
     }
 
     /// What was ordered did not come about.
@@ -955,6 +993,7 @@
             version: place.map_or(0, |place| place.version),
             state: state as i32,
             due_ms: millis(due),
+            uses: place.map_or(0, |place| place.recent_uses(now).round() as u32),
         }
     }
 }
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -2,7 +2,7 @@
     super::TableName,
     crate::{
         connection::{
-            datagram::{EngineLoad, Message, Placement},
+            datagram::{EngineLoad, EngineStanding, Message, Placement},
             targets::FleetView,
         },
         formats::{Order, Transaction},
@@ -62,4 +62,5 @@
     /// For the requests of this host.
     Place(Placement),
     Load(EngineLoad),
+    Stand(EngineStanding),
 }
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -3,7 +3,12 @@
 use {
     super::{ControlAction, HostControl},
     crate::{
-        connection::datagram::{EngineLoad, Message, Placement, PlacementState, Want},
+        connection::{
+            datagram::{
+                EngineLoad, EngineQuery, EngineStanding, Message, Placement, PlacementState, Want,
+            },
+            targets::MAX_TOLD_HOSTS,
+        },
         formats::{Commit, Order, OrderKind, OrderReply, RowBatch},
         metrics::metrics,
         note,
@@ -33,8 +38,8 @@
 /// Hosts know one another when none has become known for so long.
 const SETTLED: Duration = Duration::from_millis(400);
 
-/// Hosts up to which all are told where adapters stand.
-const MAX_ANNOUNCED: usize = 24;
+/// Hosts up to which all are told where adapters stand and how busy engines are.
+const MAX_ANNOUNCED: usize = MAX_TOLD_HOSTS;
 
 impl HostControl {
     /// Leases, takeovers, and the desks of the engines held here.
@@ -117,10 +122,27 @@
             version: 0,
             state: PlacementState::NotHolder as i32,
             due_ms: 0,
+            uses: 0,
         };
         vec![self.send(from, Message::Placement(placement))]
     }
 
+    /// A host asks how an engine stands; only its holder answers.
+    pub(super) fn on_query(
+        &mut self,
+        from: SocketAddr,
+        query: &EngineQuery,
+        now: Instant,
+    ) -> Option<ControlAction> {
+        self.holding.may_order(&query.target, now)?;
+        let desk = self.desks.get_mut(&query.target)?;
+        let standing = EngineStanding {
+            load: load_for(&query.target, desk, from),
+            placement: desk.on_query(from, &query.adapter, now),
+        };
+        Some(self.send(from, Message::EngineStanding(standing)))
+    }
+
     pub(super) fn on_renewed(
         &mut self,
         sent: Instant,
@@ -235,18 +257,15 @@
             .map(|host| host.identity.peer)
     }
 
-    /// Tells the hosts that use an engine how busy it is.
+    /// Tells the hosts that use an engine how busy it is; on a large site they ask instead.
     pub(super) fn tell_loads(&mut self) -> Vec<ControlAction> {
         let mut actions = Vec::new();
+        if self.hosts.up_count() > MAX_ANNOUNCED {
+            return actions;
+        }
         for (target, desk) in &self.desks {
             for host in desk.usage().hosts() {
-                let others = desk.usage().of_others(host);
-                let load = EngineLoad {
-                    target: target.clone(),
-                    in_flight: others.in_flight,
-                    tokens: others.tokens,
-                    unread_tokens: others.unread_tokens,
-                };
+                let load = load_for(target, desk, host);
                 actions.push(self.send(host, Message::EngineLoad(load)));
             }
         }
@@ -454,6 +473,21 @@
     }
 }
 
+/// How busy an engine is, as one host is told.
+fn load_for(
+    target: &str,
+    desk: &EngineDesk,
+    host: SocketAddr,
+) -> EngineLoad {
+    let others = desk.usage().of_others(host);
+    EngineLoad {
+        target: target.to_string(),
+        in_flight: others.in_flight,
+        tokens: others.tokens,
+        unread_tokens: others.unread_tokens,
+    }
+}
+
 /// An order that changes something gets a line; looks do not.
 fn tell_order(
     target: &str,
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -124,6 +124,8 @@
             }
             Message::Placement(placement) => vec![ControlAction::Place(placement)],
             Message::EngineLoad(load) => vec![ControlAction::Load(load)],
+            Message::EngineQuery(query) => self.on_query(from, &query, now).into_iter().collect(),
+            Message::EngineStanding(standing) => vec![ControlAction::Stand(standing)],
         };
         self.note_host_events();
         actions
@@ -152,6 +154,13 @@
                 to: holder,
                 message: Message::Usage(usage),
             }],
+            ControlRequest::Query { holder, query } if holder == me => {
+                self.on_query(me, &query, now).into_iter().collect()
+            }
+            ControlRequest::Query { holder, query } => vec![ControlAction::Send {
+                to: holder,
+                message: Message::EngineQuery(query),
+            }],
             ControlRequest::Missing { target, adapter } => {
                 if let Some(desk) = self.desks.get_mut(&target) {
                     desk.on_missing(&adapter, now);
@@ -173,6 +182,7 @@
         match message {
             Message::Placement(placement) => ControlAction::Place(placement),
             Message::EngineLoad(load) => ControlAction::Load(load),
+            Message::EngineStanding(standing) => ControlAction::Stand(standing),
             message => ControlAction::Send { to, message },
         }
     }
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -145,6 +145,9 @@
                 self.tell_traffic(TrafficInput::Placement(placement));
             }
             ControlAction::Load(load) => self.tell_traffic(TrafficInput::Load(load)),
+            ControlAction::Stand(standing) => {
+                self.tell_traffic(TrafficInput::Standing(standing));
+            }
         }
     }
 
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         connection::{
-            datagram::{EngineLoad, Placement},
+            datagram::{EngineLoad, EngineStanding, Placement},
             front::{FrontListener, FrontStop},
             targets::{BoardSettings, ControlRequest, FleetView, TargetBoard},
         },
@@ -34,6 +34,7 @@
     View(Arc<FleetView>),
     Placement(Placement),
     Load(EngineLoad),
+    Standing(EngineStanding),
 }
 
 /// What the traffic thread needs from its start.
@@ -98,5 +99,6 @@
         TrafficInput::View(view) => board.set_view(view),
         TrafficInput::Placement(placement) => board.on_placement(&placement, Instant::now()),
         TrafficInput::Load(load) => board.on_engine_load(&load, Instant::now()),
+        TrafficInput::Standing(standing) => board.on_standing(&standing, Instant::now()),
     }
 }
