--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -5,7 +5,7 @@
         tries::{QueryRound, Tries},
     },
     crate::{
-        connection::targets::{ReadingSpeed, TargetBoard},
+        connection::targets::{ReadingSpeed, TargetBoard, TargetLink},
         request::direct::{
             CallRequest, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Patience,
             PlainCandidate, RequestTime, choose_engine, choose_plain, wait_or_refuse,
@@ -47,11 +47,14 @@
 /// What a holder told of its engine counts for so long.
 const QUERY_FRESH: Duration = Duration::from_millis(60);
 
-/// Engines whose holders are asked for one request, at the most.
-const MAX_QUERIES: usize = 8;
+/// What other hosts send to an engine is unknown when it was last told longer ago.
+const LOAD_KNOWN: Duration = Duration::from_millis(400);
 
-/// Places in the order in which an adapter settles whose holders are asked, beside known copies.
-const QUERIED_PLACES: usize = 4;
+/// Engines that are ready for a request whose holders are asked, at the most.
+const QUERIED_READY: usize = 6;
+
+/// Engines that are not ready for it whose holders are asked, at the most.
+const QUERIED_OTHERS: usize = 4;
 
 /// What is decided for the next send.
 pub enum Choice {
@@ -145,11 +148,12 @@
         tries: &mut Tries,
         now: Instant,
     ) -> Choice {
-        let targets = base_targets(board, request, tries);
-        if let Some(look) = look_at(board, tries, &targets, "", now) {
-            return look;
-        }
-        let outlook = Outlook::of(board, request, now);
+        let drawn = |board: &TargetBoard| sample_of_service(board, request);
+        let targets = match look_before_send(board, tries, "", drawn, now) {
+            Ok(targets) => targets,
+            Err(until) => return Choice::Look { until },
+        };
+        let outlook = Outlook::of(board, request, &targets, now);
         let candidates: Vec<EngineCandidate> = targets
             .iter()
             .map(|target| self.candidate(board, request, target, CopyState::Ready, tries, &outlook))
@@ -184,11 +188,12 @@
         let least = newest.map_or(1, |newest| newest.version);
         let grace = newest
             .is_some_and(|newest| now.saturating_duration_since(newest.since) < OLD_VERSION_GRACE);
-        let targets = board.settle_order(&request.service.name, adapter, SETTLING_PLACES);
-        if let Some(look) = look_at_copies(board, tries, &targets, adapter, now) {
-            return look;
-        }
-        let outlook = Outlook::of(board, request, now);
+        let drawn = |board: &TargetBoard| sample_for_adapter(board, request, adapter);
+        let targets = match look_before_send(board, tries, adapter, drawn, now) {
+            Ok(targets) => targets,
+            Err(until) => return Choice::Look { until },
+        };
+        let outlook = Outlook::of(board, request, &targets, now);
         let mut candidates = Vec::with_capacity(targets.len());
         for target in &targets {
             let copy = match board.adapters.get(adapter, target) {
@@ -278,6 +283,7 @@
             batch: f64::from(link.running() + 1) / f64::from(link.view.record.slots.max(1)),
             crowd: tokens as f64 / (outlook.mean_tokens + (prompt + answer) as f64).max(1.0),
             near: link.view.record.hall == self.hall,
+            unknown: outlook.is_unknown(board, link),
             avoided: !link.avoided_for(outlook.now).is_zero(),
             has_holder: link.view.holder.is_some(),
             tried: tries.has_tried(target),
@@ -294,99 +300,114 @@
 }
 
 impl Outlook {
+    /// True if what other hosts send there was last told too long ago.
+    fn is_unknown(
+        &self,
+        board: &TargetBoard,
+        link: &TargetLink,
+    ) -> bool {
+        let since = self.now.checked_sub(LOAD_KNOWN);
+        board.asks_before_sends() && since.is_some_and(|since| !link.told_since(since))
+    }
+
     fn of(
         board: &mut TargetBoard,
         request: &CallRequest,
+        targets: &[Arc<str>],
         now: Instant,
     ) -> Self {
         let service = &request.service.name;
+        let mean_tokens = match board.asks_before_sends() {
+            // Of other engines too little is known.
+            true => board.mean_tokens(targets.iter()),
+            false => board.mean_tokens(board.targets_of(service).iter().map(|target| &target.id)),
+        };
         Self {
             speed: *board.speed(service),
-            mean_tokens: board.mean_tokens(service),
+            mean_tokens,
             now,
         }
     }
 }
 
 /// The engines that a request for the base model alone may go to: a sample of a large site's.
-fn base_targets(
+fn sample_of_service(
     board: &TargetBoard,
     request: &CallRequest,
-    tries: &Tries,
 ) -> Vec<Arc<str>> {
     let targets = board.targets_of(&request.service.name);
     if !board.asks_before_sends() {
         return targets.iter().map(|target| target.id.clone()).collect();
     }
-    if let Some(round) = &tries.query {
-        let asked = round.targets.iter();
-        let present = asked.filter(|target| board.links.contains_key(*target));
-        return present.cloned().collect();
-    }
     targets
-        .sample(&mut rand::rng(), MAX_QUERIES)
+        .sample(&mut rand::rng(), QUERIED_READY)
         .map(|target| target.id.clone())
         .collect()
 }
 
-/// Asks the holders of an adapter's copies, and of the places where it settles first.
-fn look_at_copies(
+/// The engines that a request for an adapter may go to, in the order in which it settles: on a large
+/// site a sample of those that hold it, those to which it comes, and a few where it may come next.
+fn sample_for_adapter(
     board: &TargetBoard,
-    tries: &mut Tries,
-    targets: &[Arc<str>],
+    request: &CallRequest,
     adapter: &str,
-    now: Instant,
-) -> Option<Choice> {
-    let matters = |(at, target): &(usize, &Arc<str>)| {
-        *at < QUERIED_PLACES || board.adapters.get(adapter, target).is_some()
-    };
-    let asked: Vec<Arc<str>> = targets
-        .iter()
-        .enumerate()
-        .filter(matters)
-        .map(|(_, target)| target.clone())
-        .take(MAX_QUERIES)
-        .collect();
-    look_at(board, tries, &asked, adapter, now)
+) -> Vec<Arc<str>> {
+    let service = &request.service.name;
+    if !board.asks_before_sends() {
+        return board.settle_order(service, adapter, SETTLING_PLACES);
+    }
+    let places = SETTLING_PLACES + board.adapters.known(adapter);
+    let order = board.settle_order(service, adapter, places);
+    let state = |at: &usize| board.adapters.get(adapter, &order[*at]).map(|copy| copy.state);
+    let all = 0..order.len();
+    let (ready, others): (Vec<usize>, Vec<usize>) =
+        all.partition(|at| state(at) == Some(CopyState::Ready));
+    let (coming, mut open): (Vec<usize>, Vec<usize>) = others
+        .into_iter()
+        .partition(|at| state(at).is_some_and(is_coming));
+    // Where it was lately it comes back much faster.
+    open.sort_by_key(|at| state(at) != Some(CopyState::Remembered));
+    open.truncate(QUERIED_OTHERS);
+    let ready = ready.sample(&mut rand::rng(), QUERIED_READY).copied();
+    let mut chosen: Vec<usize> = ready.chain(coming).chain(open).collect();
+    chosen.sort_unstable();
+    chosen.into_iter().map(|at| order[at].clone()).collect()
 }
 
-/// On a large site, learns how engines stand right before a send: what was last heard is too old.
-fn look_at(
+/// The engines among which is chosen. On a large site their holders are asked first how they stand,
+/// since what was last heard is too old; `Err` gives the time until which their answers are awaited.
+fn look_before_send(
     board: &TargetBoard,
     tries: &mut Tries,
-    targets: &[Arc<str>],
     adapter: &str,
+    draw: impl Fn(&TargetBoard) -> Vec<Arc<str>>,
     now: Instant,
-) -> Option<Choice> {
+) -> Result<Vec<Arc<str>>, Instant> {
     if !board.asks_before_sends() {
-        return None;
+        return Ok(draw(board));
     }
-    let told_since = |target: &str, since: Instant| match board.links.get(target) {
-        Some(link) => link.others_told.is_some_and(|told| told >= since),
-        None => true,
-    };
     if let Some(round) = &tries.query
         && now.saturating_duration_since(round.since) < QUERY_FRESH
     {
+        let present = |target: &&Arc<str>| board.links.contains_key(*target);
+        let targets: Vec<Arc<str>> = round.targets.iter().filter(present).cloned().collect();
+        let told = |target: &Arc<str>| board.links[target].told_since(round.since);
         let until = round.since + QUERY_WAIT;
-        let told = |target: &Arc<str>| told_since(target, round.since);
-        let over = now >= until || round.targets.iter().all(told);
-        return (!over).then_some(Choice::Look { until });
+        return match now >= until || targets.iter().all(told) {
+            true => Ok(targets),
+            false => Err(until),
+        };
     }
-    let asked: Vec<Arc<str>> = targets
-        .iter()
-        .filter(|target| board.query(target, adapter))
-        .cloned()
-        .collect();
-    if asked.is_empty() {
-        return None;
+    let targets = draw(board);
+    let asked = targets.iter().filter(|target| board.query(target, adapter));
+    if asked.count() == 0 {
+        return Ok(targets);
     }
     tries.query = Some(QueryRound {
-        targets: asked,
+        targets,
         since: now,
     });
-    let until = now + QUERY_WAIT;
-    Some(Choice::Look { until })
+    Err(now + QUERY_WAIT)
 }
 
 /// Decides on a target; `counts` are the candidates and those of them that were ready.
--- a/src/connection/targets/adapter_map.rs
+++ b/src/connection/targets/adapter_map.rs
@@ -45,6 +45,14 @@
         self.copies.get(adapter)?.get(target)
     }
 
+    /// Engines of which it is known how the adapter stands there.
+    pub fn known(
+        &self,
+        adapter: &str,
+    ) -> usize {
+        self.copies.get(adapter).map_or(0, HashMap::len)
+    }
+
     /// The holder told where an adapter stands.
     pub fn set(
         &mut self,
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -159,16 +159,18 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Tokens that run at an engine of a service, in the mean.
-    pub fn mean_tokens(
+    /// Tokens that run at one of these engines, in the mean.
+    pub fn mean_tokens<'a>(
         &self,
-        service: &str,
+        targets: impl Iterator<Item = &'a Arc<str>>,
     ) -> f64 {
-        let targets = self.targets_of(service);
-        let tokens = targets
-            .iter()
-            .map(|target| self.links[&target.id].running_tokens());
-        tokens.sum::<u64>() as f64 / targets.len().max(1) as f64
+        let mut count = 0;
+        let mut tokens = 0;
+        for target in targets {
+            count += 1;
+            tokens += self.links[target].running_tokens();
+        }
+        tokens as f64 / f64::from(count.max(1))
     }
 
     /// The engines that hold an adapter, or on which it settles, in the order in which it does; the
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -173,6 +173,14 @@
         }
     }
 
+    /// True if its holder has told since then what other hosts send there.
+    pub fn told_since(
+        &self,
+        since: Instant,
+    ) -> bool {
+        self.others_told.is_some_and(|told| told >= since)
+    }
+
     /// True if requests run there and nothing has come for so long.
     pub fn is_silent(
         &self,
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -1,5 +1,8 @@
 use {
-    super::{AdapterPlace, EngineUse, LoadMemory, PlaceState},
+    super::{
+        AdapterPlace, EngineLoads, EngineUse, LoadMemory, PlaceState, SharedLoadLimiter,
+        load_limiter::LOAD_TIME,
+    },
     crate::{
         connection::datagram::{Placement, PlacementState, Usage, Want},
         formats::{OrderKind, OrderReply, TargetReport},
@@ -15,9 +18,6 @@
 /// Adapters that may be on their way to one engine at once, as the platform's pages say.
 const MAX_COMING: usize = 4;
 
-/// Time that an adapter takes from the weight store when few come at once.
-const LOAD_TIME: Duration = Duration::from_millis(252);
-
 /// Time that an adapter takes which the engine held lately.
 const RELOAD_TIME: Duration = Duration::from_millis(27);
 
@@ -26,24 +26,9 @@
 
 const LEAST_LOOK_PAUSE: Duration = Duration::from_millis(14);
 
-/// Loads that take longer than this show that the weight store has too much to do for spare copies.
-const STORE_BUSY: Duration = Duration::from_millis(380);
-
-/// A load that takes less than this multiple of its time alone was not held up by others.
-const UNCROWDED: f64 = 1.8;
-
-/// Growth of the window of loads after one that was not held up.
-const WINDOW_STEP: f64 = 0.5;
-
-/// What is left of the window after a load that was held up.
-const WINDOW_CUT: f64 = 0.8;
-
 /// A load that would have to wait for longer than this is better ordered at another engine.
 const MOST_QUEUE: Duration = Duration::from_millis(900);
 
-/// Weight of a new measurement of the time of loads.
-const LOAD_TIME_WEIGHT: f64 = 0.2;
-
 /// A load that is not over after so long is looked up in the engine's report.
 const LOAD_OVERDUE: Duration = Duration::from_millis(1500);
 
@@ -139,10 +124,8 @@
     room: usize,
     wishes: HashMap<String, Wish>,
     memory: LoadMemory,
-    /// Time that loads from the weight store take at present.
-    load_time: Duration,
-    /// Loads from the weight store that this engine may have on their way at once at present.
-    window: f64,
+    /// Loads from the weight store of all engines of this host.
+    limiter: SharedLoadLimiter,
     /// Newest version of adapters that have more than one.
     newest: HashMap<String, u64>,
     /// Orders that the engine has taken; `None` until a report told.
@@ -162,6 +145,7 @@
     pub fn new(
         target: &str,
         spec: EngineSpec,
+        limiter: SharedLoadLimiter,
         now: Instant,
     ) -> Self {
         let memory = LoadMemory::new(spec.adapter_slots * REMEMBERED_PER_PLACE);
@@ -173,8 +157,7 @@
             room: 0,
             wishes: HashMap::new(),
             memory,
-            load_time: LOAD_TIME,
-            window: 2.0,
+            limiter,
             newest: HashMap::new(),
             sequence: None,
             under_way: None,
@@ -208,6 +191,12 @@
         &self.usage
     }
 
+    /// The most urgent of the adapters that wait here to be ordered, and since when it waits.
+    pub fn first_waiting(&self) -> Option<(u32, Instant)> {
+        let wishes = self.wishes.values().filter(|wish| !wish.spare);
+        wishes.map(|wish| (wish.priority, wish.since)).min()
+    }
+
     /// When the desk has something to decide without being told anything.
     pub fn next_due(&self) -> Option<Instant> {
         if self.under_way.is_some() {
@@ -467,17 +456,19 @@
         &mut self,
         time: Duration,
     ) {
-        if time < LOAD_TIME.mul_f64(0.8) {
-            return;
+        if time >= LOAD_TIME.mul_f64(0.8) {
+            self.limiter.borrow_mut().on_load(time);
         }
-        let time = time.min(LOAD_OVERDUE);
-        let old = self.load_time.mul_f64(1.0 - LOAD_TIME_WEIGHT);
-        self.load_time = old + time.mul_f64(LOAD_TIME_WEIGHT);
-        // Loads at once share the store: more of them are only slower, and in no better order.
-        self.window = match time < LOAD_TIME.mul_f64(UNCROWDED) {
-            true => (self.window + WINDOW_STEP).min(MAX_COMING as f64),
-            false => (self.window * WINDOW_CUT).max(1.0),
+    }
+
+    /// Tells the limiter what is on its way and what waits.
+    fn tell_limiter(&self) {
+        let coming = self.places.values();
+        let loads = EngineLoads {
+            coming: coming.filter(|place| place.comes_from_store()).count(),
+            waiting: self.wishes.values().filter(|wish| !wish.spare).count(),
         };
+        self.limiter.borrow_mut().set(&self.target, loads);
     }
 
     fn on_order_taken(
@@ -577,13 +568,15 @@
         if self.wishes.contains_key(&want.adapter) {
             // It waits for other orders, or for a place.
             let queue_time = self.queue_time();
-            let busy = want.spare && self.load_time > STORE_BUSY || queue_time > MOST_QUEUE;
+            let too_busy = want.spare && self.limiter.borrow().is_busy();
+            let busy = too_busy || queue_time > MOST_QUEUE;
             let state = match !busy && self.has_prospect(&want.adapter, now) {
                 true => PlacementState::Coming,
                 false => PlacementState::Full,
             };
             if state == PlacementState::Full {
                 self.wishes.remove(&want.adapter);
+                self.tell_limiter();
             }
             let placement = Placement {
                 target: self.target.clone(),
@@ -600,11 +593,12 @@
 
     /// Time after which a load that is asked for now should be over.
     fn queue_time(&self) -> Duration {
+        let of_host = self.limiter.borrow().queue_time();
         let coming = self.places.values();
         let coming = coming.filter(|place| matches!(place.state, PlaceState::Coming { .. }));
-        let ahead = (coming.count() + self.wishes.len()) as f64;
-        self.load_time
-            .mul_f64((ahead / self.window.max(1.0)).max(1.0))
+        let here = (coming.count() + self.wishes.len()) as f64 / MAX_COMING as f64;
+        let load_time = self.limiter.borrow().load_time();
+        of_host.max(load_time.mul_f64(here.max(1.0)))
     }
 
     /// True if an adapter that waits can be ordered before long.
@@ -631,6 +625,16 @@
     fn next_orders(
         &mut self,
         now: Instant,
+    ) -> Vec<DeskAction> {
+        self.tell_limiter();
+        let actions = self.decide_orders(now);
+        self.tell_limiter();
+        actions
+    }
+
+    fn decide_orders(
+        &mut self,
+        now: Instant,
     ) -> Vec<DeskAction> {
         let mut actions = Vec::new();
         if self.under_way.is_some() {
@@ -759,12 +763,7 @@
             return None;
         }
         let free = self.free_places();
-        let from_store = self
-            .places
-            .iter()
-            .filter(|(_, place)| place.comes_from_store())
-            .count();
-        let crowded = from_store as f64 >= self.window;
+        let crowded = !self.limiter.borrow().has_room();
         let next = self
             .wishes
             .iter()
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -59,13 +59,24 @@
         now: Instant,
     ) -> Vec<ControlAction> {
         let mut actions = Vec::new();
-        let held: Vec<String> = self.desks.keys().cloned().collect();
-        for target in held {
+        for target in self.desks_by_urgency() {
             actions.extend(self.at_desk(&target, now, |desk| desk.on_tick(now)));
         }
         actions
     }
 
+    /// The engines held here, those for which the most urgent adapters wait first: all share what may
+    /// be loaded at once.
+    fn desks_by_urgency(&self) -> Vec<String> {
+        let mut desks: Vec<(&String, Option<(u32, Instant)>)> = self
+            .desks
+            .iter()
+            .map(|(target, desk)| (target, desk.first_waiting()))
+            .collect();
+        desks.sort_by_key(|(_, first)| (first.is_none(), *first));
+        desks.into_iter().map(|(target, _)| target.clone()).collect()
+    }
+
     /// Lets a desk decide, and carries its decisions on.
     pub(super) fn at_desk(
         &mut self,
@@ -98,7 +109,12 @@
                 note!(Event::OrderRefused, target = target, reply = reply.word());
             }
         }
-        self.at_desk(target, now, |desk| desk.on_order_end(reply, now))
+        let mut actions = self.at_desk(target, now, |desk| desk.on_order_end(reply, now));
+        if self.limiter.borrow().has_room() {
+            // What waits at another engine may be loaded now.
+            actions.extend(self.tick_desks(now));
+        }
+        actions
     }
 
     /// When a desk has something to decide without being told anything.
@@ -357,6 +373,7 @@
         for target in lost {
             note!(Event::TargetLost, target = target);
             self.desks.remove(&target);
+            self.limiter.borrow_mut().forget(&target);
             self.changed = true;
         }
         for target in held {
@@ -373,7 +390,7 @@
             let Some(spec) = spec else {
                 continue;
             };
-            let mut desk = EngineDesk::new(&target, spec, now);
+            let mut desk = EngineDesk::new(&target, spec, self.limiter.clone(), now);
             for (adapter, newest) in self.newest.iter() {
                 desk.on_newest(adapter, newest.version);
             }
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -33,6 +33,8 @@
     pub crowd: f64,
     /// It stands in this host's hall.
     pub near: bool,
+    /// What other hosts send there is not known.
+    pub unknown: bool,
     /// It is avoided after failures.
     pub avoided: bool,
     /// Somebody gives orders to it.
@@ -93,12 +95,21 @@
 
 const MOST_CROWDING: f64 = 3.0;
 
-/// Memory or batch beyond this share makes an engine slower.
+/// Memory that is taken beyond this share makes an engine slower.
 const PRESSED: f64 = 0.85;
 
-/// Slowness of an engine that is wholly taken, in seconds.
+/// Slowness of an engine whose memory is wholly taken, in seconds.
 const PRESSURE: f64 = 1.5;
 
+/// A batch that is taken beyond this share makes an engine slower: further requests wait for a place.
+const PRESSED_BATCH: f64 = 0.9;
+
+/// Slowness of an engine whose batch is wholly taken, in seconds.
+const BATCH_PRESSURE: f64 = 1.0;
+
+/// Slowness that is assumed where the load is not known, in seconds.
+const UNKNOWN: f64 = 0.1;
+
 /// A request goes to a busy copy while another one comes, if it loses no more than this, in seconds.
 const TOLERABLE: f64 = 0.1;
 
@@ -195,7 +206,11 @@
         true => 0.0,
         false => DISTANCE,
     };
-    let pressure = pressure(candidate.memory) + pressure(candidate.batch);
+    let pressure = pressure(candidate.memory) + batch_pressure(candidate.batch);
+    let unknown = match candidate.unknown {
+        true => UNKNOWN,
+        false => 0.0,
+    };
     let crowding = (candidate.crowd - CROWDED).clamp(0.0, MOST_CROWDING) * CROWDING;
     let arrival = match candidate.copy {
         CopyState::Ready => 0.0,
@@ -206,7 +221,7 @@
             LOAD + terms.copy_price.as_secs_f64() * (1.0 + away(place))
         }
     };
-    wait.max(arrival) + 0.2 * wait.min(arrival) + distance + pressure + crowding
+    wait.max(arrival) + 0.2 * wait.min(arrival) + distance + pressure + crowding + unknown
 }
 
 fn away(place: usize) -> f64 {
@@ -216,6 +231,10 @@
     }
 }
 
+fn batch_pressure(share: f64) -> f64 {
+    (share - PRESSED_BATCH).max(0.0) / (1.0 - PRESSED_BATCH) * BATCH_PRESSURE
+}
+
 fn pressure(share: f64) -> f64 {
     (share - PRESSED).max(0.0) / (1.0 - PRESSED) * PRESSURE
 }
--- a/tests/engine_desk.rs
+++ b/tests/engine_desk.rs
@@ -5,7 +5,9 @@
     coveproxy::{
         connection::datagram::{AdapterUsage, Placement, PlacementState, Usage, Want},
         formats::{HeldAdapter, HeldModel, OrderKind, OrderReply, TargetReport},
-        process::engines::{DeskAction, DeskOrder, EngineDesk, OrderPurpose},
+        process::engines::{
+            DeskAction, DeskOrder, EngineDesk, OrderPurpose, SharedLoadLimiter,
+        },
         version::routing::{BaseModel, EngineSpec},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
@@ -258,7 +260,7 @@
         Self {
             rng: StdRng::seed_from_u64(seed),
             now,
-            desk: EngineDesk::new("engine", spec(), now),
+            desk: EngineDesk::new("engine", spec(), SharedLoadLimiter::default(), now),
             engine: Engine::default(),
             due: Vec::new(),
             told: HashMap::new(),
