Hosts that ask at the same moment see one another's requests; taken samples are drawn again

Change: a query says how likely the request is to come, and counts as that for 40 ms; full engines are left out of the sample, and a sample that is all taken is drawn again twice.

--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -217,6 +217,14 @@
     /// Empty if only the load matters.
     #[prost(string, tag = "2")]
     pub adapter: String,
+    /// Chance that the request is sent there next, in hundredths.
+    #[prost(uint32, tag = "3")]
+    pub chance: u32,
+    /// Tokens of the request, and those of its prompt.
+    #[prost(uint32, tag = "4")]
+    pub tokens: u32,
+    #[prost(uint32, tag = "5")]
+    pub prompt_tokens: u32,
 }
 
 /// Answers a query.
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -5,7 +5,10 @@
         tries::{QueryRound, Tries},
     },
     crate::{
-        connection::targets::{ReadingSpeed, TargetBoard, TargetLink},
+        connection::{
+            datagram::EngineQuery,
+            targets::{ReadingSpeed, TargetBoard, TargetLink},
+        },
         request::direct::{
             CallRequest, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Patience,
             PlainCandidate, RequestTime, choose_engine, choose_plain, wait_or_refuse,
@@ -67,7 +70,9 @@
     Refuse(Duration),
     Nowhere,
     /// Wait for what holders tell of their engines, until this time at the most.
-    Look { until: Instant },
+    Look {
+        until: Instant,
+    },
 }
 
 /// Chooses the target of each send.
@@ -149,7 +154,7 @@
         now: Instant,
     ) -> Choice {
         let drawn = |board: &TargetBoard| sample_of_service(board, request);
-        let targets = match look_before_send(board, tries, "", drawn, now) {
+        let targets = match look_before_send(board, request, tries, drawn, now) {
             Ok(targets) => targets,
             Err(until) => return Choice::Look { until },
         };
@@ -188,8 +193,8 @@
         let least = newest.map_or(1, |newest| newest.version);
         let grace = newest
             .is_some_and(|newest| now.saturating_duration_since(newest.since) < OLD_VERSION_GRACE);
-        let drawn = |board: &TargetBoard| sample_for_adapter(board, request, adapter);
-        let targets = match look_before_send(board, tries, adapter, drawn, now) {
+        let drawn = |board: &TargetBoard| sample_for_adapter(board, request, adapter, now);
+        let targets = match look_before_send(board, request, tries, drawn, now) {
             Ok(targets) => targets,
             Err(until) => return Choice::Look { until },
         };
@@ -216,6 +221,10 @@
             now,
         };
         match choose_engine(&candidates, &terms) {
+            EngineChoice::Send { to, .. } if candidates[to].batch > 1.0 && tries.draws_again() => {
+                // All of the sample are taken: other engines may have room.
+                self.choose_for_adapter(board, request, tries, adapter, now)
+            }
             EngineChoice::Send { to, ask } => {
                 if let Some(ask) = ask {
                     ask_for(board, tries, adapter, &targets[ask], least, true, now);
@@ -351,6 +360,7 @@
     board: &TargetBoard,
     request: &CallRequest,
     adapter: &str,
+    now: Instant,
 ) -> Vec<Arc<str>> {
     let service = &request.service.name;
     if !board.asks_before_sends() {
@@ -358,13 +368,19 @@
     }
     let places = SETTLING_PLACES + board.adapters.known(adapter);
     let order = board.settle_order(service, adapter, places);
-    let state = |at: &usize| board.adapters.get(adapter, &order[*at]).map(|copy| copy.state);
+    let state = |at: &usize| {
+        board
+            .adapters
+            .get(adapter, &order[*at])
+            .map(|copy| copy.state)
+    };
     let all = 0..order.len();
     let (ready, others): (Vec<usize>, Vec<usize>) =
         all.partition(|at| state(at) == Some(CopyState::Ready));
     let (coming, mut open): (Vec<usize>, Vec<usize>) = others
         .into_iter()
         .partition(|at| state(at).is_some_and(is_coming));
+    open.retain(|at| !state(at).is_some_and(|state| is_full(state, now)));
     // Where it was lately it comes back much faster.
     open.sort_by_key(|at| state(at) != Some(CopyState::Remembered));
     open.truncate(QUERIED_OTHERS);
@@ -378,8 +394,8 @@
 /// since what was last heard is too old; `Err` gives the time until which their answers are awaited.
 fn look_before_send(
     board: &TargetBoard,
+    request: &CallRequest,
     tries: &mut Tries,
-    adapter: &str,
     draw: impl Fn(&TargetBoard) -> Vec<Arc<str>>,
     now: Instant,
 ) -> Result<Vec<Arc<str>>, Instant> {
@@ -399,8 +415,7 @@
         };
     }
     let targets = draw(board);
-    let asked = targets.iter().filter(|target| board.query(target, adapter));
-    if asked.count() == 0 {
+    if !query_all(board, request, &targets) {
         return Ok(targets);
     }
     tries.query = Some(QueryRound {
@@ -410,6 +425,42 @@
     Err(now + QUERY_WAIT)
 }
 
+/// Asks the holders of these engines how they stand; false if there is none to ask.
+fn query_all(
+    board: &TargetBoard,
+    request: &CallRequest,
+    targets: &[Arc<str>],
+) -> bool {
+    let generation = request.generation.as_ref();
+    let adapter = generation.and_then(|generation| generation.adapter());
+    let is_ready = |target: &Arc<str>| match adapter {
+        Some(adapter) => {
+            let copy = board.adapters.get(adapter, target);
+            copy.is_some_and(|copy| copy.state == CopyState::Ready)
+        }
+        None => true,
+    };
+    let ready = targets.iter().filter(|target| is_ready(target)).count();
+    let tokens = generation.map_or((0, 0), |generation| {
+        (generation.tokens_in, generation.tokens_out)
+    });
+    let mut asked = 0;
+    for target in targets {
+        let chance = match is_ready(target) {
+            true => 100 / ready.max(1) as u32,
+            false => 0,
+        };
+        asked += u32::from(board.query(EngineQuery {
+            target: target.to_string(),
+            adapter: adapter.unwrap_or_default().to_string(),
+            chance,
+            tokens: tokens.0.saturating_add(tokens.1),
+            prompt_tokens: tokens.0,
+        }));
+    }
+    asked > 0
+}
+
 /// Decides on a target; `counts` are the candidates and those of them that were ready.
 fn send_to(
     board: &TargetBoard,
@@ -503,6 +554,13 @@
     }
 }
 
+fn is_full(
+    copy: CopyState,
+    now: Instant,
+) -> bool {
+    matches!(copy, CopyState::Full { until } if until > now)
+}
+
 fn is_coming(copy: CopyState) -> bool {
     matches!(copy, CopyState::Coming { .. } | CopyState::Asked)
 }
--- a/src/connection/front/tries.rs
+++ b/src/connection/front/tries.rs
@@ -7,6 +7,9 @@
     std::{sync::Arc, time::Instant},
 };
 
+/// Samples of engines that are given up for one request, at the most.
+const MAX_TAKEN_SAMPLES: u32 = 2;
+
 /// What was tried for one request.
 #[derive(Default)]
 pub struct Tries {
@@ -18,6 +21,8 @@
     pub trace: RequestTrace,
     /// How engines stand was asked of their holders.
     pub query: Option<QueryRound>,
+    /// Samples of engines that were found taken.
+    taken_samples: u32,
 }
 
 /// Engines whose holders were asked how they stand.
@@ -46,6 +51,17 @@
         self.trace.add(step, now);
     }
 
+    /// Gives up the sample of engines that was asked; false if that was done too often, or if the
+    /// request was not restricted to a sample.
+    pub fn draws_again(&mut self) -> bool {
+        if self.query.is_none() || self.taken_samples >= MAX_TAKEN_SAMPLES {
+            return false;
+        }
+        self.query = None;
+        self.taken_samples += 1;
+        true
+    }
+
     /// True if this target is not to be tried again.
     pub fn has_tried(
         &self,
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -2,8 +2,8 @@
     super::{AdapterDemand, AdapterMap, FleetView, ReadingSpeed, RequestTokens, TargetLink},
     crate::{
         connection::datagram::{
-            AdapterUsage, EngineLoad, EngineQuery, EngineStanding, Placement, PlacementState, Usage,
-            Want,
+            AdapterUsage, EngineLoad, EngineQuery, EngineStanding, Placement, PlacementState,
+            Usage, Want,
         },
         request::direct::{CopyState, ResendWindow},
         version::routing::RoutingTable,
@@ -118,17 +118,12 @@
     /// Asks the holder of an engine how it stands; false if it has none.
     pub fn query(
         &self,
-        target: &str,
-        adapter: &str,
+        query: EngineQuery,
     ) -> bool {
-        let holder = self.links.get(target).and_then(|link| link.view.holder);
-        let Some(holder) = holder else {
+        let link = self.links.get(query.target.as_str());
+        let Some(holder) = link.and_then(|link| link.view.holder) else {
             return false;
         };
-        let query = EngineQuery {
-            target: target.to_string(),
-            adapter: adapter.to_string(),
-        };
         let _ = self.control.send(ControlRequest::Query { holder, query });
         true
     }
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -4,7 +4,7 @@
         load_limiter::LOAD_TIME,
     },
     crate::{
-        connection::datagram::{Placement, PlacementState, Usage, Want},
+        connection::datagram::{EngineQuery, Placement, PlacementState, Usage, Want},
         formats::{OrderKind, OrderReply, TargetReport},
         version::routing::EngineSpec,
     },
@@ -274,9 +274,11 @@
     pub fn on_query(
         &mut self,
         host: SocketAddr,
-        adapter: &str,
+        query: &EngineQuery,
         now: Instant,
     ) -> Option<Placement> {
+        self.usage.on_query(host, query, now);
+        let adapter = query.adapter.as_str();
         if adapter.is_empty() {
             return None;
         }
--- a/src/process/engines/engine_use.rs
+++ b/src/process/engines/engine_use.rs
@@ -1,8 +1,26 @@
 use {
-    crate::connection::datagram::Usage,
-    std::{collections::BTreeMap, net::SocketAddr},
+    crate::connection::datagram::{EngineQuery, Usage},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
+/// A host that asked how an engine stands has sent its request there by then, or elsewhere.
+const EXPECTED_FOR: Duration = Duration::from_millis(40);
+
+/// A request that may be sent to an engine in a moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct ExpectedSend {
+    host: SocketAddr,
+    asked: Instant,
+    /// From 0 to 1.
+    chance: f64,
+    tokens: u32,
+    prompt_tokens: u32,
+}
+
 /// Requests that run at an engine, and their tokens.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct UseSum {
@@ -16,6 +34,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct EngineUse {
     by_host: BTreeMap<SocketAddr, UseSum>,
+    expected: Vec<ExpectedSend>,
 }
 
 impl EngineUse {
@@ -31,6 +50,48 @@
             unread_tokens: usage.unread_tokens,
         };
         self.by_host.insert(host, sum);
+        // What it asked for has been sent by now, here or elsewhere.
+        self.expected.retain(|send| send.host != host);
+    }
+
+    /// A host asks how the engine stands, and may send a request in a moment. Hosts that ask at the
+    /// same time would else all find the engine as free as it was for the first of them.
+    pub fn on_query(
+        &mut self,
+        host: SocketAddr,
+        query: &EngineQuery,
+        now: Instant,
+    ) {
+        self.expected
+            .retain(|send| now.saturating_duration_since(send.asked) < EXPECTED_FOR);
+        if query.chance > 0 {
+            self.expected.push(ExpectedSend {
+                host,
+                asked: now,
+                chance: f64::from(query.chance.min(100)) / 100.0,
+                tokens: query.tokens,
+                prompt_tokens: query.prompt_tokens,
+            });
+        }
+    }
+
+    /// What other hosts may send in a moment, in the mean.
+    fn expected_of_others(
+        &self,
+        host: SocketAddr,
+    ) -> UseSum {
+        let others = self.expected.iter().filter(|send| send.host != host);
+        let (mut sends, mut tokens, mut prompt_tokens) = (0.0, 0.0, 0.0);
+        for send in others {
+            sends += send.chance;
+            tokens += send.chance * f64::from(send.tokens);
+            prompt_tokens += send.chance * f64::from(send.prompt_tokens);
+        }
+        UseSum {
+            in_flight: sends.round() as u32,
+            tokens: tokens.round() as u32,
+            unread_tokens: prompt_tokens.round() as u32,
+        }
     }
 
     /// A host is gone, and its requests with it.
@@ -39,6 +100,7 @@
         host: SocketAddr,
     ) {
         self.by_host.remove(&host);
+        self.expected.retain(|send| send.host != host);
     }
 
     /// Hosts that have sent something.
@@ -46,13 +108,13 @@
         self.by_host.keys().copied()
     }
 
-    /// What all hosts but one send.
+    /// What all hosts but one send, and may send in a moment.
     pub fn of_others(
         &self,
         host: SocketAddr,
     ) -> UseSum {
         let others = self.by_host.iter().filter(|(other, _)| **other != host);
-        others.fold(UseSum::default(), |sum, (_, of_host)| UseSum {
+        others.fold(self.expected_of_others(host), |sum, (_, of_host)| UseSum {
             in_flight: sum.in_flight + of_host.in_flight,
             tokens: sum.tokens.saturating_add(of_host.tokens),
             unread_tokens: sum.unread_tokens.saturating_add(of_host.unread_tokens),
--- a/src/process/engines/load_limiter.rs
+++ b/src/process/engines/load_limiter.rs
@@ -1,9 +1,4 @@
-use std::{
-    cell::RefCell,
-    collections::BTreeMap,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 /// Time that an adapter takes from the weight store when few come at once.
 pub const LOAD_TIME: Duration = Duration::from_millis(252);
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -74,7 +74,10 @@
             .map(|(target, desk)| (target, desk.first_waiting()))
             .collect();
         desks.sort_by_key(|(_, first)| (first.is_none(), *first));
-        desks.into_iter().map(|(target, _)| target.clone()).collect()
+        desks
+            .into_iter()
+            .map(|(target, _)| target.clone())
+            .collect()
     }
 
     /// Lets a desk decide, and carries its decisions on.
@@ -152,9 +155,10 @@
     ) -> Option<ControlAction> {
         self.holding.may_order(&query.target, now)?;
         let desk = self.desks.get_mut(&query.target)?;
+        let placement = desk.on_query(from, query, now);
         let standing = EngineStanding {
             load: load_for(&query.target, desk, from),
-            placement: desk.on_query(from, &query.adapter, now),
+            placement,
         };
         Some(self.send(from, Message::EngineStanding(standing)))
     }
@@ -301,7 +305,10 @@
         let takers = self.takers(engines.len(), now);
         let hosts = &self.hosts;
         let up = hosts.hosts().filter(|host| host.state.is_up());
-        let claimed: BTreeSet<&str> = up.flat_map(|host| &host.holds).map(String::as_str).collect();
+        let claimed: BTreeSet<&str> = up
+            .flat_map(|host| &host.holds)
+            .map(String::as_str)
+            .collect();
         let lease_of = |peer| {
             hosts.get(peer).map(|host| KnownLease {
                 version: host.lease_version,
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -2,7 +2,14 @@
 
 use {
     coveproxy::{
-        errors::RequestError, process::node::ALL_METRICS, request::RefusalCode, timeline::Event,
+        errors::RequestError,
+        metrics::{
+            CallLabels, CopyLabels, KindLabels, OrderLabels, OutcomeLabels, StateLabels,
+            WaitLabels, metrics,
+        },
+        process::node::ALL_METRICS,
+        request::RefusalCode,
+        timeline::Event,
     },
     std::collections::BTreeSet,
 };
@@ -59,6 +66,60 @@
     assert_eq!(described, coded);
 }
 
+/// A figure with labels stands on the page once it has been counted for the first time.
+fn touch_all() {
+    let metrics = metrics();
+    let state = StateLabels { state: "test" };
+    let kind = KindLabels { kind: "test" };
+    let cause = WaitLabels { cause: "test" };
+    let outcome = OutcomeLabels {
+        kind: "test",
+        outcome: "test",
+    };
+    let call = CallLabels {
+        call: "test",
+        result: "test",
+    };
+    let order = OrderLabels {
+        order: "test",
+        reply: "test",
+    };
+    drop(metrics.requests.get_or_create(&outcome));
+    drop(metrics.first_event.get_or_create(&kind));
+    drop(metrics.waits.get_or_create(&cause));
+    drop(metrics.resends.get_or_create(&cause));
+    drop(metrics.store_calls.get_or_create(&call));
+    drop(metrics.orders.get_or_create(&order));
+    drop(metrics.hosts.get_or_create(&state));
+    drop(metrics.targets.get_or_create(&state));
+    drop(
+        metrics
+            .copy_age
+            .get_or_create(&CopyLabels { table: "test" }),
+    );
+    drop(metrics.datagrams.get_or_create(&state));
+    drop(metrics.connections.get_or_create(&state));
+    drop(metrics.lines_lost.get_or_create(&state));
+}
+
+#[test]
+fn every_figure_of_the_metrics_page_is_in_the_catalogue_and_no_other() {
+    let described: BTreeSet<String> = rows(&page("METRICS.md"))
+        .into_iter()
+        .filter(|row| row[0].starts_with("coveproxy_"))
+        .map(|row| row[0].clone())
+        .collect();
+    touch_all();
+    let served = metrics().page();
+    let coded: BTreeSet<String> = served
+        .lines()
+        .filter_map(|line| line.strip_prefix("# HELP "))
+        .filter_map(|line| line.split(' ').next())
+        .map(str::to_string)
+        .collect();
+    assert_eq!(described, coded);
+}
+
 #[test]
 fn every_error_code_is_in_the_catalogue_with_its_status() {
     let described: BTreeSet<(String, String)> = rows(&page("CALLERS.md"))
--- a/tests/engine_desk.rs
+++ b/tests/engine_desk.rs
@@ -5,9 +5,7 @@
     coveproxy::{
         connection::datagram::{AdapterUsage, Placement, PlacementState, Usage, Want},
         formats::{HeldAdapter, HeldModel, OrderKind, OrderReply, TargetReport},
-        process::engines::{
-            DeskAction, DeskOrder, EngineDesk, OrderPurpose, SharedLoadLimiter,
-        },
+        process::engines::{DeskAction, DeskOrder, EngineDesk, OrderPurpose, SharedLoadLimiter},
         version::routing::{BaseModel, EngineSpec},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
