--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -166,6 +166,7 @@
         let terms = ChoiceTerms {
             copy_price: Duration::ZERO,
             aim_left: request.aim().saturating_duration_since(now),
+            priority: request.route.priority,
             now,
         };
         match choose_engine(&candidates, &terms) {
@@ -218,6 +219,7 @@
         let terms = ChoiceTerms {
             copy_price: copy_price(board, adapter, now),
             aim_left: request.aim().saturating_duration_since(now),
+            priority: request.route.priority,
             now,
         };
         match choose_engine(&candidates, &terms) {
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -32,8 +32,12 @@
 /// A load that is not over after so long is looked up in the engine's report.
 const LOAD_OVERDUE: Duration = Duration::from_millis(1500);
 
-/// An adapter is dropped only if nobody has used it for so long; hosts tell of use with a delay.
-const IDLE: Duration = Duration::from_millis(900);
+/// An adapter is dropped only if nobody has used it for this time, for each place of its engine: hosts
+/// tell of use with a delay, and where places are few each is needed sooner.
+const IDLE_PER_PLACE: Duration = Duration::from_millis(43);
+
+/// No adapter is dropped that was used less long ago than this.
+const LEAST_IDLE: Duration = Duration::from_millis(400);
 
 /// An adapter that a host has asked about is not dropped for so long: a request may be on its way.
 const QUERY_GUARD: Duration = Duration::from_millis(150);
@@ -282,9 +286,9 @@
         if adapter.is_empty() {
             return None;
         }
+        let guarded = now.checked_sub(self.idle_time().saturating_sub(QUERY_GUARD));
         if let Some(place) = self.places.get_mut(adapter) {
             place.interested.insert(host);
-            let guarded = now.checked_sub(IDLE.saturating_sub(QUERY_GUARD));
             place.last_used = place.last_used.max(guarded.unwrap_or(place.last_used));
             return Some(self.placement(adapter, now));
         }
@@ -849,7 +853,7 @@
     ) -> Option<String> {
         self.places
             .iter()
-            .filter(|(_, place)| is_idle(place, now))
+            .filter(|(_, place)| self.is_idle(place, now))
             .min_by(|(_, a), (_, b)| {
                 let uses = a.recent_uses(now).total_cmp(&b.recent_uses(now));
                 uses.then(a.last_used.cmp(&b.last_used))
@@ -865,11 +869,26 @@
             .iter()
             .find(|(adapter, place)| {
                 let newest = self.newest.get(*adapter).copied().unwrap_or_default();
-                place.version < newest && is_idle(place, now)
+                place.version < newest && self.is_idle(place, now)
             })
             .map(|(adapter, _)| adapter.clone())
     }
 
+    fn idle_time(&self) -> Duration {
+        let places = u32::try_from(self.spec.adapter_slots).unwrap_or(u32::MAX);
+        IDLE_PER_PLACE.saturating_mul(places).max(LEAST_IDLE)
+    }
+
+    fn is_idle(
+        &self,
+        place: &AdapterPlace,
+        now: Instant,
+    ) -> bool {
+        place.state == PlaceState::Held
+            && place.in_flight() == 0
+            && now.saturating_duration_since(place.last_used) >= self.idle_time()
+    }
+
     fn wanted_version(
         &self,
         want: &Want,
@@ -999,15 +1018,6 @@
     }
 }
 
-fn is_idle(
-    place: &AdapterPlace,
-    now: Instant,
-) -> bool {
-    place.state == PlaceState::Held
-        && place.in_flight() == 0
-        && now.saturating_duration_since(place.last_used) >= IDLE
-}
-
 /// `MODEL/NAME`, as requests name an adapter.
 fn key(
     model: &str,
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -67,6 +67,8 @@
     pub copy_price: Duration,
     /// Time that is left until the answer is late.
     pub aim_left: Duration,
+    /// Rank of the request, 0 first; engines admit urgent ones ahead of others.
+    pub priority: u8,
     pub now: Instant,
 }
 
@@ -104,7 +106,10 @@
 /// A batch that is taken beyond this share makes an engine slower: further requests wait for a place.
 const PRESSED_BATCH: f64 = 0.9;
 
-/// Slowness of an engine whose batch is wholly taken, in seconds.
+/// Requests of this rank and those behind it wait for a place as long as any.
+const LEAST_URGENT: u8 = 2;
+
+/// Slowness of an engine whose batch is wholly taken for the least urgent requests, in seconds.
 const BATCH_PRESSURE: f64 = 1.0;
 
 /// Slowness that is assumed where the load is not known, in seconds.
@@ -206,7 +211,7 @@
         true => 0.0,
         false => DISTANCE,
     };
-    let pressure = pressure(candidate.memory) + batch_pressure(candidate.batch);
+    let pressure = pressure(candidate.memory) + batch_pressure(candidate.batch, terms.priority);
     let unknown = match candidate.unknown {
         true => UNKNOWN,
         false => 0.0,
@@ -231,8 +236,13 @@
     }
 }
 
-fn batch_pressure(share: f64) -> f64 {
-    (share - PRESSED_BATCH).max(0.0) / (1.0 - PRESSED_BATCH) * BATCH_PRESSURE
+/// Urgent requests get the next place that is free, so a full batch holds them up less.
+fn batch_pressure(
+    share: f64,
+    priority: u8,
+) -> f64 {
+    let rank = f64::from(priority.min(LEAST_URGENT) + 1) / f64::from(LEAST_URGENT + 1);
+    rank * (share - PRESSED_BATCH).max(0.0) / (1.0 - PRESSED_BATCH) * BATCH_PRESSURE
 }
 
 fn pressure(share: f64) -> f64 {
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -178,6 +178,7 @@
     ChoiceTerms {
         copy_price: ms(price_ms),
         aim_left: ms(800),
+        priority: 2,
         now,
     }
 }
