--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -57,6 +57,20 @@
 /// Pause before a report is asked for again that did not come.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
 
+/// Requests of this rank and those behind it are the least urgent.
+const LEAST_URGENT: u32 = 2;
+
+/// An adapter waits so much longer for each rank of urgency that its requests lack.
+const RANK_HANDICAP: Duration = Duration::from_millis(100);
+
+/// Each further request that waits for an adapter counts as if the first had come so much earlier.
+const WAITING_START: Duration = Duration::from_millis(50);
+
+/// Further requests that count for one adapter, at the most.
+const MOST_WAITING: u32 = 8;
+
+const MOST_START: Duration = Duration::from_millis(400);
+
 /// Pause before a base model is ordered again.
 const MODEL_RETRY: Duration = Duration::from_secs(2);
 
@@ -114,7 +128,30 @@
     spare: bool,
     priority: u32,
     since: Instant,
-    hosts: Vec<SocketAddr>,
+    /// Requests that wait at each host.
+    waiting: BTreeMap<SocketAddr, u32>,
+}
+
+impl Wish {
+    /// The first in this order is loaded first: by age, with a start for urgent requests and for
+    /// adapters that many requests wait for.
+    fn rank(&self) -> WishRank {
+        let requests: u32 = self.waiting.values().sum();
+        let others = requests.saturating_sub(1).min(MOST_WAITING);
+        let handicap = RANK_HANDICAP * self.priority.min(LEAST_URGENT);
+        let start = WAITING_START * others;
+        WishRank {
+            spare: self.spare,
+            due: self.since + MOST_START + handicap - start,
+        }
+    }
+}
+
+/// Place of a wish among those of all engines of this host, the first to be loaded first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WishRank {
+    spare: bool,
+    due: Instant,
 }
 
 /// Decides the orders to one engine: one at a time, each bound to the number of orders before it.
@@ -195,10 +232,9 @@
         &self.usage
     }
 
-    /// The most urgent of the adapters that wait here to be ordered, and since when it waits.
-    pub fn first_waiting(&self) -> Option<(u32, Instant)> {
-        let wishes = self.wishes.values().filter(|wish| !wish.spare);
-        wishes.map(|wish| (wish.priority, wish.since)).min()
+    /// The first of the adapters that wait here to be ordered.
+    pub fn first_waiting(&self) -> Option<WishRank> {
+        self.wishes.values().map(Wish::rank).min()
     }
 
     /// When the desk has something to decide without being told anything.
@@ -562,14 +598,12 @@
             spare: want.spare,
             priority: want.priority,
             since: now,
-            hosts: Vec::new(),
+            waiting: BTreeMap::new(),
         });
         wish.version = wish.version.max(version);
         wish.priority = wish.priority.min(want.priority);
         wish.spare &= want.spare;
-        if !wish.hosts.contains(&host) {
-            wish.hosts.push(host);
-        }
+        wish.waiting.insert(host, want.waiting.max(1));
         let mut actions = self.next_orders(now);
         if self.wishes.contains_key(&want.adapter) {
             // It waits for other orders, or for a place.
@@ -779,7 +813,7 @@
                 Some(place) => place.in_flight() == 0 && place.state == PlaceState::Held,
                 None => free > 0,
             })
-            .min_by_key(|(_, wish)| (wish.spare, wish.priority, wish.since))
+            .min_by_key(|(_, wish)| wish.rank())
             .map(|(adapter, _)| adapter.clone())?;
         let name = name_of(&next, model)?.to_string();
         let wish = self.wishes.remove(&next)?;
@@ -791,7 +825,7 @@
             },
             now,
         );
-        place.interested.extend(wish.hosts);
+        place.interested.extend(wish.waiting.into_keys());
         place.from_store = !self.memory.contains(&next, wish.version);
         let reason = match !place.from_store {
             true => "held_lately",
--- a/src/process/engines/load_limiter.rs
+++ b/src/process/engines/load_limiter.rs
@@ -9,6 +9,9 @@
 /// Loads at once that a host begins with.
 const FIRST_WINDOW: f64 = 2.0;
 
+/// Loads at once that a host allows at the least; a share of a load counts as a whole one.
+const LEAST_WINDOW: f64 = 1.5;
+
 /// Loads at once that a host allows at the most.
 const MOST_WINDOW: f64 = 16.0;
 
@@ -92,7 +95,7 @@
 
     /// True if the weight store has too much to do for spare copies.
     pub fn is_busy(&self) -> bool {
-        self.load_time > STORE_BUSY || self.waiting() as f64 >= self.window
+        self.load_time > STORE_BUSY
     }
 
     /// Time that a load takes at present.
@@ -116,7 +119,7 @@
         self.load_time = old + time.mul_f64(LOAD_TIME_WEIGHT);
         self.window = match time < LOAD_TIME.mul_f64(UNCROWDED) {
             true => (self.window + WINDOW_STEP / self.window).min(MOST_WINDOW),
-            false => (self.window * WINDOW_CUT).max(1.0),
+            false => (self.window * WINDOW_CUT).max(LEAST_WINDOW),
         };
     }
 
--- a/src/process/engines/mod.rs
+++ b/src/process/engines/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     adapter_place::{AdapterPlace, PlaceState},
-    engine_desk::{DeskAction, DeskOrder, EngineDesk, OrderPurpose},
+    engine_desk::{DeskAction, DeskOrder, EngineDesk, OrderPurpose, WishRank},
     engine_use::{EngineUse, UseSum},
     load_limiter::{EngineLoads, LoadLimiter, SharedLoadLimiter},
     load_memory::LoadMemory,
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -13,7 +13,7 @@
         metrics::metrics,
         note,
         process::{
-            engines::{DeskAction, DeskOrder, EngineDesk, OrderPurpose},
+            engines::{DeskAction, DeskOrder, EngineDesk, OrderPurpose, WishRank},
             holding::{HoldingAction, HostRow, KnownLease},
             ownership::rank,
         },
@@ -68,7 +68,7 @@
     /// The engines held here, those for which the most urgent adapters wait first: all share what may
     /// be loaded at once.
     fn desks_by_urgency(&self) -> Vec<String> {
-        let mut desks: Vec<(&String, Option<(u32, Instant)>)> = self
+        let mut desks: Vec<(&String, Option<WishRank>)> = self
             .desks
             .iter()
             .map(|(target, desk)| (target, desk.first_waiting()))
