An adapter that has just come is in use: those who waited for it send now

Ruled out: the idle time itself (430 ms is more than twice the period of reports). Change: the end of a load counts as use.

--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -37,7 +37,7 @@
 const IDLE_PER_PLACE: Duration = Duration::from_millis(43);
 
 /// No adapter is dropped that was used less long ago than this.
-const LEAST_IDLE: Duration = Duration::from_millis(400);
+const LEAST_IDLE: Duration = Duration::from_millis(430);
 
 /// An adapter that a host has asked about is not dropped for so long: a request may be on its way.
 const QUERY_GUARD: Duration = Duration::from_millis(150);
@@ -475,6 +475,8 @@
             let passed = now.saturating_duration_since(since);
             if reply == OrderReply::Done {
                 place.state = PlaceState::Held;
+                // Those who waited for it send their requests now.
+                place.last_used = now;
                 self.note_load_time(passed);
                 actions.push(DeskAction::LoadOver {
                     adapter: adapter.clone(),
