The desk of an engine in four files by job

Change: orders (desk_order), what waits (load_wish), the choice of the next order (desk_choice), what orders and reports have brought (desk_outcomes); nothing else is changed.

--- /dev/null
+++ b/src/process/engines/desk_choice.rs
@@ -0,0 +1,234 @@
+//! The desk's part that chooses the next order.
+
+use {
+    super::{
+        AdapterPlace, DeskOrder, EngineDesk, OrderPurpose, PlaceState,
+        engine_desk::{MAX_COMING, key, name_of},
+        load_limiter::LOAD_TIME,
+    },
+    crate::formats::OrderKind,
+    std::time::{Duration, Instant},
+};
+
+/// An adapter is dropped only if nobody has used it for this time, for each place of its engine: hosts
+/// tell of use with a delay, and where places are few each is needed sooner.
+const IDLE_PER_PLACE: Duration = Duration::from_millis(43);
+
+/// No adapter is dropped that was used less long ago than this.
+const LEAST_IDLE: Duration = Duration::from_millis(430);
+
+/// Places that are kept free, so that a load needs not wait for a drop.
+const FREE_PLACES: usize = 1;
+
+/// Pause before a base model is ordered again.
+const MODEL_RETRY: Duration = Duration::from_secs(2);
+
+impl EngineDesk {
+    pub(super) fn choose(
+        &mut self,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<DeskOrder> {
+        let Some(model) = self.model.clone() else {
+            return self.choose_model(sequence, now);
+        };
+        if let Some(order) = self.choose_look(&model, sequence, now) {
+            return Some(order);
+        }
+        if let Some(order) = self.choose_load(&model, sequence, now) {
+            return Some(order);
+        }
+        self.choose_drop(&model, sequence, now)
+    }
+
+    /// An empty engine gets the first base model that fits.
+    pub(super) fn choose_model(
+        &mut self,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<DeskOrder> {
+        if now < self.model_not_before {
+            return None;
+        }
+        self.model_not_before = now + MODEL_RETRY;
+        let fits = self
+            .spec
+            .models
+            .iter()
+            .find(|model| model.weights_mb <= self.spec.weights_mb)?;
+        Some(DeskOrder {
+            purpose: OrderPurpose::Change,
+            kind: OrderKind::Load,
+            model: fits.name.clone(),
+            adapter: None,
+            version: None,
+            expected_sequence: sequence,
+            reason: "empty",
+            tries: 1,
+        })
+    }
+
+    /// The load that should be over by now.
+    pub(super) fn choose_look(
+        &self,
+        model: &str,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<DeskOrder> {
+        let due = |place: &AdapterPlace| match place.state {
+            PlaceState::Coming { due, .. } if due <= now => Some(due),
+            _ => None,
+        };
+        let (adapter, place, _) = self
+            .places
+            .iter()
+            .filter_map(|(adapter, place)| Some((adapter, place, due(place)?)))
+            .min_by_key(|(_, _, due)| *due)?;
+        Some(DeskOrder {
+            purpose: OrderPurpose::Look,
+            kind: OrderKind::Load,
+            model: model.to_string(),
+            adapter: Some(name_of(adapter, model)?.to_string()),
+            version: Some(place.version),
+            expected_sequence: sequence,
+            reason: "look",
+            tries: 1,
+        })
+    }
+
+    /// The most urgent wish for which there is a place.
+    pub(super) fn choose_load(
+        &mut self,
+        model: &str,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<DeskOrder> {
+        let coming = self
+            .places
+            .values()
+            .filter(|place| matches!(place.state, PlaceState::Coming { .. }))
+            .count();
+        if coming + usize::from(self.unsettled.is_some()) >= MAX_COMING {
+            return None;
+        }
+        let free = self.free_places();
+        let crowded = !self.limiter.borrow().has_room();
+        let next = self
+            .wishes
+            .iter()
+            .filter(|(adapter, _)| name_of(adapter, model).is_some())
+            .filter(|(adapter, wish)| !crowded || self.memory.contains(adapter, wish.version))
+            .filter(|(adapter, _)| match self.places.get(*adapter) {
+                Some(place) => place.in_flight() == 0 && place.state == PlaceState::Held,
+                None => free > 0,
+            })
+            .min_by_key(|(_, wish)| wish.rank())
+            .map(|(adapter, _)| adapter.clone())?;
+        let name = name_of(&next, model)?.to_string();
+        let wish = self.wishes.remove(&next)?;
+        let mut place = AdapterPlace::new(
+            wish.version,
+            PlaceState::Coming {
+                since: now,
+                due: now + LOAD_TIME,
+            },
+            now,
+        );
+        place.interested.extend(wish.waiting.into_keys());
+        place.from_store = !self.memory.contains(&next, wish.version);
+        let reason = match !place.from_store {
+            true => "held_lately",
+            false if wish.spare => "spare",
+            false => "missing",
+        };
+        self.places.insert(next, place);
+        Some(DeskOrder {
+            purpose: OrderPurpose::Change,
+            kind: OrderKind::Load,
+            model: model.to_string(),
+            adapter: Some(name),
+            version: Some(wish.version),
+            expected_sequence: sequence,
+            reason,
+            tries: 1,
+        })
+    }
+
+    /// Drops what is least used when places run short, and old versions when they are idle.
+    pub(super) fn choose_drop(
+        &mut self,
+        model: &str,
+        sequence: u64,
+        now: Instant,
+    ) -> Option<DeskOrder> {
+        let short = self.free_places() < FREE_PLACES + self.wishes.len().min(MAX_COMING);
+        let (victim, reason) = match self.stale_and_idle(now) {
+            Some(stale) => (stale, "old_version"),
+            None if short => (self.victim(now)?, "room"),
+            None => return None,
+        };
+        let name = name_of(&victim, model)?.to_string();
+        self.places.get_mut(&victim)?.state = PlaceState::Going;
+        Some(DeskOrder {
+            purpose: OrderPurpose::Change,
+            kind: OrderKind::Unload,
+            model: model.to_string(),
+            adapter: Some(name),
+            version: None,
+            expected_sequence: sequence,
+            reason,
+            tries: 1,
+        })
+    }
+
+    pub(super) fn free_places(&self) -> usize {
+        let unsettled = usize::from(self.unsettled.as_ref().is_some_and(|order| {
+            let adapter = order.adapter.as_deref().unwrap_or_default();
+            order.kind == OrderKind::Load && !self.places.contains_key(&key(&order.model, adapter))
+        }));
+        self.room.saturating_sub(self.places.len() + unsettled)
+    }
+
+    /// The idle adapter that was used least.
+    pub(super) fn victim(
+        &self,
+        now: Instant,
+    ) -> Option<String> {
+        self.places
+            .iter()
+            .filter(|(_, place)| self.is_idle(place, now))
+            .min_by(|(_, a), (_, b)| {
+                let uses = a.recent_uses(now).total_cmp(&b.recent_uses(now));
+                uses.then(a.last_used.cmp(&b.last_used))
+            })
+            .map(|(adapter, _)| adapter.clone())
+    }
+
+    pub(super) fn stale_and_idle(
+        &self,
+        now: Instant,
+    ) -> Option<String> {
+        self.places
+            .iter()
+            .find(|(adapter, place)| {
+                let newest = self.newest.get(*adapter).copied().unwrap_or_default();
+                place.version < newest && self.is_idle(place, now)
+            })
+            .map(|(adapter, _)| adapter.clone())
+    }
+
+    pub(super) fn idle_time(&self) -> Duration {
+        let places = u32::try_from(self.spec.adapter_slots).unwrap_or(u32::MAX);
+        IDLE_PER_PLACE.saturating_mul(places).max(LEAST_IDLE)
+    }
+
+    pub(super) fn is_idle(
+        &self,
+        place: &AdapterPlace,
+        now: Instant,
+    ) -> bool {
+        place.state == PlaceState::Held
+            && place.in_flight() == 0
+            && now.saturating_duration_since(place.last_used) >= self.idle_time()
+    }
+}
--- /dev/null
+++ b/src/process/engines/load_wish.rs
@@ -0,0 +1,53 @@
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+/// Requests of this rank and those behind it are the least urgent.
+const LEAST_URGENT: u32 = 2;
+
+/// An adapter waits so much longer for each rank of urgency that its requests lack.
+const RANK_HANDICAP: Duration = Duration::from_millis(100);
+
+/// Each further request that waits for an adapter counts as if the first had come so much earlier.
+const WAITING_START: Duration = Duration::from_millis(50);
+
+/// Further requests that count for one adapter, at the most.
+const MOST_WAITING: u32 = 8;
+
+const MOST_START: Duration = Duration::from_millis(400);
+
+/// An adapter that somebody waits for and that is not ordered yet.
+#[derive(Debug, Clone)]
+pub(super) struct Wish {
+    pub version: u64,
+    /// There is a copy elsewhere.
+    pub spare: bool,
+    pub priority: u32,
+    pub since: Instant,
+    /// Requests that wait at each host.
+    pub waiting: BTreeMap<SocketAddr, u32>,
+}
+
+impl Wish {
+    /// The first in this order is loaded first: by age, with a start for urgent requests and for
+    /// adapters that many requests wait for.
+    pub fn rank(&self) -> WishRank {
+        let requests: u32 = self.waiting.values().sum();
+        let others = requests.saturating_sub(1).min(MOST_WAITING);
+        let handicap = RANK_HANDICAP * self.priority.min(LEAST_URGENT);
+        let start = WAITING_START * others;
+        WishRank {
+            spare: self.spare,
+            due: self.since + MOST_START + handicap - start,
+        }
+    }
+}
+
+/// Place of a wish among those of all engines of this host, the first to be loaded first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WishRank {
+    spare: bool,
+    due: Instant,
+}
--- a/src/process/engines/mod.rs
+++ b/src/process/engines/mod.rs
@@ -1,15 +1,21 @@
 //! The engines that this host gives orders to: what each holds, and what comes and goes next.
 
 mod adapter_place;
+mod desk_choice;
+mod desk_order;
+mod desk_outcomes;
 mod engine_desk;
 mod engine_use;
 mod load_limiter;
 mod load_memory;
+mod load_wish;
 
 pub use {
     adapter_place::{AdapterPlace, PlaceState},
-    engine_desk::{DeskAction, DeskOrder, EngineDesk, OrderPurpose, WishRank},
+    desk_order::{DeskAction, DeskOrder, OrderPurpose},
+    engine_desk::EngineDesk,
     engine_use::{EngineUse, UseSum},
     load_limiter::{EngineLoads, LoadLimiter, SharedLoadLimiter},
     load_memory::LoadMemory,
+    load_wish::WishRank,
 };
