--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -3,6 +3,7 @@
 mod answer_body;
 mod chooser;
 mod dispatcher;
+mod engine_sample;
 mod event_splitter;
 mod exchange;
 mod front_listener;
