Headers that only coveproxy may set are dropped when a caller sends them

Cause: holds, pins, backups and memory of other runs are set by headers that went on to workers as the caller sent them. Workers turn such requests away wherever they go, so each one cost loads, sends and trust at engine after engine. Ruled out: dropping them by one common prefix; two of the five have none. Change: the platform folder names the reserved headers; the reader of requests drops them in any letter case, repeated or named by Connection. Headers that a request rests on (id, model, counts, parts, hint, last event) go on even if the caller lists them as headers of its connection.

--- a/src/connection/front/request_reader.rs
+++ b/src/connection/front/request_reader.rs
@@ -157,17 +157,11 @@
     text(headers, name)?.trim().parse().ok()
 }
 
-/// Headers that go on to the target; those that this host sets itself are left out.
+/// Headers that go on to the target; those that only hosts may set are left out.
 fn passed_headers(
     headers: &HeaderMap,
     names: &HeaderNames,
 ) -> HeaderMap {
-    let own = [
-        &names.deadline_ms,
-        &names.expect_target,
-        &names.expect_version,
-        &names.priority,
-    ];
     let named_by_connection: Vec<&str> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -178,11 +172,10 @@
     headers
         .iter()
         .filter(|(name, _)| !HOP_BY_HOP.contains(name) && name.as_str() != KEEP_ALIVE)
-        .filter(|(name, _)| !own.contains(name))
+        .filter(|(name, _)| !names.is_set_by_hosts(name))
         .filter(|(name, _)| {
-            !named_by_connection
-                .iter()
-                .any(|named| named.eq_ignore_ascii_case(name.as_str()))
+            let named = |named: &&str| named.eq_ignore_ascii_case(name.as_str());
+            names.is_of_request(name) || !named_by_connection.iter().any(named)
         })
         .map(|(name, value)| (name.clone(), value.clone()))
         .collect()
--- a/src/formats/header_names.rs
+++ b/src/formats/header_names.rs
@@ -25,4 +25,40 @@
     pub not_run: HeaderName,
     /// Last event of a stream that its receiver has.
     pub last_event_id: HeaderName,
+    /// Headers by which a request would use memory, places or copies that engines keep for another
+    /// one. Only coveproxy may set them: a caller's are dropped.
+    pub reserved: Vec<HeaderName>,
+}
+
+impl HeaderNames {
+    /// True for headers that coveproxy sets itself, or that no caller may set.
+    pub fn is_set_by_hosts(
+        &self,
+        name: &HeaderName,
+    ) -> bool {
+        let own = [
+            &self.deadline_ms,
+            &self.expect_target,
+            &self.expect_version,
+            &self.priority,
+        ];
+        own.contains(&name) || self.reserved.contains(name)
+    }
+
+    /// True for headers without which a request would be another one; they go on even if the caller
+    /// lists them as headers of its connection.
+    pub fn is_of_request(
+        &self,
+        name: &HeaderName,
+    ) -> bool {
+        let own = [
+            &self.request_id,
+            &self.model,
+            &self.token_counts,
+            &self.prompt_parts,
+            &self.length_hint,
+            &self.last_event_id,
+        ];
+        own.contains(&name)
+    }
 }
