coveproxy explain and coveproxy report: a request's story, and where worth went, from hosts' lines

Change: src/report reads the lines back. explain puts a request's own steps and what other hosts did to its targets and its adapter in order (clocks set by facts that all hosts note at the same moment) and names the cause of its end. report counts causes by route and by span of time, and loads by reason beside the least that could have been (what is asked for again last makes way, all engines taken for one). A plot is not built.

--- /dev/null
+++ b/src/cli/report_command.rs
@@ -0,0 +1,104 @@
+use {
+    super::{
+        log_files::{files_argument, json_argument, lines_of},
+        output::print,
+    },
+    crate::{
+        errors::RunError,
+        report::{AdapterLoads, DayReport, KindCount},
+    },
+    clap::{Arg, ArgMatches, Command, value_parser},
+    serde_json::json,
+};
+
+/// Adapters that an engine keeps for each of its places, as the platform's engines do: those that it
+/// holds and six times as many in its memory.
+const KEPT_PER_PLACE: usize = 7;
+
+/// Arguments of `coveproxy report`.
+pub fn report_command() -> Command {
+    Command::new("report")
+        .about("Tell where answers were lost or late, and what adapters cost, from hosts' lines")
+        .after_help("Example:\n  coveproxy report --places 9 host-*.log")
+        .arg(files_argument())
+        .arg(json_argument())
+        .arg(
+            Arg::new("span")
+                .long("span")
+                .value_name("SECONDS")
+                .default_value("2")
+                .value_parser(value_parser!(u64).range(1..))
+                .help("Length of the spans of time"),
+        )
+        .arg(
+            Arg::new("places")
+                .long("places")
+                .value_name("NUMBER")
+                .default_value("9")
+                .value_parser(value_parser!(usize))
+                .help("Places for adapters of one engine, for the least number of loads"),
+        )
+}
+
+/// Runs `coveproxy report`.
+pub fn run_report(arguments: &ArgMatches) -> Result<(), RunError> {
+    let lines = lines_of(arguments)?;
+    let span: u64 = *arguments.get_one("span").expect("it has a default");
+    let places: usize = *arguments.get_one("places").expect("it has a default");
+    let day = DayReport::of(&lines, span);
+    let loads = AdapterLoads::of(&lines, places * KEPT_PER_PLACE);
+    match arguments.get_flag("json") {
+        true => print(&format!(
+            "{}\n",
+            json!({"requests": day, "adapters": loads})
+        )),
+        false => print(&as_text(&day, &loads)),
+    }
+    Ok(())
+}
+
+fn as_text(
+    day: &DayReport,
+    loads: &AdapterLoads,
+) -> String {
+    let mut text = String::from("route                 requests  in time  others by cause\n");
+    for (route, count) in &day.by_route {
+        text += &row(route, count);
+    }
+    text += "\nsecond                requests  in time  others by cause\n";
+    for (second, count) in &day.by_time {
+        text += &row(&second.to_string(), count);
+    }
+    text + &format!(
+        "\nadapters: {} asked for; {} loads from the weight store ({} at the least), onto {} pairs of\n\
+         adapter and engine, {} of them again; one adapter on {} of {} engines at the most\n\
+         loads by reason: {}\n",
+        loads.asked,
+        loads.from_store,
+        loads.least_from_store,
+        loads.pairs,
+        loads.again,
+        loads.most_engines,
+        loads.engines,
+        counts(loads.by_reason.iter()),
+    )
+}
+
+fn row(
+    name: &str,
+    count: &KindCount,
+) -> String {
+    format!(
+        "{name:<20}  {:>8}  {:>7}  {}\n",
+        count.requests,
+        count.in_time,
+        counts(count.by_cause.iter())
+    )
+}
+
+fn counts<'a>(all: impl Iterator<Item = (impl AsRef<str> + 'a, &'a usize)>) -> String {
+    let words: Vec<String> = all
+        .map(|(name, count)| format!("{} {count}", name.as_ref()))
+        .collect();
+    words.join(", ")
+}
--- a/src/cli/tool.rs
+++ b/src/cli/tool.rs
@@ -3,8 +3,10 @@
         apply_command::{apply_command, run_apply},
         demo_command::{demo_command, run_demo},
         exit::exit_code,
+        explain_command::{explain_command, run_explain},
         logging::start_logging,
         output::print,
+        report_command::{report_command, run_report},
         request_command::{request_command, run_request},
         status_command::{run_status, status_command},
     },
@@ -37,6 +39,8 @@
         .subcommand(request_command())
         .subcommand(status_command())
         .subcommand(apply_command())
+        .subcommand(explain_command())
+        .subcommand(report_command())
         .subcommand(completions_command())
 }
 
@@ -57,6 +61,8 @@
         Some(("request", arguments)) => run_request(arguments),
         Some(("status", arguments)) => run_status(arguments),
         Some(("apply", arguments)) => run_apply(arguments),
+        Some(("explain", arguments)) => run_explain(arguments),
+        Some(("report", arguments)) => run_report(arguments),
         Some(("completions", arguments)) => {
             let shell: &Shell = arguments.get_one("shell").expect("it is required");
             let mut script = Vec::new();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod formats;
 pub mod metrics;
 pub mod process;
+pub mod report;
 pub mod request;
 pub mod standin;
 pub mod timeline;
--- /dev/null
+++ b/src/report/end_cause.rs
@@ -0,0 +1,230 @@
+use {
+    super::LogLine,
+    std::fmt::{self, Display, Formatter},
+};
+
+/// Why a request ended as it did.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EndCause {
+    InTime,
+    /// Each engine that was asked for the adapter had no place for it.
+    NoPlace {
+        asked: usize,
+    },
+    /// No engine was there to be asked.
+    NoEngine,
+    /// The adapter would have come too late.
+    AdapterTooLate {
+        expected_ms: f64,
+    },
+    /// Targets turned it away, the last one with this status.
+    TurnedAway {
+        target: String,
+        status: String,
+    },
+    /// In time but for the wait for an adapter.
+    WaitedForAdapter {
+        waited_ms: f64,
+    },
+    /// It was sent early enough, and the engine answered late.
+    SlowAtEngine {
+        target: String,
+        after_send_ms: f64,
+        unread_tokens: f64,
+        running: f64,
+    },
+    /// It was sent again after sends that brought no answer.
+    SentAgain {
+        sends: usize,
+    },
+    /// The answer broke off.
+    Cut {
+        cause: String,
+        target: String,
+        after_ms: f64,
+    },
+    CallerGone {
+        after_ms: f64,
+    },
+    /// The target's own failure was passed on.
+    FailedThere {
+        target: String,
+        status: String,
+    },
+    /// This host gave it up, for the reason that its line names.
+    GivenUp {
+        cause: String,
+    },
+    /// No line tells how it ended.
+    Unknown,
+}
+
+impl EndCause {
+    /// The cause in a word, for counts.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::InTime => "in_time",
+            Self::NoPlace { .. } => "no_place",
+            Self::NoEngine => "no_engine",
+            Self::AdapterTooLate { .. } => "adapter_too_late",
+            Self::TurnedAway { .. } => "turned_away",
+            Self::WaitedForAdapter { .. } => "waited_for_adapter",
+            Self::SlowAtEngine { .. } => "slow_at_engine",
+            Self::SentAgain { .. } => "sent_again",
+            Self::Cut { .. } => "cut",
+            Self::CallerGone { .. } => "caller_gone",
+            Self::FailedThere { .. } => "failed_there",
+            Self::GivenUp { .. } => "given_up",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Finds the cause in a request's own lines, in the order in which things happened.
+    pub fn of(lines: &[&LogLine]) -> Self {
+        let last = |name: &str| lines.iter().rfind(|line| line.name == name);
+        if let Some(cut) = last("request_cut") {
+            return Self::Cut {
+                cause: cut.text("cause").to_string(),
+                target: cut.text("target").to_string(),
+                after_ms: cut.number("after_ms").unwrap_or(0.0),
+            };
+        }
+        if let Some(gone) = last("request_caller_gone") {
+            return Self::CallerGone {
+                after_ms: gone.number("after_ms").unwrap_or(0.0),
+            };
+        }
+        match last("request_served") {
+            Some(served) if served.text("status").starts_with('2') => late_cause(lines, served),
+            Some(served) => failure_cause(lines, served),
+            None => Self::Unknown,
+        }
+    }
+}
+
+fn late_cause(
+    lines: &[&LogLine],
+    served: &LogLine,
+) -> EndCause {
+    if served.text("late") != "true" {
+        return EndCause::InTime;
+    }
+    let sends: Vec<&&LogLine> = lines
+        .iter()
+        .filter(|line| line.name == "request_chosen")
+        .collect();
+    let Some(send) = sends.last() else {
+        return EndCause::Unknown;
+    };
+    if sends.len() > 1 {
+        return EndCause::SentAgain { sends: sends.len() };
+    }
+    let total_ms = served.number("first_ms").unwrap_or(0.0);
+    let after_send_ms = send.number("ago_ms").unwrap_or(0.0);
+    let waited_ms = total_ms - after_send_ms;
+    if waited_ms > after_send_ms {
+        return EndCause::WaitedForAdapter { waited_ms };
+    }
+    EndCause::SlowAtEngine {
+        target: send.text("target").to_string(),
+        after_send_ms,
+        unread_tokens: send.number("unread_tokens").unwrap_or(0.0),
+        running: send.number("running").unwrap_or(0.0),
+    }
+}
+
+fn failure_cause(
+    lines: &[&LogLine],
+    served: &LogLine,
+) -> EndCause {
+    let cause = served.text("cause");
+    match cause {
+        "no_adapter" => no_adapter_cause(lines),
+        "turned_away" => {
+            let turned = lines
+                .iter()
+                .rfind(|line| line.name == "request_turned_away");
+            EndCause::TurnedAway {
+                target: turned.map_or("-", |line| line.text("target")).to_string(),
+                status: turned.map_or("-", |line| line.text("status")).to_string(),
+            }
+        }
+        "no_target" => EndCause::NoEngine,
+        "-" => EndCause::FailedThere {
+            target: served.text("target").to_string(),
+            status: served.text("status").to_string(),
+        },
+        cause => EndCause::GivenUp {
+            cause: cause.to_string(),
+        },
+    }
+}
+
+fn no_adapter_cause(lines: &[&LogLine]) -> EndCause {
+    let waits = lines.iter().filter(|line| line.name == "request_waits");
+    let last_wait = waits.last();
+    let expected = last_wait.and_then(|line| line.number("expected_ms"));
+    if let Some(expected_ms) = expected.filter(|expected| *expected > 0.0) {
+        return EndCause::AdapterTooLate { expected_ms };
+    }
+    let asks = lines.iter().filter(|line| line.name == "request_asks");
+    match (asks.count(), last_wait) {
+        (0, None) => EndCause::NoEngine,
+        (asked, _) => EndCause::NoPlace { asked },
+    }
+}
+
+impl Display for EndCause {
+    fn fmt(
+        &self,
+        to: &mut Formatter<'_>,
+    ) -> fmt::Result {
+        match self {
+            Self::InTime => write!(to, "answered in time"),
+            Self::NoPlace { asked } => write!(
+                to,
+                "refused: no engine had a place for the adapter ({asked} holders asked; what others \
+                 said less than 0.4 s before was not asked again)"
+            ),
+            Self::NoEngine => write!(to, "refused: no target could be used"),
+            Self::AdapterTooLate { expected_ms } => write!(
+                to,
+                "refused: the adapter would have come after {expected_ms:.0} ms, past the aim"
+            ),
+            Self::TurnedAway { target, status } => {
+                write!(to, "refused: {target} turned it away with {status}")
+            }
+            Self::WaitedForAdapter { waited_ms } => write!(
+                to,
+                "late: {waited_ms:.0} ms passed before an engine had the adapter"
+            ),
+            Self::SlowAtEngine {
+                target,
+                after_send_ms,
+                unread_tokens,
+                running,
+            } => write!(
+                to,
+                "late: {target} took {after_send_ms:.0} ms to its first event, with {unread_tokens:.0} \
+                 tokens of prompts unread before it and {running:.0} requests running"
+            ),
+            Self::SentAgain { sends } => {
+                write!(
+                    to,
+                    "late: {sends} sends, all but the last without an answer"
+                )
+            }
+            Self::Cut {
+                cause,
+                target,
+                after_ms,
+            } => write!(to, "cut after {after_ms:.0} ms at {target}: {cause}"),
+            Self::CallerGone { after_ms } => write!(to, "the caller left after {after_ms:.0} ms"),
+            Self::FailedThere { target, status } => {
+                write!(to, "{target} itself answered {status}")
+            }
+            Self::GivenUp { cause } => write!(to, "given up here: {cause}"),
+            Self::Unknown => write!(to, "no line tells how it ended"),
+        }
+    }
+}
--- /dev/null
+++ b/src/report/mod.rs
@@ -0,0 +1,19 @@
+//! What the hosts' log lines tell afterwards: the story of one request, and where a day's worth went.
+
+mod adapter_loads;
+mod clock_offsets;
+mod day_report;
+mod end_cause;
+mod least_loads;
+mod log_line;
+mod request_story;
+
+pub use {
+    adapter_loads::AdapterLoads,
+    clock_offsets::ClockOffsets,
+    day_report::{DayReport, KindCount},
+    end_cause::EndCause,
+    least_loads::least_loads,
+    log_line::{LogLine, read_lines},
+    request_story::{RequestStory, StoryStep},
+};
--- /dev/null
+++ b/src/report/request_story.rs
@@ -0,0 +1,124 @@
+use {
+    super::{ClockOffsets, EndCause, LogLine},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Lines about the request's targets and adapter count from so long before it arrived, in milliseconds.
+const BEFORE_MS: f64 = 2_000.0;
+
+/// Events of other matters that bear on a request at one of its targets.
+const TARGET_EVENTS: [&str; 6] = [
+    "target_leaving",
+    "target_vanished",
+    "target_lost",
+    "target_forgotten",
+    "order_unanswered",
+    "order_refused",
+];
+
+/// Events of the request's adapter.
+const ADAPTER_EVENTS: [&str; 4] = [
+    "load_ordered",
+    "load_done",
+    "drop_ordered",
+    "adapter_version_seen",
+];
+
+/// One thing that happened.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoryStep {
+    /// Since the request arrived, in milliseconds; negative before that.
+    pub at_ms: f64,
+    pub host: String,
+    pub name: String,
+    /// What the host knew and decided.
+    pub fields: BTreeMap<String, String>,
+}
+
+/// What happened to one request, in order, with what bears on it at other hosts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestStory {
+    pub id: String,
+    pub steps: Vec<StoryStep>,
+    pub cause: EndCause,
+}
+
+impl RequestStory {
+    /// Puts a request's story together; `None` if no line names it.
+    pub fn of(
+        lines: &[LogLine],
+        id: &str,
+    ) -> Option<Self> {
+        let mut own: Vec<&LogLine> = lines.iter().filter(|line| line.text("id") == id).collect();
+        own.sort_by(|a, b| a.happened_ms().total_cmp(&b.happened_ms()));
+        let host = own.first()?.host.clone();
+        let offsets = ClockOffsets::estimate(lines, &host);
+        let cause = EndCause::of(&own);
+        let (begin, end) = span(&own);
+        let about = Subjects::of(&own);
+        let mut steps: Vec<StoryStep> = lines
+            .iter()
+            .filter(|line| line.text("id") == id || about.concern(line))
+            .map(|line| StoryStep {
+                at_ms: line.happened_ms() - offsets.of(&line.host) - begin,
+                host: line.host.clone(),
+                name: line.name.clone(),
+                fields: line.fields.clone(),
+            })
+            .filter(|step| step.at_ms >= -BEFORE_MS && step.at_ms <= end - begin + 1.0)
+            .collect();
+        steps.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+        Some(Self {
+            id: id.to_string(),
+            steps,
+            cause,
+        })
+    }
+}
+
+/// When the request arrived and when its last line was written, on its host's clock.
+fn span(own: &[&LogLine]) -> (f64, f64) {
+    let arrived = |line: &&LogLine| {
+        let passed = line.number("first_ms").or(line.number("after_ms"));
+        line.happened_ms() - passed.unwrap_or(0.0)
+    };
+    let begin = own.iter().map(arrived).fold(f64::INFINITY, f64::min);
+    let end = own.iter().map(|line| line.ts_ms).fold(begin, f64::max);
+    (begin, end)
+}
+
+/// What a request has to do with.
+struct Subjects<'a> {
+    targets: BTreeSet<&'a str>,
+    /// `MODEL/ADAPTER`, or empty.
+    adapter: &'a str,
+}
+
+impl<'a> Subjects<'a> {
+    fn of(own: &[&'a LogLine]) -> Self {
+        let named = |field| own.iter().map(move |line| line.text(field));
+        Self {
+            targets: named("target").filter(|target| target.len() > 1).collect(),
+            adapter: named("adapter").find(|name| name.len() > 1).unwrap_or(""),
+        }
+    }
+
+    fn concern(
+        &self,
+        line: &LogLine,
+    ) -> bool {
+        let name = line.name.as_str();
+        if TARGET_EVENTS.contains(&name) {
+            return self.targets.contains(line.text("target"));
+        }
+        ADAPTER_EVENTS.contains(&name) && !self.adapter.is_empty() && self.adapter == adapter(line)
+    }
+}
+
+/// `MODEL/ADAPTER` of a line; orders name the two apart.
+fn adapter(line: &LogLine) -> String {
+    match line.text("model") {
+        "" => line.text("adapter").to_string(),
+        model => format!("{model}/{}", line.text("adapter")),
+    }
+}
