--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -261,6 +261,24 @@
     EngineStanding(EngineStanding),
 }
 
+impl Message {
+    /// The kind of message, in figures.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Ping(_) => "ping",
+            Self::Ack(_) => "ack",
+            Self::PingRequest(_) => "ping_request",
+            Self::Vouch(_) => "vouch",
+            Self::Want(_) => "want",
+            Self::Placement(_) => "placement",
+            Self::Usage(_) => "usage",
+            Self::EngineLoad(_) => "engine_load",
+            Self::EngineQuery(_) => "engine_query",
+            Self::EngineStanding(_) => "engine_standing",
+        }
+    }
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
     #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -40,6 +40,8 @@
     pub datagrams: Family<StateLabels, Counter>,
     pub connections: Family<StateLabels, Gauge>,
     pub lines_lost: Family<StateLabels, Counter>,
+    pub control_wakes: Family<StateLabels, Counter>,
+    pub control_busy_us: Family<StateLabels, Counter>,
     memory: Gauge,
 }
 
@@ -72,6 +74,8 @@
             datagrams: Family::default(),
             connections: Family::default(),
             lines_lost: Family::default(),
+            control_wakes: Family::default(),
+            control_busy_us: Family::default(),
             memory: Gauge::default(),
             registry: Registry::default(),
         };
@@ -128,6 +132,16 @@
             "Age of this host's copy of a table",
             self.copy_age.clone(),
         );
+        registry.register(
+            "control_wakes",
+            "Wakes of the control thread, by what caused them",
+            self.control_wakes.clone(),
+        );
+        registry.register(
+            "control_busy_us",
+            "Time of the control thread in microseconds, by what woke it",
+            self.control_busy_us.clone(),
+        );
         registry.register(
             "config_version",
             "Version of the configuration in force",
--- a/src/process/host/control_event.rs
+++ b/src/process/host/control_event.rs
@@ -89,3 +89,20 @@
     /// The process is told to stop.
     Stop,
 }
+
+impl ControlEvent {
+    /// What woke the control thread, in figures.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Tick => "tick",
+            Self::Message { message, .. } => message.kind(),
+            Self::Request(_) => "request",
+            Self::ChangesRead { .. } | Self::TableRead { .. } | Self::HoldersRead { .. } => "store",
+            Self::ChangesPulled { .. } | Self::HostsPulled { .. } => "pull",
+            Self::Renewed { .. } | Self::Taken { .. } => "lease",
+            Self::OrderEnded { .. } | Self::OrderWithheld { .. } => "order",
+            Self::Reported { .. } => "report",
+            Self::SettingsRead(_) | Self::Stop => "process",
+        }
+    }
+}
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -5,6 +5,7 @@
         ControlAction, ControlEvent, HostControl, TableName,
         peer_pages::{changes_call, hosts_call, parse_changes, parse_hosts},
         traffic::TrafficInput,
+        wake_watch::{WakeWatch, tell_wake},
     },
     crate::{
         connection::{datagram::DatagramSocket, http1::CallClient, store::StoreClient},
@@ -89,6 +90,7 @@
 
     /// Runs until the process ends.
     pub async fn run(self) {
+        let mut watch = WakeWatch::new(Instant::now());
         loop {
             let wake = self.control.borrow().next_wake(Instant::now());
             let event = tokio::select! {
@@ -104,10 +106,12 @@
                 (from, message) = self.socket.receive() => ControlEvent::Message { from, message },
                 _ = tokio::time::sleep_until(wake.into()) => ControlEvent::Tick,
             };
-            let actions = self.control.borrow_mut().on(event, Instant::now());
+            let (kind, begun) = (event.kind(), Instant::now());
+            let actions = self.control.borrow_mut().on(event, begun);
             for action in actions {
                 self.carry_out(action);
             }
+            tell_wake(&mut watch, kind, begun);
         }
     }
 
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -13,10 +13,12 @@
 mod peer_pages;
 mod public_pages;
 mod traffic;
+mod wake_watch;
 
 pub use {
     control_action::ControlAction,
     control_event::{ControlEvent, TableName},
     host_control::HostControl,
     host_process::run_host_process,
+    wake_watch::{BusyPeriod, WakeCount, WakeWatch},
 };
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -42,6 +42,7 @@
     HostStopped = 103 "host_stopped" Info,
     SettingsRead = 104 "settings_read" Info,
     SettingsWrong = 105 "settings_wrong" Warn,
+    ControlBusy = 106 "control_busy" Warn,
     PeerAlive = 201 "peer_alive" Info,
     PeerSuspect = 202 "peer_suspect" Warn,
     PeerDead = 203 "peer_dead" Warn,
