--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -1,15 +1,17 @@
 use {
     super::{
-        engine_sample::{is_coming, look_before_send, sample_for_adapter, sample_of_service},
+        adapter_standing::AdapterStanding,
+        engine_outlook::EngineOutlook,
+        engine_sample::{look_before_send, sample_for_adapter, sample_of_service},
         exchange::Destination,
         request_trace::TraceStep,
         tries::Tries,
     },
     crate::{
-        connection::targets::{ReadingSpeed, TargetBoard, TargetLink},
+        connection::targets::TargetBoard,
         request::direct::{
             CallRequest, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Patience,
-            PlainCandidate, Policy, RequestTime, choose_engine, choose_plain, wait_or_refuse,
+            PlainCandidate, RequestTime, choose_engine, choose_plain, wait_or_refuse,
         },
     },
     rand::RngExt,
@@ -21,11 +23,8 @@
     },
 };
 
-/// Old versions of an adapter are still used for so long after a newer one was named.
-const OLD_VERSION_GRACE: Duration = Duration::from_millis(900);
-
 /// Wait for the answer of a holder that was just asked.
-const ASK_WAIT: Duration = Duration::from_millis(60);
+pub(super) const ASK_WAIT: Duration = Duration::from_millis(60);
 
 /// Price of a copy of an adapter that is asked for once in a few seconds over all hosts.
 const COPY_PRICE: Duration = Duration::from_millis(300);
@@ -39,12 +38,6 @@
 /// Share of its aim after which it is refused.
 const LOOK_SHARE: f64 = 0.17;
 
-/// What other hosts send to an engine is unknown when it was last told longer ago.
-const LOAD_KNOWN: Duration = Duration::from_millis(400);
-
-/// Rank of the requests that engines admit before all others.
-const MOST_URGENT: u8 = 0;
-
 /// What is decided for the next send.
 pub enum Choice {
     Send(Destination),
@@ -144,16 +137,16 @@
             Ok(targets) => targets,
             Err(until) => return Choice::Look { until },
         };
-        let outlook = Outlook::of(board, request, &targets, now);
+        let outlook = EngineOutlook::of(board, request, &targets, &self.hall, now);
         let candidates: Vec<EngineCandidate> = targets
             .iter()
-            .map(|target| self.candidate(board, request, target, CopyState::Ready, tries, &outlook))
+            .map(|target| outlook.candidate(board, request, target, CopyState::Ready, tries))
             .collect();
         let terms = ChoiceTerms {
             copy_price: Duration::ZERO,
             aim_left: request.aim().saturating_duration_since(now),
             priority: request.route.priority,
-            policy: outlook.policy,
+            policy: board.policy(),
             now,
         };
         match choose_engine(&candidates, &terms) {
@@ -177,37 +170,23 @@
         adapter: &str,
         now: Instant,
     ) -> Choice {
-        let newest = board.view.newest.get(adapter).copied();
-        let least = newest.map_or(1, |newest| newest.version);
-        let grace = newest
-            .is_some_and(|newest| now.saturating_duration_since(newest.since) < OLD_VERSION_GRACE);
+        let standing = AdapterStanding::of(board, adapter, now);
         let drawn = |board: &TargetBoard| sample_for_adapter(board, request, adapter, now);
         let targets = match look_before_send(board, request, tries, drawn, now) {
             Ok(targets) => targets,
             Err(until) => return Choice::Look { until },
         };
-        let outlook = Outlook::of(board, request, &targets, now);
+        let outlook = EngineOutlook::of(board, request, &targets, &self.hall, now);
         let mut candidates = Vec::with_capacity(targets.len());
         for target in &targets {
-            let copy = match board.adapters.get(adapter, target) {
-                Some(copy) if copy.version < least && is_of_no_use(copy.state, grace) => {
-                    CopyState::Unknown
-                }
-                Some(copy) => copy.state,
-                None => CopyState::Unknown,
-            };
-            let copy = match board.links[target].view.holder {
-                // Nobody is left who would tell that it is there.
-                None if is_coming(copy) => CopyState::Unknown,
-                _ => copy,
-            };
-            candidates.push(self.candidate(board, request, target, copy, tries, &outlook));
+            let copy = standing.copy_at(board, target);
+            candidates.push(outlook.candidate(board, request, target, copy, tries));
         }
         let terms = ChoiceTerms {
             copy_price: copy_price(board, adapter, now),
             aim_left: request.aim().saturating_duration_since(now),
             priority: request.route.priority,
-            policy: outlook.policy,
+            policy: board.policy(),
             now,
         };
         match choose_engine(&candidates, &terms) {
@@ -217,7 +196,15 @@
             }
             EngineChoice::Send { to, ask } => {
                 if let Some(ask) = ask {
-                    ask_for(board, tries, adapter, &targets[ask], least, true, now);
+                    ask_for(
+                        board,
+                        tries,
+                        adapter,
+                        &targets[ask],
+                        standing.least,
+                        true,
+                        now,
+                    );
                 }
                 let is_ready = |candidate: &&EngineCandidate| candidate.copy == CopyState::Ready;
                 let ready = candidates.iter().filter(is_ready).count();
@@ -233,7 +220,15 @@
                 )
             }
             EngineChoice::Ask(at) => {
-                ask_for(board, tries, adapter, &targets[at], least, false, now);
+                ask_for(
+                    board,
+                    tries,
+                    adapter,
+                    &targets[at],
+                    standing.least,
+                    false,
+                    now,
+                );
                 Choice::Wait {
                     until: now + ASK_WAIT,
                     expected: None,
@@ -242,9 +237,8 @@
             EngineChoice::Wait { until, expected } => {
                 // Whoever is late is asked again; asks that come too often are held back there.
                 for target in &targets {
-                    let copy = board.adapters.get(adapter, target);
-                    if copy.is_some_and(|copy| is_late(copy.state, now)) {
-                        ask_for(board, tries, adapter, target, least, false, now);
+                    if standing.is_late_at(board, target) {
+                        ask_for(board, tries, adapter, target, standing.least, false, now);
                     }
                 }
                 let refusable = expected.filter(|_| terms.policy.refuses_early);
@@ -259,93 +253,6 @@
             EngineChoice::Nowhere => nowhere_yet(request, now),
         }
     }
-
-    fn candidate(
-        &self,
-        board: &TargetBoard,
-        request: &CallRequest,
-        target: &str,
-        copy: CopyState,
-        tries: &Tries,
-        outlook: &Outlook,
-    ) -> EngineCandidate {
-        let link = &board.links[target];
-        let generation = request.generation.as_ref();
-        let prompt = generation.map_or(0, |generation| u64::from(generation.tokens_in));
-        let answer = generation.map_or(0, |generation| u64::from(generation.tokens_out));
-        let engine = request.service.engine.as_ref();
-        let memory = engine.map_or(u64::MAX, |engine| engine.memory_tokens.max(1));
-        let tokens = link.running_tokens() + prompt + answer;
-        EngineCandidate {
-            copy,
-            wait: outlook
-                .speed
-                .time_for(outlook.backlog_before(link, request) + prompt),
-            memory: tokens as f64 / memory as f64,
-            batch: f64::from(link.running() + 1) / f64::from(link.view.record.slots.max(1)),
-            crowd: tokens as f64 / (outlook.mean_tokens + (prompt + answer) as f64).max(1.0),
-            near: link.view.record.hall == self.hall,
-            unknown: outlook.is_unknown(board, link),
-            avoided: !link.avoided_for(outlook.now).is_zero(),
-            has_holder: link.view.holder.is_some(),
-            tried: tries.has_tried(target),
-        }
-    }
-}
-
-/// What all candidates for one request are measured with.
-struct Outlook {
-    speed: ReadingSpeed,
-    policy: Policy,
-    /// Tokens that run at an engine of the service, in the mean.
-    mean_tokens: f64,
-    now: Instant,
-}
-
-impl Outlook {
-    /// True if what other hosts send there was last told too long ago.
-    fn is_unknown(
-        &self,
-        board: &TargetBoard,
-        link: &TargetLink,
-    ) -> bool {
-        let since = self.now.checked_sub(LOAD_KNOWN);
-        board.asks_before_sends() && since.is_some_and(|since| !link.told_since(since))
-    }
-
-    /// Tokens of prompts that are read at an engine before that of a request. Engines admit the most
-    /// urgent first, so these wait for the one prompt that is being read at the most.
-    fn backlog_before(
-        &self,
-        link: &TargetLink,
-        request: &CallRequest,
-    ) -> u64 {
-        let backlog = link.backlog_tokens();
-        match self.policy.ranks_backlog && request.route.priority == MOST_URGENT {
-            true => backlog.min(self.speed.prompt_in_reading()),
-            false => backlog,
-        }
-    }
-
-    fn of(
-        board: &mut TargetBoard,
-        request: &CallRequest,
-        targets: &[Arc<str>],
-        now: Instant,
-    ) -> Self {
-        let service = &request.service.name;
-        let mean_tokens = match board.asks_before_sends() {
-            // Of other engines too little is known.
-            true => board.mean_tokens(targets.iter()),
-            false => board.mean_tokens(board.engines_of(service).iter()),
-        };
-        Self {
-            speed: *board.speed(service),
-            policy: board.policy(),
-            mean_tokens,
-            now,
-        }
-    }
 }
 
 /// Decides on a target; `counts` are the candidates and those of them that were ready.
@@ -431,27 +338,3 @@
     }
     COPY_PRICE.div_f64(1.0 + told.max(here * board.view.hosts as f64))
 }
-
-/// True if the holder should have told of the adapter by now.
-fn is_late(
-    state: CopyState,
-    now: Instant,
-) -> bool {
-    match state {
-        CopyState::Asked => true,
-        CopyState::Coming { due } => due + ASK_WAIT <= now,
-        _ => false,
-    }
-}
-
-/// True if a copy of an old version is as good as none; `grace` says that old ones still serve.
-fn is_of_no_use(
-    state: CopyState,
-    grace: bool,
-) -> bool {
-    match state {
-        CopyState::Ready | CopyState::Coming { .. } => !grace,
-        CopyState::Remembered => true,
-        _ => false,
-    }
-}
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -1,8 +1,10 @@
 //! Callers: their connections, reading their requests, sending these to targets, and the answers.
 
+mod adapter_standing;
 mod answer_body;
 mod chooser;
 mod dispatcher;
+mod engine_outlook;
 mod engine_sample;
 mod event_splitter;
 mod exchange;
--- a/src/report/end_cause.rs
+++ b/src/report/end_cause.rs
@@ -161,8 +161,8 @@
 }
 
 fn no_adapter_cause(lines: &[&LogLine]) -> EndCause {
-    let waits = lines.iter().filter(|line| line.name == "request_waits");
-    let last_wait = waits.last();
+    let mut waits = lines.iter().filter(|line| line.name == "request_waits");
+    let last_wait = waits.next_back();
     let expected = last_wait.and_then(|line| line.number("expected_ms"));
     if let Some(expected_ms) = expected.filter(|expected| *expected > 0.0) {
         return EndCause::AdapterTooLate { expected_ms };
