--- a/src/cli/explain_command.rs
+++ b/src/cli/explain_command.rs
@@ -37,8 +37,13 @@
 pub fn run_explain(arguments: &ArgMatches) -> Result<(), RunError> {
     let id: &String = arguments.get_one("id").expect("it is required");
     let lines = lines_of(arguments)?;
-    let story = RequestStory::of(&lines, id)
-        .ok_or_else(|| RunError::Usage(format!("no line names request {id}")))?;
+    let unnamed = || {
+        RunError::Usage(format!(
+            "no line names request {id}: no host read it (its connection failed, or the host was lost \
+             before it wrote), or the lines are not whole"
+        ))
+    };
+    let story = RequestStory::of(&lines, id).ok_or_else(unnamed)?;
     match arguments.get_flag("json") {
         true => print(&format!("{}\n", as_json(&story))),
         false => print(&as_text(&story)),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -122,3 +122,56 @@
     drop(child.stdout.take());
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
+
+const LINES: &str = "\
+ts=1000 up_us=1 host=h1 level=info event=610 name=request_asks id=r1 ago_ms=30 target=e1 spare=false\n\
+ts=1000 up_us=1 host=h1 level=info event=611 name=request_waits id=r1 ago_ms=29 expected_ms=-1\n\
+ts=1000 up_us=1 host=h1 level=info event=608 name=request_served id=r1 route=talk status=503 cause=no_adapter \
+target=- adapter=m/a1 first_ms=30 aim_ms=600 arrivals=0 late=false\n";
+
+fn log_file(name: &str) -> String {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&file, LINES).unwrap();
+    file.to_str().unwrap().to_string()
+}
+
+#[test]
+fn a_request_is_explained_from_a_file() {
+    let file = log_file("explain.log");
+    let text = coveproxy(&["explain", "r1", &file]);
+    let text = String::from_utf8(text.stdout).unwrap();
+    assert!(text.contains("request_asks"), "{text}");
+    assert!(
+        text.contains("cause: refused: no engine had a place"),
+        "{text}"
+    );
+    let json = coveproxy(&["explain", "r1", &file, "--json"]);
+    let json: Value = serde_json::from_slice(&json.stdout).unwrap();
+    assert_eq!(json["cause"], "no_place");
+    assert_eq!(json["steps"].as_array().unwrap().len(), 3);
+}
+
+#[test]
+fn a_request_that_no_line_names_is_an_error() {
+    let output = coveproxy(&["explain", "r2", &log_file("unnamed.log")]);
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("no host read it"), "{text}");
+}
+
+#[test]
+fn a_day_is_reported_from_a_file() {
+    let file = log_file("report.log");
+    let json = coveproxy(&["report", "--json", &file]);
+    let json: Value = serde_json::from_slice(&json.stdout).unwrap();
+    assert_eq!(
+        json["requests"]["by_route"]["talk"]["by_cause"]["no_place"],
+        1
+    );
+    let text = coveproxy(&["report", &file]);
+    assert!(
+        String::from_utf8(text.stdout)
+            .unwrap()
+            .contains("no_place 1")
+    );
+}
