A holder's promise of an adapter that was not kept is not given again

The engine had gone without a word, and the desk waited for an answer that never came. Ruled out: a lost message (each ask was answered within 4 ms). Change: a wish keeps the time that was told first; 0.25 s past it the holder says that it can't, so that the request goes to another engine. Measured: the new test of tests/engine_desk.rs failed before (still promised after 1.02 s).

--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -314,23 +314,26 @@
         version: u64,
         now: Instant,
     ) -> Vec<DeskAction> {
+        let promised = now + self.queue_time();
         let wish = self.wishes.entry(want.adapter.clone()).or_insert(Wish {
             version,
             spare: want.spare,
             priority: want.priority,
             since: now,
+            promised,
             waiting: BTreeMap::new(),
         });
         wish.version = wish.version.max(version);
         wish.priority = wish.priority.min(want.priority);
         wish.spare &= want.spare;
         wish.waiting.insert(host, want.waiting.max(1));
+        let overdue = wish.is_overdue(now);
         let mut actions = self.next_orders(now);
         if self.wishes.contains_key(&want.adapter) {
             // It waits for other orders, or for a place.
             let queue_time = self.queue_time();
             let too_busy = want.spare && self.shared.limiter.borrow().is_busy();
-            let busy = too_busy || queue_time > MOST_QUEUE;
+            let busy = too_busy || overdue || queue_time > MOST_QUEUE;
             let state = match !busy && self.has_prospect(&want.adapter, now) {
                 true => PlacementState::Coming,
                 false => PlacementState::Full,
--- a/src/process/engines/load_wish.rs
+++ b/src/process/engines/load_wish.rs
@@ -26,11 +26,25 @@
     pub spare: bool,
     pub priority: u32,
     pub since: Instant,
+    /// When it should have been there, as was told first.
+    pub promised: Instant,
     /// Requests that wait at each host.
     pub waiting: BTreeMap<SocketAddr, u32>,
 }
 
+/// Time beyond the promised one after which nothing more is promised: an order that was under way then
+/// is over, answered or not.
+const PROMISE_SLACK: Duration = Duration::from_millis(250);
+
 impl Wish {
+    /// True if what was told first has not come true.
+    pub fn is_overdue(
+        &self,
+        now: Instant,
+    ) -> bool {
+        now > self.promised + PROMISE_SLACK
+    }
+
     /// The first in this order is loaded first: by age, with a start for urgent requests and for
     /// adapters that many requests wait for.
     pub fn rank(&self) -> WishRank {
--- a/tests/engine_desk.rs
+++ b/tests/engine_desk.rs
@@ -735,3 +735,24 @@
     world.desk.on_host_gone(host(1));
     assert_eq!(world.desk.places()["m0/a1"].in_flight(), 0);
 }
+
+/// Found by `coveproxy explain`: a request waited at one engine until its caller left, as each answer of
+/// the holder promised the adapter anew.
+#[test]
+fn a_promise_that_was_not_kept_is_not_given_again() {
+    let mut world = World::new(1, 0);
+    world.run(ms(3_000));
+    world.want("a1", 1);
+    // The engine falls silent: its answer to the order never comes.
+    world.due.clear();
+    world.want("a2", 1);
+    assert_eq!(world.state("a2"), PlacementState::Coming);
+    let promised = world.now;
+    while world.state("a2") == PlacementState::Coming {
+        world.run(ms(60));
+        world.want("a2", 1);
+        let waited = world.now.saturating_duration_since(promised);
+        assert!(waited < ms(1_000), "still promised after {waited:?}");
+    }
+    assert_eq!(world.state("a2"), PlacementState::Full);
+}
