Wakes of the control thread are labelled by kind; a name that stood for two things is split

Found on reading the diff: the figures of wakes used the label state for the kind of wake, and distance meant both another hall and another place of an adapter. No decision changes.

--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -40,8 +40,8 @@
     pub datagrams: Family<StateLabels, Counter>,
     pub connections: Family<StateLabels, Gauge>,
     pub lines_lost: Family<StateLabels, Counter>,
-    pub control_wakes: Family<StateLabels, Counter>,
-    pub control_busy_us: Family<StateLabels, Counter>,
+    pub control_wakes: Family<KindLabels, Counter>,
+    pub control_busy_us: Family<KindLabels, Counter>,
     memory: Gauge,
 }
 
--- a/src/process/host/wake_watch.rs
+++ b/src/process/host/wake_watch.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        metrics::{StateLabels, metrics},
+        metrics::{KindLabels, metrics},
         note,
         timeline::Event,
     },
@@ -98,7 +98,7 @@
     begun: Instant,
 ) {
     let ended = Instant::now();
-    let labels = StateLabels { state: kind };
+    let labels = KindLabels { kind };
     let metrics = metrics();
     metrics.control_wakes.get_or_create(&labels).inc();
     let busy_us = ended.saturating_duration_since(begun).as_micros() as u64;
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -252,11 +252,11 @@
         CopyState::Asked => LOAD,
         CopyState::Remembered if terms.policy.uses_engine_memory => RELOAD,
         CopyState::Unknown | CopyState::Remembered | CopyState::Full { .. } => {
-            let distance = match terms.policy.prefers_home {
+            let surcharge = match terms.policy.prefers_home {
                 true => from_home(place, away),
                 false => 0.0,
             };
-            LOAD + terms.copy_price.as_secs_f64() * (1.0 + distance)
+            LOAD + terms.copy_price.as_secs_f64() * (1.0 + surcharge)
         }
     };
     wait.max(arrival) + 0.2 * wait.min(arrival) + distance + pressure + crowding + unknown
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -100,8 +100,8 @@
     drop(metrics.datagrams.get_or_create(&state));
     drop(metrics.connections.get_or_create(&state));
     drop(metrics.lines_lost.get_or_create(&state));
-    drop(metrics.control_wakes.get_or_create(&state));
-    drop(metrics.control_busy_us.get_or_create(&state));
+    drop(metrics.control_wakes.get_or_create(&kind));
+    drop(metrics.control_busy_us.get_or_create(&kind));
 }
 
 #[test]
