--- a/src/cli/explain_command.rs
+++ b/src/cli/explain_command.rs
@@ -58,7 +58,7 @@
             "{:>10.1} ms  {}  {}{}\n",
             step.at_ms,
             step.host,
-            step.name,
+            step.event.word(),
             fields(step)
         );
     }
@@ -81,7 +81,7 @@
             json!({
                 "at_ms": step.at_ms,
                 "host": step.host,
-                "event": step.name,
+                "event": step.event.word(),
                 "fields": step.fields,
             })
         })
--- a/src/cli/report_command.rs
+++ b/src/cli/report_command.rs
@@ -5,15 +5,15 @@
     },
     crate::{
         errors::RunError,
+        process::engines::REMEMBERED_PER_PLACE,
         report::{AdapterLoads, DayReport, KindCount},
     },
     clap::{Arg, ArgMatches, Command, value_parser},
     serde_json::json,
 };
 
-/// Adapters that an engine keeps for each of its places, as the platform's engines do: those that it
-/// holds and six times as many in its memory.
-const KEPT_PER_PLACE: usize = 7;
+/// Adapters that an engine keeps for each of its places: the one that it holds and those in its memory.
+const KEPT_PER_PLACE: usize = 1 + REMEMBERED_PER_PLACE;
 
 /// Arguments of `coveproxy report`.
 pub fn report_command() -> Command {
--- a/src/connection/front/adapter_standing.rs
+++ b/src/connection/front/adapter_standing.rs
@@ -11,7 +11,7 @@
 pub(super) struct AdapterStanding<'a> {
     adapter: &'a str,
     /// The newest version.
-    pub least: u64,
+    pub newest: u64,
     /// Older versions still serve.
     grace: bool,
     now: Instant,
@@ -27,7 +27,7 @@
         let is_young = |since| now.saturating_duration_since(since) < OLD_VERSION_GRACE;
         Self {
             adapter,
-            least: newest.map_or(1, |newest| newest.version),
+            newest: newest.map_or(1, |newest| newest.version),
             grace: newest.is_some_and(|newest| is_young(newest.since)),
             now,
         }
@@ -40,7 +40,7 @@
         target: &str,
     ) -> CopyState {
         let copy = match board.adapters.get(self.adapter, target) {
-            Some(copy) if copy.version < self.least && is_of_no_use(copy.state, self.grace) => {
+            Some(copy) if copy.version < self.newest && is_of_no_use(copy.state, self.grace) => {
                 CopyState::Unknown
             }
             Some(copy) => copy.state,
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -201,7 +201,7 @@
                         tries,
                         adapter,
                         &targets[ask],
-                        standing.least,
+                        standing.newest,
                         true,
                         now,
                     );
@@ -225,7 +225,7 @@
                     tries,
                     adapter,
                     &targets[at],
-                    standing.least,
+                    standing.newest,
                     false,
                     now,
                 );
@@ -238,7 +238,7 @@
                 // Whoever is late is asked again; asks that come too often are held back there.
                 for target in &targets {
                     if standing.is_late_at(board, target) {
-                        ask_for(board, tries, adapter, target, standing.least, false, now);
+                        ask_for(board, tries, adapter, target, standing.newest, false, now);
                     }
                 }
                 let refusable = expected.filter(|_| terms.policy.refuses_early);
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -23,7 +23,7 @@
 const MOST_QUEUE: Duration = Duration::from_millis(900);
 
 /// Adapters that an engine is thought to remember, as a multiple of its places.
-const REMEMBERED_PER_PLACE: usize = 6;
+pub const REMEMBERED_PER_PLACE: usize = 6;
 
 /// Time between reports of an engine that carries an order out.
 const BUSY_LOOK: Duration = Duration::from_millis(300);
--- a/src/process/engines/mod.rs
+++ b/src/process/engines/mod.rs
@@ -15,7 +15,7 @@
 pub use {
     adapter_place::{AdapterPlace, PlaceState},
     desk_order::{DeskAction, DeskOrder, OrderPurpose},
-    engine_desk::{EngineDesk, SharedByDesks},
+    engine_desk::{EngineDesk, REMEMBERED_PER_PLACE, SharedByDesks},
     engine_pool::{EngineFill, EnginePool, SharedEnginePool},
     engine_use::{EngineUse, UseSum},
     load_limiter::{EngineLoads, LoadLimiter, SharedLoadLimiter},
--- a/src/report/adapter_loads.rs
+++ b/src/report/adapter_loads.rs
@@ -1,5 +1,6 @@
 use {
     super::{LogLine, least_loads},
+    crate::timeline::Event,
     serde::Serialize,
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -61,14 +62,14 @@
 }
 
 fn is_adapter_load(line: &LogLine) -> bool {
-    line.name == "load_ordered" && line.text("adapter").len() > 1
+    line.event == Event::LoadOrdered && line.text("adapter").len() > 1
 }
 
 /// The adapter of each request that was answered, in order.
 fn asked_in_order(lines: &[LogLine]) -> Vec<String> {
     let mut asked: Vec<(f64, &str)> = lines
         .iter()
-        .filter(|line| line.name == "request_served" && line.text("status").starts_with('2'))
+        .filter(|line| line.event == Event::RequestServed && line.text("status").starts_with('2'))
         .filter(|line| line.text("adapter").len() > 1)
         .map(|line| (line.ts_ms, line.text("adapter")))
         .collect();
--- a/src/report/clock_offsets.rs
+++ b/src/report/clock_offsets.rs
@@ -1,5 +1,6 @@
 use {
     super::LogLine,
+    crate::timeline::Event,
     std::collections::{BTreeMap, HashMap},
 };
 
@@ -54,13 +55,13 @@
 
 /// What all hosts note of the same fact.
 fn shared_key(line: &LogLine) -> Option<String> {
-    let fact = match line.name.as_str() {
-        "config_applied" => line.text("version").to_string(),
-        "adapter_version_seen" => format!("{}@{}", line.text("adapter"), line.text("version")),
-        "target_listed" => line.text("target").to_string(),
+    let fact = match line.event {
+        Event::ConfigApplied => line.text("version").to_string(),
+        Event::AdapterVersionSeen => format!("{}@{}", line.text("adapter"), line.text("version")),
+        Event::TargetListed => line.text("target").to_string(),
         _ => return None,
     };
-    Some(format!("{} {fact}", line.name))
+    Some(format!("{} {fact}", line.event.word()))
 }
 
 fn median(mut values: Vec<f64>) -> f64 {
--- a/src/report/day_report.rs
+++ b/src/report/day_report.rs
@@ -1,5 +1,6 @@
 use {
     super::{EndCause, LogLine},
+    crate::timeline::Event,
     serde::Serialize,
     std::collections::{BTreeMap, HashMap},
 };
@@ -47,7 +48,7 @@
         let mut report = Self::default();
         for mut own in by_id.into_values() {
             own.sort_by(|a, b| a.happened_ms().total_cmp(&b.happened_ms()));
-            let Some(served) = own.iter().find(|line| line.name == "request_served") else {
+            let Some(served) = own.iter().find(|line| line.event == Event::RequestServed) else {
                 continue;
             };
             let cause = EndCause::of(&own);
--- a/src/report/end_cause.rs
+++ b/src/report/end_cause.rs
@@ -1,5 +1,6 @@
 use {
     super::LogLine,
+    crate::timeline::Event,
     std::fmt::{self, Display, Formatter},
 };
 
@@ -81,20 +82,20 @@
 
     /// Finds the cause in a request's own lines, in the order in which things happened.
     pub fn of(lines: &[&LogLine]) -> Self {
-        let last = |name: &str| lines.iter().rfind(|line| line.name == name);
-        if let Some(cut) = last("request_cut") {
+        let last = |event| lines.iter().rfind(|line| line.event == event);
+        if let Some(cut) = last(Event::RequestCut) {
             return Self::Cut {
                 cause: cut.text("cause").to_string(),
                 target: cut.text("target").to_string(),
                 after_ms: cut.number("after_ms").unwrap_or(0.0),
             };
         }
-        if let Some(gone) = last("request_caller_gone") {
+        if let Some(gone) = last(Event::RequestCallerGone) {
             return Self::CallerGone {
                 after_ms: gone.number("after_ms").unwrap_or(0.0),
             };
         }
-        match last("request_served") {
+        match last(Event::RequestServed) {
             Some(served) if served.text("status").starts_with('2') => late_cause(lines, served),
             Some(served) => failure_cause(lines, served),
             None => Self::Unknown,
@@ -111,7 +112,7 @@
     }
     let sends: Vec<&&LogLine> = lines
         .iter()
-        .filter(|line| line.name == "request_chosen")
+        .filter(|line| line.event == Event::RequestChosen)
         .collect();
     let Some(send) = sends.last() else {
         return EndCause::Unknown;
@@ -143,7 +144,7 @@
         "turned_away" => {
             let turned = lines
                 .iter()
-                .rfind(|line| line.name == "request_turned_away");
+                .rfind(|line| line.event == Event::RequestTurnedAway);
             EndCause::TurnedAway {
                 target: turned.map_or("-", |line| line.text("target")).to_string(),
                 status: turned.map_or("-", |line| line.text("status")).to_string(),
@@ -161,13 +162,15 @@
 }
 
 fn no_adapter_cause(lines: &[&LogLine]) -> EndCause {
-    let mut waits = lines.iter().filter(|line| line.name == "request_waits");
+    let mut waits = lines
+        .iter()
+        .filter(|line| line.event == Event::RequestWaits);
     let last_wait = waits.next_back();
     let expected = last_wait.and_then(|line| line.number("expected_ms"));
     if let Some(expected_ms) = expected.filter(|expected| *expected > 0.0) {
         return EndCause::AdapterTooLate { expected_ms };
     }
-    let asks = lines.iter().filter(|line| line.name == "request_asks");
+    let asks = lines.iter().filter(|line| line.event == Event::RequestAsks);
     match (asks.count(), last_wait) {
         (0, None) => EndCause::NoEngine,
         (asked, _) => EndCause::NoPlace { asked },
@@ -183,8 +186,8 @@
             Self::InTime => write!(to, "answered in time"),
             Self::NoPlace { asked } => write!(
                 to,
-                "refused: no engine had a place for the adapter ({asked} holders asked; what others \
-                 said less than 0.4 s before was not asked again)"
+                "refused: no engine had a place for the adapter ({asked} holders asked; those \
+                 that had said so a moment before were not asked again)"
             ),
             Self::NoEngine => write!(to, "refused: no target could be used"),
             Self::AdapterTooLate { expected_ms } => write!(
--- a/src/report/log_line.rs
+++ b/src/report/log_line.rs
@@ -1,6 +1,9 @@
-use std::{
-    collections::BTreeMap,
-    io::{self, BufRead},
+use {
+    crate::timeline::Event,
+    std::{
+        collections::BTreeMap,
+        io::{self, BufRead},
+    },
 };
 
 /// Begins what a host writes; whatever gathers lines may put something before it.
@@ -12,14 +15,13 @@
     /// Time of day on that host, in milliseconds since 1970.
     pub ts_ms: f64,
     pub host: String,
-    /// The event's name, as in the catalogue.
-    pub name: String,
+    pub event: Event,
     /// What the event tells, in its words.
     pub fields: BTreeMap<String, String>,
 }
 
 impl LogLine {
-    /// Understands a line; `None` for one that no host wrote.
+    /// Understands a line; `None` for one that no host wrote, or whose event is not known.
     pub fn parse(line: &str) -> Option<Self> {
         let mut fields: BTreeMap<String, String> = line[line.find(LINE_START)?..]
             .split_whitespace()
@@ -29,7 +31,7 @@
         Some(Self {
             ts_ms: fields.remove("ts")?.parse().ok()?,
             host: fields.remove("host")?,
-            name: fields.remove("name")?,
+            event: Event::named(&fields.remove("name")?)?,
             fields,
         })
     }
--- a/src/report/request_story.rs
+++ b/src/report/request_story.rs
@@ -1,5 +1,6 @@
 use {
     super::{ClockOffsets, EndCause, LogLine},
+    crate::timeline::Event,
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -7,21 +8,21 @@
 const BEFORE_MS: f64 = 2_000.0;
 
 /// Events of other matters that bear on a request at one of its targets.
-const TARGET_EVENTS: [&str; 6] = [
-    "target_leaving",
-    "target_vanished",
-    "target_lost",
-    "target_forgotten",
-    "order_unanswered",
-    "order_refused",
+const TARGET_EVENTS: [Event; 6] = [
+    Event::TargetLeaving,
+    Event::TargetVanished,
+    Event::TargetLost,
+    Event::TargetForgotten,
+    Event::OrderUnanswered,
+    Event::OrderRefused,
 ];
 
 /// Events of the request's adapter.
-const ADAPTER_EVENTS: [&str; 4] = [
-    "load_ordered",
-    "load_done",
-    "drop_ordered",
-    "adapter_version_seen",
+const ADAPTER_EVENTS: [Event; 4] = [
+    Event::LoadOrdered,
+    Event::LoadDone,
+    Event::DropOrdered,
+    Event::AdapterVersionSeen,
 ];
 
 /// One thing that happened.
@@ -30,7 +31,7 @@
     /// Since the request arrived, in milliseconds; negative before that.
     pub at_ms: f64,
     pub host: String,
-    pub name: String,
+    pub event: Event,
     /// What the host knew and decided.
     pub fields: BTreeMap<String, String>,
 }
@@ -62,7 +63,7 @@
             .map(|line| StoryStep {
                 at_ms: line.happened_ms() - offsets.of(&line.host) - begin,
                 host: line.host.clone(),
-                name: line.name.clone(),
+                event: line.event,
                 fields: line.fields.clone(),
             })
             .filter(|step| step.at_ms >= -BEFORE_MS && step.at_ms <= end - begin + 1.0)
@@ -107,11 +108,12 @@
         &self,
         line: &LogLine,
     ) -> bool {
-        let name = line.name.as_str();
-        if TARGET_EVENTS.contains(&name) {
+        if TARGET_EVENTS.contains(&line.event) {
             return self.targets.contains(line.text("target"));
         }
-        ADAPTER_EVENTS.contains(&name) && !self.adapter.is_empty() && self.adapter == adapter(line)
+        ADAPTER_EVENTS.contains(&line.event)
+            && !self.adapter.is_empty()
+            && self.adapter == adapter(line)
     }
 }
 
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -26,6 +26,11 @@
                 }
             }
 
+            /// The event with this name in logs.
+            pub fn named(word: &str) -> Option<Self> {
+                Self::ALL.iter().copied().find(|event| event.word() == word)
+            }
+
             /// The level that it is logged at.
             pub fn level(self) -> Level {
                 match self {
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -68,7 +68,7 @@
     all.extend(own);
     assert_eq!(ClockOffsets::estimate(&all, "h1").of("h2"), 10_000.0);
     let story = RequestStory::of(&all, "r1").unwrap();
-    let names: Vec<&str> = story.steps.iter().map(|step| step.name.as_str()).collect();
+    let names: Vec<&str> = story.steps.iter().map(|step| step.event.word()).collect();
     let expected = [
         "request_asks",
         "load_ordered",
@@ -88,6 +88,7 @@
 #[rstest]
 #[case::not_of_a_host("error: something else")]
 #[case::cut_short("ts=1 up_us=2 hos")]
+#[case::event_of_another_version("ts=1 up_us=2 host=h level=info event=999 name=not_known_here")]
 fn other_lines_are_passed_over(#[case] text: &str) {
     assert_eq!(LogLine::parse(text), None);
 }
