Transfers of tables between hosts tell how they end; figures of what a host believes come first

Ruled out: a line for each transfer (hosts read twice a second): small ones that succeed are only counted. Change: events 307 copy_taken and 308 copy_not_taken, figures coveproxy_copy_transfers, copy_received_bytes and copy_sent_bytes; a call without a reply says how far it got and why it ended; histograms last on the page. No change of what is decided.

--- a/src/connection/http1/call_client.rs
+++ b/src/connection/http1/call_client.rs
@@ -2,19 +2,38 @@
     super::{BodyDecoder, ExchangeError, HttpConnection, ResponseHead},
     crate::formats::{HttpCall, HttpReply},
     std::{net::SocketAddr, time::Duration},
+    thiserror::Error,
     tokio::time::timeout,
 };
 
 /// Largest body of a reply, in bytes.
 const MAX_REPLY: usize = 16 * 1024 * 1024;
 
+/// Why a call brought no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum CallEnd {
+    #[error("its time was over")]
+    TimedOut,
+    #[error(transparent)]
+    Broken(#[from] ExchangeError),
+}
+
 /// How a call ended that brought no reply.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallFailure {
-    /// Nothing left this host.
-    NotSent,
-    /// It may have been carried out.
-    Unknown,
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("{end} after {received} bytes of the reply")]
+pub struct CallFailure {
+    /// It may have been carried out; if not, nothing left this host.
+    pub sent: bool,
+    /// Bytes of the reply's body that had come.
+    pub received: usize,
+    pub end: CallEnd,
+}
+
+/// How far a call has got.
+#[derive(Debug, Default)]
+struct CallProgress {
+    sent: bool,
+    body: Vec<u8>,
 }
 
 /// Makes calls to one address, one after the other, over a kept connection.
@@ -41,45 +60,46 @@
         headers: &str,
         limit: Duration,
     ) -> Result<HttpReply, CallFailure> {
-        let mut sent = false;
-        let outcome = timeout(limit, self.try_call(call, headers, &mut sent)).await;
-        match outcome {
-            Ok(Ok(reply)) => Ok(reply),
-            // Whatever a connection that failed once says later belongs to no call.
-            _ => {
-                self.connection = None;
-                Err(match sent {
-                    true => CallFailure::Unknown,
-                    false => CallFailure::NotSent,
-                })
+        let mut progress = CallProgress::default();
+        let outcome = timeout(limit, self.try_call(call, headers, &mut progress)).await;
+        let end = match outcome {
+            Ok(Ok(status)) => {
+                let body = progress.body;
+                return Ok(HttpReply { status, body });
             }
-        }
+            Ok(Err(problem)) => CallEnd::Broken(problem),
+            Err(_) => CallEnd::TimedOut,
+        };
+        // Whatever a connection that failed once says later belongs to no call.
+        self.connection = None;
+        Err(CallFailure {
+            sent: progress.sent,
+            received: progress.body.len(),
+            end,
+        })
     }
 
     async fn try_call(
         &mut self,
         call: &HttpCall,
         headers: &str,
-        sent: &mut bool,
-    ) -> Result<HttpReply, ExchangeError> {
+        progress: &mut CallProgress,
+    ) -> Result<u16, ExchangeError> {
         let mut connection = match self.connection.take() {
             Some(connection) if connection.is_quiet() => connection,
             _ => HttpConnection::open(self.address).await?,
         };
-        *sent = true;
+        progress.sent = true;
         let request = self.request(call, headers);
         let (head, whole) = connection
             .exchange(&request, &call.method, |_| true)
             .await?;
-        let body = read_body(&mut connection, &head).await?;
+        read_body(&mut connection, &head, &mut progress.body).await?;
         if head.keeps_alive && whole {
             connection.rest();
             self.connection = Some(connection);
         }
-        Ok(HttpReply {
-            status: head.status.as_u16(),
-            body,
-        })
+        Ok(head.status.as_u16())
     }
 
     fn request(
@@ -107,14 +127,14 @@
 async fn read_body(
     connection: &mut HttpConnection,
     head: &ResponseHead,
-) -> Result<Vec<u8>, ExchangeError> {
+    body: &mut Vec<u8>,
+) -> Result<(), ExchangeError> {
     let mut decoder = BodyDecoder::new(head.framing);
-    let mut body = Vec::new();
     while let Some(piece) = connection.body_piece(&mut decoder).await? {
         if body.len() + piece.len() > MAX_REPLY {
             return Err(ExchangeError::Nonsense("the body is too large"));
         }
         body.extend_from_slice(&piece);
     }
-    Ok(body)
+    Ok(())
 }
--- a/src/connection/store/store_client.rs
+++ b/src/connection/store/store_client.rs
@@ -17,17 +17,27 @@
 /// Why a call to the store brought nothing.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum StoreFailure {
-    #[error("not reached")]
-    NotReached,
+    #[error("not reached: {0}")]
+    NotReached(CallFailure),
     /// A write may have been done, or may be done later.
-    #[error("no reply")]
-    NoReply,
+    #[error("no reply: {0}")]
+    NoReply(CallFailure),
     #[error("turned away with status {0}")]
     TurnedAway(u16),
     #[error(transparent)]
     Nonsense(#[from] FormatError),
 }
 
+impl StoreFailure {
+    /// Bytes of the reply that had come.
+    pub fn received(&self) -> usize {
+        match self {
+            Self::NotReached(failure) | Self::NoReply(failure) => failure.received,
+            Self::TurnedAway(_) | Self::Nonsense(_) => 0,
+        }
+    }
+}
+
 /// Talks to the store; each call has a connection to itself while it lasts.
 pub struct StoreClient {
     address: SocketAddr,
@@ -122,8 +132,8 @@
             call: name,
             result: match &outcome {
                 Ok(_) => "answered",
-                Err(StoreFailure::NotReached) => "not_reached",
-                Err(StoreFailure::NoReply) => "no_reply",
+                Err(StoreFailure::NotReached(_)) => "not_reached",
+                Err(StoreFailure::NoReply(_)) => "no_reply",
                 Err(_) => "turned_away",
             },
         };
@@ -140,9 +150,9 @@
         let mut client = idle.unwrap_or_else(|| CallClient::new(self.address));
         let outcome = client.call(call, "", limit).await;
         self.idle.borrow_mut().push(client);
-        let reply = outcome.map_err(|failure| match failure {
-            CallFailure::NotSent => StoreFailure::NotReached,
-            CallFailure::Unknown => StoreFailure::NoReply,
+        let reply = outcome.map_err(|failure| match failure.sent {
+            true => StoreFailure::NoReply(failure),
+            false => StoreFailure::NotReached(failure),
         })?;
         match reply.status {
             429 | 500..=599 => Err(StoreFailure::TurnedAway(reply.status)),
--- a/src/formats/rows.rs
+++ b/src/formats/rows.rs
@@ -38,6 +38,14 @@
     pub more: bool,
 }
 
+impl RowBatch {
+    /// Bytes of all its values.
+    pub fn bytes(&self) -> usize {
+        let values = self.rows.iter().filter_map(|row| row.value.as_deref());
+        values.map(<[u8]>::len).sum()
+    }
+}
+
 /// An answer to a read of rows or changes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RowsReply {
@@ -46,6 +54,16 @@
     HistoryGone,
 }
 
+impl RowsReply {
+    /// Bytes of all values in it.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Rows(batch) => batch.bytes(),
+            Self::HistoryGone => 0,
+        }
+    }
+}
+
 /// What a transaction expects of one row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Expectation {
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        CallLabels, CopyLabels, KindLabels, OrderLabels, OutcomeLabels, StateLabels, WaitLabels,
+        CallLabels, CopyLabels, KindLabels, OrderLabels, OutcomeLabels, StateLabels,
+        TransferLabels, WaitLabels,
     },
     prometheus_client::{
         encoding::text::encode,
@@ -33,6 +34,9 @@
     pub hosts: Family<StateLabels, Gauge>,
     pub targets: Family<StateLabels, Gauge>,
     pub copy_age: Family<CopyLabels, Seconds>,
+    pub copy_transfers: Family<TransferLabels, Counter>,
+    pub copy_received: Family<TransferLabels, Counter>,
+    pub copy_sent: Family<CopyLabels, Counter>,
     pub config_version: Gauge,
     pub lease_held: Gauge,
     pub engines_held: Gauge,
@@ -67,6 +71,9 @@
             hosts: Family::default(),
             targets: Family::default(),
             copy_age: Family::default(),
+            copy_transfers: Family::default(),
+            copy_received: Family::default(),
+            copy_sent: Family::default(),
             config_version: Gauge::default(),
             lease_held: Gauge::default(),
             engines_held: Gauge::default(),
@@ -86,36 +93,32 @@
         }
     }
 
+    /// Gauges and counters of what this host believes come first: whoever cuts a long page off after
+    /// some kilobytes loses the histograms.
     fn register(
         &self,
         registry: &mut Registry,
     ) {
-        registry.register("requests", "Requests that ended", self.requests.clone());
-        registry.register(
-            "first_event_seconds",
-            "Time to the answer, or to the first event of a stream",
-            self.first_event.clone(),
-        );
-        registry.register(
-            "wait_seconds",
-            "Time that answered requests waited before they were sent",
-            self.waits.clone(),
-        );
-        registry.register(
-            "resends",
-            "Sends of requests beyond the first",
-            self.resends.clone(),
-        );
+        self.register_beliefs(registry);
+        self.register_copies(registry);
+        self.register_process(registry);
+        self.register_orders(registry);
+        self.register_requests(registry);
+    }
+
+    fn register_beliefs(
+        &self,
+        registry: &mut Registry,
+    ) {
         registry.register(
-            "store_calls",
-            "Calls to the store",
-            self.store_calls.clone(),
+            "config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
         );
-        registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register(
-            "load_seconds",
-            "Time from the order of an adapter until it was there",
-            self.load_time.clone(),
+            "copy_age_seconds",
+            "Age of this host's copy of a table",
+            self.copy_age.clone(),
         );
         registry.register(
             "hosts",
@@ -127,26 +130,6 @@
             "Targets, by what is believed",
             self.targets.clone(),
         );
-        registry.register(
-            "copy_age_seconds",
-            "Age of this host's copy of a table",
-            self.copy_age.clone(),
-        );
-        registry.register(
-            "control_wakes",
-            "Wakes of the control thread, by what caused them",
-            self.control_wakes.clone(),
-        );
-        registry.register(
-            "control_busy_us",
-            "Time of the control thread in microseconds, by what woke it",
-            self.control_busy_us.clone(),
-        );
-        registry.register(
-            "config_version",
-            "Version of the configuration in force",
-            self.config_version.clone(),
-        );
         registry.register(
             "lease_held",
             "1 while this host may give orders",
@@ -162,6 +145,48 @@
             "Adapters at these engines",
             self.adapters_held.clone(),
         );
+    }
+
+    fn register_copies(
+        &self,
+        registry: &mut Registry,
+    ) {
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "copy_transfers",
+            "Transfers of tables to this host that ended",
+            self.copy_transfers.clone(),
+        );
+        registry.register(
+            "copy_received_bytes",
+            "Bytes that these transfers brought",
+            self.copy_received.clone(),
+        );
+        registry.register(
+            "copy_sent_bytes",
+            "Bytes of tables that other hosts were sent",
+            self.copy_sent.clone(),
+        );
+    }
+
+    fn register_process(
+        &self,
+        registry: &mut Registry,
+    ) {
+        registry.register(
+            "control_wakes",
+            "Wakes of the control thread, by what caused them",
+            self.control_wakes.clone(),
+        );
+        registry.register(
+            "control_busy_us",
+            "Time of the control thread in microseconds, by what woke it",
+            self.control_busy_us.clone(),
+        );
         registry.register(
             "datagrams",
             "Messages between hosts",
@@ -184,6 +209,40 @@
         );
     }
 
+    fn register_orders(
+        &self,
+        registry: &mut Registry,
+    ) {
+        registry.register("orders", "Orders to engines", self.orders.clone());
+        registry.register(
+            "load_seconds",
+            "Time from the order of an adapter until it was there",
+            self.load_time.clone(),
+        );
+    }
+
+    fn register_requests(
+        &self,
+        registry: &mut Registry,
+    ) {
+        registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register(
+            "resends",
+            "Sends of requests beyond the first",
+            self.resends.clone(),
+        );
+        registry.register(
+            "first_event_seconds",
+            "Time to the answer, or to the first event of a stream",
+            self.first_event.clone(),
+        );
+        registry.register(
+            "wait_seconds",
+            "Time that answered requests waited before they were sent",
+            self.waits.clone(),
+        );
+    }
+
     /// The page, in the usual exposition format.
     pub fn page(&self) -> String {
         self.memory.set(resident_memory().unwrap_or_default());
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -43,3 +43,11 @@
 pub struct CopyLabels {
     pub table: &'static str,
 }
+
+/// A copy of a table from the store or from a host, and how its transfer ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct TransferLabels {
+    pub table: &'static str,
+    pub source: &'static str,
+    pub result: &'static str,
+}
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -6,6 +6,7 @@
 pub use {
     host_metrics::{HostMetrics, metrics},
     labels::{
-        CallLabels, CopyLabels, KindLabels, OrderLabels, OutcomeLabels, StateLabels, WaitLabels,
+        CallLabels, CopyLabels, KindLabels, OrderLabels, OutcomeLabels, StateLabels,
+        TransferLabels, WaitLabels,
     },
 };
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -3,15 +3,25 @@
 use {
     super::{
         ControlAction, ControlEvent, HostControl, TableName,
+        copy_transfer::{CopySource, CopyTransfer},
         peer_pages::{changes_call, hosts_call, parse_changes, parse_hosts},
         traffic::TrafficInput,
         wake_watch::{WakeWatch, tell_wake},
     },
     crate::{
-        connection::{datagram::DatagramSocket, http1::CallClient, store::StoreClient},
-        formats::{Formats, HttpCall, HttpReply, Order, OrderReply, Transaction},
+        connection::{
+            datagram::DatagramSocket,
+            http1::{CallClient, CallFailure},
+            store::{StoreClient, StoreFailure},
+        },
+        formats::{
+            Formats, HttpCall, HttpReply, Order, OrderReply, RowBatch, RowsReply, Transaction,
+        },
         metrics::{OrderLabels, StateLabels, metrics},
-        process::{holding::HOLDING_TABLE, ownership::SessionLease, settings::NodeSettings},
+        process::{
+            holding::HOLDING_TABLE, ownership::SessionLease, settings::NodeSettings,
+            tables::TableChanges,
+        },
     },
     std::{
         cell::RefCell,
@@ -179,12 +189,13 @@
     ) {
         let (store, events, name) = (self.store.clone(), self.events.clone(), self.table(table));
         spawn_local(async move {
-            let asked = Instant::now();
-            let reply = store.read_changes(&name, since, Duration::ZERO).await.ok();
+            let transfer = CopyTransfer::begin(table, CopySource::Store, since);
+            let reply = store.read_changes(&name, since, Duration::ZERO).await;
+            tell_store_read(&transfer, reply.as_ref().map(RowsReply::bytes));
             let _ = events.send(ControlEvent::ChangesRead {
                 table,
-                asked,
-                reply,
+                asked: transfer.begun(),
+                reply: reply.ok(),
             });
         });
     }
@@ -195,9 +206,14 @@
     ) {
         let (store, events, name) = (self.store.clone(), self.events.clone(), self.table(table));
         spawn_local(async move {
-            let asked = Instant::now();
-            let rows = store.read_table(&name).await.ok();
-            let _ = events.send(ControlEvent::TableRead { table, asked, rows });
+            let transfer = CopyTransfer::begin(table, CopySource::Store, 0);
+            let rows = store.read_table(&name).await;
+            tell_store_read(&transfer, rows.as_ref().map(RowBatch::bytes));
+            let _ = events.send(ControlEvent::TableRead {
+                table,
+                asked: transfer.begun(),
+                rows: rows.ok(),
+            });
         });
     }
 
@@ -211,12 +227,9 @@
         let clients = self.clients.clone();
         spawn_local(async move {
             let call = changes_call(table, since);
+            let transfer = CopyTransfer::begin(table, CopySource::Host(from), since);
             let reply = call_once(&clients, from, &call, "", PULL_LIMIT).await;
-            let now = Instant::now();
-            let changes = reply
-                .filter(|reply| reply.status == 200)
-                .and_then(|reply| parse_changes(&reply.body))
-                .and_then(|(changes, age)| Some((changes, now.checked_sub(age)?)));
+            let changes = understand_pull(&transfer, reply);
             let _ = events.send(ControlEvent::ChangesPulled {
                 table,
                 from,
@@ -234,6 +247,7 @@
         spawn_local(async move {
             let reply = call_once(&clients, from, &hosts_call(), "", PULL_LIMIT).await;
             let hosts = reply
+                .ok()
                 .filter(|reply| reply.status == 200)
                 .and_then(|reply| parse_hosts(&reply.body));
             let _ = events.send(ControlEvent::HostsPulled { from, hosts });
@@ -304,6 +318,7 @@
                 return;
             }
             let reply = call_once(&clients, address, &call, &expect, ORDER_LIMIT).await;
+            let reply = reply.ok();
             let reply = reply.and_then(|reply| formats.order_reply(reply.status).ok());
             let labels = OrderLabels {
                 order: order.kind.word(),
@@ -328,7 +343,8 @@
             let expect = expect_line(&formats, &target);
             let call = formats.report_call();
             let reply = call_once(&clients, address, &call, &expect, REPORT_LIMIT).await;
-            let report = reply.and_then(|reply| formats.report_reply(&reply).ok());
+            let report = reply.ok();
+            let report = report.and_then(|reply| formats.report_reply(&reply).ok());
             let _ = events.send(ControlEvent::Reported { target, report });
         });
     }
@@ -349,10 +365,47 @@
     call: &HttpCall,
     headers: &str,
     limit: Duration,
-) -> Option<HttpReply> {
+) -> Result<HttpReply, CallFailure> {
     let idle = clients.borrow_mut().remove(&address);
     let mut client = idle.unwrap_or_else(|| CallClient::new(address));
     let reply = client.call(call, headers, limit).await;
     clients.borrow_mut().insert(address, client);
-    reply.ok()
+    reply
+}
+
+/// Tells how a read of a table from the store ended.
+fn tell_store_read(
+    transfer: &CopyTransfer,
+    bytes: Result<usize, &StoreFailure>,
+) {
+    match bytes {
+        Ok(bytes) => transfer.note_taken(bytes),
+        Err(failure) => transfer.note_failed(failure.received(), failure),
+    }
+}
+
+/// Understands another host's copy, with the time at which it was right, and tells how its transfer ended.
+fn understand_pull(
+    transfer: &CopyTransfer,
+    reply: Result<HttpReply, CallFailure>,
+) -> Option<(TableChanges, Instant)> {
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(failure) => {
+            transfer.note_failed(failure.received, &failure);
+            return None;
+        }
+    };
+    let bytes = reply.body.len();
+    if reply.status != 200 {
+        transfer.note_failed(bytes, &format!("status {}", reply.status));
+        return None;
+    }
+    let Some((changes, age)) = parse_changes(&reply.body) else {
+        transfer.note_failed(bytes, &"it makes no sense");
+        return None;
+    };
+    transfer.note_taken(bytes);
+    let as_of = Instant::now().checked_sub(age)?;
+    Some((changes, as_of))
 }
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -8,6 +8,7 @@
 mod control_peers;
 mod control_runner;
 mod control_tables;
+mod copy_transfer;
 mod host_control;
 mod host_process;
 mod peer_pages;
--- a/src/process/host/peer_pages.rs
+++ b/src/process/host/peer_pages.rs
@@ -8,6 +8,7 @@
             pull::{ChangesBody, HostsBody, RowBody},
         },
         formats::HttpCall,
+        metrics::{CopyLabels, metrics},
         process::tables::TableChanges,
     },
     prost::Message,
@@ -81,7 +82,13 @@
         whole: changes.whole,
         age_ms: u32::try_from(age?.as_millis()).unwrap_or(u32::MAX),
     };
-    Some(body.encode_to_vec())
+    let body = body.encode_to_vec();
+    let labels = CopyLabels {
+        table: table.word(),
+    };
+    let sent = metrics().copy_sent.get_or_create(&labels).clone();
+    sent.inc_by(body.len() as u64);
+    Some(body)
 }
 
 /// Understands the page; gives also how old the copy was when it was told.
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -60,6 +60,8 @@
     TableBack = 304 "table_back" Info,
     SessionRenewed = 305 "session_renewed" Debug,
     SessionNotRenewed = 306 "session_not_renewed" Warn,
+    CopyTaken = 307 "copy_taken" Info,
+    CopyNotTaken = 308 "copy_not_taken" Warn,
     TargetTaken = 310 "target_taken" Info,
     TargetHandedOver = 311 "target_handed_over" Info,
     TargetLost = 312 "target_lost" Info,
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -5,7 +5,7 @@
         errors::RequestError,
         metrics::{
             CallLabels, CopyLabels, KindLabels, OrderLabels, OutcomeLabels, StateLabels,
-            WaitLabels, metrics,
+            TransferLabels, WaitLabels, metrics,
         },
         process::node::ALL_METRICS,
         request::RefusalCode,
@@ -92,11 +92,16 @@
     drop(metrics.orders.get_or_create(&order));
     drop(metrics.hosts.get_or_create(&state));
     drop(metrics.targets.get_or_create(&state));
-    drop(
-        metrics
-            .copy_age
-            .get_or_create(&CopyLabels { table: "test" }),
-    );
+    let copy = CopyLabels { table: "test" };
+    let transfer = TransferLabels {
+        table: "test",
+        source: "test",
+        result: "test",
+    };
+    drop(metrics.copy_age.get_or_create(&copy));
+    drop(metrics.copy_sent.get_or_create(&copy));
+    drop(metrics.copy_transfers.get_or_create(&transfer));
+    drop(metrics.copy_received.get_or_create(&transfer));
     drop(metrics.datagrams.get_or_create(&state));
     drop(metrics.connections.get_or_create(&state));
     drop(metrics.lines_lost.get_or_create(&state));
@@ -122,6 +127,29 @@
     assert_eq!(described, coded);
 }
 
+/// Where a page is cut off after some kilobytes, what the host believes must still stand on it.
+#[test]
+fn histograms_come_last_on_the_metrics_page() {
+    touch_all();
+    let served = metrics().page();
+    let kinds: Vec<&str> = served
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|line| line.split(' ').nth(1))
+        .collect();
+    let beliefs = served
+        .find("coveproxy_config_version")
+        .expect("the version is told");
+    assert!(beliefs < 200, "{served}");
+    let first = kinds.iter().position(|kind| *kind == "histogram").unwrap();
+    let before = served.find("# TYPE coveproxy_load_seconds").unwrap();
+    assert!(kinds[..first].len() >= 15, "{kinds:?}");
+    assert!(
+        before < 4_000,
+        "{before} bytes stand before the first histogram"
+    );
+}
+
 #[test]
 fn every_error_code_is_in_the_catalogue_with_its_status() {
     let described: BTreeSet<(String, String)> = rows(&page("CALLERS.md"))
--- a/tests/http1.rs
+++ b/tests/http1.rs
@@ -4,7 +4,7 @@
     bytes::BytesMut,
     coveproxy::{
         connection::http1::{
-            BodyDecoder, BodyFraming, CallClient, CallFailure, Decoded, ExchangeError,
+            BodyDecoder, BodyFraming, CallClient, CallEnd, CallFailure, Decoded, ExchangeError,
             HttpConnection, ResponseHead,
         },
         formats::HttpCall,
@@ -289,11 +289,30 @@
     let limit = Duration::from_millis(300);
     let silent = peer(Script::Answer(b"")).await;
     let outcome = CallClient::new(silent).call(&call, "", limit).await;
-    assert_eq!(outcome, Err(CallFailure::Unknown));
+    let timed_out = CallFailure {
+        sent: true,
+        received: 0,
+        end: CallEnd::TimedOut,
+    };
+    assert_eq!(outcome, Err(timed_out));
+    let cut = peer(Script::Answer(
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nsome",
+    ));
+    let outcome = CallClient::new(cut.await).call(&call, "", limit).await;
+    let after_some = CallFailure {
+        received: 4,
+        ..timed_out
+    };
+    assert_eq!(outcome, Err(after_some));
     let nobody = {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         listener.local_addr().unwrap()
     };
     let outcome = CallClient::new(nobody).call(&call, "", limit).await;
-    assert_eq!(outcome, Err(CallFailure::NotSent));
+    let not_sent = CallFailure {
+        sent: false,
+        received: 0,
+        end: CallEnd::Broken(ExchangeError::NoConnection),
+    };
+    assert_eq!(outcome, Err(not_sent));
 }
