--- a/src/standin/fault_proxy.rs
+++ b/src/standin/fault_proxy.rs
@@ -15,6 +15,7 @@
             tcp::{OwnedReadHalf, OwnedWriteHalf},
         },
         sync::watch,
+        time::Instant,
     },
 };
 
@@ -32,6 +33,35 @@
     pub stall_answers: bool,
     /// Each piece waits this long.
     pub delay: Duration,
+    /// What the link carries each way in bytes a second, over all its connections; none sets no limit.
+    pub bytes_per_s: Option<u32>,
+}
+
+/// One direction of a link, which carries one piece after the other.
+#[derive(Debug)]
+struct Lane {
+    /// When the last piece that was let in has passed.
+    free_at: Mutex<Instant>,
+}
+
+impl Lane {
+    fn new() -> Arc<Self> {
+        Arc::new(Self {
+            free_at: Mutex::new(Instant::now()),
+        })
+    }
+
+    /// Lets a piece in behind those that wait; it has passed at the time given.
+    fn enter(
+        &self,
+        bytes: usize,
+        bytes_per_s: u32,
+    ) -> Instant {
+        let mut free_at = self.free_at.lock().expect("no holder panics");
+        let takes = Duration::from_secs_f64(bytes as f64 / f64::from(bytes_per_s));
+        *free_at = (*free_at).max(Instant::now()) + takes;
+        *free_at
+    }
 }
 
 /// A TCP proxy on loopback whose connections can be refused, stalled, slowed and cut.
@@ -50,6 +80,8 @@
     fault: watch::Receiver<ProxyFault>,
     cuts: watch::Receiver<u64>,
     bytes: Arc<AtomicU64>,
+    asks: Arc<Lane>,
+    answers: Arc<Lane>,
 }
 
 impl FaultProxy {
@@ -66,6 +98,8 @@
             to: Arc::new(Mutex::new(to)),
             fault: seen_fault,
             cuts: seen_cuts,
+            asks: Lane::new(),
+            answers: Lane::new(),
         };
         tokio::spawn(async move {
             loop {
@@ -152,11 +186,18 @@
     loop {
         let read = from.read(&mut piece).await?;
         let passes = |fault: &ProxyFault| !(fault.stall || answers && fault.stall_answers);
-        let delay = match fault.wait_for(passes).await {
-            Ok(fault) => fault.delay,
+        let fault = match fault.wait_for(passes).await {
+            Ok(fault) => *fault,
             Err(_) => return Ok(()),
         };
-        tokio::time::sleep(delay).await;
+        tokio::time::sleep(fault.delay).await;
+        if let Some(bytes_per_s) = fault.bytes_per_s {
+            let lane = match answers {
+                true => &shared.answers,
+                false => &shared.asks,
+            };
+            tokio::time::sleep_until(lane.enter(read, bytes_per_s)).await;
+        }
         if read == 0 {
             // A half-closed connection may still be answered.
             return to.shutdown().await;
