Large tables reach hosts on slow links: limits on silence, packed pages, bounded hand-out, fast links read first

Cause: a transfer of a table between hosts could take 0.5 s in all, one from the store 0.9 s, whatever its size; all hosts asked the first reader for the whole of it at once. On 10 Mbit/s a configuration of 1 MB was cut each time and begun anew: livelock. Links stayed full, so that the news of engines that leave, pings and answers waited. Weighed: longer limits alone (the first reader's link still carries 74 times 1 MB); differences against the copy that the other has (0.02 MB instead of 0.05, 0.3 KB for a small change, but both must keep the last copy); reading the store alone (0.85 s and 1 MB a host, priced). Change: a call is over when the other side falls silent (0.5 and 0.9 s) or after 10 s; pages of changes are packed with zstd (0.89 MB to 0.05 MB in 1 ms), the last one kept; a host hands large copies out over half of its link at the most ([limits] link_mbps) and turns others away, who hear from 8 hosts of each that got it; hosts with fast links read the store first. Pages have a path of their own, so that hosts of both versions fall back to the store.

--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -42,6 +42,9 @@
     /// It takes requests.
     #[prost(bool, tag = "10")]
     pub ready: bool,
+    /// What its link carries, in Mbit/s; 0 if that is not known.
+    #[prost(uint32, tag = "11")]
+    pub link_mbps: u32,
 }
 
 /// How a host's copy of one table of the store stands.
--- a/src/connection/http1/call_client.rs
+++ b/src/connection/http1/call_client.rs
@@ -9,11 +9,32 @@
 /// Largest body of a reply, in bytes.
 const MAX_REPLY: usize = 16 * 1024 * 1024;
 
+/// How long a call may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallLimit {
+    /// All of it.
+    pub whole: Duration,
+    /// Until the reply's head has come, and from each piece of its body to the next.
+    pub silence: Duration,
+}
+
+impl CallLimit {
+    /// A call that must be over after this time, for replies that are always small.
+    pub fn whole(whole: Duration) -> Self {
+        Self {
+            whole,
+            silence: whole,
+        }
+    }
+}
+
 /// Why a call brought no reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum CallEnd {
     #[error("its time was over")]
     TimedOut,
+    #[error("silence")]
+    Silent,
     #[error(transparent)]
     Broken(#[from] ExchangeError),
 }
@@ -51,23 +72,23 @@
         }
     }
 
-    /// Makes a call; the whole of it may take `limit`.
+    /// Makes a call.
     ///
     /// `headers` are whole header lines, each with its line end.
     pub async fn call(
         &mut self,
         call: &HttpCall,
         headers: &str,
-        limit: Duration,
+        limit: CallLimit,
     ) -> Result<HttpReply, CallFailure> {
         let mut progress = CallProgress::default();
-        let outcome = timeout(limit, self.try_call(call, headers, &mut progress)).await;
-        let end = match outcome {
+        let running = self.try_call(call, headers, limit.silence, &mut progress);
+        let end = match timeout(limit.whole, running).await {
             Ok(Ok(status)) => {
                 let body = progress.body;
                 return Ok(HttpReply { status, body });
             }
-            Ok(Err(problem)) => CallEnd::Broken(problem),
+            Ok(Err(end)) => end,
             Err(_) => CallEnd::TimedOut,
         };
         // Whatever a connection that failed once says later belongs to no call.
@@ -80,11 +101,35 @@
     }
 
     async fn try_call(
+        &mut self,
+        call: &HttpCall,
+        headers: &str,
+        silence: Duration,
+        progress: &mut CallProgress,
+    ) -> Result<u16, CallEnd> {
+        let head = self.read_head(call, headers, progress);
+        let (mut connection, head, whole) = within(silence, head).await?;
+        let mut decoder = BodyDecoder::new(head.framing);
+        while let Some(piece) = within(silence, connection.body_piece(&mut decoder)).await? {
+            if progress.body.len() + piece.len() > MAX_REPLY {
+                return Err(ExchangeError::Nonsense("the body is too large").into());
+            }
+            progress.body.extend_from_slice(&piece);
+        }
+        if head.keeps_alive && whole {
+            connection.rest();
+            self.connection = Some(connection);
+        }
+        Ok(head.status.as_u16())
+    }
+
+    /// Sends the request and reads the reply's head; the flag says whether the request was sent whole.
+    async fn read_head(
         &mut self,
         call: &HttpCall,
         headers: &str,
         progress: &mut CallProgress,
-    ) -> Result<u16, ExchangeError> {
+    ) -> Result<(HttpConnection, ResponseHead, bool), ExchangeError> {
         let mut connection = match self.connection.take() {
             Some(connection) if connection.is_quiet() => connection,
             _ => HttpConnection::open(self.address).await?,
@@ -94,12 +139,7 @@
         let (head, whole) = connection
             .exchange(&request, &call.method, |_| true)
             .await?;
-        read_body(&mut connection, &head, &mut progress.body).await?;
-        if head.keeps_alive && whole {
-            connection.rest();
-            self.connection = Some(connection);
-        }
-        Ok(head.status.as_u16())
+        Ok((connection, head, whole))
     }
 
     fn request(
@@ -124,17 +164,13 @@
     }
 }
 
-async fn read_body(
-    connection: &mut HttpConnection,
-    head: &ResponseHead,
-    body: &mut Vec<u8>,
-) -> Result<(), ExchangeError> {
-    let mut decoder = BodyDecoder::new(head.framing);
-    while let Some(piece) = connection.body_piece(&mut decoder).await? {
-        if body.len() + piece.len() > MAX_REPLY {
-            return Err(ExchangeError::Nonsense("the body is too large"));
-        }
-        body.extend_from_slice(&piece);
+/// Ends a step of a call that takes longer than the other side may be silent.
+async fn within<T>(
+    silence: Duration,
+    step: impl Future<Output = Result<T, ExchangeError>>,
+) -> Result<T, CallEnd> {
+    match timeout(silence, step).await {
+        Ok(outcome) => Ok(outcome?),
+        Err(_) => Err(CallEnd::Silent),
     }
-    Ok(())
 }
--- a/src/connection/http1/mod.rs
+++ b/src/connection/http1/mod.rs
@@ -10,7 +10,7 @@
 
 pub use {
     body_decoder::{BodyDecoder, Decoded},
-    call_client::{CallClient, CallEnd, CallFailure},
+    call_client::{CallClient, CallEnd, CallFailure, CallLimit},
     connection::{ExchangeError, HttpConnection},
     response_head::{BodyFraming, ResponseHead},
 };
--- a/src/connection/pull/changes_body.rs
+++ b/src/connection/pull/changes_body.rs
@@ -33,9 +33,6 @@
     pub digest: u64,
     #[prost(bool, tag = "4")]
     pub whole: bool,
-    /// Time since the copy was known to be right.
-    #[prost(uint32, tag = "5")]
-    pub age_ms: u32,
 }
 
 impl From<&Row> for RowBody {
--- a/src/connection/pull/mod.rs
+++ b/src/connection/pull/mod.rs
@@ -2,5 +2,9 @@
 //! it knows.
 
 mod changes_body;
+mod copy_page;
 
-pub use changes_body::{ChangesBody, HostsBody, RowBody};
+pub use {
+    changes_body::{ChangesBody, HostsBody, RowBody},
+    copy_page::{CopyPage, PageProblem},
+};
--- a/src/connection/store/store_client.rs
+++ b/src/connection/store/store_client.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::http1::{CallClient, CallFailure},
+        connection::http1::{CallClient, CallFailure, CallLimit},
         formats::{
             Commit, FormatError, Formats, HttpCall, HttpReply, Row, RowBatch, RowsReply,
             Transaction,
@@ -42,7 +42,7 @@
 pub struct StoreClient {
     address: SocketAddr,
     formats: Arc<dyn Formats>,
-    limit: Duration,
+    limit: CallLimit,
     idle: RefCell<Vec<CallClient>>,
 }
 
@@ -51,7 +51,7 @@
     pub fn new(
         address: SocketAddr,
         formats: Arc<dyn Formats>,
-        limit: Duration,
+        limit: CallLimit,
     ) -> Self {
         Self {
             address,
@@ -94,7 +94,11 @@
         wait: Duration,
     ) -> Result<RowsReply, StoreFailure> {
         let call = self.formats.changes_call(table, since, wait);
-        let reply = self.call("changes", &call, self.limit + wait).await?;
+        let limit = CallLimit {
+            whole: self.limit.whole + wait,
+            silence: self.limit.silence + wait,
+        };
+        let reply = self.call("changes", &call, limit).await?;
         Ok(self.formats.rows_reply(&reply)?)
     }
 
@@ -125,7 +129,7 @@
         &self,
         name: &'static str,
         call: &HttpCall,
-        limit: Duration,
+        limit: CallLimit,
     ) -> Result<HttpReply, StoreFailure> {
         let outcome = self.try_call(call, limit).await;
         let labels = CallLabels {
@@ -144,7 +148,7 @@
     async fn try_call(
         &self,
         call: &HttpCall,
-        limit: Duration,
+        limit: CallLimit,
     ) -> Result<HttpReply, StoreFailure> {
         let idle = self.idle.borrow_mut().pop();
         let mut client = idle.unwrap_or_else(|| CallClient::new(self.address));
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -4,14 +4,15 @@
     super::{
         ControlAction, ControlEvent, HostControl, TableName,
         copy_transfer::{CopySource, CopyTransfer},
-        peer_pages::{changes_call, hosts_call, parse_changes, parse_hosts},
+        peer_pages::{copy_call, hosts_call, parse_hosts},
         traffic::TrafficInput,
         wake_watch::{WakeWatch, tell_wake},
     },
     crate::{
         connection::{
             datagram::DatagramSocket,
-            http1::{CallClient, CallFailure},
+            http1::{CallClient, CallFailure, CallLimit},
+            pull::CopyPage,
             store::{StoreClient, StoreFailure},
         },
         formats::{
@@ -34,8 +35,18 @@
     tokio::task::spawn_local,
 };
 
-/// Longest time for a call to the store.
-const STORE_LIMIT: Duration = Duration::from_millis(900);
+/// Longest time for a whole table: 4 MB, the most that operators may declare, take 4.5 s on a link of
+/// 10 Mbit/s in the store's text form.
+///
+/// A shorter limit on the whole would cut each transfer that does not fit into it, and each try would
+/// begin anew: such a table never arrives, and its link is full of bytes that nobody uses.
+const TRANSFER_LIMIT: Duration = Duration::from_secs(10);
+
+/// Calls to the store, which answers within some milliseconds unless it is slow or out.
+const STORE_LIMIT: CallLimit = CallLimit {
+    whole: TRANSFER_LIMIT,
+    silence: Duration::from_millis(900),
+};
 
 /// Longest time for an engine's answer to an order; engines answer within some milliseconds.
 const ORDER_LIMIT: Duration = Duration::from_millis(120);
@@ -43,8 +54,11 @@
 /// Longest time for an engine's report.
 const REPORT_LIMIT: Duration = Duration::from_millis(400);
 
-/// Longest time for another host's copy of a table.
-const PULL_LIMIT: Duration = Duration::from_millis(500);
+/// Calls to other hosts, which answer within some milliseconds.
+const PULL_LIMIT: CallLimit = CallLimit {
+    whole: TRANSFER_LIMIT,
+    silence: Duration::from_millis(500),
+};
 
 /// An order is not sent so shortly before the lease ends.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
@@ -226,7 +240,7 @@
         let events = self.events.clone();
         let clients = self.clients.clone();
         spawn_local(async move {
-            let call = changes_call(table, since);
+            let call = copy_call(table, since);
             let transfer = CopyTransfer::begin(table, CopySource::Host(from), since);
             let reply = call_once(&clients, from, &call, "", PULL_LIMIT).await;
             let changes = understand_pull(&transfer, reply);
@@ -317,7 +331,8 @@
                 let _ = events.send(ControlEvent::OrderWithheld { target });
                 return;
             }
-            let reply = call_once(&clients, address, &call, &expect, ORDER_LIMIT).await;
+            let limit = CallLimit::whole(ORDER_LIMIT);
+            let reply = call_once(&clients, address, &call, &expect, limit).await;
             let reply = reply.ok();
             let reply = reply.and_then(|reply| formats.order_reply(reply.status).ok());
             let labels = OrderLabels {
@@ -342,7 +357,8 @@
         spawn_local(async move {
             let expect = expect_line(&formats, &target);
             let call = formats.report_call();
-            let reply = call_once(&clients, address, &call, &expect, REPORT_LIMIT).await;
+            let limit = CallLimit::whole(REPORT_LIMIT);
+            let reply = call_once(&clients, address, &call, &expect, limit).await;
             let report = reply.ok();
             let report = report.and_then(|reply| formats.report_reply(&reply).ok());
             let _ = events.send(ControlEvent::Reported { target, report });
@@ -364,7 +380,7 @@
     address: SocketAddr,
     call: &HttpCall,
     headers: &str,
-    limit: Duration,
+    limit: CallLimit,
 ) -> Result<HttpReply, CallFailure> {
     let idle = clients.borrow_mut().remove(&address);
     let mut client = idle.unwrap_or_else(|| CallClient::new(address));
@@ -397,15 +413,25 @@
         }
     };
     let bytes = reply.body.len();
-    if reply.status != 200 {
-        transfer.note_failed(bytes, &format!("status {}", reply.status));
-        return None;
+    match reply.status {
+        200 => {}
+        503 => {
+            transfer.note_deferred();
+            return None;
+        }
+        status => {
+            transfer.note_failed(bytes, &format!("status {status}"));
+            return None;
+        }
     }
-    let Some((changes, age)) = parse_changes(&reply.body) else {
-        transfer.note_failed(bytes, &"it makes no sense");
-        return None;
+    let (body, age) = match CopyPage::read(&reply.body) {
+        Ok(page) => page,
+        Err(problem) => {
+            transfer.note_failed(bytes, &problem);
+            return None;
+        }
     };
     transfer.note_taken(bytes);
     let as_of = Instant::now().checked_sub(age)?;
-    Some((changes, as_of))
+    Some((body.into(), as_of))
 }
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -21,13 +21,20 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
+/// A copy of so many bytes goes from host to host, as its first holder can't serve all at once.
+const LARGE_COPY: usize = 64 * 1024;
+
+/// Hosts that are told by each host that has got a large copy: with 8 each, a site of 75 hosts knows of
+/// one within two or three steps, and each host gets some 8 messages.
+const TOLD_OF_LARGE_COPY: usize = 8;
+
 impl HostControl {
     /// Reads the tables whose copies have got too old.
     pub(super) fn read_tables(
         &mut self,
         now: Instant,
     ) -> Vec<ControlAction> {
-        let place = self.reading_place();
+        let place = self.hosts.place_by_link();
         let mut actions = Vec::new();
         for table in [TableName::Declared, TableName::Targets] {
             let kept = self.kept(table);
@@ -133,6 +140,7 @@
             return Vec::new();
         };
         let whole = changes.whole;
+        let large = changes.bytes() >= LARGE_COPY;
         let (changed, same) = kept.copy.apply_from_host(changes, as_of, print);
         let mut actions = Vec::new();
         if !same && !whole {
@@ -145,6 +153,11 @@
             });
         }
         self.take_rows(table, &changed, &from.to_string(), now);
+        if large && same {
+            // Whoever was turned away by a busy host gets it here.
+            let some = self.hosts.pick_up(TOLD_OF_LARGE_COPY);
+            actions.extend(self.tell(some, now));
+        }
         actions
     }
 
@@ -162,13 +175,6 @@
         (copy.changes_since(since), copy.age(now))
     }
 
-    /// This host's place among those that answer, in an order that all agree on.
-    fn reading_place(&self) -> usize {
-        let eligible = self.hosts.eligible();
-        let me = self.hosts.me().peer;
-        eligible.iter().filter(|peer| **peer < me).count()
-    }
-
     /// A read of a table from the store ended.
     fn note_read_end(
         &mut self,
@@ -206,6 +212,15 @@
             .filter(|host| host.state.is_up())
             .map(|host| host.identity.peer)
             .collect();
+        self.tell(peers, now)
+    }
+
+    /// Sends these hosts a message that needs no answer.
+    fn tell(
+        &mut self,
+        peers: Vec<SocketAddr>,
+        now: Instant,
+    ) -> Vec<ControlAction> {
         peers
             .into_iter()
             .map(|to| ControlAction::Send {
--- a/src/process/host/copy_transfer.rs
+++ b/src/process/host/copy_transfer.rs
@@ -95,6 +95,11 @@
         );
     }
 
+    /// The host that was asked is busy with others; another one will have a copy soon.
+    pub fn note_deferred(&self) {
+        self.count("deferred", 0);
+    }
+
     /// It came to nothing, though `bytes` of it had arrived.
     pub fn note_failed(
         &self,
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -105,6 +105,7 @@
             hall: settings.hall.clone(),
             front: settings.listen.front,
             process,
+            link_mbps: settings.link_mbps.unwrap_or_default() as u32,
         };
         let row = HostRow {
             peer: identity.peer,
--- a/src/process/host/host_process.rs
+++ b/src/process/host/host_process.rs
@@ -72,6 +72,7 @@
         control.clone(),
         formats.clone(),
         settings.bounds.entry_life,
+        settings.link_mbps,
     ));
     let addresses = [listen.entry, listen.ready, listen.peers];
     for address in addresses.into_iter().chain(listen.metrics) {
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -8,18 +8,22 @@
 mod control_peers;
 mod control_runner;
 mod control_tables;
+mod copy_server;
 mod copy_transfer;
 mod host_control;
 mod host_process;
 mod peer_pages;
 mod public_pages;
+mod send_allowance;
 mod traffic;
 mod wake_watch;
 
 pub use {
     control_action::ControlAction,
     control_event::{ControlEvent, TableName},
+    copy_server::{CopyAnswer, CopyServer},
     host_control::HostControl,
     host_process::run_host_process,
+    send_allowance::SendAllowance,
     wake_watch::{BusyPeriod, WakeCount, WakeWatch},
 };
--- a/src/process/host/peer_pages.rs
+++ b/src/process/host/peer_pages.rs
@@ -1,21 +1,19 @@
 //! The pages on which one host reads what another knows: its copies of tables, and the hosts.
 
 use {
-    super::{HostControl, TableName},
+    super::{
+        HostControl, TableName,
+        copy_server::{CopyAnswer, CopyServer},
+    },
     crate::{
-        connection::{
-            datagram::HostRumor,
-            pull::{ChangesBody, HostsBody, RowBody},
-        },
+        connection::{datagram::HostRumor, pull::HostsBody},
         formats::HttpCall,
-        metrics::{CopyLabels, metrics},
-        process::tables::TableChanges,
     },
     prost::Message,
-    std::time::{Duration, Instant},
+    std::time::Instant,
 };
 
-const PATH: &str = "/changes/";
+const COPY_PATH: &str = "/copy/";
 
 const HOSTS_PATH: &str = "/hosts";
 
@@ -35,11 +33,11 @@
 }
 
 /// Asks for what has changed since a version.
-pub fn changes_call(
+pub fn copy_call(
     table: TableName,
     since: u64,
 ) -> HttpCall {
-    HttpCall::get(format!("{PATH}{}?since={since}", table.word()))
+    HttpCall::get(format!("{COPY_PATH}{}?since={since}", table.word()))
 }
 
 /// Asks for the hosts that another one knows.
@@ -52,53 +50,44 @@
     Some(HostsBody::decode(body).ok()?.hosts)
 }
 
-/// A page for other hosts; `None` if there is none at this path.
-pub fn peer_page(
+/// What another host is answered.
+#[derive(Debug, PartialEq, Eq)]
+pub enum PeerAnswer {
+    Page(Vec<u8>),
+    /// Not now: the link is full.
+    Busy,
+    /// There is no such page, or nothing on it yet.
+    NoPage,
+}
+
+/// Answers another host.
+pub fn answer_peer(
     control: &HostControl,
+    copies: &mut CopyServer,
     path: &str,
     query: &str,
     now: Instant,
-) -> Option<Vec<u8>> {
+) -> PeerAnswer {
     if path == HOSTS_PATH {
         let hosts = control.hosts_for_host(now);
-        return Some(HostsBody { hosts }.encode_to_vec());
+        return PeerAnswer::Page(HostsBody { hosts }.encode_to_vec());
+    }
+    let Some((table, since)) = asked_copy(path, query) else {
+        return PeerAnswer::NoPage;
+    };
+    match copies.answer(control, table, since, now) {
+        CopyAnswer::Page(page) => PeerAnswer::Page(page),
+        CopyAnswer::Busy => PeerAnswer::Busy,
+        CopyAnswer::Unknown => PeerAnswer::NoPage,
     }
-    changes_page(control, path, query, now)
 }
 
-fn changes_page(
-    control: &HostControl,
+/// Which table is asked for, and since which version.
+fn asked_copy(
     path: &str,
     query: &str,
-    now: Instant,
-) -> Option<Vec<u8>> {
-    let table = TableName::from_word(path.strip_prefix(PATH)?)?;
+) -> Option<(TableName, u64)> {
+    let table = TableName::from_word(path.strip_prefix(COPY_PATH)?)?;
     let since = query.strip_prefix("since=")?.parse().ok()?;
-    let (changes, age) = control.changes_for_host(table, since, now);
-    let body = ChangesBody {
-        rows: changes.rows.iter().map(RowBody::from).collect(),
-        version: changes.version,
-        digest: changes.digest,
-        whole: changes.whole,
-        age_ms: u32::try_from(age?.as_millis()).unwrap_or(u32::MAX),
-    };
-    let body = body.encode_to_vec();
-    let labels = CopyLabels {
-        table: table.word(),
-    };
-    let sent = metrics().copy_sent.get_or_create(&labels).clone();
-    sent.inc_by(body.len() as u64);
-    Some(body)
-}
-
-/// Understands the page; gives also how old the copy was when it was told.
-pub fn parse_changes(body: &[u8]) -> Option<(TableChanges, Duration)> {
-    let body = ChangesBody::decode(body).ok()?;
-    let changes = TableChanges {
-        rows: body.rows.into_iter().map(Into::into).collect(),
-        version: body.version,
-        digest: body.digest,
-        whole: body.whole,
-    };
-    Some((changes, Duration::from_millis(u64::from(body.age_ms))))
+    Some((table, since))
 }
--- a/src/process/host/public_pages.rs
+++ b/src/process/host/public_pages.rs
@@ -2,7 +2,11 @@
 //! other hosts.
 
 use {
-    super::{HostControl, peer_pages::peer_page},
+    super::{
+        HostControl,
+        copy_server::CopyServer,
+        peer_pages::{PeerAnswer, answer_peer},
+    },
     crate::{
         connection::front::AnswerBody,
         formats::{Formats, PublicCall},
@@ -38,6 +42,7 @@
     control: Rc<RefCell<HostControl>>,
     formats: Arc<dyn Formats>,
     entry_life: Duration,
+    copies: RefCell<CopyServer>,
 }
 
 impl PublicPages {
@@ -45,11 +50,13 @@
         control: Rc<RefCell<HostControl>>,
         formats: Arc<dyn Formats>,
         longest_life: Duration,
+        link_mbps: Option<f64>,
     ) -> Self {
         Self {
             control,
             formats,
             entry_life: longest_life.mul_f64(LIFE_SHARE),
+            copies: RefCell::new(CopyServer::new(link_mbps)),
         }
     }
 
@@ -109,9 +116,11 @@
                 if path == METRICS_PATH {
                     return page(StatusCode::OK, metrics().page().into_bytes());
                 }
-                match peer_page(&control, path, query, Instant::now()) {
-                    Some(body) => page(StatusCode::OK, body),
-                    None => page(StatusCode::NOT_FOUND, Vec::new()),
+                let mut copies = self.copies.borrow_mut();
+                match answer_peer(&control, &mut copies, path, query, Instant::now()) {
+                    PeerAnswer::Page(body) => page(StatusCode::OK, body),
+                    PeerAnswer::Busy => page(StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+                    PeerAnswer::NoPage => page(StatusCode::NOT_FOUND, Vec::new()),
                 }
             }
         }
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -3,6 +3,7 @@
     crate::connection::datagram::{HostRumor, RumorState},
     rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
     std::{
+        cmp::Reverse,
         collections::BTreeMap,
         net::SocketAddr,
         time::{Duration, Instant},
@@ -165,6 +166,29 @@
         peers
     }
 
+    /// This host's place among those that take new roles, in an order that all agree on: fast links
+    /// first, since who comes first reads what is large for all others.
+    pub fn place_by_link(&self) -> usize {
+        let rank = |host: &HostIdentity| (Reverse(host.link_mbps), host.peer);
+        let mine = rank(&self.me);
+        self.hosts()
+            .filter(|host| host.state == HostState::Alive)
+            .filter(|host| rank(&host.identity) < mine)
+            .count()
+    }
+
+    /// Some hosts that answer, drawn by chance.
+    pub fn pick_up(
+        &mut self,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        let up = self.hosts().filter(|host| host.state.is_up());
+        let mut peers: Vec<SocketAddr> = up.map(|host| host.identity.peer).collect();
+        peers.shuffle(&mut self.rng);
+        peers.truncate(count);
+        peers
+    }
+
     /// This host, as it is told of to others.
     pub fn my_rumor(
         &self,
@@ -187,6 +211,7 @@
             holds,
             lease_version,
             ready,
+            link_mbps: self.me.link_mbps,
         }
     }
 
@@ -285,6 +310,7 @@
         known.identity.name.clone_from(&rumor.name);
         known.identity.hall.clone_from(&rumor.hall);
         known.identity.front = rumor.front.into();
+        known.identity.link_mbps = rumor.link_mbps;
         known.incarnation = rumor.incarnation;
         known.holds.clone_from(&rumor.holds);
         known.heard = Some(now);
@@ -406,7 +432,9 @@
                     ..wait
                 };
                 self.unanswered.insert(peer, asked);
-                let helpers = self.pick_helpers(peer);
+                let mut helpers = self.pick_up(HELPERS + 1);
+                helpers.retain(|helper| *helper != peer);
+                helpers.truncate(HELPERS);
                 let ask = |via| HostAction::PingRequest { via, peer };
                 actions.extend(helpers.into_iter().map(ask));
                 // The first ping may have been lost.
@@ -476,20 +504,6 @@
         }
     }
 
-    fn pick_helpers(
-        &mut self,
-        peer: SocketAddr,
-    ) -> Vec<SocketAddr> {
-        let mut helpers: Vec<SocketAddr> = self
-            .hosts()
-            .filter(|host| host.identity.peer != peer && host.state.is_up())
-            .map(|host| host.identity.peer)
-            .collect();
-        helpers.shuffle(&mut self.rng);
-        helpers.truncate(HELPERS);
-        helpers
-    }
-
     fn set(
         &mut self,
         peer: SocketAddr,
--- a/src/process/hosts/known_host.rs
+++ b/src/process/hosts/known_host.rs
@@ -14,6 +14,8 @@
     pub front: SocketAddr,
     /// Drawn by chance at each start.
     pub process: u64,
+    /// What its link carries, in Mbit/s; 0 if that is not known.
+    pub link_mbps: u32,
 }
 
 /// What is believed of a host; later ones outweigh earlier ones of the same incarnation.
@@ -102,6 +104,7 @@
             holds: self.holds.clone(),
             lease_version: self.lease_version,
             ready: self.ready,
+            link_mbps: self.identity.link_mbps,
         }
     }
 
@@ -117,6 +120,7 @@
                 hall: rumor.hall.clone(),
                 front: rumor.front.into(),
                 process: rumor.process,
+                link_mbps: rumor.link_mbps,
             },
             incarnation: rumor.incarnation,
             // Not believed before it was heard of itself.
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -65,6 +65,8 @@
     /// Hosts that may be there already.
     pub seeds: Vec<IpAddr>,
     pub bounds: Bounds,
+    /// What this host's link carries, in Mbit/s; not known if absent.
+    pub link_mbps: Option<f64>,
     pub lease: OrderLeaseSettings,
     pub policy: Policy,
 }
@@ -100,6 +102,9 @@
         let store = ini.required("store", "address");
         let seeds = seeds(ini);
         let bounds = bounds(ini);
+        let link_mbps = ini
+            .optional("limits", "link_mbps")
+            .filter(|mbps| *mbps > 0.0);
         let lease = lease(ini);
         let policy = policy(ini);
         Some(Self {
@@ -109,6 +114,7 @@
             store: store?,
             seeds,
             bounds,
+            link_mbps,
             lease,
             policy,
         })
--- a/src/process/tables/table_copy.rs
+++ b/src/process/tables/table_copy.rs
@@ -1,4 +1,5 @@
 use {
+    super::TableChanges,
     crate::formats::{Row, RowBatch},
     std::{
         collections::BTreeMap,
@@ -11,18 +12,6 @@
 /// Rows that are gone and still remembered, at the most.
 const MAX_GONE: usize = 256;
 
-/// Rows that changed, or all rows, to be passed on to another host.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TableChanges {
-    pub rows: Vec<Row>,
-    /// The copy is as of this version.
-    pub version: u64,
-    /// Stands for the meaning of all its rows.
-    pub digest: u64,
-    /// `rows` is the whole table; what it does not name is gone.
-    pub whole: bool,
-}
-
 /// How another host's copy stands against this one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Comparison {
--- a/tests/host_table.rs
+++ b/tests/host_table.rs
@@ -28,6 +28,7 @@
         hall: "hall".to_string(),
         front: address(1),
         process: 1,
+        link_mbps: 10,
     };
     HostTable::new(identity, HostTimings::default(), now)
 }
@@ -68,6 +69,24 @@
     (pings, None)
 }
 
+/// The first reader reads a large table for all others, which a slow link would hold up.
+#[test]
+fn hosts_with_faster_links_read_first() {
+    let now = Instant::now();
+    let mut hosts = table(now);
+    for (host, link_mbps) in [(2, 200), (3, 10), (4, 10), (5, 0)] {
+        let rumor = HostRumor {
+            link_mbps,
+            ..rumor(host, RumorState::Alive)
+        };
+        hosts.on_heard(&rumor, now);
+    }
+    // Behind the fast one; before those with the same link and a later address, or none known.
+    assert_eq!(hosts.place_by_link(), 1);
+    hosts.on_heard(&rumor(2, RumorState::Leaving), now);
+    assert_eq!(hosts.place_by_link(), 0);
+}
+
 #[test]
 fn a_host_that_was_only_named_gets_time_to_start() {
     let start = Instant::now();
--- a/tests/http1.rs
+++ b/tests/http1.rs
@@ -4,8 +4,8 @@
     bytes::BytesMut,
     coveproxy::{
         connection::http1::{
-            BodyDecoder, BodyFraming, CallClient, CallEnd, CallFailure, Decoded, ExchangeError,
-            HttpConnection, ResponseHead,
+            BodyDecoder, BodyFraming, CallClient, CallEnd, CallFailure, CallLimit, Decoded,
+            ExchangeError, HttpConnection, ResponseHead,
         },
         formats::HttpCall,
     },
@@ -286,7 +286,10 @@
 #[tokio::test]
 async fn a_call_without_a_reply_tells_whether_it_may_have_been_done() {
     let call = HttpCall::post("/x".to_string(), b"hi".to_vec());
-    let limit = Duration::from_millis(300);
+    let limit = CallLimit {
+        whole: Duration::from_millis(300),
+        silence: Duration::from_secs(60),
+    };
     let silent = peer(Script::Answer(b"")).await;
     let outcome = CallClient::new(silent).call(&call, "", limit).await;
     let timed_out = CallFailure {
@@ -304,6 +307,21 @@
         ..timed_out
     };
     assert_eq!(outcome, Err(after_some));
+    let talking_limit = CallLimit {
+        whole: Duration::from_secs(60),
+        silence: Duration::from_millis(300),
+    };
+    let stopped = peer(Script::Answer(
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nsome",
+    ));
+    let outcome = CallClient::new(stopped.await)
+        .call(&call, "", talking_limit)
+        .await;
+    let fell_silent = CallFailure {
+        end: CallEnd::Silent,
+        ..after_some
+    };
+    assert_eq!(outcome, Err(fell_silent));
     let nobody = {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         listener.local_addr().unwrap()
