coveproxyd: a large configuration is read for as long as bytes come, on a thread of its own

Ruled out: a longer limit for every call (the table's and the host list's replies are small); reading on the poller's thread (looks at owners and hosts would stop meanwhile). Change: HttpCall has a limit for the whole beside that for each read, 60 s for objects; ConfigFollower reads revisions on its own thread.

--- a/src/connection/platform/http_call.rs
+++ b/src/connection/platform/http_call.rs
@@ -14,6 +14,8 @@
     pub base: String,
     /// Limit for connecting and for each read.
     pub timeout: Duration,
+    /// Limit for all of it.
+    pub whole: Duration,
 }
 
 impl HttpCall {
@@ -27,9 +29,18 @@
             what,
             base: format!("http://{address}{path}"),
             timeout,
+            whole: timeout,
         }
     }
 
+    /// The same for replies that may be large: all of it may take longer, as long as bytes come.
+    pub fn with_whole(
+        self,
+        whole: Duration,
+    ) -> Self {
+        Self { whole, ..self }
+    }
+
     /// Sends a request; a status of 400 or more is an error, but for 404.
     pub fn send<B: attohttpc::body::Body>(
         &self,
@@ -40,7 +51,7 @@
             .proxy_settings(ProxySettings::builder().build())
             .connect_timeout(self.timeout)
             .read_timeout(self.timeout)
-            .timeout(self.timeout)
+            .timeout(self.whole)
             .send()
             .map_err(|e| self.sort(e))?;
         match response.status().as_u16() {
--- a/src/connection/platform/http_object_store.rs
+++ b/src/connection/platform/http_object_store.rs
@@ -4,6 +4,12 @@
     std::{net::SocketAddr, time::Duration},
 };
 
+/// Longest time for a whole object: the configuration of 150,000 adapters has 14.8 MiB, 12.4 s on a
+/// link of 10 Mbit/s.
+///
+/// A limit of a second on the whole would cut each read of such an object, and each try would begin anew.
+const OBJECT_LIMIT: Duration = Duration::from_secs(60);
+
 /// The object store over HTTP: `GET` and `PUT /objects/<name>`.
 pub struct HttpObjectStore {
     call: HttpCall,
@@ -15,7 +21,8 @@
         timeout: Duration,
     ) -> Self {
         Self {
-            call: HttpCall::new("object store", address, "/objects", timeout),
+            call: HttpCall::new("object store", address, "/objects", timeout)
+                .with_whole(OBJECT_LIMIT),
         }
     }
 
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -3,6 +3,7 @@
 mod action_runner;
 mod active_work;
 mod admin_pages;
+mod config_follower;
 mod job_pool;
 mod metrics;
 mod node;
@@ -14,6 +15,7 @@
     action_runner::ActionRunner,
     active_work::{ActiveWork, WorkGuard},
     admin_pages::AdminPages,
+    config_follower::ConfigFollower,
     job_pool::JobPool,
     metrics::{ALL_METRICS, Metrics},
     node::Node,
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ActionRunner, ActiveWork, AdminPages, JobPool, Metrics, PlatformPoller, SessionKeeper,
-        report_loop,
+        ActionRunner, ActiveWork, AdminPages, ConfigFollower, JobPool, Metrics, PlatformPoller,
+        SessionKeeper, report_loop,
     },
     crate::{
         connection::{
@@ -284,10 +284,19 @@
     let platform = &settings.platform;
     let objects = Arc::new(HttpObjectStore::new(platform.objects, platform.timeout));
     let hosts = Arc::new(HttpHostList::new(platform.hosts, platform.timeout));
+    let (heads, seen_heads) = flume::unbounded();
+    let follower = ConfigFollower {
+        configs: ConfigStore::new(table.clone(), objects),
+        control: control.clone(),
+        log: log.clone(),
+        pause: platform.poll,
+        heads: seen_heads,
+    };
+    spawn_thread("configuration", move || follower.run());
     let poller = PlatformPoller::new(
         table.clone(),
         hosts,
-        ConfigStore::new(table.clone(), objects),
+        heads,
         control.clone(),
         lease.clone(),
         log.clone(),
--- a/src/process/node/platform_poller.rs
+++ b/src/process/node/platform_poller.rs
@@ -6,7 +6,7 @@
             ownership::{OWNER_PREFIX, SessionLease},
         },
         timeline::{Event, EventLog},
-        version::{CONFIG_HEAD_KEY, ConfigHead, ConfigStore, SiteConfig},
+        version::{CONFIG_HEAD_KEY, ConfigHead},
     },
     rand::RngExt,
     std::{sync::Arc, time::Duration},
@@ -19,7 +19,8 @@
 pub struct PlatformPoller {
     pub table: Arc<dyn Table>,
     pub hosts: Arc<dyn HostList>,
-    pub configs: ConfigStore,
+    /// Where heads of the configuration go.
+    pub heads: flume::Sender<ConfigHead>,
     pub control: ControlHandle,
     pub lease: SessionLease,
     pub log: EventLog,
@@ -27,8 +28,6 @@
     /// Wakes the poller early; its end ends the poller.
     pub wake: flume::Receiver<()>,
     sequence: u64,
-    config: Arc<SiteConfig>,
-    head: Option<ConfigHead>,
 }
 
 impl PlatformPoller {
@@ -36,7 +35,7 @@
     pub fn new(
         table: Arc<dyn Table>,
         hosts: Arc<dyn HostList>,
-        configs: ConfigStore,
+        heads: flume::Sender<ConfigHead>,
         control: ControlHandle,
         lease: SessionLease,
         log: EventLog,
@@ -46,15 +45,13 @@
         Self {
             table,
             hosts,
-            configs,
+            heads,
             control,
             lease,
             log,
             period,
             wake,
             sequence: 0,
-            config: Arc::default(),
-            head: None,
         }
     }
 
@@ -63,7 +60,6 @@
         loop {
             self.look_at_hosts();
             self.look_at_table();
-            self.read_config();
             let pause = self.period.mul_f64(rand::rng().random_range(0.8..1.2));
             match self.wake.recv_timeout(pause) {
                 Err(flume::RecvTimeoutError::Disconnected) => return,
@@ -95,24 +91,9 @@
             if row.key == CONFIG_HEAD_KEY
                 && let Ok(head) = ConfigHead::from_row(row)
             {
-                self.head = Some(head);
+                let _ = self.heads.send(head);
             }
         }
         self.control.input(Input::Rows { scan, term });
     }
-
-    /// Reads a newer revision; one that can't be read yet is tried again at the next look.
-    fn read_config(&mut self) {
-        let Some(head) = &self.head else { return };
-        if head.revision <= self.config.revision {
-            return;
-        }
-        match self.configs.read_to(head, &self.config) {
-            Ok(config) => {
-                self.config = Arc::new(config);
-                self.control.input(Input::Config(self.config.clone()));
-            }
-            Err(error) => self.log.note(Event::ConfigUnreadable, &[("error", &error)]),
-        }
-    }
 }
--- a/tests/contracts.rs
+++ b/tests/contracts.rs
@@ -167,6 +167,36 @@
     .await;
 }
 
+/// A configuration of 3 MB takes longer on a slow link than the platform may be silent for: a limit on the
+/// whole transfer would cut it at each try.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_object_may_be_long_on_its_way() {
+    let platform = platform().await;
+    let address = platform.address();
+    let content = "x".repeat(3_000_000);
+    let stored = content.clone();
+    blocking(move || {
+        let objects = HttpObjectStore::new(address, TIMEOUT);
+        objects.put("large", &stored).unwrap();
+    })
+    .await;
+    let link = FaultProxy::start(address).await.unwrap();
+    link.set(ProxyFault {
+        bytes_per_s: Some(1_250_000),
+        ..ProxyFault::default()
+    });
+    let slow = link.address();
+    let got = blocking(move || HttpObjectStore::new(slow, TIMEOUT).get("large")).await;
+    assert_eq!(got.unwrap().as_deref(), Some(content.as_str()));
+    // One that falls silent is given up, however long the transfer may take.
+    link.set(ProxyFault {
+        stall_answers: true,
+        ..ProxyFault::default()
+    });
+    let silent = blocking(move || HttpObjectStore::new(slow, TIMEOUT).get("large")).await;
+    assert!(silent.is_err());
+}
+
 fn worth(name: &str) -> Vec<Change> {
     vec![Change::SetOutfitter {
         name: name.into(),
