--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -18,7 +18,7 @@
         formats::{
             Formats, HttpCall, HttpReply, Order, OrderReply, RowBatch, RowsReply, Transaction,
         },
-        metrics::{OrderLabels, StateLabels, metrics},
+        metrics::{OrderLabels, metrics},
         process::{
             holding::HOLDING_TABLE, ownership::SessionLease, settings::NodeSettings,
             tables::TableChanges,
@@ -144,11 +144,7 @@
         action: ControlAction,
     ) {
         match action {
-            ControlAction::Send { to, message } => {
-                let labels = StateLabels { state: "sent" };
-                metrics().datagrams.get_or_create(&labels).inc();
-                self.socket.send(to, message);
-            }
+            ControlAction::Send { to, message } => self.socket.send(to, message),
             ControlAction::ReadChanges { table, since } => self.read_changes(table, since),
             ControlAction::ReadTable { table } => self.read_table(table),
             ControlAction::PullChanges { table, from, since } => self.pull(table, from, since),
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -54,6 +54,7 @@
     PeerLeaving = 204 "peer_leaving" Info,
     SelfRefuted = 205 "self_refuted" Warn,
     HostListUnreadable = 206 "host_list_unreadable" Warn,
+    MessageNotSent = 207 "message_not_sent" Warn,
     SessionOpened = 301 "session_opened" Info,
     SessionLapsed = 302 "session_lapsed" Warn,
     TableUnreachable = 303 "table_unreachable" Warn,
