--- a/src/formats/mod.rs
+++ b/src/formats/mod.rs
@@ -15,7 +15,9 @@
     header_names::HeaderNames,
     http_call::{HttpCall, HttpReply},
     order::{Order, OrderKind, OrderReply},
-    rows::{Commit, Expectation, Row, RowBatch, RowKey, RowWrite, RowsReply, Transaction},
+    rows::{
+        Commit, Expectation, Row, RowBatch, RowKey, RowWrite, RowsReply, Transaction, bytes_of,
+    },
     target_record::{HeldAdapter, HeldModel, TargetRecord, TargetState},
     target_report::TargetReport,
 };
--- a/src/formats/rows.rs
+++ b/src/formats/rows.rs
@@ -28,6 +28,12 @@
     pub value: Option<Arc<[u8]>>,
 }
 
+/// Bytes of all values in these rows.
+pub fn bytes_of(rows: &[Row]) -> usize {
+    let values = rows.iter().filter_map(|row| row.value.as_deref());
+    values.map(<[u8]>::len).sum()
+}
+
 /// An answer about rows.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RowBatch {
@@ -41,8 +47,7 @@
 impl RowBatch {
     /// Bytes of all its values.
     pub fn bytes(&self) -> usize {
-        let values = self.rows.iter().filter_map(|row| row.value.as_deref());
-        values.map(<[u8]>::len).sum()
+        bytes_of(&self.rows)
     }
 }
 
--- a/src/process/tables/table_changes.rs
+++ b/src/process/tables/table_changes.rs
@@ -1,6 +1,6 @@
 use crate::{
     connection::pull::{ChangesBody, RowBody},
-    formats::Row,
+    formats::{Row, bytes_of},
 };
 
 /// Rows that changed, or all rows, to be passed on to another host.
@@ -18,8 +18,7 @@
 impl TableChanges {
     /// Bytes of all values in it.
     pub fn bytes(&self) -> usize {
-        let values = self.rows.iter().filter_map(|row| row.value.as_deref());
-        values.map(<[u8]>::len).sum()
+        bytes_of(&self.rows)
     }
 }
 
