A copy is as old as when it was asked for; a packed page names the digest it was made of

The age that another host tells was taken as of the end of the transfer, which may now take seconds: the copy would have seemed newer than it is, and its host would not have read the store. And a page kept packed was handed out again for another digest, if rows that were missed had come without a newer version. Change: CopyTransfer::right_at; the digest counts for what a page stands for.

--- a/src/process/host/copy_reader.rs
+++ b/src/process/host/copy_reader.rs
@@ -51,7 +51,7 @@
 }
 
 impl CopyReader {
-    fn table(
+    fn name_of(
         &self,
         table: TableName,
     ) -> String {
@@ -67,7 +67,7 @@
         table: TableName,
         since: u64,
     ) {
-        let (store, events, name) = (self.store.clone(), self.events.clone(), self.table(table));
+        let (store, events, name) = (self.store.clone(), self.events.clone(), self.name_of(table));
         spawn_local(async move {
             let transfer = CopyTransfer::begin(table, CopySource::Store, since);
             let reply = store.read_changes(&name, since, Duration::ZERO).await;
@@ -85,7 +85,7 @@
         &self,
         table: TableName,
     ) {
-        let (store, events, name) = (self.store.clone(), self.events.clone(), self.table(table));
+        let (store, events, name) = (self.store.clone(), self.events.clone(), self.name_of(table));
         spawn_local(async move {
             let transfer = CopyTransfer::begin(table, CopySource::Store, 0);
             let rows = store.read_table(&name).await;
@@ -179,6 +179,5 @@
         }
     };
     transfer.note_taken(bytes);
-    let as_of = Instant::now().checked_sub(age)?;
-    Some((body.into(), as_of))
+    Some((body.into(), transfer.right_at(age)?))
 }
--- a/src/process/host/copy_server.rs
+++ b/src/process/host/copy_server.rs
@@ -97,6 +97,7 @@
         content.update(&row.version.to_le_bytes());
     }
     content.update(&changes.version.to_le_bytes());
+    content.update(&changes.digest.to_le_bytes());
     content.update(&[u8::from(changes.whole)]);
     content.digest()
 }
--- a/src/process/host/copy_transfer.rs
+++ b/src/process/host/copy_transfer.rs
@@ -75,6 +75,17 @@
         self.begun
     }
 
+    /// When a copy was right that the other side told to be so old.
+    ///
+    /// Its age is told at the beginning of the transfer. Taken as of the end, a copy that was seconds on its
+    /// way would seem newer than it is, and nobody would read a newer one.
+    pub fn right_at(
+        &self,
+        age: Duration,
+    ) -> Option<Instant> {
+        self.begun.checked_sub(age)
+    }
+
     /// It has arrived.
     pub fn note_taken(
         &self,
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -24,6 +24,7 @@
     control_action::ControlAction,
     control_event::{ControlEvent, TableName},
     copy_server::{CopyAnswer, CopyServer},
+    copy_transfer::{CopySource, CopyTransfer},
     host_control::HostControl,
     host_process::run_host_process,
     send_allowance::SendAllowance,
--- a/tests/table_transfer.rs
+++ b/tests/table_transfer.rs
@@ -4,7 +4,10 @@
     coveproxy::{
         connection::pull::{ChangesBody, CopyPage, PageProblem},
         formats::Row,
-        process::{host::SendAllowance, tables::TableChanges},
+        process::{
+            host::{CopySource, CopyTransfer, SendAllowance, TableName},
+            tables::TableChanges,
+        },
     },
     proptest::{collection::vec, prelude::*},
     rstest::rstest,
@@ -87,6 +90,15 @@
     }
 }
 
+/// However long a copy was on its way, it was right when it was asked for, less the age that was told.
+#[test]
+fn the_time_on_its_way_makes_no_copy_newer() {
+    let transfer = CopyTransfer::begin(TableName::Targets, CopySource::Store, 0);
+    let begun = Instant::now();
+    std::thread::sleep(Duration::from_millis(20));
+    assert!(transfer.right_at(AGE).unwrap() <= begun - AGE);
+}
+
 proptest! {
     #[test]
     fn no_bytes_bring_the_reader_down(bytes in vec(any::<u8>(), 0..200)) {
