--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -6,7 +6,6 @@
             targets::{FleetView, NewestVersion, TargetView},
         },
         formats::{Formats, TargetRecord, TargetState},
-        metrics::{CopyLabels, StateLabels, metrics},
         note,
         process::{
             engines::{EngineDesk, SharedByDesks, ToldLoads},
@@ -269,60 +268,6 @@
         actions
     }
 
-    fn set_gauges(
-        &self,
-        now: Instant,
-    ) {
-        let metrics = metrics();
-        for state in [
-            HostState::Alive,
-            HostState::Leaving,
-            HostState::Suspect,
-            HostState::Dead,
-        ] {
-            let count = self
-                .hosts
-                .hosts()
-                .filter(|host| host.state == state)
-                .count();
-            let labels = StateLabels {
-                state: state.word(),
-            };
-            metrics.hosts.get_or_create(&labels).set(count as i64);
-        }
-        for (state, word) in [
-            (TargetState::Ready, "ready"),
-            (TargetState::Leaving, "leaving"),
-        ] {
-            let targets = self.targets.values();
-            let count = targets
-                .filter(|target| target.record.state == state)
-                .count();
-            let labels = StateLabels { state: word };
-            metrics.targets.get_or_create(&labels).set(count as i64);
-        }
-        for (table, kept) in [
-            (TableName::Declared, &self.declared),
-            (TableName::Targets, &self.listed),
-        ] {
-            let age = kept
-                .copy
-                .age(now)
-                .map_or(f64::INFINITY, |age| age.as_secs_f64());
-            let labels = CopyLabels {
-                table: table.word(),
-            };
-            metrics.copy_age.get_or_create(&labels).set(age);
-        }
-        metrics.config_version.set(self.routing.version as i64);
-        metrics
-            .lease_held
-            .set(i64::from(self.holding.lease().holds(now)));
-        metrics.engines_held.set(self.desks.len() as i64);
-        let adapters: usize = self.desks.values().map(|desk| desk.places().len()).sum();
-        metrics.adapters_held.set(adapters as i64);
-    }
-
     fn on_stop(
         &mut self,
         now: Instant,
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -4,6 +4,7 @@
 mod control_action;
 mod control_engines;
 mod control_event;
+mod control_gauges;
 mod control_holding;
 mod control_peers;
 mod control_runner;
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -432,9 +432,7 @@
                     ..wait
                 };
                 self.unanswered.insert(peer, asked);
-                let mut helpers = self.pick_up(HELPERS + 1);
-                helpers.retain(|helper| *helper != peer);
-                helpers.truncate(HELPERS);
+                let helpers = self.pick_helpers(peer);
                 let ask = |via| HostAction::PingRequest { via, peer };
                 actions.extend(helpers.into_iter().map(ask));
                 // The first ping may have been lost.
@@ -504,6 +502,16 @@
         }
     }
 
+    fn pick_helpers(
+        &mut self,
+        peer: SocketAddr,
+    ) -> Vec<SocketAddr> {
+        let mut helpers = self.pick_up(HELPERS + 1);
+        helpers.retain(|helper| *helper != peer);
+        helpers.truncate(HELPERS);
+        helpers
+    }
+
     fn set(
         &mut self,
         peer: SocketAddr,
