The age of a copy counts the time that messages are on their way

Cause: hosts tell each other the age of their copies, and it was taken as of the message's arrival. Whoever has an equal copy counts it as confirmed then, so that hosts confirm each other without anybody reading the store. Change: 50 ms are added to a told age.

--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -28,6 +28,13 @@
 /// one within two or three steps, and each host gets some 8 messages.
 const TOLD_OF_LARGE_COPY: usize = 8;
 
+/// Time that a message between hosts is on its way, at the most but for full links.
+///
+/// A copy's age is told as of when the message left. Hosts that confirm each other's copies would keep them young
+/// if the time on the way did not count, and nobody would read the store: on a site of 75 hosts it was read
+/// each 1.0 to 1.5 s instead of each 0.9 s.
+const MESSAGE_TIME: Duration = Duration::from_millis(50);
+
 impl HostControl {
     /// Reads the tables whose copies have got too old.
     pub(super) fn read_tables(
@@ -105,7 +112,7 @@
         for (table, state) in told {
             let age = state
                 .age_ms
-                .map(|age| Duration::from_millis(u64::from(age)));
+                .map(|age| Duration::from_millis(u64::from(age)) + MESSAGE_TIME);
             let Some(as_of) = age.and_then(|age| now.checked_sub(age)) else {
                 continue;
             };
