No request is sent on a belief older than its bound: hosts look at its age right before each send

It may have vanished right after the copy before was read, which is 0.3 to 0.6 of the bound earlier: 0.48 + 0.55 of 3,000 ms is 3,090 ms. Now counted from when the copy that still had the entry was right.

Besides, since a bound that is met by chance breaks at the next size: - The age of the configuration when a request is routed, and of the list of targets right before it is written to its connection, is looked at by the request's own thread. Past the bound less 200 ms it is held back until the copy is confirmed, and after 250 ms refused as not run, with a short time to come back: other hosts may know more. A host that the store does not answer goes on, as before. - A message that lay unread while the process stood still told of a copy as young as when it was read (3 s of error for a stop of 3 s).

--- a/src/connection/datagram/socket.rs
+++ b/src/connection/datagram/socket.rs
@@ -5,7 +5,12 @@
         note,
         timeline::Event,
     },
-    std::{cell::RefCell, io, net::SocketAddr},
+    std::{
+        cell::{Cell, RefCell},
+        io,
+        net::SocketAddr,
+        time::Instant,
+    },
     tokio::net::UdpSocket,
 };
 
@@ -18,6 +23,8 @@
     socket: UdpSocket,
     /// What was received last.
     buffer: RefCell<Vec<u8>>,
+    /// When nothing was left to be received, the last time.
+    drained_at: Cell<Instant>,
 }
 
 impl DatagramSocket {
@@ -25,6 +32,7 @@
         Ok(Self {
             socket: UdpSocket::bind(address).await?,
             buffer: RefCell::new(vec![0; MAX_DATAGRAM]),
+            drained_at: Cell::new(Instant::now()),
         })
     }
 
@@ -61,14 +69,35 @@
         }
     }
 
+    /// Nothing was left to be received at this time.
+    pub fn note_drained(
+        &self,
+        at: Instant,
+    ) {
+        self.drained_at.set(self.drained_at.get().max(at));
+    }
+
+    /// A message that is received now has arrived after this time: it may have lain here while the
+    /// process stood still or was busy.
+    pub fn drained_at(&self) -> Instant {
+        self.drained_at.get()
+    }
+
     /// The next message that makes sense, and who sent it.
     pub async fn receive(&self) -> (SocketAddr, Message) {
         loop {
             // An error tells of an earlier datagram that found no receiver.
             let _ = self.socket.readable().await;
             let mut buffer = self.buffer.borrow_mut();
-            let Ok((size, sender)) = self.socket.try_recv_from(&mut buffer) else {
-                continue;
+            let looked = Instant::now();
+            let (size, sender) = match self.socket.try_recv_from(&mut buffer) {
+                Ok(received) => received,
+                Err(problem) => {
+                    if problem.kind() == io::ErrorKind::WouldBlock {
+                        self.note_drained(looked);
+                    }
+                    continue;
+                }
             };
             if let Some(message) = decode(&buffer[..size]) {
                 return (sender, message);
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         AnswerBody, OwnAnswer, OwnCause,
+        belief_gate::{Belief, HELD_COME_BACK, wait_until_confirmed},
         chooser::{Choice, Chooser},
         exchange::{Destination, OpenAnswer, Sent, WholeAnswer, send},
         request_trace::{TraceStep, millis},
@@ -137,6 +138,9 @@
         resume_after: Option<u64>,
     ) -> Outcome {
         loop {
+            if !wait_until_confirmed(&self.board, Belief::Targets, request.id_text()).await {
+                return self.unserved(request, tries, OwnCause::Unconfirmed, HELD_COME_BACK);
+            }
             let mut destination = match self.chooser.choose(request, tries, Instant::now()) {
                 Choice::Send(destination) => destination,
                 Choice::Wait { until, expected } => {
@@ -177,6 +181,7 @@
                         retry_after: None,
                     }
                 }
+                Sent::Unconfirmed => continue,
                 Sent::Ended(end) => end,
             };
             tries.note_end(&destination, end, Instant::now());
@@ -296,6 +301,21 @@
         &self,
         request: &CallRequest,
         tries: &mut Tries,
+    ) -> Outcome {
+        let cause = match request.generation {
+            Some(_) => OwnCause::NoAdapter,
+            None => OwnCause::NoTarget,
+        };
+        self.unserved(request, tries, cause, COME_BACK)
+    }
+
+    /// The answer to a request that is sent nowhere, or not once more.
+    fn unserved(
+        &self,
+        request: &CallRequest,
+        tries: &mut Tries,
+        cause: OwnCause,
+        come_back: Duration,
     ) -> Outcome {
         if let Some(failure) = tries.failure.take() {
             return Outcome::Final(pass_on(failure));
@@ -304,11 +324,7 @@
             let answer = OwnAnswer::new(OwnCause::AnswerLost);
             return Outcome::Final(self.answer(request, answer));
         }
-        let cause = match request.generation {
-            Some(_) => OwnCause::NoAdapter,
-            None => OwnCause::NoTarget,
-        };
-        self.refuse(request, cause, COME_BACK)
+        self.refuse(request, cause, come_back)
     }
 
     fn time_over(
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -184,6 +184,8 @@
     Ended(AttemptEnd),
     /// The target does not hold what the request needs, and did not run it.
     Misdirected,
+    /// Nothing was sent: by now it is not known well enough that the target takes requests.
+    Unconfirmed,
 }
 
 /// Sends a request to a target and reads its answer: plain ones whole, streams to the first piece.
@@ -200,7 +202,17 @@
     let Some(mut connection) = connect(board, &destination.target).await else {
         return Sent::Ended(AttemptEnd::NotSent);
     };
-    let bytes = request_bytes(names, request, destination, Instant::now());
+    let now = Instant::now();
+    // The connection may have taken its time to come up.
+    if !board.borrow().is_usable(&destination.target, now) {
+        return Sent::Ended(AttemptEnd::NotSent);
+    }
+    if !board.borrow().allows_sends(now) {
+        flight.keep(connection, None);
+        return Sent::Unconfirmed;
+    }
+    board.borrow_mut().note_sent(now);
+    let bytes = request_bytes(names, request, destination, now);
     let is_ours = |head: &ResponseHead| head.headers.get(&names.request_id) == request.id.as_ref();
     let exchange = connection.exchange(&bytes, &request.method, is_ours);
     let (head, sent_whole) = match exchange.await {
--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -1,5 +1,8 @@
 use {
-    super::{AnswerBody, Dispatcher, OwnAnswer, OwnCause, RequestProblem, RequestReader},
+    super::{
+        AnswerBody, Dispatcher, OwnAnswer, OwnCause, RequestProblem, RequestReader,
+        belief_gate::{Belief, HELD_COME_BACK, wait_until_confirmed},
+    },
     crate::{
         connection::targets::TargetBoard,
         formats::Formats,
@@ -127,6 +130,11 @@
         if *self.stop.borrow() >= FrontStop::Refusing {
             return Ok(own(OwnAnswer::after(OwnCause::Stopping, STOP_COME_BACK)));
         }
+        let id_text = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+        if !wait_until_confirmed(&self.board, Belief::Declared, id_text).await {
+            return Ok(own(OwnAnswer::after(OwnCause::Unconfirmed, HELD_COME_BACK)));
+        }
+        self.board.borrow_mut().note_routed(Instant::now());
         let routing = self.board.borrow().routing().clone();
         let draw = rand::rng().random::<f64>();
         match self.reader.read(request, &routing, arrived, draw).await {
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapter_standing;
 mod answer_body;
+mod belief_gate;
 mod chooser;
 mod dispatcher;
 mod engine_outlook;
--- a/src/connection/front/own_answer.rs
+++ b/src/connection/front/own_answer.rs
@@ -14,6 +14,8 @@
     BodyTooSlow,
     /// The process stops.
     Stopping,
+    /// What this host would serve it by is too old; other hosts may know more.
+    Unconfirmed,
     /// Every target that could run it is full, or none is there.
     NoTarget,
     /// The adapter can't be loaded in time.
@@ -37,6 +39,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
             Self::Stopping => "host_stopping",
+            Self::Unconfirmed => "unconfirmed",
             Self::NoTarget => "no_target",
             Self::NoAdapter => "no_adapter",
             Self::TurnedAway => "turned_away",
@@ -54,6 +57,7 @@
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NotReady
             | Self::Stopping
+            | Self::Unconfirmed
             | Self::NoTarget
             | Self::NoAdapter
             | Self::TurnedAway
--- a/src/connection/targets/fleet_view.rs
+++ b/src/connection/targets/fleet_view.rs
@@ -1,4 +1,5 @@
 use {
+    super::Confirmation,
     crate::{formats::TargetRecord, version::routing::RoutingTable},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Instant},
 };
@@ -9,6 +10,8 @@
     pub record: Arc<TargetRecord>,
     /// The host that gives orders to it, if one does that answers.
     pub holder: Option<SocketAddr>,
+    /// Its entry has vanished: it gets requests until then.
+    pub usable_until: Option<Instant>,
 }
 
 /// The newest version of an adapter that has more than one.
@@ -30,4 +33,6 @@
     pub newest: Arc<HashMap<String, NewestVersion>>,
     /// Hosts that answer, this one included.
     pub hosts: usize,
+    /// How well the tables behind this are known to be right.
+    pub confirmation: Confirmation,
 }
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -2,7 +2,8 @@
 
 mod adapter_demand;
 mod adapter_map;
-
+mod belief_ages;
+mod confirmation;
 mod fleet_view;
 mod reading_speed;
 mod target_board;
@@ -12,6 +13,8 @@
 pub use {
     adapter_demand::AdapterDemand,
     adapter_map::{AdapterCopy, AdapterMap},
+    belief_ages::{BeliefAges, BeliefBounds, LargestAges},
+    confirmation::{Confirmation, SEND_MARGIN, TableConfirmation},
     fleet_view::{FleetView, NewestVersion, TargetView},
     reading_speed::ReadingSpeed,
     target_board::{BoardSettings, ControlRequest, MAX_TOLD_HOSTS, ServiceTarget, TargetBoard},
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -1,10 +1,14 @@
 use {
-    super::{AdapterDemand, AdapterMap, FleetView, ReadingSpeed, RequestTokens, TargetLink},
+    super::{
+        AdapterDemand, AdapterMap, BeliefAges, BeliefBounds, Confirmation, FleetView, LargestAges,
+        ReadingSpeed, RequestTokens, TargetLink,
+    },
     crate::{
         connection::datagram::{
             AdapterUsage, EngineLoad, EngineQuery, EngineStanding, Placement, PlacementState,
             Usage, Want,
         },
+        metrics::{CopyLabels, metrics},
         request::direct::{CopyState, Policy, ResendWindow},
         version::routing::RoutingTable,
     },
@@ -38,6 +42,8 @@
     pub budget_ratio: f64,
     pub budget_extra: f64,
     pub policy: Policy,
+    /// How old what requests rest on may be.
+    pub bounds: BeliefBounds,
 }
 
 /// What requests ask of the control thread.
@@ -70,6 +76,11 @@
     waiting: HashMap<String, Waiting>,
     /// Wakes requests that have asked how engines stand.
     standing_news: Rc<Notify>,
+    /// How well the tables behind the view are known to be right.
+    confirmation: Confirmation,
+    /// Wakes requests that are held back until these are known to be right.
+    confirmation_news: Rc<Notify>,
+    belief_ages: BeliefAges,
     control: flume::Sender<ControlRequest>,
 }
 
@@ -103,6 +114,9 @@
             budgets: HashMap::new(),
             waiting: HashMap::new(),
             standing_news: Rc::default(),
+            confirmation: Confirmation::default(),
+            confirmation_news: Rc::default(),
+            belief_ages: BeliefAges::new(settings.bounds, Instant::now()),
             control,
         }
     }
@@ -116,6 +130,84 @@
         &self.view.routing
     }
 
+    /// The tables behind the view are known to be right as of other times.
+    pub fn set_confirmation(
+        &mut self,
+        confirmation: Confirmation,
+    ) {
+        self.confirmation = confirmation;
+        self.confirmation_news.notify_waiters();
+    }
+
+    /// How well the tables behind the view are known to be right.
+    pub fn confirmation(&self) -> &Confirmation {
+        &self.confirmation
+    }
+
+    /// Wakes when more is known of the age of what requests rest on.
+    pub fn confirmation_news(&self) -> Rc<Notify> {
+        self.confirmation_news.clone()
+    }
+
+    /// True if the configuration is young enough to route requests by.
+    pub fn allows_routing(
+        &self,
+        now: Instant,
+    ) -> bool {
+        let bound = self.settings.bounds.declared;
+        self.confirmation.declared.allows_sends(bound, now)
+    }
+
+    /// True if the list of targets is young enough to send requests by.
+    pub fn allows_sends(
+        &self,
+        now: Instant,
+    ) -> bool {
+        let bound = self.settings.bounds.targets;
+        self.confirmation.targets.allows_sends(bound, now)
+    }
+
+    /// True if a target may get a request now, as far as its entry tells.
+    pub fn is_usable(
+        &self,
+        target: &str,
+        now: Instant,
+    ) -> bool {
+        let until = |link: &TargetLink| link.view.usable_until;
+        let link = self.links.get(target);
+        link.is_some_and(|link| until(link).is_none_or(|until| now < until))
+    }
+
+    /// A request is routed by the configuration as it is known here.
+    pub fn note_routed(
+        &mut self,
+        now: Instant,
+    ) {
+        if let Some(age) = self.confirmation.declared.age(now) {
+            self.belief_ages.on_routed(age);
+            observe_age("declared", age);
+        }
+    }
+
+    /// A request is sent by the list of targets as it is known here.
+    pub fn note_sent(
+        &mut self,
+        now: Instant,
+    ) {
+        if let Some(age) = self.confirmation.targets.age(now) {
+            self.belief_ages.on_sent(age);
+            observe_age("targets", age);
+        }
+    }
+
+    /// The largest ages of what requests rested on, once a second if they come near their bounds.
+    pub fn largest_ages(
+        &mut self,
+        now: Instant,
+    ) -> Option<LargestAges> {
+        self.belief_ages.end_period(now)
+    }
+
     /// True if there are so many hosts that engines' holders are asked before each send.
     pub fn asks_before_sends(&self) -> bool {
         self.view.hosts > MAX_TOLD_HOSTS
@@ -260,6 +352,7 @@
         for targets in self.by_service.values_mut() {
             targets.sort_unstable_by(|a, b| a.id.cmp(&b.id));
         }
+        self.set_confirmation(view.confirmation);
         self.view = view;
         for waiting in self.waiting.values() {
             waiting.news.notify_waiters();
@@ -467,6 +560,15 @@
     }
 }
 
+fn observe_age(
+    table: &'static str,
+    age: Duration,
+) {
+    let labels = CopyLabels { table };
+    let ages = &metrics().belief_age;
+    ages.get_or_create(&labels).observe(age.as_secs_f64());
+}
+
 /// Tells the holder of an engine what this host sends there.
 fn report(
     control: &flume::Sender<ControlRequest>,
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -19,6 +19,11 @@
 /// A page of memory, in bytes; the same on every machine that this runs on.
 const PAGE: u64 = 4096;
 
+/// Bounds of ages in seconds: those of what is believed are held against 2 to 5 s.
+const AGES: &[f64] = &[
+    0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 1.75, 2.0, 2.5, 3.0, 3.5, 4.0, 5.0,
+];
+
 type Seconds = Gauge<f64, AtomicU64>;
 
 /// All figures of one host.
@@ -27,6 +32,7 @@
     pub requests: Family<OutcomeLabels, Counter>,
     pub first_event: Family<KindLabels, Histogram>,
     pub waits: Family<WaitLabels, Histogram>,
+    pub belief_age: Family<CopyLabels, Histogram>,
     pub resends: Family<WaitLabels, Counter>,
     pub store_calls: Family<CallLabels, Counter>,
     pub orders: Family<OrderLabels, Counter>,
@@ -60,10 +66,12 @@
     fn new() -> Self {
         let mut registry = Registry::with_prefix("coveproxy");
         let times = || Histogram::new(TIMES.iter().copied());
+        let ages = || Histogram::new(AGES.iter().copied());
         let metrics = Self {
             requests: Family::default(),
             first_event: Family::new_with_constructor(times),
             waits: Family::new_with_constructor(times),
+            belief_age: Family::new_with_constructor(ages),
             resends: Family::default(),
             store_calls: Family::default(),
             orders: Family::default(),
@@ -231,6 +239,11 @@
             "Sends of requests beyond the first",
             self.resends.clone(),
         );
+        registry.register(
+            "belief_age_seconds",
+            "Age of the tables that requests were routed and sent by",
+            self.belief_age.clone(),
+        );
         registry.register(
             "first_event_seconds",
             "Time to the answer, or to the first event of a stream",
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -3,7 +3,7 @@
     crate::{
         connection::{
             datagram::{EngineLoad, EngineStanding, Message, Placement},
-            targets::FleetView,
+            targets::{Confirmation, FleetView},
         },
         formats::{Order, Transaction},
     },
@@ -59,6 +59,8 @@
     },
     /// Requests see this from now on.
     Publish(Arc<FleetView>),
+    /// What requests see is known to be right as of other times.
+    Confirm(Confirmation),
     /// For the requests of this host.
     Place(Placement),
     Load(EngineLoad),
--- a/src/process/host/control_event.rs
+++ b/src/process/host/control_event.rs
@@ -28,6 +28,8 @@
     Message {
         from: SocketAddr,
         message: Message,
+        /// It has reached this host after this time.
+        arrived_after: Instant,
     },
     /// A request's need.
     Request(ControlRequest),
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -126,13 +126,14 @@
         &mut self,
         from: SocketAddr,
         message: Message,
+        arrived_after: Instant,
         now: Instant,
     ) -> Vec<ControlAction> {
         let actions = match message {
-            Message::Ping(ping) => self.on_ping(from, &ping, now),
+            Message::Ping(ping) => self.on_ping(from, &ping, arrived_after, now),
             Message::Ack(ack) => {
                 let mut actions = self.on_host_news(&ack.sender, &ack.rumors, now);
-                actions.extend(self.on_freshness(from, &ack.freshness, now));
+                actions.extend(self.on_freshness(from, &ack.freshness, arrived_after));
                 actions
             }
             Message::PingRequest(request) => self.on_ping_request(from, &request, now),
@@ -216,10 +217,11 @@
         &mut self,
         from: SocketAddr,
         ping: &Ping,
+        arrived_after: Instant,
         now: Instant,
     ) -> Vec<ControlAction> {
         let mut actions = self.on_host_news(&ping.sender, &ping.rumors, now);
-        actions.extend(self.on_freshness(from, &ping.freshness, now));
+        actions.extend(self.on_freshness(from, &ping.freshness, arrived_after));
         if !ping.one_way {
             let ack = Ack {
                 sender: self.my_rumor(now),
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -93,7 +93,8 @@
     pub async fn run(self) {
         let mut watch = WakeWatch::new(Instant::now());
         loop {
-            let wake = self.control.borrow().next_wake(Instant::now());
+            let looked = Instant::now();
+            let wake = self.control.borrow().next_wake(looked);
             let event = tokio::select! {
                 biased;
                 event = self.inbox.recv_async() => match event {
@@ -104,8 +105,18 @@
                     Ok(request) => ControlEvent::Request(request),
                     Err(_) => return,
                 },
-                (from, message) = self.socket.receive() => ControlEvent::Message { from, message },
-                _ = tokio::time::sleep_until(wake.into()) => ControlEvent::Tick,
+                (from, message) = self.socket.receive() => ControlEvent::Message {
+                    from,
+                    message,
+                    arrived_after: self.socket.drained_at(),
+                },
+                _ = tokio::time::sleep_until(wake.into()) => {
+                    if wake > looked {
+                        // What had arrived by then would have come first.
+                        self.socket.note_drained(looked);
+                    }
+                    ControlEvent::Tick
+                }
             };
             let (kind, begun) = (event.kind(), Instant::now());
             let actions = self.control.borrow_mut().on(event, begun);
@@ -144,6 +155,9 @@
             } => self.order(target, address, term, order),
             ControlAction::AskReport { target, address } => self.ask_report(target, address),
             ControlAction::Publish(view) => self.tell_traffic(TrafficInput::View(view)),
+            ControlAction::Confirm(confirmation) => {
+                self.tell_traffic(TrafficInput::Confirmed(confirmation));
+            }
             ControlAction::Place(placement) => {
                 self.tell_traffic(TrafficInput::Placement(placement));
             }
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -36,6 +36,15 @@
 /// would keep them young and nobody would read the store: a copy confirmed every 30 ms for 6 s had age 0.
 const MESSAGE_TIME: Duration = Duration::from_millis(50);
 
+/// Rows of a table that have changed, as this host learnt of them.
+struct RowNews<'a> {
+    rows: &'a [Row],
+    /// Who told, for lines.
+    source: &'a str,
+    /// The copy without them was last known to be right at this time: they have changed since then.
+    right_before: Option<Instant>,
+}
+
 impl HostControl {
     /// Reads the tables whose copies have got too old.
     pub(super) fn read_tables(
@@ -77,8 +86,15 @@
         };
         let print = fingerprint(table, &self.formats);
         self.note_read_end(table, true, now);
-        let changed = self.kept(table).copy.apply_changes(batch, asked, print);
-        self.take_rows(table, &changed, "store", now);
+        let copy = &mut self.kept(table).copy;
+        let right_before = copy.right_at();
+        let rows = copy.apply_changes(batch, asked, print);
+        let news = RowNews {
+            rows: &rows,
+            source: "store",
+            right_before,
+        };
+        self.take_rows(table, &news, now);
         self.tell_all(now)
     }
 
@@ -94,16 +110,26 @@
         let Some(rows) = rows else {
             return;
         };
-        let changed = self.kept(table).copy.apply_whole(rows, asked, print);
-        self.take_rows(table, &changed, "store", now);
+        let copy = &mut self.kept(table).copy;
+        let right_before = copy.right_at();
+        let rows = copy.apply_whole(rows, asked, print);
+        let news = RowNews {
+            rows: &rows,
+            source: "store",
+            right_before,
+        };
+        self.take_rows(table, &news, now);
     }
 
-    /// Another host told how new its copies are.
+    /// Another host told how new its copies are, in a message that has arrived after `arrived_after`.
+    ///
+    /// Taken as of when the message is read, what had lain here while the process stood still for 3 s made
+    /// copies seem 3 s younger than they were.
     pub(super) fn on_freshness(
         &mut self,
         from: SocketAddr,
         freshness: &Freshness,
-        now: Instant,
+        arrived_after: Instant,
     ) -> Vec<ControlAction> {
         let told = [
             (TableName::Declared, freshness.declared),
@@ -114,7 +140,7 @@
             let age = state
                 .age_ms
                 .map(|age| Duration::from_millis(u64::from(age)) + MESSAGE_TIME);
-            let Some(as_of) = age.and_then(|age| now.checked_sub(age)) else {
+            let Some(as_of) = age.and_then(|age| arrived_after.checked_sub(age)) else {
                 continue;
             };
             let kept = self.kept(table);
@@ -149,7 +175,8 @@
         };
         let whole = changes.whole;
         let large = changes.bytes() >= LARGE_COPY;
-        let (changed, same) = kept.copy.apply_from_host(changes, as_of, print);
+        let right_before = kept.copy.right_at();
+        let (rows, same) = kept.copy.apply_from_host(changes, as_of, print);
         let mut actions = Vec::new();
         if !same && !whole {
             // A change that was taken back again was missed by one of the two.
@@ -160,7 +187,12 @@
                 since: 0,
             });
         }
-        self.take_rows(table, &changed, &from.to_string(), now);
+        let news = RowNews {
+            rows: &rows,
+            source: &from.to_string(),
+            right_before,
+        };
+        self.take_rows(table, &news, now);
         if large && same {
             // Whoever was turned away by a busy host gets it here.
             let some = self.hosts.pick_up(TOLD_OF_LARGE_COPY);
@@ -241,14 +273,13 @@
     fn take_rows(
         &mut self,
         table: TableName,
-        rows: &[Row],
-        source: &str,
+        news: &RowNews,
         now: Instant,
     ) {
-        for row in rows {
+        for row in news.rows {
             match table {
-                TableName::Declared => self.take_declared(row, source, now),
-                TableName::Targets => self.take_target(row, source, now),
+                TableName::Declared => self.take_declared(row, news.source, now),
+                TableName::Targets => self.take_target(row, news, now),
             }
         }
     }
@@ -331,12 +362,13 @@
     fn take_target(
         &mut self,
         row: &Row,
-        source: &str,
+        news: &RowNews,
         now: Instant,
     ) {
         self.changed = true;
+        let source = news.source;
         if row.value.is_none() {
-            let until = self.vanished_until(now);
+            let until = self.vanished_until(news.right_before, now);
             if let Some(target) = self.targets.get_mut(&*row.key) {
                 // One that was leaving has been taken out already.
                 target.vanished_until.get_or_insert(until);
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -3,7 +3,9 @@
     crate::{
         connection::{
             datagram::{CopyState, Freshness, HostRumor, Ping},
-            targets::{FleetView, NewestVersion, TargetView},
+            targets::{
+                Confirmation, FleetView, NewestVersion, SEND_MARGIN, TableConfirmation, TargetView,
+            },
         },
         formats::{Formats, TargetRecord, TargetState},
         note,
@@ -38,6 +40,10 @@
 /// Time between two views for requests, at the least.
 const PUBLISH_PAUSE: Duration = Duration::from_millis(20);
 
+/// Requests are told of a younger copy once it is younger by this: a twentieth of the shortest bound
+/// (2 s) at the cost of ten wakes a second at the most.
+const CONFIRM_STEP: Duration = Duration::from_millis(100);
+
 /// A target whose entry has vanished from the list is used for so long, as a share of the bound.
 const VANISHED_SHARE: f64 = 0.55;
 
@@ -57,6 +63,17 @@
     pub pulling: Option<SocketAddr>,
 }
 
+impl KeptTable {
+    fn confirmation(&self) -> TableConfirmation {
+        let right_at = self.copy.right_at();
+        let failed_at = self.schedule.failed_at();
+        TableConfirmation {
+            right_at,
+            store_failed: failed_at.is_some_and(|at| right_at.is_none_or(|right| right < at)),
+        }
+    }
+}
+
 /// All control state of one host; events go in, actions come out.
 pub struct HostControl {
     pub(super) settings: NodeSettings,
@@ -73,6 +90,8 @@
     pub(super) newest: Arc<HashMap<String, NewestVersion>>,
     /// Another view must be published.
     pub(super) changed: bool,
+    /// How well what requests see is known to be right, as they were last told.
+    told_confirmation: Confirmation,
     /// No other view is published before; many hosts may become known at the same moment.
     pub(super) next_publish: Instant,
     /// Seeds that have nothing to hand over.
@@ -133,6 +152,7 @@
             routing: Arc::default(),
             newest: Arc::default(),
             changed: true,
+            told_confirmation: Confirmation::default(),
             next_publish: now,
             empty_seeds: BTreeSet::new(),
             told_holds: Vec::new(),
@@ -195,7 +215,11 @@
     ) -> Vec<ControlAction> {
         let mut actions = match event {
             ControlEvent::Tick => self.on_tick(now),
-            ControlEvent::Message { from, message } => self.on_message(from, message, now),
+            ControlEvent::Message {
+                from,
+                message,
+                arrived_after,
+            } => self.on_message(from, message, arrived_after, now),
             ControlEvent::Request(request) => self.on_request(request, now),
             ControlEvent::ChangesRead {
                 table,
@@ -239,6 +263,7 @@
         if self.changed && now >= self.next_publish {
             self.changed = false;
             self.next_publish = now + PUBLISH_PAUSE;
+            self.told_confirmation = self.confirmation();
             actions.push(ControlAction::Publish(Arc::new(self.view(now))));
         }
         actions
@@ -259,6 +284,7 @@
         actions.extend(self.tick_hosts(now));
         actions.extend(self.read_tables(now));
         self.drop_vanished(now);
+        actions.extend(self.confirm());
         actions.extend(self.tick_engines(now));
         if now >= self.next_loads {
             self.next_loads = now + LOAD_PERIOD;
@@ -268,6 +294,24 @@
         actions
     }
 
+    fn confirmation(&self) -> Confirmation {
+        Confirmation {
+            declared: self.declared.confirmation(),
+            targets: self.listed.confirmation(),
+        }
+    }
+
+    /// Tells requests how well what they see is known to be right; a view that is to be published tells
+    /// it, too, and a newer time must not come before its view.
+    fn confirm(&mut self) -> Option<ControlAction> {
+        let confirmation = self.confirmation();
+        if self.changed || !is_news(&self.told_confirmation, &confirmation) {
+            return None;
+        }
+        self.told_confirmation = confirmation;
+        Some(ControlAction::Confirm(confirmation))
+    }
+
     fn on_stop(
         &mut self,
         now: Instant,
@@ -333,11 +377,18 @@
     }
 
     /// A target's entry has vanished: how long it is still used.
+    ///
+    /// It may have vanished right after `right_before`, when the copy that still had it was right. Counted
+    /// from the news alone, a target was used for 2.3 s with a bound of 2 s.
     pub(super) fn vanished_until(
         &self,
+        right_before: Option<Instant>,
         now: Instant,
     ) -> Instant {
-        now + self.settings.bounds.drain.mul_f64(VANISHED_SHARE)
+        let bound = self.settings.bounds.drain;
+        let until = now + bound.mul_f64(VANISHED_SHARE);
+        let latest = right_before.map(|at| at + bound.saturating_sub(SEND_MARGIN));
+        latest.map_or(until, |latest| until.min(latest))
     }
 
     fn drop_vanished(
@@ -370,6 +421,7 @@
                 let view = TargetView {
                     record: target.record.clone(),
                     holder: holders.get(id.as_str()).copied(),
+                    usable_until: target.vanished_until,
                 };
                 (id.clone(), Arc::new(view))
             });
@@ -378,6 +430,22 @@
             targets: targets.collect(),
             newest: self.newest.clone(),
             hosts: self.hosts.up_count(),
+            confirmation: self.told_confirmation,
         }
     }
 }
+
+fn is_news(
+    told: &Confirmation,
+    current: &Confirmation,
+) -> bool {
+    let differs = |told: &TableConfirmation, current: &TableConfirmation| {
+        let step = match (told.right_at, current.right_at) {
+            (Some(told), Some(current)) => current.saturating_duration_since(told),
+            (None, Some(_)) => CONFIRM_STEP,
+            _ => Duration::ZERO,
+        };
+        told.store_failed != current.store_failed || step >= CONFIRM_STEP
+    };
+    differs(&told.declared, &current.declared) || differs(&told.targets, &current.targets)
+}
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -5,11 +5,15 @@
         connection::{
             datagram::{EngineLoad, EngineStanding, Placement},
             front::{FrontListener, FrontStop},
-            targets::{BoardSettings, ControlRequest, FleetView, TargetBoard},
+            targets::{
+                BeliefBounds, BoardSettings, Confirmation, ControlRequest, FleetView, TargetBoard,
+            },
         },
         errors::RunError,
         formats::Formats,
-        process::settings::NodeSettings,
+        note,
+        process::settings::{Bounds, NodeSettings},
+        timeline::Event,
     },
     std::{
         cell::RefCell,
@@ -36,6 +40,8 @@
 #[derive(Debug, Clone)]
 pub enum TrafficInput {
     View(Arc<FleetView>),
+    /// The view is known to be right as of other times.
+    Confirmed(Confirmation),
     Placement(Placement),
     Load(EngineLoad),
     Standing(EngineStanding),
@@ -67,6 +73,10 @@
         budget_ratio: bounds.budget_ratio,
         budget_extra: bounds.budget_extra,
         policy: parts.settings.policy,
+        bounds: BeliefBounds {
+            declared: bounds.config,
+            targets: bounds.drain,
+        },
     };
     let board = Rc::new(RefCell::new(TargetBoard::new(settings, parts.control)));
     let listener = parts
@@ -97,11 +107,29 @@
                 if !board.asks_before_sends() || period.is_multiple_of(LARGE_SITE_PERIODS) {
                     board.report_usage(Instant::now());
                 }
+                tell_ages(&mut board, bounds);
             }
         }
     }
 }
 
+/// Tells of what requests rested on, if that came near its bounds.
+fn tell_ages(
+    board: &mut TargetBoard,
+    bounds: &Bounds,
+) {
+    let Some(largest) = board.largest_ages(Instant::now()) else {
+        return;
+    };
+    note!(
+        Event::BeliefsAged,
+        declared_ms = largest.declared.as_millis(),
+        declared_bound_ms = bounds.config.as_millis(),
+        targets_ms = largest.targets.as_millis(),
+        targets_bound_ms = bounds.drain.as_millis(),
+    );
+}
+
 fn take(
     board: &Rc<RefCell<TargetBoard>>,
     input: TrafficInput,
@@ -109,6 +137,7 @@
     let mut board = board.borrow_mut();
     match input {
         TrafficInput::View(view) => board.set_view(view),
+        TrafficInput::Confirmed(confirmation) => board.set_confirmation(confirmation),
         TrafficInput::Placement(placement) => board.on_placement(&placement, Instant::now()),
         TrafficInput::Load(load) => board.on_engine_load(&load, Instant::now()),
         TrafficInput::Standing(standing) => board.on_standing(&standing, Instant::now()),
--- a/src/process/tables/read_schedule.rs
+++ b/src/process/tables/read_schedule.rs
@@ -46,6 +46,8 @@
     started: Instant,
     reading: bool,
     failures: u32,
+    /// When the last read failed, if none has succeeded since.
+    failed_at: Option<Instant>,
     not_before: Option<Instant>,
     /// The first read, if no other host can hand a copy over.
     no_copy_read: Option<Instant>,
@@ -61,6 +63,7 @@
             started: now,
             reading: false,
             failures: 0,
+            failed_at: None,
             not_before: None,
             no_copy_read: None,
         }
@@ -103,11 +106,13 @@
         self.reading = false;
         if succeeded {
             self.failures = 0;
+            self.failed_at = None;
             self.not_before = None;
             return;
         }
         let pause = self.timings.retry * 2u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
+        self.failed_at = Some(now);
         self.not_before = Some(now + pause.min(self.timings.most_retry));
     }
 
@@ -116,6 +121,11 @@
         self.failures
     }
 
+    /// When the last read failed, if none has succeeded since.
+    pub fn failed_at(&self) -> Option<Instant> {
+        self.failed_at
+    }
+
     fn first_read(
         &self,
         place: u32,
--- a/src/process/tables/table_copy.rs
+++ b/src/process/tables/table_copy.rs
@@ -61,6 +61,11 @@
         self.as_of.is_some()
     }
 
+    /// When the copy was last known to be right; `None` before the first read.
+    pub fn right_at(&self) -> Option<Instant> {
+        self.as_of
+    }
+
     /// Time since the copy was known to be right.
     pub fn age(
         &self,
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -99,6 +99,7 @@
         result: "test",
     };
     drop(metrics.copy_age.get_or_create(&copy));
+    drop(metrics.belief_age.get_or_create(&copy));
     drop(metrics.copy_sent.get_or_create(&copy));
     drop(metrics.copy_transfers.get_or_create(&transfer));
     drop(metrics.copy_received.get_or_create(&transfer));
--- a/tests/target_board.rs
+++ b/tests/target_board.rs
@@ -5,7 +5,8 @@
         connection::{
             datagram::Usage,
             targets::{
-                BoardSettings, ControlRequest, FleetView, RequestTokens, TargetBoard, TargetView,
+                BeliefBounds, BoardSettings, Confirmation, ControlRequest, FleetView,
+                RequestTokens, TableConfirmation, TargetBoard, TargetView,
             },
         },
         formats::{TargetRecord, TargetState},
@@ -63,6 +64,7 @@
     TargetView {
         record: Arc::new(record),
         holder,
+        usable_until: None,
     }
 }
 
@@ -80,6 +82,10 @@
             budget_ratio: 0.2,
             budget_extra: 50.0,
             policy: Policy::default(),
+            bounds: BeliefBounds {
+                declared: ms(3_000),
+                targets: ms(2_000),
+            },
         };
         let mut board = TargetBoard::new(settings, control);
         board.set_view(view(holder));
@@ -216,3 +222,58 @@
     assert_eq!(reports.len(), 1);
     assert_eq!(reports[0].1.unread_tokens, 80);
 }
+
+/// Sends stop some time before the bound, so that the last one arrives within it; a host that the store
+/// does not answer goes on.
+#[rstest]
+#[case::young(Some(1_000), false, true)]
+#[case::near_the_bound(Some(1_900), false, false)]
+#[case::past_the_bound(Some(9_000), false, false)]
+#[case::past_it_and_the_store_is_out(Some(9_000), true, true)]
+#[case::nothing_is_known_yet(None, false, true)]
+fn sends_need_a_list_of_targets_that_is_young_enough(
+    #[case] age_ms: Option<u64>,
+    #[case] store_failed: bool,
+    #[case] allowed: bool,
+) {
+    let mut world = World::new(None);
+    let targets = TableConfirmation {
+        right_at: age_ms.map(|_| world.now),
+        store_failed,
+    };
+    world.board.set_confirmation(Confirmation {
+        targets,
+        ..Confirmation::default()
+    });
+    let now = world.now + ms(age_ms.unwrap_or(0));
+    assert_eq!(world.board.allows_sends(now), allowed);
+    assert!(
+        world.board.allows_routing(now),
+        "the other table says nothing"
+    );
+}
+
+#[test]
+fn ages_are_told_of_once_a_second_if_they_come_near_their_bounds() {
+    let mut world = World::new(None);
+    let right_at = world.now;
+    let targets = TableConfirmation {
+        right_at: Some(right_at),
+        store_failed: false,
+    };
+    world.board.set_confirmation(Confirmation {
+        targets,
+        ..Confirmation::default()
+    });
+    world.board.note_sent(right_at + ms(400));
+    assert_eq!(world.board.largest_ages(right_at + ms(1_100)), None);
+    world.board.note_sent(right_at + ms(1_500));
+    world.board.note_sent(right_at + ms(1_300));
+    let told = world.board.largest_ages(right_at + ms(2_200)).unwrap();
+    assert_eq!(told.targets, ms(1_500));
+    assert_eq!(
+        world.board.largest_ages(right_at + ms(3_400)),
+        None,
+        "told once"
+    );
+}
