--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -39,9 +39,6 @@
 /// Share of its aim after which it is refused.
 const LOOK_SHARE: f64 = 0.17;
 
-/// Callers that were refused come back after this time, if nothing better is known.
-pub(super) const COME_BACK: Duration = Duration::from_millis(400);
-
 /// What is decided for the next send.
 pub enum Choice {
     Send(Destination),
@@ -251,10 +248,7 @@
             EngineChoice::Nowhere => {
                 let against = AgainstEngines::of(&candidates, now);
                 tries.trace.add(TraceStep::Unplaced(against), now);
-                match nowhere_yet(request, now) {
-                    Choice::Nowhere => Choice::Refuse(come_back_for_load(&candidates)),
-                    choice => choice,
-                }
+                nowhere_yet(request, now)
             }
         }
     }
@@ -318,13 +312,6 @@
     }
 }
 
-/// When a caller should come back whose adapter no engine can take: once the shortest of the queues for
-/// loads, as their holders told, is over.
-fn come_back_for_load(candidates: &[EngineCandidate]) -> Duration {
-    let loads = candidates.iter().map(|candidate| candidate.load);
-    loads.min().unwrap_or_default().max(COME_BACK)
-}
-
 fn time_of(
     request: &CallRequest,
     now: Instant,
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -2,7 +2,7 @@
     super::{
         AnswerBody, OwnAnswer, OwnCause,
         belief_gate::{Belief, HELD_COME_BACK, wait_until_confirmed},
-        chooser::{COME_BACK, Choice, Chooser},
+        chooser::{Choice, Chooser},
         exchange::{Destination, OpenAnswer, Sent, WholeAnswer, send},
         request_trace::{TraceStep, millis},
         stream_relay::StreamRelay,
@@ -28,6 +28,9 @@
     tokio::time::{sleep_until, timeout_at},
 };
 
+/// Callers that were refused come back after this time, if nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(400);
+
 /// Pause before an engine is tried again whose load was not over.
 const LOAD_PAUSE: Duration = Duration::from_millis(25);
 
