Targets whose entries lapsed in an outage of the store are used for a while after it

After an outage that is long ago, so that targets whose entries lapsed only because the store was out would be dropped at its return, all at once, and be back within two seconds. Test (red before: used for 0 s): now for 0.55 of the bound from the news, as before, if the store has failed this host since its copy was right.

--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -41,8 +41,8 @@
     rows: &'a [Row],
     /// Who told, for lines.
     source: &'a str,
-    /// The copy without them was last known to be right at this time: they have changed since then.
-    right_before: Option<Instant>,
+    /// They have changed after this time, while the store was there; `None` if it failed this host meanwhile.
+    changed_after: Option<Instant>,
 }
 
 impl HostControl {
@@ -85,14 +85,13 @@
             return Vec::new();
         };
         let print = fingerprint(table, &self.formats);
+        let changed_after = self.kept(table).changes_after();
         self.note_read_end(table, true, now);
-        let copy = &mut self.kept(table).copy;
-        let right_before = copy.right_at();
-        let rows = copy.apply_changes(batch, asked, print);
+        let rows = self.kept(table).copy.apply_changes(batch, asked, print);
         let news = RowNews {
             rows: &rows,
             source: "store",
-            right_before,
+            changed_after,
         };
         self.take_rows(table, &news, now);
         self.tell_all(now)
@@ -106,17 +105,16 @@
         now: Instant,
     ) {
         let print = fingerprint(table, &self.formats);
+        let changed_after = self.kept(table).changes_after();
         self.note_read_end(table, rows.is_some(), now);
         let Some(rows) = rows else {
             return;
         };
-        let copy = &mut self.kept(table).copy;
-        let right_before = copy.right_at();
-        let rows = copy.apply_whole(rows, asked, print);
+        let rows = self.kept(table).copy.apply_whole(rows, asked, print);
         let news = RowNews {
             rows: &rows,
             source: "store",
-            right_before,
+            changed_after,
         };
         self.take_rows(table, &news, now);
     }
@@ -175,7 +173,7 @@
         };
         let whole = changes.whole;
         let large = changes.bytes() >= LARGE_COPY;
-        let right_before = kept.copy.right_at();
+        let changed_after = kept.changes_after();
         let (rows, same) = kept.copy.apply_from_host(changes, as_of, print);
         let mut actions = Vec::new();
         if !same && !whole {
@@ -190,7 +188,7 @@
         let news = RowNews {
             rows: &rows,
             source: &from.to_string(),
-            right_before,
+            changed_after,
         };
         self.take_rows(table, &news, now);
         if large && same {
@@ -368,7 +366,7 @@
         self.changed = true;
         let source = news.source;
         if row.value.is_none() {
-            let until = self.vanished_until(news.right_before, now);
+            let until = self.vanished_until(news.changed_after, now);
             if let Some(target) = self.targets.get_mut(&*row.key) {
                 // One that was leaving has been taken out already.
                 target.vanished_until.get_or_insert(until);
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -64,6 +64,16 @@
 }
 
 impl KeptTable {
+    /// What is learnt next has changed after this time, while the store was there; `None` if it has failed
+    /// this host since then.
+    pub fn changes_after(&self) -> Option<Instant> {
+        let confirmation = self.confirmation();
+        match confirmation.store_failed {
+            true => None,
+            false => confirmation.right_at,
+        }
+    }
+
     fn confirmation(&self) -> TableConfirmation {
         let right_at = self.copy.right_at();
         let failed_at = self.schedule.failed_at();
@@ -378,16 +388,18 @@
 
     /// A target's entry has vanished: how long it is still used.
     ///
-    /// It may have vanished right after `right_before`, when the copy that still had it was right. Counted
-    /// from the news alone, a target was used for 2.3 s with a bound of 2 s.
+    /// It may have vanished right after `changed_after`, when the copy that still had it was right. Counted
+    /// from the news alone, a target was used for 2.3 s with a bound of 2 s. While the store is out entries
+    /// lapse since targets can't renew them, and are back some time after its return: these count from
+    /// the news.
     pub(super) fn vanished_until(
         &self,
-        right_before: Option<Instant>,
+        changed_after: Option<Instant>,
         now: Instant,
     ) -> Instant {
         let bound = self.settings.bounds.drain;
         let until = now + bound.mul_f64(VANISHED_SHARE);
-        let latest = right_before.map(|at| at + bound.saturating_sub(SEND_MARGIN));
+        let latest = changed_after.map(|at| at + bound.saturating_sub(SEND_MARGIN));
         latest.map_or(until, |latest| until.min(latest))
     }
 
