--- a/src/process/settings/host_settings.rs
+++ b/src/process/settings/host_settings.rs
@@ -87,11 +87,7 @@
 impl HostSettings {
     /// Reads and checks a settings file; every problem is reported at once.
     pub fn read(file: &Path) -> Result<Self, RunError> {
-        let text = std::fs::read_to_string(file).map_err(|source| RunError::File {
-            file: file.to_path_buf(),
-            source,
-        })?;
-        Self::parse(file, &text).map_err(RunError::Settings)
+        IniReader::read_file(file, Self::from_ini)
     }
 
     /// Parses the text of a settings file.
@@ -99,13 +95,7 @@
         file: &Path,
         text: &str,
     ) -> Result<Self, Vec<SettingsProblem>> {
-        let mut ini = IniReader::new(file, text);
-        let settings = Self::from_ini(&mut ini);
-        let problems = ini.finish();
-        match settings {
-            Some(settings) if problems.is_empty() => Ok(settings),
-            _ => Err(problems),
-        }
+        IniReader::read_text(file, text, Self::from_ini)
     }
 
     fn from_ini(ini: &mut IniReader) -> Option<Self> {
--- a/src/process/settings/ini_reader.rs
+++ b/src/process/settings/ini_reader.rs
@@ -1,5 +1,5 @@
 use {
-    crate::errors::SettingsProblem,
+    crate::errors::{RunError, SettingsProblem},
     ini::Ini,
     std::{
         collections::BTreeSet,
@@ -21,6 +21,33 @@
 }
 
 impl IniReader {
+    /// Reads and checks a settings file; every problem is reported at once.
+    pub fn read_file<S>(
+        file: &Path,
+        settings: impl FnOnce(&mut Self) -> Option<S>,
+    ) -> Result<S, RunError> {
+        let text = std::fs::read_to_string(file).map_err(|source| RunError::File {
+            file: file.to_path_buf(),
+            source,
+        })?;
+        Self::read_text(file, &text, settings).map_err(RunError::Settings)
+    }
+
+    /// Reads and checks the text of a settings file; `settings` is none if a required one is missing.
+    pub fn read_text<S>(
+        file: &Path,
+        text: &str,
+        settings: impl FnOnce(&mut Self) -> Option<S>,
+    ) -> Result<S, Vec<SettingsProblem>> {
+        let mut ini = Self::new(file, text);
+        let settings = settings(&mut ini);
+        let problems = ini.finish();
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => Err(problems),
+        }
+    }
+
     /// Reads `text`; a file that is not INI at all is one problem.
     pub fn new(
         file: &Path,
--- a/src/process/tables/table_copy.rs
+++ b/src/process/tables/table_copy.rs
@@ -89,11 +89,10 @@
         asked: Instant,
         fingerprint: impl Fn(&Row) -> u64,
     ) -> Vec<Row> {
-        if batch.version < self.version {
-            return Vec::new();
+        match self.accept(&batch, asked) {
+            true => self.put_all(batch.rows, &fingerprint),
+            false => Vec::new(),
         }
-        self.confirm(batch.version, asked);
-        self.put_all(batch.rows, &fingerprint)
     }
 
     /// Takes in the whole table, as asked for at `asked`; gives the rows that matter.
@@ -103,11 +102,23 @@
         asked: Instant,
         fingerprint: impl Fn(&Row) -> u64,
     ) -> Vec<Row> {
+        match self.accept(&batch, asked) {
+            true => self.put_whole(batch, &fingerprint),
+            false => Vec::new(),
+        }
+    }
+
+    /// A read that was asked for at `asked` confirms this copy, unless the copy is newer.
+    fn accept(
+        &mut self,
+        batch: &RowBatch,
+        asked: Instant,
+    ) -> bool {
         if batch.version < self.version {
-            return Vec::new();
+            return false;
         }
         self.confirm(batch.version, asked);
-        self.put_whole(batch, &fingerprint)
+        true
     }
 
     /// Puts all rows of a table in place of those that are there.
