--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -8,6 +8,7 @@
             AdapterUsage, EngineLoad, EngineQuery, EngineStanding, Placement, PlacementState,
             Usage, Want,
         },
+        formats::TargetStart,
         metrics::{CopyLabels, metrics},
         request::direct::{CopyState, Policy, ResendWindow},
         version::routing::RoutingTable,
@@ -192,6 +193,14 @@
         link.is_some_and(|link| until(link).is_none_or(|until| now < until))
     }
 
+    /// Which start of a target is known here.
+    pub fn started(
+        &self,
+        target: &str,
+    ) -> Option<TargetStart> {
+        self.links.get(target)?.view.record.started
+    }
+
     /// A request is routed by the configuration as it is known here.
     pub fn note_routed(
         &mut self,
@@ -372,19 +381,34 @@
         target: &Arc<TargetView>,
     ) -> bool {
         let Some(link) = self.links.get_mut(id) else {
-            let id: Arc<str> = id.into();
-            self.adapters.assume_held(&id, &target.record.models);
-            self.links.insert(id, TargetLink::new(target.clone()));
+            self.add_link(id, target);
             return true;
         };
-        let is_same = Arc::ptr_eq(&link.view, target);
-        let regroups = !is_same && !Arc::ptr_eq(&link.view.record, &target.record);
-        if !is_same {
-            link.set_view(target.clone());
+        if Arc::ptr_eq(&link.view, target) {
+            return false;
+        }
+        if !link.is_same_start(target) {
+            // Copies of adapters, connections, loads and failures were those of an earlier start.
+            self.adapters.forget_target(id);
+            self.add_link(id, target);
+            return true;
         }
+        let regroups = !Arc::ptr_eq(&link.view.record, &target.record);
+        link.set_view(target.clone());
         regroups
     }
 
+    /// A start of a target of which nothing is known but what it records of itself.
+    fn add_link(
+        &mut self,
+        id: &str,
+        target: &Arc<TargetView>,
+    ) {
+        let id: Arc<str> = id.into();
+        self.adapters.assume_held(&id, &target.record.models);
+        self.links.insert(id, TargetLink::new(target.clone()));
+    }
+
     /// Puts the targets together by service. This is done only when a target has changed what it records of
     /// itself: a view comes with each change of a host or of a holder, six a second on a large site, and
     /// to group 3,000 targets anew each time took a small host 15% of what it used in all.
