--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -357,11 +357,13 @@
             let id: Arc<str> = id.as_str().into();
             match self.links.get_mut(&id) {
                 Some(link) if link.is_same_start(target) => link.set_view(target.clone()),
-                known => {
-                    if known.is_some() {
-                        // Copies of adapters, connections, loads and failures were those of an earlier start.
-                        self.adapters.forget_target(&id);
-                    }
+                Some(link) => {
+                    // Copies of adapters, connections, loads and failures were those of an earlier start.
+                    *link = TargetLink::new_start(target.clone());
+                    self.adapters.forget_target(&id);
+                    self.adapters.assume_held(&id, &target.record.models);
+                }
+                None => {
                     self.adapters.assume_held(&id, &target.record.models);
                     self.links
                         .insert(id.clone(), TargetLink::new(target.clone()));
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -108,6 +108,15 @@
         }
     }
 
+    /// The link to a target that has started anew. Its holder is to hear that nothing of this host runs there any
+    /// more: what ran at the earlier start would else count as running for as long as nothing is sent there.
+    pub fn new_start(view: Arc<TargetView>) -> Self {
+        Self {
+            reports_due: REPORTS,
+            ..Self::new(view)
+        }
+    }
+
     /// A connection that rests and can be used, the one used last first.
     pub fn take_idle(
         &mut self,
--- a/src/process/engines/desk_start.rs
+++ b/src/process/engines/desk_start.rs
@@ -2,10 +2,13 @@
 
 use {
     super::{
-        DeskAction, DeskOrder, EngineDesk, LateOrders, LoadMemory, PlaceState,
+        DeskAction, DeskOrder, EngineDesk, EngineUse, LateOrders, LoadMemory,
         engine_desk::REMEMBERED_PER_PLACE,
     },
-    crate::formats::{OrderReply, TargetReport, TargetStart},
+    crate::{
+        connection::datagram::PlacementState,
+        formats::{OrderReply, TargetReport, TargetStart},
+    },
     std::time::Instant,
 };
 
@@ -65,15 +68,10 @@
         &mut self,
         now: Instant,
     ) -> Vec<DeskAction> {
-        for place in self.places.values_mut() {
-            place.state = PlaceState::Going;
-        }
-        let gone = self.places.keys();
-        let mut actions: Vec<DeskAction> = gone
-            .filter_map(|adapter| self.announce(adapter, now))
-            .collect();
+        let mut actions = self.tell_gone();
         actions.extend(self.turn_wishes_away());
         self.places.clear();
+        self.usage = EngineUse::default();
         self.memory = LoadMemory::new(self.spec.adapter_slots * REMEMBERED_PER_PLACE);
         self.models_at_hand.clear();
         self.model = None;
@@ -90,6 +88,19 @@
         actions
     }
 
+    /// Tells all that no adapter is there any more. One that is only told to be absent would count as held lately,
+    /// and so as loaded again in a moment, which this start can't do.
+    fn tell_gone(&self) -> Vec<DeskAction> {
+        let gone = self
+            .places
+            .iter()
+            .map(|(adapter, place)| DeskAction::Announce {
+                interested: place.interested.iter().copied().collect(),
+                placement: self.placement_to_come(adapter, place.version, PlacementState::Full),
+            });
+        gone.collect()
+    }
+
     /// An order ended that was given to an earlier start: either start may have taken it.
     pub(super) fn on_crossed_end(
         &mut self,
--- a/tests/target_board.rs
+++ b/tests/target_board.rs
@@ -322,4 +322,7 @@
     assert_eq!(link.avoided_for(world.now), Duration::ZERO);
     assert!(world.board.adapters.get("m0/a1", ENGINE).is_some());
     assert!(world.board.adapters.get("m0/a2", ENGINE).is_none());
+    let reports = world.reports(1);
+    let (_, usage) = reports.last().expect("the holder hears that nothing runs");
+    assert_eq!((usage.in_flight, usage.adapters.len()), (0, 0));
 }
