--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -381,7 +381,9 @@
         target: &Arc<TargetView>,
     ) -> bool {
         let Some(link) = self.links.get_mut(id) else {
-            self.add_link(id, target);
+            let id: Arc<str> = id.into();
+            self.adapters.assume_held(&id, &target.record.models);
+            self.links.insert(id, TargetLink::new(target.clone()));
             return true;
         };
         if Arc::ptr_eq(&link.view, target) {
@@ -389,8 +391,9 @@
         }
         if !link.is_same_start(target) {
             // Copies of adapters, connections, loads and failures were those of an earlier start.
+            *link = TargetLink::new_start(target.clone());
             self.adapters.forget_target(id);
-            self.add_link(id, target);
+            self.adapters.assume_held(id, &target.record.models);
             return true;
         }
         let regroups = !Arc::ptr_eq(&link.view.record, &target.record);
@@ -398,17 +401,6 @@
         regroups
     }
 
-    /// A start of a target of which nothing is known but what it records of itself.
-    fn add_link(
-        &mut self,
-        id: &str,
-        target: &Arc<TargetView>,
-    ) {
-        let id: Arc<str> = id.into();
-        self.adapters.assume_held(&id, &target.record.models);
-        self.links.insert(id, TargetLink::new(target.clone()));
-    }
-
     /// Puts the targets together by service. This is done only when a target has changed what it records of
     /// itself: a view comes with each change of a host or of a holder, six a second on a large site, and
     /// to group 3,000 targets anew each time took a small host 15% of what it used in all.
