Each version of an adapter is judged by its own successor, and by when requests begin

Callers got answers of versions that had been replaced 5.7 to 7.1 s before, with a bound of 5 s.

Cause: the 900 ms for which old versions served were one time for all of them, from when the host learnt of the newest.

Change: hosts keep the steps of each adapter's history. The bound is a setting. A copy that an engine can't replace yet stays known while the newer version is asked for, and serves as long as it may: it used to be forgotten at the first ask. Lines name the version that was sent, the newest one, the expected wait and the ages.

--- a/src/connection/front/adapter_standing.rs
+++ b/src/connection/front/adapter_standing.rs
@@ -1,19 +1,20 @@
 use {
-    super::{chooser::ASK_WAIT, engine_sample::is_coming},
-    crate::{connection::targets::TargetBoard, request::direct::CopyState},
+    super::{
+        chooser::{ASK_WAIT, LOOK_AGAIN},
+        engine_sample::is_coming,
+    },
+    crate::{
+        connection::targets::{AdapterCopy, TargetBoard},
+        request::direct::CopyState,
+    },
     std::time::{Duration, Instant},
 };
 
-/// Old versions of an adapter are still used for so long after a newer one was named.
-const OLD_VERSION_GRACE: Duration = Duration::from_millis(900);
-
 /// How an adapter stands for a request: which versions may serve it, and where they are.
 pub(super) struct AdapterStanding<'a> {
     adapter: &'a str,
     /// The newest version.
     pub newest: u64,
-    /// Older versions still serve.
-    grace: bool,
     now: Instant,
 }
 
@@ -23,29 +24,25 @@
         adapter: &'a str,
         now: Instant,
     ) -> Self {
-        let newest = board.view.newest.get(adapter).copied();
-        let is_young = |since| now.saturating_duration_since(since) < OLD_VERSION_GRACE;
         Self {
             adapter,
-            newest: newest.map_or(1, |newest| newest.version),
-            grace: newest.is_some_and(|newest| is_young(newest.since)),
+            newest: board.newest_version(adapter),
             now,
         }
     }
 
-    /// The copy at an engine, as far as it can serve.
+    /// The copy at an engine, as far as it can serve a request that is expected to begin there after `wait`.
     pub fn copy_at(
         &self,
         board: &TargetBoard,
         target: &str,
+        wait: Duration,
     ) -> CopyState {
-        let copy = match board.adapters.get(self.adapter, target) {
-            Some(copy) if copy.version < self.newest && is_of_no_use(copy.state, self.grace) => {
-                CopyState::Unknown
-            }
-            Some(copy) => copy.state,
-            None => CopyState::Unknown,
-        };
+        if self.version_at(board, target, wait).is_some() {
+            return CopyState::Ready;
+        }
+        let copy = board.adapters.get(self.adapter, target);
+        let copy = copy.map_or(CopyState::Unknown, |copy| self.otherwise(board, copy, wait));
         match board.links[target].view.holder {
             // Nobody is left who would tell that it is there.
             None if is_coming(copy) => CopyState::Unknown,
@@ -53,6 +50,41 @@
         }
     }
 
+    /// The version that an engine holds and that may serve a request which is expected to begin there after
+    /// `wait`.
+    pub fn version_at(
+        &self,
+        board: &TargetBoard,
+        target: &str,
+        wait: Duration,
+    ) -> Option<u64> {
+        let held = board.adapters.get(self.adapter, target)?.held()?;
+        let serves = board.serves_until(self.adapter, held);
+        serves.allows(wait, self.now).then_some(held)
+    }
+
+    /// A copy that can't serve now.
+    fn otherwise(
+        &self,
+        board: &TargetBoard,
+        copy: &AdapterCopy,
+        wait: Duration,
+    ) -> CopyState {
+        let serves = board.serves_until(self.adapter, copy.version);
+        let is_old = copy.version < self.newest;
+        match copy.state {
+            // A request would wait there for longer than versions that are replaced meanwhile may serve.
+            CopyState::Ready if !is_old => CopyState::Full {
+                until: self.now + LOOK_AGAIN,
+            },
+            CopyState::Coming { due } if is_old && !serves.allows(wait, due.max(self.now)) => {
+                CopyState::Unknown
+            }
+            CopyState::Ready | CopyState::Remembered if is_old => CopyState::Unknown,
+            state => state,
+        }
+    }
+
     /// True if an engine's holder should have told of the adapter by now.
     pub fn is_late_at(
         &self,
@@ -75,15 +107,3 @@
         _ => false,
     }
 }
-
-/// True if a copy of an old version is as good as none; `grace` says that old ones still serve.
-fn is_of_no_use(
-    state: CopyState,
-    grace: bool,
-) -> bool {
-    match state {
-        CopyState::Ready | CopyState::Coming { .. } => !grace,
-        CopyState::Remembered => true,
-        _ => false,
-    }
-}
--- a/src/connection/front/belief_gate.rs
+++ b/src/connection/front/belief_gate.rs
@@ -25,6 +25,8 @@
     Declared,
     /// It is to be sent: by the list of targets.
     Targets,
+    /// It is to be sent for an adapter: by what is known of its versions.
+    Versions,
 }
 
 impl Belief {
@@ -32,6 +34,7 @@
         match self {
             Self::Declared => "declared",
             Self::Targets => "targets",
+            Self::Versions => "versions",
         }
     }
 
@@ -43,6 +46,7 @@
         match self {
             Self::Declared => board.allows_routing(now),
             Self::Targets => board.allows_sends(now),
+            Self::Versions => board.allows_versions(now),
         }
     }
 }
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -4,7 +4,7 @@
         against_engines::AgainstEngines,
         engine_outlook::EngineOutlook,
         engine_sample::{look_before_send, sample_for_adapter, sample_of_service},
-        exchange::Destination,
+        exchange::{Destination, VersionSent},
         request_trace::TraceStep,
         tries::Tries,
     },
@@ -34,7 +34,7 @@
 const LEAST_WAIT: Duration = Duration::from_millis(2);
 
 /// Pause before a request that no engine can take looks again.
-const LOOK_AGAIN: Duration = Duration::from_millis(25);
+pub(super) const LOOK_AGAIN: Duration = Duration::from_millis(25);
 
 /// Share of its aim after which it is refused.
 const LOOK_SHARE: f64 = 0.17;
@@ -180,8 +180,10 @@
         let outlook = EngineOutlook::of(board, request, &targets, &self.hall, now);
         let mut candidates = Vec::with_capacity(targets.len());
         for target in &targets {
-            let copy = standing.copy_at(board, target);
-            candidates.push(outlook.candidate(board, request, target, copy, tries));
+            let mut candidate =
+                outlook.candidate(board, request, target, CopyState::Unknown, tries);
+            candidate.copy = standing.copy_at(board, target, candidate.wait);
+            candidates.push(candidate);
         }
         let terms = ChoiceTerms {
             copy_price: copy_price(board, adapter, now),
@@ -208,8 +210,13 @@
                 }
                 let is_ready = |candidate: &&EngineCandidate| candidate.copy == CopyState::Ready;
                 let ready = candidates.iter().filter(is_ready).count();
-                let version = board.adapters.get(adapter, &targets[to]);
-                let version = version.map(|copy| copy.version);
+                let wait = candidates[to].wait;
+                let version = standing.version_at(board, &targets[to], wait);
+                let version = version.map(|version| VersionSent {
+                    version,
+                    newest: standing.newest,
+                    wait,
+                });
                 send_to(
                     board,
                     tries,
@@ -259,7 +266,7 @@
     board: &TargetBoard,
     tries: &mut Tries,
     target: &Arc<str>,
-    version: Option<u64>,
+    version: Option<VersionSent>,
     counts: (usize, usize),
     now: Instant,
 ) -> Choice {
@@ -273,6 +280,8 @@
         load_age: link
             .others_told
             .map(|told| now.saturating_duration_since(told)),
+        version,
+        declared_age: board.confirmation().declared.age(now),
     };
     tries.trace.add(step, now);
     Choice::Send(Destination {
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -138,7 +138,7 @@
         resume_after: Option<u64>,
     ) -> Outcome {
         loop {
-            if !wait_until_confirmed(&self.board, Belief::Targets, request.id_text()).await {
+            if !self.wait_until_confirmed(request).await {
                 return self.unserved(request, tries, OwnCause::Unconfirmed, HELD_COME_BACK);
             }
             let mut destination = match self.chooser.choose(request, tries, Instant::now()) {
@@ -191,6 +191,24 @@
         }
     }
 
+    /// Waits until all that a send rests on is young enough; false if that took too long.
+    async fn wait_until_confirmed(
+        &self,
+        request: &CallRequest,
+    ) -> bool {
+        let id = request.id_text();
+        let has_adapter = request
+            .generation
+            .as_ref()
+            .and_then(|g| g.adapter())
+            .is_some();
+        // What a request was routed by may have aged while it waited for its adapter.
+        if has_adapter && !wait_until_confirmed(&self.board, Belief::Versions, id).await {
+            return false;
+        }
+        wait_until_confirmed(&self.board, Belief::Targets, id).await
+    }
+
     /// Decides what follows a send without an answer; gives the final answer if there is one.
     async fn after(
         &self,
@@ -414,6 +432,7 @@
     }
     count(request, tries, status, cause, passed);
     let adapter = request.generation.as_ref().and_then(|g| g.adapter());
+    let sent = tries.trace.last_version();
     note!(
         Event::RequestServed,
         id = id,
@@ -422,6 +441,10 @@
         cause = cause.map_or("-", |cause| cause.word()),
         target = tries.trace.last_target(),
         adapter = adapter.unwrap_or("-"),
+        version = sent.map_or(0, |sent| sent.version),
+        newest = sent.map_or(0, |sent| sent.newest),
+        waited_ms = millis(tries.trace.before_last_send(request.arrived)),
+        expected_ms = sent.map_or(-1.0, |sent| millis(sent.wait)),
         first_ms = millis(passed),
         aim_ms = millis(request.route.aim),
         arrivals = tries.history.arrivals,
--- a/src/connection/front/engine_sample.rs
+++ b/src/connection/front/engine_sample.rs
@@ -57,15 +57,10 @@
     }
     let places = SETTLING_PLACES + board.adapters.known(adapter);
     let order = board.settle_order(service, adapter, places);
-    let state = |at: &usize| {
-        board
-            .adapters
-            .get(adapter, &order[*at])
-            .map(|copy| copy.state)
-    };
-    let all = 0..order.len();
-    let (ready, others): (Vec<usize>, Vec<usize>) =
-        all.partition(|at| state(at) == Some(CopyState::Ready));
+    let copy = |at: &usize| board.adapters.get(adapter, &order[*at]);
+    let state = |at: &usize| copy(at).map(|copy| copy.state);
+    let is_held = |at: &usize| copy(at).is_some_and(|copy| copy.held().is_some());
+    let (ready, others): (Vec<usize>, Vec<usize>) = (0..order.len()).partition(is_held);
     let (coming, mut open): (Vec<usize>, Vec<usize>) = others
         .into_iter()
         .partition(|at| state(at).is_some_and(is_coming));
@@ -125,7 +120,7 @@
     let is_ready = |target: &Arc<str>| match adapter {
         Some(adapter) => {
             let copy = board.adapters.get(adapter, target);
-            copy.is_some_and(|copy| copy.state == CopyState::Ready)
+            copy.is_some_and(|copy| copy.held().is_some())
         }
         None => true,
     };
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -24,12 +24,22 @@
 /// Bodies up to this size are read whole before they are passed on, in bytes.
 const WHOLE_LIMIT: usize = 256 * 1024;
 
+/// The version of its adapter that a request is sent for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VersionSent {
+    pub version: u64,
+    /// The newest one that is known.
+    pub newest: u64,
+    /// The request is expected to begin after this time.
+    pub wait: Duration,
+}
+
 /// Where a request goes, and on what condition it may run there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Destination {
     pub target: Arc<str>,
-    /// Version of the adapter that must be there.
-    pub version: Option<u64>,
+    /// Version of the adapter that must be there; none for requests without one.
+    pub version: Option<VersionSent>,
     /// The answer goes on behind this event.
     pub resume_after: Option<u64>,
 }
@@ -184,7 +194,8 @@
     Ended(AttemptEnd),
     /// The target does not hold what the request needs, and did not run it.
     Misdirected,
-    /// Nothing was sent: by now it is not known well enough that the target takes requests.
+    /// Nothing was sent: by now it is not known well enough that the target takes requests, or its version
+    /// of the adapter may serve no longer.
     Unconfirmed,
 }
 
@@ -207,7 +218,7 @@
     if !board.borrow().is_usable(&destination.target, now) {
         return Sent::Ended(AttemptEnd::NotSent);
     }
-    if !board.borrow().allows_sends(now) {
+    if !may_send(board, request, destination, now) {
         flight.keep(connection, None);
         return Sent::Unconfirmed;
     }
@@ -268,6 +279,25 @@
     }))
 }
 
+/// True if what a send rests on is young enough: the list of targets, and the version that it is for.
+fn may_send(
+    board: &Rc<RefCell<TargetBoard>>,
+    request: &CallRequest,
+    destination: &Destination,
+    now: Instant,
+) -> bool {
+    let board = board.borrow();
+    let generation = request.generation.as_ref();
+    let adapter = generation.and_then(|generation| generation.adapter());
+    let serves = adapter
+        .zip(destination.version)
+        .is_none_or(|(adapter, sent)| {
+            let until = board.serves_until(adapter, sent.version);
+            until.allows(sent.wait, now)
+        });
+    serves && board.allows_sends(now)
+}
+
 fn backlog(
     board: &Rc<RefCell<TargetBoard>>,
     target: &str,
@@ -426,8 +456,8 @@
         b": ",
         destination.target.as_bytes(),
     ]);
-    if let Some(version) = destination.version {
-        let version = version.to_string();
+    if let Some(sent) = destination.version {
+        let version = sent.version.to_string();
         line(&[
             names.expect_version.as_str().as_bytes(),
             b": ",
--- a/src/connection/front/request_trace.rs
+++ b/src/connection/front/request_trace.rs
@@ -1,5 +1,5 @@
 use {
-    super::against_engines::AgainstEngines,
+    super::{against_engines::AgainstEngines, exchange::VersionSent},
     crate::{note, timeline::Event},
     std::{
         sync::Arc,
@@ -23,6 +23,9 @@
         unread_tokens: u64,
         /// Age of what other hosts' part of that rests on.
         load_age: Option<Duration>,
+        /// Of its adapter, and how old what is known of versions is.
+        version: Option<VersionSent>,
+        declared_age: Option<Duration>,
     },
     /// The holder of an engine was asked for the adapter.
     Asks {
@@ -83,6 +86,26 @@
         chosen.unwrap_or("-")
     }
 
+    /// The version that the last send was for.
+    pub fn last_version(&self) -> Option<VersionSent> {
+        self.steps.iter().rev().find_map(|(_, step)| match step {
+            TraceStep::Chosen { version, .. } => *version,
+            _ => None,
+        })
+    }
+
+    /// Time from the arrival to the last send; zero if there was none.
+    pub fn before_last_send(
+        &self,
+        arrived: Instant,
+    ) -> Duration {
+        let sent = self.steps.iter().rev().find_map(|(at, step)| match step {
+            TraceStep::Chosen { .. } => Some(*at),
+            _ => None,
+        });
+        sent.map_or(Duration::ZERO, |at| at.saturating_duration_since(arrived))
+    }
+
     /// Time from the arrival to the last send, if the request had to wait for it.
     pub fn waited(
         &self,
@@ -125,8 +148,11 @@
             running,
             unread_tokens,
             load_age,
+            version,
+            declared_age,
         } => {
             let load_age_ms = load_age.map_or(-1.0, millis);
+            let declared_age_ms = declared_age.map_or(-1.0, millis);
             note!(
                 Event::RequestChosen,
                 id = id,
@@ -137,6 +163,10 @@
                 running = running,
                 unread_tokens = unread_tokens,
                 load_age_ms = load_age_ms,
+                version = version.map_or(0, |sent| sent.version),
+                newest = version.map_or(0, |sent| sent.newest),
+                expected_ms = version.map_or(-1.0, |sent| millis(sent.wait)),
+                declared_age_ms = declared_age_ms,
             );
         }
         TraceStep::Asks { target, spare } => {
--- a/src/connection/targets/adapter_map.rs
+++ b/src/connection/targets/adapter_map.rs
@@ -20,12 +20,25 @@
 pub struct AdapterCopy {
     pub version: u64,
     pub state: CopyState,
+    /// The engine went on holding this older version when it was asked for a newer one and had no place for
+    /// it: streams on it had not ended.
+    pub older: Option<u64>,
     /// Requests for it that started there lately, through all hosts, as last told.
     pub uses: u32,
     asked: Option<Instant>,
     asks: u32,
 }
 
+impl AdapterCopy {
+    /// The version that requests find there now, if there is one.
+    pub fn held(&self) -> Option<u64> {
+        match self.state {
+            CopyState::Ready => Some(self.version),
+            _ => self.older,
+        }
+    }
+}
+
 /// Where adapters are, as far as this host was told.
 #[derive(Debug, Default)]
 pub struct AdapterMap {
@@ -62,9 +75,12 @@
         state: CopyState,
         uses: u32,
     ) {
+        let is_full = matches!(state, CopyState::Full { .. });
+        let held = self.get(adapter, target).and_then(AdapterCopy::held);
         let copy = AdapterCopy {
             version,
             state,
+            older: held.filter(|held| is_full && *held < version),
             uses,
             asked: None,
             asks: 0,
@@ -83,6 +99,7 @@
         let Some(copy) = copies.and_then(|copies| copies.get_mut(target)) else {
             return;
         };
+        copy.older = None;
         if !matches!(copy.state, CopyState::Ready | CopyState::Coming { .. }) {
             return;
         }
@@ -138,6 +155,7 @@
             .or_insert(AdapterCopy {
                 version: 0,
                 state: CopyState::Asked,
+                older: None,
                 uses: 0,
                 asked: None,
                 asks: 0,
@@ -154,6 +172,7 @@
             return false;
         }
         if !matches!(copy.state, CopyState::Coming { .. }) {
+            copy.older = copy.held();
             copy.state = CopyState::Asked;
         }
         copy.asked = Some(now);
--- a/src/connection/targets/belief_ages.rs
+++ b/src/connection/targets/belief_ages.rs
@@ -14,6 +14,8 @@
     pub declared: Duration,
     /// The list of targets, when a request reaches one.
     pub targets: Duration,
+    /// An adapter's version after its successor was acknowledged, when a request begins on it.
+    pub version: Duration,
 }
 
 /// The largest ages of what requests rested on within a period.
--- a/src/connection/targets/fleet_view.rs
+++ b/src/connection/targets/fleet_view.rs
@@ -1,5 +1,5 @@
 use {
-    super::Confirmation,
+    super::{Confirmation, VersionHistory},
     crate::{formats::TargetRecord, version::routing::RoutingTable},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Instant},
 };
@@ -14,14 +14,6 @@
     pub usable_until: Option<Instant>,
 }
 
-/// The newest version of an adapter that has more than one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NewestVersion {
-    pub version: u64,
-    /// When this host learnt of it.
-    pub since: Instant,
-}
-
 /// What the control thread knows and requests rest on; replaced as a whole.
 #[derive(Debug, Clone, Default)]
 pub struct FleetView {
@@ -29,8 +21,8 @@
     pub routing: Arc<RoutingTable>,
     /// By id; those that leave or are gone are not among them.
     pub targets: HashMap<String, Arc<TargetView>>,
-    /// By `MODEL/ADAPTER`.
-    pub newest: Arc<HashMap<String, NewestVersion>>,
+    /// Of adapters that have more than one version, by `MODEL/ADAPTER`.
+    pub versions: Arc<HashMap<String, VersionHistory>>,
     /// Hosts that answer, this one included.
     pub hosts: usize,
     /// How well the tables behind this are known to be right.
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -6,20 +6,24 @@
 mod confirmation;
 mod fleet_view;
 mod reading_speed;
+mod serves_until;
 mod target_board;
 mod target_health;
 mod target_link;
+mod version_history;
 
 pub use {
     adapter_demand::AdapterDemand,
     adapter_map::{AdapterCopy, AdapterMap},
     belief_ages::{BeliefAges, BeliefBounds, LargestAges},
     confirmation::{Confirmation, SEND_MARGIN, TableConfirmation},
-    fleet_view::{FleetView, NewestVersion, TargetView},
+    fleet_view::{FleetView, TargetView},
     reading_speed::ReadingSpeed,
+    serves_until::ServesUntil,
     target_board::{
         AdapterAsk, BoardSettings, ControlRequest, MAX_TOLD_HOSTS, ServiceTarget, TargetBoard,
     },
     target_health::TargetHealth,
     target_link::{IdleConnection, RequestTokens, TargetLink},
+    version_history::{Succession, VersionHistory},
 };
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         AdapterDemand, AdapterMap, BeliefAges, BeliefBounds, Confirmation, FleetView, LargestAges,
-        ReadingSpeed, RequestTokens, TargetLink,
+        ReadingSpeed, RequestTokens, ServesUntil, Succession, TargetLink, VersionHistory,
     },
     crate::{
         connection::datagram::{
@@ -181,6 +181,48 @@
         self.confirmation.targets.allows_sends(bound, now)
     }
 
+    /// True if what is known of adapters' versions is young enough to send requests by.
+    pub fn allows_versions(
+        &self,
+        now: Instant,
+    ) -> bool {
+        self.newest_serves_until().allows(Duration::ZERO, now)
+    }
+
+    /// The newest version of an adapter, as far as is known.
+    pub fn newest_version(
+        &self,
+        adapter: &str,
+    ) -> u64 {
+        let history = self.view.versions.get(adapter);
+        history.map_or(1, VersionHistory::newest)
+    }
+
+    /// Until when requests may begin on a version of an adapter.
+    pub fn serves_until(
+        &self,
+        adapter: &str,
+        version: u64,
+    ) -> ServesUntil {
+        let bound = self.settings.bounds.version;
+        let history = self.view.versions.get(adapter);
+        match history.map_or(Succession::Newest, |history| history.succession(version)) {
+            Succession::ReplacedAfter(after) => ServesUntil::Time(after + bound),
+            Succession::ReplacedBefore => ServesUntil::Never,
+            Succession::Newest => self.newest_serves_until(),
+        }
+    }
+
+    /// A newer version may have been named right after this host last heard of any.
+    fn newest_serves_until(&self) -> ServesUntil {
+        let bound = self.settings.bounds.version;
+        let declared = &self.confirmation.declared;
+        match declared.right_at {
+            Some(right_at) if !declared.store_failed => ServesUntil::Time(right_at + bound),
+            _ => ServesUntil::Open,
+        }
+    }
+
     /// True if a target may get a request now, as far as its entry tells.
     pub fn is_usable(
         &self,
--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -283,8 +283,8 @@
                 continue;
             };
             let mut desk = EngineDesk::new(&target, spec, self.shared.clone(), now);
-            for (adapter, newest) in self.newest.iter() {
-                desk.on_newest(adapter, newest.version);
+            for (adapter, versions) in self.versions.iter() {
+                desk.on_newest(adapter, versions.newest());
             }
             self.desks.insert(target, desk);
             self.changed = true;
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -5,7 +5,7 @@
     crate::{
         connection::{
             datagram::{Freshness, Message},
-            targets::NewestVersion,
+            targets::VersionHistory,
         },
         formats::{Declared, Formats, Row, RowBatch, RowsReply, TargetState},
         note,
@@ -43,6 +43,8 @@
     source: &'a str,
     /// They have changed after this time, while the store was there; `None` if it failed this host meanwhile.
     changed_after: Option<Instant>,
+    /// They have changed after this time, whether or not the store was there; `None` at the first read.
+    right_at: Option<Instant>,
 }
 
 impl HostControl {
@@ -85,13 +87,15 @@
             return Vec::new();
         };
         let print = fingerprint(table, &self.formats);
-        let changed_after = self.kept(table).changes_after();
+        let kept = self.kept(table);
+        let (changed_after, right_at) = (kept.changes_after(), kept.copy.right_at());
         self.note_read_end(table, true, now);
         let rows = self.kept(table).copy.apply_changes(batch, asked, print);
         let news = RowNews {
             rows: &rows,
             source: "store",
             changed_after,
+            right_at,
         };
         self.take_rows(table, &news, now);
         self.tell_all(now)
@@ -105,7 +109,8 @@
         now: Instant,
     ) {
         let print = fingerprint(table, &self.formats);
-        let changed_after = self.kept(table).changes_after();
+        let kept = self.kept(table);
+        let (changed_after, right_at) = (kept.changes_after(), kept.copy.right_at());
         self.note_read_end(table, rows.is_some(), now);
         let Some(rows) = rows else {
             return;
@@ -115,6 +120,7 @@
             rows: &rows,
             source: "store",
             changed_after,
+            right_at,
         };
         self.take_rows(table, &news, now);
     }
@@ -173,7 +179,7 @@
         };
         let whole = changes.whole;
         let large = changes.bytes() >= LARGE_COPY;
-        let changed_after = kept.changes_after();
+        let (changed_after, right_at) = (kept.changes_after(), kept.copy.right_at());
         let (rows, same) = kept.copy.apply_from_host(changes, as_of, print);
         let mut actions = Vec::new();
         if !same && !whole {
@@ -189,6 +195,7 @@
             rows: &rows,
             source: &from.to_string(),
             changed_after,
+            right_at,
         };
         self.take_rows(table, &news, now);
         if large && same {
@@ -276,7 +283,7 @@
     ) {
         for row in news.rows {
             match table {
-                TableName::Declared => self.take_declared(row, news.source, now),
+                TableName::Declared => self.take_declared(row, news, now),
                 TableName::Targets => self.take_target(row, news, now),
             }
         }
@@ -285,16 +292,16 @@
     fn take_declared(
         &mut self,
         row: &Row,
-        source: &str,
+        news: &RowNews,
         now: Instant,
     ) {
         match self.formats.declared(row) {
-            Ok(Declared::Routing(routing)) => self.take_routing(routing, source, now),
+            Ok(Declared::Routing(routing)) => self.take_routing(routing, news.source, now),
             Ok(Declared::AdapterVersion {
                 model,
                 adapter,
                 version,
-            }) => self.take_newest(format!("{model}/{adapter}"), version, source, now),
+            }) => self.take_version(format!("{model}/{adapter}"), version, news, now),
             Ok(Declared::Other) => {}
             Err(problem) => {
                 note!(
@@ -330,31 +337,34 @@
         self.set_engine_specs(now);
     }
 
-    fn take_newest(
+    fn take_version(
         &mut self,
         adapter: String,
         version: u64,
-        source: &str,
+        news: &RowNews,
         now: Instant,
     ) {
-        let known = self.newest.get(&adapter).map_or(0, |newest| newest.version);
-        if version <= known {
+        let known = self.versions.get(&adapter);
+        let before = known.map_or(1, VersionHistory::newest);
+        if version <= before {
             return;
         }
+        // How long ago the version before was known to be the newest, at the most.
+        let before_age = news.right_at.map(|at| now.saturating_duration_since(at));
         note!(
             Event::AdapterVersionSeen,
             adapter = adapter,
             version = version,
-            source = source
+            before = before,
+            before_age_ms = before_age.map_or(-1.0, |age| age.as_secs_f64() * 1000.0),
+            source = news.source
         );
         for desk in self.desks.values_mut() {
             desk.on_newest(&adapter, version);
         }
-        let newest = NewestVersion {
-            version,
-            since: now,
-        };
-        Arc::make_mut(&mut self.newest).insert(adapter, newest);
+        let versions = Arc::make_mut(&mut self.versions);
+        let history = versions.entry(adapter).or_default();
+        history.on_named(version, news.right_at);
         self.changed = true;
     }
 
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -4,7 +4,7 @@
         connection::{
             datagram::{CopyState, Freshness, HostRumor, Ping},
             targets::{
-                Confirmation, FleetView, NewestVersion, SEND_MARGIN, TableConfirmation, TargetView,
+                Confirmation, FleetView, SEND_MARGIN, TableConfirmation, TargetView, VersionHistory,
             },
         },
         formats::{Formats, TargetRecord, TargetState},
@@ -104,7 +104,8 @@
     /// The engines among them; `None` once targets or the configuration have changed.
     pub(super) engines: Option<Arc<BTreeMap<String, String>>>,
     pub(super) routing: Arc<RoutingTable>,
-    pub(super) newest: Arc<HashMap<String, NewestVersion>>,
+    /// Of adapters that have more than one version, by `MODEL/ADAPTER`.
+    pub(super) versions: Arc<HashMap<String, VersionHistory>>,
     /// Another view must be published.
     pub(super) changed: bool,
     /// How well what requests see is known to be right, as they were last told.
@@ -157,7 +158,7 @@
             pulling: None,
         };
         Self {
-            declared: table(settings.bounds.config),
+            declared: table(settings.bounds.config.min(settings.bounds.version)),
             listed: table(settings.bounds.drain),
             hosts: HostTable::new(identity, HostTimings::default(), now),
             holding: Holding::new(row, timings, now),
@@ -168,7 +169,7 @@
             targets: BTreeMap::new(),
             engines: None,
             routing: Arc::default(),
-            newest: Arc::default(),
+            versions: Arc::default(),
             changed: true,
             told_confirmation: Confirmation::default(),
             next_publish: now,
@@ -450,7 +451,7 @@
         FleetView {
             routing: self.routing.clone(),
             targets: targets.collect(),
-            newest: self.newest.clone(),
+            versions: self.versions.clone(),
             hosts: self.hosts.up_count(),
             confirmation: self.told_confirmation,
         }
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -76,6 +76,7 @@
         bounds: BeliefBounds {
             declared: bounds.config,
             targets: bounds.drain,
+            version: bounds.version,
         },
     };
     let board = Rc::new(RefCell::new(TargetBoard::new(settings, parts.control)));
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -33,6 +33,8 @@
     pub drain: Duration,
     /// An accepted configuration is in force after this time.
     pub config: Duration,
+    /// No request begins on a version of an adapter later than this after a newer one was accepted.
+    pub version: Duration,
     /// Orders of two hosts to one engine lie so far apart.
     pub lease_gap: Duration,
     /// Repeats allowed for each request, and besides, over a sliding window.
@@ -159,6 +161,9 @@
     Bounds {
         drain: millis(ini, "drain_ms", 2_000.0),
         config: millis(ini, "config_ms", 2_000.0),
+        // Of a shorter one nothing is left: hosts hear of versions after up to 1.2 s, and 1.7 s are kept back
+        // for the way to the engine and the wait there.
+        version: ini.millis(SECTION, "version_ms", 5_000, 4_000..=86_400_000),
         lease_gap: millis(ini, "lease_ms", 3_000.0),
         budget_ratio: ini.number(SECTION, "budget_ratio", 0.2, 0.0..=10.0),
         budget_extra: ini.number(SECTION, "budget_extra", 50.0, 0.0..=1e6),
--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -34,3 +34,19 @@
         "{problems:?}"
     );
 }
+
+#[rstest]
+#[case::as_usual("", Ok(5_000))]
+#[case::longer("version_ms = 9000", Ok(9_000))]
+#[case::too_short_to_hear_of_it("version_ms = 3000", Err("version_ms"))]
+fn the_bound_of_versions_leaves_time_to_hear_of_them(
+    #[case] line: &str,
+    #[case] expected: Result<u64, &str>,
+) {
+    let parsed = parse(&format!("[bounds]\n{line}"));
+    match (parsed, expected) {
+        (Ok(settings), Ok(ms)) => assert_eq!(settings.bounds.version.as_millis(), u128::from(ms)),
+        (Err(problems), Err(name)) => assert!(problems.iter().any(|text| text.contains(name))),
+        (parsed, _) => panic!("{parsed:?}"),
+    }
+}
--- a/tests/target_board.rs
+++ b/tests/target_board.rs
@@ -3,9 +3,9 @@
 use {
     coveproxy::{
         connection::{
-            datagram::Usage,
+            datagram::{Placement, PlacementState, Usage},
             targets::{
-                BeliefBounds, BoardSettings, Confirmation, ControlRequest, FleetView,
+                AdapterAsk, BeliefBounds, BoardSettings, Confirmation, ControlRequest, FleetView,
                 RequestTokens, TableConfirmation, TargetBoard, TargetView,
             },
         },
@@ -85,6 +85,7 @@
             bounds: BeliefBounds {
                 declared: ms(3_000),
                 targets: ms(2_000),
+                version: ms(5_000),
             },
         };
         let mut board = TargetBoard::new(settings, control);
@@ -277,3 +278,40 @@
         "told once"
     );
 }
+
+/// Requests waited for a new version while the old one could have served them: once its holder had been asked for the
+/// new one and had no place for it, the old copy was forgotten.
+#[rstest]
+#[case::not_answered_yet(None, Some(1))]
+#[case::no_place(Some((2, PlacementState::Full)), Some(1))]
+#[case::on_its_way(Some((2, PlacementState::Coming)), None)]
+#[case::gone(Some((0, PlacementState::Absent)), None)]
+#[case::there(Some((2, PlacementState::Ready)), Some(2))]
+fn an_old_copy_is_known_until_its_engine_replaces_it(
+    #[case] answer: Option<(u64, PlacementState)>,
+    #[case] held: Option<u64>,
+) {
+    let mut world = World::new(Some(holder(1)));
+    let placement = |(version, state): (u64, PlacementState)| Placement {
+        target: ENGINE.to_string(),
+        adapter: "m0/a1".to_string(),
+        version,
+        state: state as i32,
+        ..Placement::default()
+    };
+    let old = placement((1, PlacementState::Ready));
+    world.board.on_placement(&old, world.now);
+    let ask = AdapterAsk {
+        adapter: "m0/a1",
+        target: ENGINE,
+        version: 2,
+        spare: false,
+        patience: ms(500),
+    };
+    assert!(world.board.ask(&ask, world.now));
+    if let Some(answer) = answer {
+        world.board.on_placement(&placement(answer), world.now);
+    }
+    let copy = world.board.adapters.get("m0/a1", ENGINE).unwrap();
+    assert_eq!(copy.held(), held);
+}
