--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -290,8 +290,8 @@
             let mut desk = EngineDesk::new(&target, spec, self.shared.clone(), now);
             desk.on_start(listed.record.started, now);
             desk.set_late_orders(self.late_orders.remove(&target).unwrap_or_default());
-            for (adapter, newest) in self.newest.iter() {
-                desk.on_newest(adapter, newest.version);
+            for (adapter, versions) in self.versions.iter() {
+                desk.on_newest(adapter, versions.newest());
             }
             self.desks.insert(target, desk);
             self.changed = true;
