A line for each spoilt row of the product's own table; a report that is due stays due

A host's row or a holder's row that can't be read was passed over without a word.

Event 319 names the row and what is wrong with it. Only news of a new start from the list ask for a report at once.

--- a/src/process/engines/desk_outcomes.rs
+++ b/src/process/engines/desk_outcomes.rs
@@ -52,13 +52,15 @@
             self.report_due = Some(now + REPORT_LAG);
             return Vec::new();
         }
-        let mut actions = self.on_start(report.started, now);
+        let mut actions = match self.takes_start(report.started) {
+            true => self.begin_anew(now),
+            false => Vec::new(),
+        };
         // An order since then would make the report contradict what is known.
         if self.under_way.is_some() || asked.is_none() {
             self.report_due = Some(now + REPORT_LAG);
             return actions;
         }
-        self.report_due = None;
         self.sequence = Some(report.sequence);
         self.busy = report.busy;
         self.models_at_hand.clone_from(&report.at_hand);
--- a/src/process/engines/desk_start.rs
+++ b/src/process/engines/desk_start.rs
@@ -13,22 +13,31 @@
 };
 
 impl EngineDesk {
-    /// The list, or the engine itself, tells which start of the engine this is. News of an earlier start than
-    /// the one that is known are passed over.
+    /// The list tells which start of the engine this is. News of an earlier start than the one that is known
+    /// are passed over.
     pub fn on_start(
         &mut self,
         told: Option<TargetStart>,
         now: Instant,
     ) -> Vec<DeskAction> {
+        if !self.takes_start(told) {
+            return Vec::new();
+        }
+        self.report_due = Some(now);
+        self.begin_anew(now)
+    }
+
+    /// Takes over which start of the engine this is; true if an earlier one was known.
+    pub(super) fn takes_start(
+        &mut self,
+        told: Option<TargetStart>,
+    ) -> bool {
         let known = self.started;
         if told <= known {
-            return Vec::new();
+            return false;
         }
         self.started = told;
-        match known {
-            None => Vec::new(),
-            Some(_) => self.begin_anew(now),
-        }
+        known.is_some()
     }
 
     /// True if a report was made by an earlier start than the one that is known.
@@ -64,7 +73,7 @@
     ///
     /// Whoever waits for an adapter here is told to ask elsewhere: the base model must come first, and that
     /// takes longer than most requests can wait.
-    fn begin_anew(
+    pub(super) fn begin_anew(
         &mut self,
         now: Instant,
     ) -> Vec<DeskAction> {
@@ -82,7 +91,6 @@
         self.under_way_crossed = self.under_way.is_some();
         self.late_orders.on_new_start();
         self.sequence = None;
-        self.report_due = Some(now);
         self.count_room();
         self.tell_desks();
         actions
--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -2,14 +2,14 @@
 //! them.
 
 use {
-    super::{ControlAction, HostControl},
+    super::{ControlAction, HostControl, control_tables::quoted},
     crate::{
         connection::datagram::HostRumor,
-        formats::{Commit, RowBatch},
+        formats::{Commit, Row, RowBatch},
         note,
         process::{
             engines::EngineDesk,
-            holding::{HoldingAction, HostRow, KnownLease},
+            holding::{HolderRow, HoldingAction, HostRow, KnownLease},
             ownership::rank,
         },
         timeline::Event,
@@ -105,10 +105,15 @@
         for row in rows.iter().flatten() {
             let value = row.value.as_deref().unwrap_or_default();
             if HostRow::peer_of(&row.key).is_none() {
+                tell_unreadable_holder(row);
                 continue;
             }
-            let Ok(host) = serde_json::from_slice::<HostRow>(value) else {
-                continue;
+            let host = match serde_json::from_slice::<HostRow>(value) {
+                Ok(host) => host,
+                Err(problem) => {
+                    tell_unreadable(row, &problem);
+                    continue;
+                }
             };
             let rumor = HostRumor {
                 peer: host.peer.into(),
@@ -294,3 +299,25 @@
         }
     }
 }
+
+/// A line for a row that should name an engine's holder and can't be read.
+fn tell_unreadable_holder(row: &Row) {
+    let value = row.value.as_deref();
+    let (Some(value), Some(_)) = (value, HolderRow::target_of(&row.key)) else {
+        return;
+    };
+    if let Err(problem) = serde_json::from_slice::<HolderRow>(value) {
+        tell_unreadable(row, &problem);
+    }
+}
+
+fn tell_unreadable(
+    row: &Row,
+    problem: &serde_json::Error,
+) {
+    note!(
+        Event::RowUnreadable,
+        row = quoted(&row.key),
+        problem = quoted(problem)
+    );
+}
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -68,6 +68,7 @@
     TargetHandedOver = 311 "target_handed_over" Info,
     TargetLost = 312 "target_lost" Info,
     OrderFencedOff = 313 "order_fenced_off" Warn,
+    RowUnreadable = 319 "row_unreadable" Warn,
     ConfigApplied = 401 "config_applied" Info,
     ConfigUnreadable = 402 "config_unreadable" Warn,
     AdapterVersionSeen = 403 "adapter_version_seen" Info,
