--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ControlAction, ControlEvent, TableName, ended_targets::EndedTargets,
-        listed_target::ListedTarget,
+        ControlAction, ControlEvent, TableName, drawn_takers::DrawnTakers,
+        ended_targets::EndedTargets, listed_target::ListedTarget, open_engines::OpenEngines,
     },
     crate::{
         connection::{
@@ -102,6 +102,9 @@
     pub(super) ended_targets: EndedTargets,
     /// The engines among them; `None` once targets or the configuration have changed.
     pub(super) engines: Option<Arc<BTreeMap<String, String>>>,
+    /// Those that no other host claims that answers.
+    pub(super) open_engines: OpenEngines,
+    pub(super) takers: DrawnTakers,
     pub(super) routing: Arc<RoutingTable>,
     /// Of adapters that have more than one version, by `MODEL/ADAPTER`.
     pub(super) versions: Arc<HashMap<String, VersionHistory>>,
@@ -171,6 +174,8 @@
             targets: BTreeMap::new(),
             ended_targets: EndedTargets::default(),
             engines: None,
+            open_engines: OpenEngines::default(),
+            takers: DrawnTakers::default(),
             routing: Arc::default(),
             versions: Arc::default(),
             changed: true,
