Ages told between hosts count from when the message left

Cause: a host took another's copy as of when the message arrived, less an assumed 50 ms. On full links a message waits longer, and hosts that confirm one another's copies add the excess up: nobody finds its copy old enough to read the store. Ruled out: events or messages held up in the process itself (cases slow_processors and hosts_stand_still hold without this).

Change: each message says when it was told, by the steady clock of its process, and an answer names the ping that it answers. An answer can't have left before its ping, which bounds the other clock, so a later message is known to have left no earlier than that allows. Bounds count for one to two minutes, so that clocks may run apart. Before the first answered ping of a process the old assumption stays.

--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -67,6 +67,9 @@
     pub declared: CopyState,
     #[prost(message, required, tag = "2")]
     pub targets: CopyState,
+    /// When this was told, as time since the start of the sender's process, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub told_us: u64,
 }
 
 /// Asks for an answer.
@@ -83,6 +86,17 @@
     pub one_way: bool,
 }
 
+/// Which ping is answered, by what it said itself.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct PingEcho {
+    /// The process that pinged: its successor at the same address must not take the answer for its own.
+    #[prost(fixed64, tag = "1")]
+    pub process: u64,
+    /// When the ping left, by the clock of that process.
+    #[prost(uint64, tag = "2")]
+    pub told_us: u64,
+}
+
 /// Answers a ping.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ack {
@@ -92,6 +106,8 @@
     pub freshness: Freshness,
     #[prost(message, repeated, tag = "3")]
     pub rumors: Vec<HostRumor>,
+    #[prost(message, optional, tag = "4")]
+    pub echo: Option<PingEcho>,
 }
 
 /// Asks a third host to ping one that does not answer.
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -4,11 +4,11 @@
     super::{ControlAction, HostControl},
     crate::{
         connection::{
-            datagram::{Ack, HostRumor, Message, Ping, PingRequest, Vouch},
+            datagram::{Ack, HostRumor, Message, Ping, PingEcho, PingRequest, Vouch},
             targets::ControlRequest,
         },
         note,
-        process::hosts::{HostAction, HostEvent, HostState, KnownHost},
+        process::hosts::{HostAction, HostEvent, HostState, KnownHost, PingExchange},
         timeline::Event,
     },
     rand::RngExt,
@@ -132,8 +132,9 @@
         let actions = match message {
             Message::Ping(ping) => self.on_ping(from, &ping, arrived_after, now),
             Message::Ack(ack) => {
+                self.on_exchange(from, &ack, now);
                 let mut actions = self.on_host_news(&ack.sender, &ack.rumors, now);
-                actions.extend(self.on_freshness(from, &ack.freshness, arrived_after));
+                actions.extend(self.on_freshness(&ack.sender, &ack.freshness, arrived_after, now));
                 actions
             }
             Message::PingRequest(request) => self.on_ping_request(from, &request, now),
@@ -221,12 +222,16 @@
         now: Instant,
     ) -> Vec<ControlAction> {
         let mut actions = self.on_host_news(&ping.sender, &ping.rumors, now);
-        actions.extend(self.on_freshness(from, &ping.freshness, arrived_after));
+        actions.extend(self.on_freshness(&ping.sender, &ping.freshness, arrived_after, now));
         if !ping.one_way {
             let ack = Ack {
                 sender: self.my_rumor(now),
                 freshness: self.freshness(now),
                 rumors: self.hosts.take_rumors(),
+                echo: Some(PingEcho {
+                    process: ping.sender.process,
+                    told_us: ping.freshness.told_us,
+                }),
             };
             actions.push(ControlAction::Send {
                 to: from,
@@ -236,6 +241,26 @@
         actions
     }
 
+    /// An answer tells of the other side's clock, if it is to a ping of this process.
+    fn on_exchange(
+        &mut self,
+        from: SocketAddr,
+        ack: &Ack,
+        now: Instant,
+    ) {
+        let process = self.hosts.me().process;
+        let Some(echo) = ack.echo.filter(|echo| echo.process == process) else {
+            return;
+        };
+        let exchange = PingExchange {
+            peer: from,
+            process: ack.sender.process,
+            pinged: self.started + Duration::from_micros(echo.told_us),
+            answered: Duration::from_micros(ack.freshness.told_us),
+        };
+        self.clocks.on_exchange(&exchange, now);
+    }
+
     fn on_host_news(
         &mut self,
         sender: &HostRumor,
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -4,7 +4,7 @@
     super::{ControlAction, HostControl, TableName, host_control::ListedTarget},
     crate::{
         connection::{
-            datagram::{Freshness, Message},
+            datagram::{Freshness, HostRumor, Message},
             targets::NewestVersion,
         },
         formats::{Declared, Formats, Row, RowBatch, RowsReply, TargetState},
@@ -29,8 +29,9 @@
 /// one within two or three steps, and each host gets some 8 messages.
 const TOLD_OF_LARGE_COPY: usize = 8;
 
-/// Time that a message between hosts is taken to be on its way. An assumption: well above the 0.5 to 1.4 ms one
-/// way between halls, well below the seconds that ages are held against.
+/// Time that a message between hosts is taken to be on its way before its sender has answered a ping. An
+/// assumption: well above the 0.5 to 1.4 ms one way between halls, well below the seconds that ages are held
+/// against.
 ///
 /// A copy's age is told as of when the message left. Without this time, hosts that confirm each other's copies
 /// would keep them young and nobody would read the store: a copy confirmed every 30 ms for 6 s had age 0.
@@ -122,13 +123,22 @@
     /// Another host told how new its copies are, in a message that has arrived after `arrived_after`.
     ///
     /// Taken as of when the message is read, what had lain here while the process stood still for 3 s made
-    /// copies seem 3 s younger than they were.
+    /// copies seem 3 s younger than they were; taken as of when it arrived, what had waited for 0.6 s on full
+    /// links let hosts send to targets that had left more than the bound of 2 s before.
     pub(super) fn on_freshness(
         &mut self,
-        from: SocketAddr,
+        sender: &HostRumor,
         freshness: &Freshness,
         arrived_after: Instant,
+        now: Instant,
     ) -> Vec<ControlAction> {
+        let from = sender.peer.into();
+        let told = Duration::from_micros(freshness.told_us);
+        let left = self.clocks.left_after(from, sender.process, told, now);
+        let assumed = arrived_after.checked_sub(MESSAGE_TIME);
+        let Some(told_at) = left.map(|left| left.min(arrived_after)).or(assumed) else {
+            return Vec::new();
+        };
         let told = [
             (TableName::Declared, freshness.declared),
             (TableName::Targets, freshness.targets),
@@ -137,8 +147,8 @@
         for (table, state) in told {
             let age = state
                 .age_ms
-                .map(|age| Duration::from_millis(u64::from(age)) + MESSAGE_TIME);
-            let Some(as_of) = age.and_then(|age| arrived_after.checked_sub(age)) else {
+                .map(|age| Duration::from_millis(u64::from(age)));
+            let Some(as_of) = age.and_then(|age| told_at.checked_sub(age)) else {
                 continue;
             };
             let kept = self.kept(table);
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -12,7 +12,7 @@
         process::{
             engines::{EngineDesk, SharedByDesks, ToldLoads},
             holding::{Holding, HoldingTimings, HostRow},
-            hosts::{HostIdentity, HostState, HostTable, HostTimings},
+            hosts::{HostIdentity, HostState, HostTable, HostTimings, PeerClocks},
             ownership::SessionLease,
             settings::NodeSettings,
             tables::{ReadSchedule, ReadTimings, TableCopy},
@@ -94,6 +94,7 @@
     pub(super) settings: NodeSettings,
     pub(super) formats: Arc<dyn Formats>,
     pub(super) hosts: HostTable,
+    pub(super) clocks: PeerClocks,
     pub(super) declared: KeptTable,
     pub(super) listed: KeptTable,
     pub(super) holding: Holding,
@@ -160,6 +161,7 @@
             declared: table(settings.bounds.config),
             listed: table(settings.bounds.drain),
             hosts: HostTable::new(identity, HostTimings::default(), now),
+            clocks: PeerClocks::default(),
             holding: Holding::new(row, timings, now),
             settings,
             formats,
@@ -368,9 +370,19 @@
         Freshness {
             declared: state(&self.declared.copy),
             targets: state(&self.listed.copy),
+            told_us: self.uptime_us(now),
         }
     }
 
+    /// Time since the start of this process, as other hosts are told it.
+    fn uptime_us(
+        &self,
+        now: Instant,
+    ) -> u64 {
+        let uptime = now.saturating_duration_since(self.started);
+        u64::try_from(uptime.as_micros()).unwrap_or(u64::MAX)
+    }
+
     /// A ping from this host.
     pub(super) fn ping_message(
         &mut self,
--- a/src/process/hosts/mod.rs
+++ b/src/process/hosts/mod.rs
@@ -2,8 +2,10 @@
 
 mod host_table;
 mod known_host;
+mod peer_clocks;
 
 pub use {
     host_table::{HostAction, HostEvent, HostTable, HostTimings},
     known_host::{HostIdentity, HostState, KnownHost},
+    peer_clocks::{PeerClocks, PingExchange},
 };
--- /dev/null
+++ b/tests/peer_clocks.rs
@@ -0,0 +1,104 @@
+//! When messages of other hosts left them, by what answered pings tell of their clocks.
+
+use {
+    coveproxy::process::hosts::{PeerClocks, PingExchange},
+    rstest::rstest,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+const PROCESS: u64 = 7;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn peer() -> SocketAddr {
+    "10.0.0.2:7000".parse().unwrap()
+}
+
+/// A ping that left at `pinged`, and whose answer left `there` later; the other process started at `start`.
+fn exchange(
+    process: u64,
+    start: Instant,
+    pinged: Instant,
+    there: Duration,
+) -> PingExchange {
+    PingExchange {
+        peer: peer(),
+        process,
+        pinged,
+        answered: pinged + there - start,
+    }
+}
+
+/// A message that left 5 s after the start is never taken to have left later, however long the way of
+/// each ping was; the fastest ping tells most.
+#[rstest]
+#[case::one_fast_ping(&[1], 1)]
+#[case::slow_pings(&[400, 600], 400)]
+#[case::a_fast_one_among_slow_ones(&[400, 2, 600], 2)]
+fn a_message_is_as_old_as_the_fastest_ping_allows(
+    #[case] ways: &[u64],
+    #[case] early: u64,
+) {
+    let start = Instant::now();
+    let mut clocks = PeerClocks::default();
+    for (at, way) in ways.iter().enumerate() {
+        let pinged = start + ms(1_000 * (at as u64 + 1));
+        let now = pinged + ms(2 * way);
+        clocks.on_exchange(&exchange(PROCESS, start, pinged, ms(*way)), now);
+    }
+    let now = start + ms(6_000);
+    let left = clocks.left_after(peer(), PROCESS, ms(5_000), now);
+    assert_eq!(left, Some(start + ms(5_000) - ms(early)));
+}
+
+/// What was known of a process says nothing of its successor, and nothing once it is old.
+#[rstest]
+#[case::before_any_answer(None, PROCESS, 10, false)]
+#[case::the_same_process(Some(1), PROCESS, 10, true)]
+#[case::another_process(Some(1), PROCESS + 1, 10, false)]
+#[case::two_windows_later(Some(1), PROCESS, 125, false)]
+fn a_clock_counts_for_its_process_and_for_a_while(
+    #[case] way: Option<u64>,
+    #[case] process: u64,
+    #[case] asked_s: u64,
+    #[case] is_known: bool,
+) {
+    let start = Instant::now();
+    let mut clocks = PeerClocks::default();
+    if let Some(way) = way {
+        let pinged = start + ms(1_000);
+        clocks.on_exchange(&exchange(PROCESS, start, pinged, ms(way)), pinged);
+    }
+    let now = start + Duration::from_secs(asked_s);
+    let left = clocks.left_after(peer(), process, ms(5_000), now);
+    assert_eq!(left.is_some(), is_known);
+}
+
+/// A clock that runs fast by 100 parts in a million: after an hour a message seems to have left 12 ms
+/// later than it did at the most, though the first exchange would say 360 ms.
+#[test]
+fn clocks_that_run_apart_do_not_add_up() {
+    let start = Instant::now();
+    let mut clocks = PeerClocks::default();
+    let shown = |passed: Duration| passed + passed / 10_000;
+    for second in 1..3_600 {
+        let pinged = start + Duration::from_secs(second);
+        let exchange = PingExchange {
+            peer: peer(),
+            process: PROCESS,
+            pinged,
+            answered: shown(pinged - start + ms(1)),
+        };
+        clocks.on_exchange(&exchange, pinged);
+    }
+    let passed = Duration::from_secs(3_600);
+    let now = start + passed;
+    let left = clocks.left_after(peer(), PROCESS, shown(passed), now);
+    let late = left.unwrap().saturating_duration_since(now);
+    assert!(late <= ms(12), "{late:?}");
+}
