--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -594,3 +594,40 @@
     // Every host read the table before the engines had holders.
     assert!(world.takes <= 2 * ENGINES, "{} transactions", world.takes);
 }
+
+/// A host's lease lapsed while the store took long to answer that another engine is no longer to be had. The
+/// answer came once the lease was held anew, and the host took it for a confirmation of all that it held
+/// before; another host gave orders to one of those engines by then. Only a read of the table in the new
+/// term may confirm what is held.
+#[test]
+fn an_answer_from_before_a_lapse_confirms_nothing() {
+    let start = Instant::now();
+    let mut world = World::new(8, 2, 0);
+    world.start(0);
+    let mut holding = world.hosts[0].holding.take().unwrap();
+    let engines = world.engines.clone();
+    let takers = [address(0)];
+    let decide = |holding: &mut Holding, now: Instant| {
+        holding.decide(&engines, &takers, true, BTreeSet::new, |_| None, now)
+    };
+    for seconds in 0..4 {
+        let now = start + Duration::from_secs(seconds);
+        for action in decide(&mut holding, now) {
+            let term = holding.lease().term();
+            match action {
+                HoldingAction::ReadTable => holding.on_table(Some(&[]), term, now),
+                HoldingAction::Renew { .. } => holding.on_renewed(now, Some(1), now),
+                HoldingAction::Take { target, fence, .. } if target == "engine-0" => {
+                    holding.on_taken(&target, 2, fence, term);
+                }
+                HoldingAction::Take { .. } => {}
+            }
+        }
+    }
+    let held_at = start + Duration::from_secs(4);
+    assert!(holding.may_order("engine-0", held_at).is_some());
+    let back_at = start + Duration::from_secs(30);
+    holding.on_renewed(back_at, Some(9), back_at);
+    holding.on_take_conflict("engine-1", &[], back_at);
+    assert_eq!(holding.may_order("engine-0", back_at + STEP), None);
+}
