--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -601,8 +601,8 @@
 /// term may confirm what is held.
 #[test]
 fn an_answer_from_before_a_lapse_confirms_nothing() {
-    let start = Instant::now();
     let mut world = World::new(8, 2, 0);
+    let start = world.now;
     world.start(0);
     let mut holding = world.hosts[0].holding.take().unwrap();
     let engines = world.engines.clone();
