Holders' rows and vanished targets: what was known before doesn't count anew

A change of holder that the store refused confirmed all that this host held, in whatever term of its lease the answer came. After a lapse others may have taken engines; now only the term in which the table was read is confirmed. an_answer_from_before_a_lapse_confirms_nothing: engine-0 counted as held in term 2, now not held. The nine other tests of holders hold.

A target whose entry vanished was used for 1.1 s from the news as soon as one read had failed since the copy that had it, as if the store were out. Now it counts from the copy unless that, too, is older than the bound. a_single_read_that_failed_gives_no_longer_use_of_a_vanished_target: 2.3 s of 2 s before, holds now; targets_whose_entries_lapsed_in_an_outage_are_used_for_ a_while and the nine cases of belief_bounds hold.

--- a/src/process/holding/holding.rs
+++ b/src/process/holding/holding.rs
@@ -329,7 +329,10 @@
         for row in rows {
             self.see(row, now);
         }
-        self.confirm_held();
+        // An answer from before the lease lapsed tells nothing of what others have taken since.
+        if self.read_term == self.lease.term() {
+            self.confirm_held();
+        }
     }
 
     /// Whether a change of an engine's holder was done is not known: the table is read anew.
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -5,7 +5,7 @@
     crate::{
         connection::{
             datagram::{Freshness, HostRumor, Message},
-            targets::NewestVersion,
+            targets::{NewestVersion, TableConfirmation},
         },
         formats::{Declared, Formats, Row, RowBatch, RowsReply, TargetState},
         note,
@@ -42,8 +42,8 @@
     rows: &'a [Row],
     /// Who told, for lines.
     source: &'a str,
-    /// They have changed after this time, while the store was there; `None` if it failed this host meanwhile.
-    changed_after: Option<Instant>,
+    /// How well the copy without them was known to be right.
+    before: TableConfirmation,
 }
 
 impl HostControl {
@@ -86,13 +86,13 @@
             return Vec::new();
         };
         let print = fingerprint(table, &self.formats);
-        let changed_after = self.kept(table).changes_after();
+        let before = self.kept(table).confirmation();
         self.note_read_end(table, true, now);
         let rows = self.kept(table).copy.apply_changes(batch, asked, print);
         let news = RowNews {
             rows: &rows,
             source: "store",
-            changed_after,
+            before,
         };
         self.take_rows(table, &news, now);
         self.tell_all(now)
@@ -106,7 +106,7 @@
         now: Instant,
     ) {
         let print = fingerprint(table, &self.formats);
-        let changed_after = self.kept(table).changes_after();
+        let before = self.kept(table).confirmation();
         self.note_read_end(table, rows.is_some(), now);
         let Some(rows) = rows else {
             return;
@@ -115,7 +115,7 @@
         let news = RowNews {
             rows: &rows,
             source: "store",
-            changed_after,
+            before,
         };
         self.take_rows(table, &news, now);
     }
@@ -183,7 +183,7 @@
         };
         let whole = changes.whole;
         let large = changes.bytes() >= LARGE_COPY;
-        let changed_after = kept.changes_after();
+        let before = kept.confirmation();
         let (rows, same) = kept.copy.apply_from_host(changes, as_of, print);
         let mut actions = Vec::new();
         if !same && !whole {
@@ -198,7 +198,7 @@
         let news = RowNews {
             rows: &rows,
             source: &from.to_string(),
-            changed_after,
+            before,
         };
         self.take_rows(table, &news, now);
         if large && same {
@@ -377,7 +377,7 @@
         self.changed = true;
         let source = news.source;
         if row.value.is_none() {
-            let until = self.vanished_until(news.changed_after, now);
+            let until = self.vanished_until(&news.before, now);
             if let Some(target) = self.targets.get_mut(&*row.key) {
                 // One that was leaving has been taken out already.
                 target.vanished_until.get_or_insert(until);
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -69,17 +69,7 @@
 }
 
 impl KeptTable {
-    /// What is learnt next has changed after this time, while the store was there; `None` if it has failed
-    /// this host since then.
-    pub fn changes_after(&self) -> Option<Instant> {
-        let confirmation = self.confirmation();
-        match confirmation.store_failed {
-            true => None,
-            false => confirmation.right_at,
-        }
-    }
-
-    fn confirmation(&self) -> TableConfirmation {
+    pub fn confirmation(&self) -> TableConfirmation {
         let right_at = self.copy.right_at();
         let failed_at = self.schedule.failed_at();
         TableConfirmation {
@@ -407,21 +397,27 @@
         }
     }
 
-    /// A target's entry has vanished: how long it is still used.
+    /// A target's entry has vanished: how long it is still used; `before` is the copy that still had it.
     ///
-    /// It may have vanished right after `changed_after`, when the copy that still had it was right. Counted
-    /// from the news alone, a target was used for 2.3 s with a bound of 2 s. While the store is out entries
-    /// lapse since targets can't renew them, and are back some time after its return: these count from
-    /// the news.
+    /// It may have vanished right after that copy was right. Counted from the news alone, a target was used for
+    /// 2.3 s with a bound of 2 s. In an outage entries lapse since targets can't renew them, and are back
+    /// some time after the store's return: these count from the news. One read that failed is no outage: it
+    /// is one only when the copy, too, is older than the bound.
     pub(super) fn vanished_until(
         &self,
-        changed_after: Option<Instant>,
+        before: &TableConfirmation,
         now: Instant,
     ) -> Instant {
         let bound = self.settings.bounds.drain;
         let until = now + bound.mul_f64(VANISHED_SHARE);
-        let latest = changed_after.map(|at| at + bound.saturating_sub(SEND_MARGIN));
-        latest.map_or(until, |latest| until.min(latest))
+        let latest = before
+            .right_at
+            .map(|at| at + bound.saturating_sub(SEND_MARGIN));
+        let was_out = before.store_failed && latest.is_some_and(|latest| latest <= now);
+        match latest {
+            Some(latest) if !was_out => until.min(latest),
+            _ => until,
+        }
     }
 
     fn drop_vanished(
