Test: loads that a holder before has ordered count for the limit

Fails: after a takeover, or a restart of the holder, loads that the engine reports as on their way don't count for what its holder lets come at once, so it orders two more as if nothing came.

--- a/tests/engine_desk.rs
+++ b/tests/engine_desk.rs
@@ -826,3 +826,22 @@
     shared.limiter.borrow_mut().set("elsewhere", elsewhere);
     assert!(due(&mut world) > 700);
 }
+
+/// A host took an engine over to which the holder before had ordered loads. It reckoned with none of them, and
+/// ordered as many again as a host begins with, while the weight store was busy with the first.
+#[test]
+fn loads_that_a_holder_before_has_ordered_count_for_the_limit() {
+    let shared = SharedByDesks::default();
+    let mut world = World::beside(1, 0, shared.clone());
+    world.engine.model = true;
+    for name in ["a1", "a2"] {
+        let over = world.now + ms(2_000);
+        world.engine.coming.insert(name.to_string(), (1, over));
+    }
+    world.run(ms(150));
+    assert_eq!(world.desk.places().len(), 2);
+    assert!(!shared.limiter.borrow().has_room());
+    world.run(ms(2_500));
+    assert_eq!(world.engine.held.len(), 2);
+    assert!(shared.limiter.borrow().has_room());
+}
