Loads that a holder before has ordered count for the limit

An adapter that an engine's report names as on its way counted for nothing in its new holder's window. Test loads_that_a_holder_before_has_ordered_count_for_ the_limit: failed before, holds now; the 20 other tests of the desk hold.

--- a/src/process/engines/desk_outcomes.rs
+++ b/src/process/engines/desk_outcomes.rs
@@ -353,7 +353,12 @@
                 .places
                 .remove(&key)
                 .or_else(|| old.remove(&key))
-                .unwrap_or_else(|| AdapterPlace::new(*version, coming, now));
+                .unwrap_or_else(|| {
+                    // A holder before ordered it: from where is not told, so it counts for the limit.
+                    let mut place = AdapterPlace::new(*version, coming, now);
+                    place.from_store = !self.memory.contains(&key, *version);
+                    place
+                });
             place.version = *version;
             if !matches!(place.state, PlaceState::Coming { .. }) {
                 place.state = coming;
