--- a/src/process/engines/desk_choice.rs
+++ b/src/process/engines/desk_choice.rs
@@ -54,6 +54,10 @@
         if !at_hand && !self.shared.pool.borrow().needs_another(&fits.name) {
             return None;
         }
+        let rate = self.spec.loads_per_second;
+        if !at_hand && !self.shared.base_loads.borrow_mut().admit(rate, now) {
+            return None;
+        }
         self.model_not_before = now + MODEL_RETRY;
         Some(DeskOrder {
             purpose: OrderPurpose::Change,
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         AdapterPlace, DeskAction, DeskOrder, EngineFill, EngineLoads, EngineUse, LoadMemory,
-        NoProspect, PlaceState, SharedEnginePool, SharedLoadLimiter, WishRank, load_wish::Wish,
+        NoProspect, PlaceState, SharedBaseLoadPace, SharedEnginePool, SharedLoadLimiter, WishRank,
+        load_wish::Wish,
     },
     crate::{
         connection::datagram::{EngineQuery, Placement, PlacementState, Usage, Want},
@@ -36,6 +37,8 @@
 pub struct SharedByDesks {
     /// Loads from the weight store.
     pub limiter: SharedLoadLimiter,
+    /// Base models from the weight store.
+    pub base_loads: SharedBaseLoadPace,
     /// How full the engines are.
     pub pool: SharedEnginePool,
     /// Mechanisms that are at work.
--- a/src/process/engines/mod.rs
+++ b/src/process/engines/mod.rs
@@ -1,6 +1,7 @@
 //! The engines that this host gives orders to: what each holds, and what comes and goes next.
 
 mod adapter_place;
+mod base_load_pace;
 mod desk_choice;
 mod desk_order;
 mod desk_outcomes;
@@ -15,6 +16,7 @@
 
 pub use {
     adapter_place::{AdapterPlace, PlaceState},
+    base_load_pace::{BaseLoadPace, SharedBaseLoadPace},
     desk_order::{DeskAction, DeskOrder, OrderPurpose},
     engine_desk::{EngineDesk, REMEMBERED_PER_PLACE, SharedByDesks},
     engine_pool::{EngineFill, EnginePool, SharedEnginePool},
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -29,6 +29,10 @@
     ) -> Vec<ControlAction> {
         let mut actions = self.decide_holding(now);
         self.open_desks(now);
+        let engines = self.engine_keys().len();
+        let mut base_loads = self.shared.base_loads.borrow_mut();
+        base_loads.set_share(self.desks.len(), engines, now);
+        drop(base_loads);
         actions.extend(self.tell_holds(now));
         actions.extend(self.tick_desks(now));
         actions
--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -221,7 +221,7 @@
     /// The engines there are, with the key by which they are shared out. They are put together anew only
     /// when targets or the configuration have changed: it is looked at twenty times a second, and at 3,000
     /// engines each time cost 1.5 ms, a quarter of what a small host's processor gives.
-    fn engine_keys(&mut self) -> Arc<BTreeMap<String, String>> {
+    pub(super) fn engine_keys(&mut self) -> Arc<BTreeMap<String, String>> {
         if let Some(engines) = &self.engines {
             return engines.clone();
         }
