--- a/src/process/holding/holding.rs
+++ b/src/process/holding/holding.rs
@@ -373,7 +373,10 @@
             true => MOST_ENGINES,
             false => engines.len().div_ceil(2),
         };
-        self.confirm_held();
+        // An answer from before the lease lapsed tells nothing of what others have taken since.
+        if self.read_term == self.lease.term() {
+            self.confirm_held();
+        }
     }
 
     /// Whether a change of these engines' holder was done is not known: they stay pending, and the
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -4,8 +4,8 @@
     super::{ControlAction, HostControl, TableName},
     crate::{
         connection::{
-            datagram::{Freshness, Message},
-            targets::VersionHistory,
+            datagram::{Freshness, HostRumor, Message},
+            targets::{TableConfirmation, VersionHistory},
         },
         formats::{Declared, Formats, Row, RowBatch, RowsReply},
         note,
@@ -29,8 +29,9 @@
 /// one within two or three steps, and each host gets some 8 messages.
 const TOLD_OF_LARGE_COPY: usize = 8;
 
-/// Time that a message between hosts is taken to be on its way. An assumption: well above the 0.5 to 1.4 ms one
-/// way between halls, well below the seconds that ages are held against.
+/// Time that a message between hosts is taken to be on its way before its sender has answered a ping. An
+/// assumption: well above the 0.5 to 1.4 ms one way between halls, well below the seconds that ages are held
+/// against.
 ///
 /// A copy's age is told as of when the message left. Without this time, hosts that confirm each other's copies
 /// would keep them young and nobody would read the store: a copy confirmed every 30 ms for 6 s had age 0.
@@ -48,10 +49,8 @@
     rows: &'a [Row],
     /// Who told, for lines.
     pub source: &'a str,
-    /// They have changed after this time, while the store was there; `None` if it failed this host meanwhile.
-    pub changed_after: Option<Instant>,
-    /// They have changed after this time, whether or not the store was there; `None` at the first read.
-    right_at: Option<Instant>,
+    /// How well the copy without them was known to be right.
+    pub before: TableConfirmation,
 }
 
 impl HostControl {
@@ -94,15 +93,13 @@
             return Vec::new();
         };
         let print = fingerprint(table, &self.formats);
-        let kept = self.kept(table);
-        let (changed_after, right_at) = (kept.changes_after(), kept.copy.right_at());
+        let before = self.kept(table).confirmation();
         self.note_read_end(table, true, now);
         let rows = self.kept(table).copy.apply_changes(batch, asked, print);
         let news = RowNews {
             rows: &rows,
             source: "store",
-            changed_after,
-            right_at,
+            before,
         };
         let mut actions = self.take_rows(table, &news, now);
         actions.extend(self.tell_all(now));
@@ -117,8 +114,7 @@
         now: Instant,
     ) -> Vec<ControlAction> {
         let print = fingerprint(table, &self.formats);
-        let kept = self.kept(table);
-        let (changed_after, right_at) = (kept.changes_after(), kept.copy.right_at());
+        let before = self.kept(table).confirmation();
         self.note_read_end(table, rows.is_some(), now);
         let Some(rows) = rows else {
             return Vec::new();
@@ -127,8 +123,7 @@
         let news = RowNews {
             rows: &rows,
             source: "store",
-            changed_after,
-            right_at,
+            before,
         };
         self.take_rows(table, &news, now)
     }
@@ -136,13 +131,22 @@
     /// Another host told how new its copies are, in a message that has arrived after `arrived_after`.
     ///
     /// Taken as of when the message is read, what had lain here while the process stood still for 3 s made
-    /// copies seem 3 s younger than they were.
+    /// copies seem 3 s younger than they were; taken as of when it arrived, what had waited for 0.6 s on full
+    /// links let hosts send to targets that had left more than the bound of 2 s before.
     pub(super) fn on_freshness(
         &mut self,
-        from: SocketAddr,
+        sender: &HostRumor,
         freshness: &Freshness,
         arrived_after: Instant,
+        now: Instant,
     ) -> Vec<ControlAction> {
+        let from = sender.peer.into();
+        let told = Duration::from_micros(freshness.told_us);
+        let left = self.clocks.left_after(from, sender.process, told, now);
+        let assumed = arrived_after.checked_sub(MESSAGE_TIME);
+        let Some(told_at) = left.map(|left| left.min(arrived_after)).or(assumed) else {
+            return Vec::new();
+        };
         let told = [
             (TableName::Declared, freshness.declared),
             (TableName::Targets, freshness.targets),
@@ -151,8 +155,8 @@
         for (table, state) in told {
             let age = state
                 .age_ms
-                .map(|age| Duration::from_millis(u64::from(age)) + MESSAGE_TIME);
-            let Some(as_of) = age.and_then(|age| arrived_after.checked_sub(age)) else {
+                .map(|age| Duration::from_millis(u64::from(age)));
+            let Some(as_of) = age.and_then(|age| told_at.checked_sub(age)) else {
                 continue;
             };
             let kept = self.kept(table);
@@ -187,7 +191,7 @@
         };
         let whole = changes.whole;
         let large = changes.bytes() >= LARGE_COPY;
-        let (changed_after, right_at) = (kept.changes_after(), kept.copy.right_at());
+        let before = kept.confirmation();
         let (rows, same) = kept.copy.apply_from_host(changes, as_of, print);
         let mut actions = Vec::new();
         if !same && !whole {
@@ -202,8 +206,7 @@
         let news = RowNews {
             rows: &rows,
             source: &from.to_string(),
-            changed_after,
-            right_at,
+            before,
         };
         actions.extend(self.take_rows(table, &news, now));
         if large && same {
@@ -360,7 +363,10 @@
             return;
         }
         // How long ago the version before was known to be the newest, at the most.
-        let before_age = news.right_at.map(|at| now.saturating_duration_since(at));
+        let before_age = news
+            .before
+            .right_at
+            .map(|at| now.saturating_duration_since(at));
         note!(
             Event::AdapterVersionSeen,
             adapter = adapter,
@@ -374,7 +380,7 @@
         }
         let versions = Arc::make_mut(&mut self.versions);
         let history = versions.entry(adapter).or_default();
-        history.on_named(version, news.right_at);
+        history.on_named(version, news.before.right_at);
         self.changed = true;
     }
 }
--- a/src/process/host/control_targets.rs
+++ b/src/process/host/control_targets.rs
@@ -42,7 +42,7 @@
         news: &RowNews,
         now: Instant,
     ) {
-        let until = self.vanished_until(news.changed_after, now);
+        let until = self.vanished_until(&news.before, now);
         if let Some(target) = self.targets.get_mut(&*row.key) {
             // One that was leaving has been taken out already.
             target.vanished_until.get_or_insert(until);
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -15,7 +15,7 @@
         process::{
             engines::{EngineDesk, LateOrders, SharedByDesks, ToldLoads},
             holding::{Holding, HoldingTimings, HostRow},
-            hosts::{HostIdentity, HostState, HostTable, HostTimings},
+            hosts::{HostIdentity, HostState, HostTable, HostTimings, PeerClocks},
             ownership::SessionLease,
             settings::NodeSettings,
             tables::{ReadSchedule, ReadTimings, TableCopy},
@@ -64,17 +64,7 @@
 }
 
 impl KeptTable {
-    /// What is learnt next has changed after this time, while the store was there; `None` if it has failed
-    /// this host since then.
-    pub fn changes_after(&self) -> Option<Instant> {
-        let confirmation = self.confirmation();
-        match confirmation.store_failed {
-            true => None,
-            false => confirmation.right_at,
-        }
-    }
-
-    fn confirmation(&self) -> TableConfirmation {
+    pub fn confirmation(&self) -> TableConfirmation {
         let right_at = self.copy.right_at();
         let failed_at = self.schedule.failed_at();
         TableConfirmation {
@@ -89,6 +79,7 @@
     pub(super) settings: NodeSettings,
     pub(super) formats: Arc<dyn Formats>,
     pub(super) hosts: HostTable,
+    pub(super) clocks: PeerClocks,
     pub(super) declared: KeptTable,
     pub(super) listed: KeptTable,
     pub(super) holding: Holding,
@@ -165,6 +156,7 @@
             declared: table(settings.bounds.config.min(settings.bounds.version)),
             listed: table(settings.bounds.drain),
             hosts: HostTable::new(identity, HostTimings::default(), now),
+            clocks: PeerClocks::default(),
             holding: Holding::new(row, timings, now),
             settings,
             formats,
@@ -377,9 +369,19 @@
         Freshness {
             declared: state(&self.declared.copy),
             targets: state(&self.listed.copy),
+            told_us: self.uptime_us(now),
         }
     }
 
+    /// Time since the start of this process, as other hosts are told it.
+    fn uptime_us(
+        &self,
+        now: Instant,
+    ) -> u64 {
+        let uptime = now.saturating_duration_since(self.started);
+        u64::try_from(uptime.as_micros()).unwrap_or(u64::MAX)
+    }
+
     /// A ping from this host.
     pub(super) fn ping_message(
         &mut self,
@@ -404,21 +406,27 @@
         }
     }
 
-    /// A target's entry has vanished: how long it is still used.
+    /// A target's entry has vanished: how long it is still used; `before` is the copy that still had it.
     ///
-    /// It may have vanished right after `changed_after`, when the copy that still had it was right. Counted
-    /// from the news alone, a target was used for 2.3 s with a bound of 2 s. While the store is out entries
-    /// lapse since targets can't renew them, and are back some time after its return: these count from
-    /// the news.
+    /// It may have vanished right after that copy was right. Counted from the news alone, a target was used for
+    /// 2.3 s with a bound of 2 s. In an outage entries lapse since targets can't renew them, and are back
+    /// some time after the store's return: these count from the news. One read that failed is no outage: it
+    /// is one only when the copy, too, is older than the bound.
     pub(super) fn vanished_until(
         &self,
-        changed_after: Option<Instant>,
+        before: &TableConfirmation,
         now: Instant,
     ) -> Instant {
         let bound = self.settings.bounds.drain;
         let until = now + bound.mul_f64(VANISHED_SHARE);
-        let latest = changed_after.map(|at| at + bound.saturating_sub(SEND_MARGIN));
-        latest.map_or(until, |latest| until.min(latest))
+        let latest = before
+            .right_at
+            .map(|at| at + bound.saturating_sub(SEND_MARGIN));
+        let was_out = before.store_failed && latest.is_some_and(|latest| latest <= now);
+        match latest {
+            Some(latest) if !was_out => until.min(latest),
+            _ => until,
+        }
     }
 
     fn drop_vanished(
--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -805,3 +805,52 @@
     let times: BTreeSet<Duration> = (0..30).map(read_at).collect();
     assert!(times.len() >= 15, "{times:?}");
 }
+
+/// A host's lease lapsed while the store took long to answer that another engine is no longer to be had. The
+/// answer came once the lease was held anew, and the host took it for a confirmation of all that it held
+/// before; another host gave orders to one of those engines by then. Only a read of the table in the new
+/// term may confirm what is held.
+#[test]
+fn an_answer_from_before_a_lapse_confirms_nothing() {
+    let mut world = World::new(8, 2, 0);
+    let start = world.now;
+    world.start(0);
+    let mut holding = world.hosts[0].holding.take().unwrap();
+    let engines = world.engines.clone();
+    let takers = [address(0)];
+    let decide = |holding: &mut Holding, now: Instant| {
+        holding.decide(
+            &engines,
+            &takers,
+            true,
+            || Arc::new(engines.clone()),
+            |_| None,
+            now,
+        )
+    };
+    for seconds in 0..4 {
+        let now = start + Duration::from_secs(seconds);
+        for action in decide(&mut holding, now) {
+            let term = holding.lease().term();
+            match action {
+                HoldingAction::ReadTable => holding.on_table(Some(&[]), term, now),
+                HoldingAction::Renew { .. } => holding.on_renewed(now, Some(1), now),
+                HoldingAction::Take { engines, .. } => {
+                    let is_first = |taken: &TakenEngine| taken.target == "engine-0";
+                    let first: Vec<TakenEngine> = engines.into_iter().filter(is_first).collect();
+                    holding.on_taken(&first, 2, term);
+                }
+            }
+        }
+    }
+    let held_at = start + Duration::from_secs(4);
+    assert!(holding.may_order("engine-0", held_at).is_some());
+    let back_at = start + Duration::from_secs(30);
+    holding.on_renewed(back_at, Some(9), back_at);
+    let other = TakenEngine {
+        target: "engine-1".to_string(),
+        fence: 1,
+    };
+    holding.on_take_conflict(&[other], &[], back_at);
+    assert_eq!(holding.may_order("engine-0", back_at + STEP), None);
+}
