Repeats: earnings without debt, shares that outlive no process, loans between hosts

Cause: a process that starts had its host's whole share of the extra allowance and, with it, earnings of its own, whatever the process before it had spent; shares were divided by the hosts that answer, so that kills and cuts made those of the others larger; on hundreds of hosts a share was less than one repeat and lay unused. Ruled out: arrivals that are not counted.

Change: requests earn at 1/1.1 of the ratio and a tenth of a window's earnings can be kept, so that no window holds more than the ratio whoever is killed; a process has a share only a window after its start, except at the very first start of a site; the extra is divided by all hosts known within two hours; hosts lend each other what is idle, deducted before the answer leaves; a repeat is paid for right before it is sent. Event 621 and four figures tell how the allowance stands.

--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -45,6 +45,9 @@
     /// What its link carries, in Mbit/s; 0 if that is not known.
     #[prost(uint32, tag = "11")]
     pub link_mbps: u32,
+    /// Hosts that it has itself counted over a long time, told only by itself; 0 if that is not known.
+    #[prost(uint32, tag = "12")]
+    pub counted: u32,
 }
 
 /// How a host's copy of one table of the store stands.
@@ -243,6 +246,32 @@
     pub placement: Option<Placement>,
 }
 
+/// Asks a host for a part of its allowance of repeats.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LoanAsk {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Names the loan to the host that asks.
+    #[prost(fixed64, tag = "2")]
+    pub id: u64,
+    /// Thousandths of a repeat.
+    #[prost(uint32, tag = "3")]
+    pub amount: u32,
+}
+
+/// A host lends a part of its allowance of repeats; it counts as spent there.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Loan {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// As in the message that asked for it.
+    #[prost(fixed64, tag = "2")]
+    pub id: u64,
+    /// Thousandths of a repeat.
+    #[prost(uint32, tag = "3")]
+    pub amount: u32,
+}
+
 /// Any message between hosts.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Message {
@@ -266,6 +295,10 @@
     EngineQuery(EngineQuery),
     #[prost(message, tag = "10")]
     EngineStanding(EngineStanding),
+    #[prost(message, tag = "11")]
+    LoanAsk(LoanAsk),
+    #[prost(message, tag = "12")]
+    Loan(Loan),
 }
 
 impl Message {
@@ -282,13 +315,15 @@
             Self::EngineLoad(_) => "engine_load",
             Self::EngineQuery(_) => "engine_query",
             Self::EngineStanding(_) => "engine_standing",
+            Self::LoanAsk(_) => "loan_ask",
+            Self::Loan(_) => "loan",
         }
     }
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
-    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     message: Option<Message>,
 }
 
--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -8,8 +8,8 @@
     address::Address,
     message::{
         Ack, AdapterUsage, CopyState, EngineLoad, EngineQuery, EngineStanding, Freshness,
-        HostRumor, Message, Ping, PingRequest, Placement, PlacementState, RumorState, Usage, Vouch,
-        Want, decode, encode,
+        HostRumor, Loan, LoanAsk, Message, Ping, PingRequest, Placement, PlacementState,
+        RumorState, Usage, Vouch, Want, decode, encode,
     },
     socket::DatagramSocket,
 };
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -14,7 +14,10 @@
         formats::Formats,
         metrics::{KindLabels, OutcomeLabels, WaitLabels, metrics},
         note,
-        request::direct::{AttemptEnd, CallRequest, CopyState, NextStep, next_step},
+        request::{
+            direct::{AttemptEnd, CallRequest, CopyState, NextStep, next_step},
+            repeats::Paid,
+        },
         timeline::Event,
         version::routing::RouteKind,
     },
@@ -34,6 +37,13 @@
 /// Pause before an engine is tried again whose load was not over.
 const LOAD_PAUSE: Duration = Duration::from_millis(25);
 
+/// A repeat waits so long for loans of other hosts' allowance, which come within a round trip; a caller would
+/// come back after 0.4 s.
+const LOAN_WAIT: Duration = Duration::from_millis(150);
+
+/// Time between two looks whether a loan has come.
+const LOAN_LOOK: Duration = Duration::from_millis(10);
+
 /// How the sends of a request ended.
 enum Outcome {
     /// This is the final answer.
@@ -162,10 +172,23 @@
             destination.resume_after = resume_after;
             let names = self.formats.headers();
             let streams = request.route.kind == RouteKind::Stream;
+            // Paid right before it is sent: it may have waited for its adapter for seconds.
+            let repeats = tries.history.arrivals > 0;
+            let paid = match repeats {
+                true => self.pay_for_repeat(request),
+                false => None,
+            };
+            if repeats && paid.is_none() {
+                return self.unserved(request, tries, OwnCause::TurnedAway, COME_BACK);
+            }
             // Until its end is known a send may have run.
             tries.history.runs += 1;
             let sent = send(&self.board, names, request, &destination, streams).await;
             tries.history.runs -= 1;
+            if let Some(paid) = paid.filter(|_| sent.never_arrived()) {
+                let mut board = self.board.borrow_mut();
+                board.budget(&request.service.name).give_back(&paid);
+            }
             let end = match sent {
                 Sent::Whole(answer) => return Outcome::Final(pass_on(answer)),
                 Sent::Open(answer) => return Outcome::Open(answer),
@@ -201,16 +224,14 @@
     ) -> Option<Response<AnswerBody>> {
         let now = Instant::now();
         let service = &request.service.name;
-        let budget_left = {
-            let mut board = self.board.borrow_mut();
-            let hosts = board.view.hosts;
-            board.budget(service).allows(hosts, now)
-        };
-        match next_step(&request.route, &tries.history, end, budget_left) {
+        let mut step = next_step(&request.route, &tries.history, end, true);
+        let repeats = step == NextStep::Resend { repeats: true };
+        if repeats && !self.wait_for_allowance(request).await {
+            self.board.borrow_mut().budget(service).on_refused(now);
+            step = next_step(&request.route, &tries.history, end, false);
+        }
+        match step {
             NextStep::Resend { repeats } => {
-                if repeats {
-                    self.board.borrow_mut().budget(service).on_repeat(now);
-                }
                 tries.trace.add(TraceStep::Resent { repeats }, now);
                 let labels = WaitLabels { cause: end.word() };
                 metrics().resends.get_or_create(&labels).inc();
@@ -233,6 +254,47 @@
         }
     }
 
+    /// True if a repeat can be paid for, perhaps by a loan that other hosts are asked for first.
+    async fn wait_for_allowance(
+        &self,
+        request: &CallRequest,
+    ) -> bool {
+        let service = &request.service.name;
+        let begun = Instant::now();
+        let until = request.ends.min(begun + LOAN_WAIT);
+        loop {
+            let now = Instant::now();
+            {
+                let mut board = self.board.borrow_mut();
+                if board.budget(service).allows(now) {
+                    return true;
+                }
+                if now == begun {
+                    board.budget(service).on_wanted(now);
+                }
+                board.ask_for_loans(service, now);
+                if now >= until || !board.budget(service).awaits_loans(now) {
+                    return false;
+                }
+            }
+            tokio::time::sleep(LOAN_LOOK).await;
+        }
+    }
+
+    fn pay_for_repeat(
+        &self,
+        request: &CallRequest,
+    ) -> Option<Paid> {
+        let now = Instant::now();
+        let mut board = self.board.borrow_mut();
+        let budget = board.budget(&request.service.name);
+        let paid = budget.pay(now);
+        if paid.is_none() {
+            budget.on_refused(now);
+        }
+        paid
+    }
+
     /// True if the engine turned the request away because its adapter was still being loaded.
     fn is_coming(
         &self,
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -188,6 +188,13 @@
     Unconfirmed,
 }
 
+impl Sent {
+    /// True if it is known that nothing of the request arrived at a target.
+    pub fn never_arrived(&self) -> bool {
+        matches!(self, Self::Unconfirmed | Self::Ended(AttemptEnd::NotSent))
+    }
+}
+
 /// Sends a request to a target and reads its answer: plain ones whole, streams to the first piece.
 pub async fn send(
     board: &Rc<RefCell<TargetBoard>>,
--- a/src/connection/targets/fleet_view.rs
+++ b/src/connection/targets/fleet_view.rs
@@ -33,6 +33,8 @@
     pub newest: Arc<HashMap<String, NewestVersion>>,
     /// Hosts that answer, this one included.
     pub hosts: usize,
+    /// Hosts that were known within a long time, those that don't answer included.
+    pub known_hosts: usize,
     /// How well the tables behind this are known to be right.
     pub confirmation: Confirmation,
 }
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -6,6 +6,7 @@
 mod confirmation;
 mod fleet_view;
 mod reading_speed;
+mod repeat_budgets;
 mod target_board;
 mod target_health;
 mod target_link;
@@ -17,6 +18,7 @@
     confirmation::{Confirmation, SEND_MARGIN, TableConfirmation},
     fleet_view::{FleetView, NewestVersion, TargetView},
     reading_speed::ReadingSpeed,
+    repeat_budgets::RepeatBudgets,
     target_board::{
         AdapterAsk, BoardSettings, ControlRequest, MAX_TOLD_HOSTS, ServiceTarget, TargetBoard,
     },
--- /dev/null
+++ b/src/connection/targets/repeat_budgets.rs
@@ -0,0 +1,214 @@
+use {
+    super::BoardSettings,
+    crate::{
+        connection::datagram::{Loan, LoanAsk},
+        metrics::{StateLabels, metrics},
+        note,
+        request::repeats::{BudgetTerms, RepeatBudget, RepeatUsage},
+        timeline::Event,
+    },
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time between two tellings of how budgets stand.
+const TELL_PERIOD: Duration = Duration::from_secs(1);
+
+/// Amounts travel in parts of a repeat: on a site of hundreds of hosts a share is less than a whole one.
+const PARTS: f64 = 1000.0;
+
+/// The budgets of repeats of all services at this host.
+#[derive(Debug)]
+pub struct RepeatBudgets {
+    terms: BudgetTerms,
+    /// This process has a share of its own from then on.
+    share_from: Instant,
+    hosts: usize,
+    services: BTreeMap<String, RepeatBudget>,
+    next_tell: Instant,
+}
+
+impl RepeatBudgets {
+    /// The budgets of a process that has started now.
+    pub fn new(
+        settings: &BoardSettings,
+        now: Instant,
+    ) -> Self {
+        let terms = BudgetTerms {
+            window: settings.budget_window,
+            ratio: settings.budget_ratio,
+            extra: settings.budget_extra,
+        };
+        Self {
+            terms,
+            share_from: now + terms.share_after(settings.first_start),
+            hosts: 0,
+            services: BTreeMap::new(),
+            next_tell: now + TELL_PERIOD,
+        }
+    }
+
+    /// So many hosts share the extra allowance.
+    pub fn set_hosts(
+        &mut self,
+        hosts: usize,
+    ) {
+        self.hosts = hosts;
+        for budget in self.services.values_mut() {
+            budget.set_hosts(hosts);
+        }
+    }
+
+    /// The budget of a service.
+    pub fn of(
+        &mut self,
+        service: &str,
+    ) -> &mut RepeatBudget {
+        if !self.services.contains_key(service) {
+            let mut budget = RepeatBudget::new(self.terms, self.share_from, rand::random());
+            budget.set_hosts(self.hosts);
+            self.services.insert(service.to_string(), budget);
+        }
+        self.services
+            .get_mut(service)
+            .expect("it was just put there")
+    }
+
+    /// The services that have been asked for.
+    pub fn services(&self) -> Vec<String> {
+        self.services.keys().cloned().collect()
+    }
+
+    /// What to ask other hosts for now, each of a host of its own.
+    pub fn loan_asks(
+        &mut self,
+        service: &str,
+        now: Instant,
+    ) -> Vec<LoanAsk> {
+        let (ids, amount) = self.of(service).loans_to_ask(now);
+        let ask = |id| LoanAsk {
+            service: service.to_string(),
+            id,
+            amount: (amount * PARTS).ceil() as u32,
+        };
+        let asks: Vec<LoanAsk> = ids.into_iter().map(ask).collect();
+        count_loans("asked", asks.len());
+        asks
+    }
+
+    /// Another host asks for a loan.
+    pub fn lend(
+        &mut self,
+        ask: &LoanAsk,
+        now: Instant,
+    ) -> Option<Loan> {
+        let lent = self
+            .of(&ask.service)
+            .lend(f64::from(ask.amount) / PARTS, now);
+        let amount = (lent * PARTS).floor() as u32;
+        if amount == 0 {
+            return None;
+        }
+        count_loans("lent", 1);
+        Some(Loan {
+            service: ask.service.clone(),
+            id: ask.id,
+            amount,
+        })
+    }
+
+    /// A loan has come.
+    pub fn on_loan(
+        &mut self,
+        loan: &Loan,
+        now: Instant,
+    ) {
+        let Some(budget) = self.services.get_mut(&loan.service) else {
+            return;
+        };
+        let in_time = budget.on_loan(loan.id, f64::from(loan.amount) / PARTS, now);
+        count_loans(if in_time { "borrowed" } else { "late" }, 1);
+    }
+
+    /// Tells once a second how the budgets stand that were drawn on.
+    pub fn tell(
+        &mut self,
+        now: Instant,
+    ) {
+        if now < self.next_tell {
+            return;
+        }
+        self.next_tell = now + TELL_PERIOD;
+        let mut sum = RepeatUsage::default();
+        for (service, budget) in &mut self.services {
+            let usage = budget.take_usage(now);
+            tell_usage(service, &usage);
+            sum.add(&usage);
+        }
+        set_figures(self.hosts, &sum);
+    }
+}
+
+fn tell_usage(
+    service: &str,
+    usage: &RepeatUsage,
+) {
+    if usage.paid + usage.refused == 0 {
+        return;
+    }
+    note!(
+        Event::RepeatsCounted,
+        service = service,
+        paid = usage.paid,
+        refused = usage.refused,
+        hosts = usage.hosts,
+        share = thousandths(usage.share),
+        spent = thousandths(usage.spent),
+        lent = thousandths(usage.lent),
+        earned_left = thousandths(usage.earned_left),
+        borrowed_left = thousandths(usage.borrowed_left),
+    );
+}
+
+fn thousandths(amount: f64) -> f64 {
+    (amount * PARTS).round() / PARTS
+}
+
+fn set_figures(
+    hosts: usize,
+    sum: &RepeatUsage,
+) {
+    let metrics = metrics();
+    for (state, amount) in [
+        ("share", sum.share),
+        ("spent", sum.spent),
+        ("lent", sum.lent),
+        ("earned_left", sum.earned_left),
+        ("borrowed_left", sum.borrowed_left),
+    ] {
+        let labels = StateLabels { state };
+        metrics.repeat_allowance.get_or_create(&labels).set(amount);
+    }
+    for (state, count) in [("paid", sum.paid), ("refused", sum.refused)] {
+        let labels = StateLabels { state };
+        metrics
+            .repeats
+            .get_or_create(&labels)
+            .inc_by(u64::from(count));
+    }
+    metrics.known_hosts.set(hosts as i64);
+}
+
+fn count_loans(
+    state: &'static str,
+    count: usize,
+) {
+    if count == 0 {
+        return;
+    }
+    let labels = StateLabels { state };
+    let loans = &metrics().repeat_loans;
+    loans.get_or_create(&labels).inc_by(count as u64);
+}
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -1,15 +1,18 @@
 use {
     super::{
         AdapterDemand, AdapterMap, BeliefAges, BeliefBounds, Confirmation, FleetView, LargestAges,
-        ReadingSpeed, RequestTokens, TargetLink,
+        ReadingSpeed, RepeatBudgets, RequestTokens, TargetLink,
     },
     crate::{
         connection::datagram::{
-            AdapterUsage, EngineLoad, EngineQuery, EngineStanding, Placement, PlacementState,
-            Usage, Want,
+            AdapterUsage, EngineLoad, EngineQuery, EngineStanding, Loan, LoanAsk, Placement,
+            PlacementState, Usage, Want,
         },
         metrics::{CopyLabels, metrics},
-        request::direct::{CopyState, Policy, ResendWindow},
+        request::{
+            direct::{CopyState, Policy},
+            repeats::RepeatBudget,
+        },
         version::routing::RoutingTable,
     },
     std::{
@@ -41,6 +44,8 @@
     pub budget_window: Duration,
     pub budget_ratio: f64,
     pub budget_extra: f64,
+    /// No process of this host ran before.
+    pub first_start: bool,
     pub policy: Policy,
     /// How old what requests rest on may be.
     pub bounds: BeliefBounds,
@@ -60,6 +65,10 @@
     },
     /// An engine does not hold an adapter that its holder said it holds.
     Missing { target: String, adapter: String },
+    /// Ask one host, whichever comes next, for a part of its allowance of repeats.
+    AskLoan(LoanAsk),
+    /// Lend a host a part of this one's allowance.
+    GiveLoan { to: SocketAddr, loan: Loan },
 }
 
 /// What is asked of the holder of an engine.
@@ -85,7 +94,7 @@
     pub adapters: AdapterMap,
     pub demand: AdapterDemand,
     speeds: HashMap<String, ReadingSpeed>,
-    budgets: HashMap<String, ResendWindow>,
+    budgets: RepeatBudgets,
     /// Requests that wait for news of an adapter.
     waiting: HashMap<String, Waiting>,
     /// Wakes requests that have asked how engines stand.
@@ -125,7 +134,7 @@
             adapters: AdapterMap::default(),
             demand: AdapterDemand::default(),
             speeds: HashMap::new(),
-            budgets: HashMap::new(),
+            budgets: RepeatBudgets::new(&settings, Instant::now()),
             waiting: HashMap::new(),
             standing_news: Rc::default(),
             confirmation: Confirmation::default(),
@@ -367,6 +376,7 @@
             targets.sort_unstable_by(|a, b| a.id.cmp(&b.id));
         }
         self.set_confirmation(view.confirmation);
+        self.budgets.set_hosts(view.known_hosts);
         self.view = view;
         for waiting in self.waiting.values() {
             waiting.news.notify_waiters();
@@ -545,19 +555,55 @@
     pub fn budget(
         &mut self,
         service: &str,
-    ) -> &mut ResendWindow {
-        if !self.budgets.contains_key(service) {
-            let settings = self.settings;
-            let window = ResendWindow::new(
-                settings.budget_window,
-                settings.budget_ratio,
-                settings.budget_extra,
-            );
-            self.budgets.insert(service.to_string(), window);
+    ) -> &mut RepeatBudget {
+        self.budgets.of(service)
+    }
+
+    /// Asks other hosts for parts of their allowance of a service, if this host needs some.
+    pub fn ask_for_loans(
+        &mut self,
+        service: &str,
+        now: Instant,
+    ) {
+        for ask in self.budgets.loan_asks(service, now) {
+            let _ = self.control.send(ControlRequest::AskLoan(ask));
+        }
+    }
+
+    /// Does what is due about the budgets of repeats: asks for loans, and tells how they stand.
+    pub fn look_at_budgets(
+        &mut self,
+        now: Instant,
+    ) {
+        for service in self.budgets.services() {
+            self.ask_for_loans(&service, now);
+        }
+        self.budgets.tell(now);
+    }
+
+    /// A loan has come.
+    pub fn on_loan(
+        &mut self,
+        loan: &Loan,
+        now: Instant,
+    ) {
+        self.budgets.on_loan(loan, now);
+    }
+
+    /// Another host asks for a loan.
+    pub fn on_loan_ask(
+        &mut self,
+        to: SocketAddr,
+        ask: &LoanAsk,
+        now: Instant,
+    ) {
+        // Hosts with another configuration may name services that this one does not know.
+        if self.view.routing.service(&ask.service).is_none() {
+            return;
+        }
+        if let Some(loan) = self.budgets.lend(ask, now) {
+            let _ = self.control.send(ControlRequest::GiveLoan { to, loan });
         }
-        self.budgets
-            .get_mut(service)
-            .expect("it was just put there")
     }
 
     /// Tells holders what was sent to their engines since they were told last.
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -26,6 +26,8 @@
 
 type Seconds = Gauge<f64, AtomicU64>;
 
+type Amount = Gauge<f64, AtomicU64>;
+
 /// All figures of one host.
 pub struct HostMetrics {
     registry: Registry,
@@ -34,6 +36,10 @@
     pub waits: Family<WaitLabels, Histogram>,
     pub belief_age: Family<CopyLabels, Histogram>,
     pub resends: Family<WaitLabels, Counter>,
+    pub repeats: Family<StateLabels, Counter>,
+    pub repeat_allowance: Family<StateLabels, Amount>,
+    pub repeat_loans: Family<StateLabels, Counter>,
+    pub known_hosts: Gauge,
     pub store_calls: Family<CallLabels, Counter>,
     pub orders: Family<OrderLabels, Counter>,
     pub load_time: Histogram,
@@ -74,6 +80,10 @@
             waits: Family::new_with_constructor(times),
             belief_age: Family::new_with_constructor(ages),
             resends: Family::default(),
+            repeats: Family::default(),
+            repeat_allowance: Family::default(),
+            repeat_loans: Family::default(),
+            known_hosts: Gauge::default(),
             store_calls: Family::default(),
             orders: Family::default(),
             load_time: times(),
@@ -246,6 +256,26 @@
             "Sends of requests beyond the first",
             self.resends.clone(),
         );
+        registry.register(
+            "repeats",
+            "Arrivals of requests beyond the first, paid or refused for want of allowance",
+            self.repeats.clone(),
+        );
+        registry.register(
+            "repeat_allowance",
+            "This host's part of the allowance of repeats, over all services",
+            self.repeat_allowance.clone(),
+        );
+        registry.register(
+            "repeat_loans",
+            "Loans of the allowance of repeats between hosts",
+            self.repeat_loans.clone(),
+        );
+        registry.register(
+            "known_hosts",
+            "Hosts that the extra allowance of repeats is divided by",
+            self.known_hosts.clone(),
+        );
         registry.register(
             "belief_age_seconds",
             "Age of the tables that requests were routed and sent by",
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -2,7 +2,7 @@
     super::TableName,
     crate::{
         connection::{
-            datagram::{EngineLoad, EngineStanding, Message, Placement},
+            datagram::{EngineLoad, EngineStanding, Loan, LoanAsk, Message, Placement},
             targets::{Confirmation, FleetView},
         },
         formats::{Order, Transaction},
@@ -65,4 +65,10 @@
     Place(Placement),
     Load(EngineLoad),
     Stand(EngineStanding),
+    Borrow(Loan),
+    /// Another host asks for a part of this one's allowance of repeats.
+    Lend {
+        to: SocketAddr,
+        ask: LoanAsk,
+    },
 }
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -4,7 +4,7 @@
     super::{ControlAction, HostControl},
     crate::{
         connection::{
-            datagram::{Ack, HostRumor, Message, Ping, PingRequest, Vouch},
+            datagram::{Ack, HostRumor, LoanAsk, Message, Ping, PingRequest, Vouch},
             targets::ControlRequest,
         },
         note,
@@ -119,6 +119,12 @@
         let wanted = self.hosts.on_tick(now);
         let actions = self.host_actions(wanted, now);
         self.note_host_events();
+        // Requests divide the extra allowance of repeats by it.
+        let known = self.hosts.known_count();
+        if self.told_known_hosts != known {
+            self.told_known_hosts = known;
+            self.changed = true;
+        }
         actions
     }
 
@@ -152,6 +158,8 @@
             Message::EngineLoad(load) => vec![ControlAction::Load(load)],
             Message::EngineQuery(query) => self.on_query(from, &query, now).into_iter().collect(),
             Message::EngineStanding(standing) => vec![ControlAction::Stand(standing)],
+            Message::LoanAsk(ask) => vec![ControlAction::Lend { to: from, ask }],
+            Message::Loan(loan) => vec![ControlAction::Borrow(loan)],
         };
         self.note_host_events();
         actions
@@ -193,7 +201,25 @@
                 }
                 Vec::new()
             }
+            ControlRequest::AskLoan(ask) => self.ask_loan(ask).into_iter().collect(),
+            ControlRequest::GiveLoan { to, loan } => vec![ControlAction::Send {
+                to,
+                message: Message::Loan(loan),
+            }],
+        }
+    }
+
+    /// Asks the next host for a loan: each in turn, in an order that changes.
+    fn ask_loan(
+        &mut self,
+        ask: LoanAsk,
+    ) -> Option<ControlAction> {
+        if self.lenders.is_empty() {
+            self.lenders = self.hosts.pick_up(usize::MAX);
         }
+        let to = self.lenders.pop()?;
+        let message = Message::LoanAsk(ask);
+        Some(ControlAction::Send { to, message })
     }
 
     /// Sends a message to a host, or hands it to this host's own requests.
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -165,6 +165,10 @@
             ControlAction::Stand(standing) => {
                 self.tell_traffic(TrafficInput::Standing(standing));
             }
+            ControlAction::Borrow(loan) => self.tell_traffic(TrafficInput::Borrowed(loan)),
+            ControlAction::Lend { to, ask } => {
+                self.tell_traffic(TrafficInput::LoanAsked { to, ask });
+            }
         }
     }
 
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -124,6 +124,10 @@
     pub(super) started: Instant,
     /// Looks at the seeds that are over.
     pub(super) joins: usize,
+    /// Hosts to ask for loans of the allowance of repeats, each once a round.
+    pub(super) lenders: Vec<SocketAddr>,
+    /// Hosts known over a long time, as requests were last told.
+    pub(super) told_known_hosts: usize,
 }
 
 impl HostControl {
@@ -149,6 +153,8 @@
             front: identity.front,
             process,
         };
+        let mut hosts = HostTable::new(identity, HostTimings::default(), now);
+        hosts.expect(settings.seed_peers());
         let lease = &settings.lease;
         let timings = HoldingTimings::new(lease.length, lease.renew, settings.bounds.lease_gap);
         let table = |bound| KeptTable {
@@ -159,7 +165,7 @@
         Self {
             declared: table(settings.bounds.config),
             listed: table(settings.bounds.drain),
-            hosts: HostTable::new(identity, HostTimings::default(), now),
+            hosts,
             holding: Holding::new(row, timings, now),
             settings,
             formats,
@@ -181,6 +187,8 @@
             next_tick: now,
             started: now,
             joins: 0,
+            lenders: Vec::new(),
+            told_known_hosts: 0,
         }
     }
 
@@ -452,6 +460,7 @@
             targets: targets.collect(),
             newest: self.newest.clone(),
             hosts: self.hosts.up_count(),
+            known_hosts: self.hosts.known_count(),
             confirmation: self.told_confirmation,
         }
     }
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         connection::{
-            datagram::{EngineLoad, EngineStanding, Placement},
+            datagram::{EngineLoad, EngineStanding, Loan, LoanAsk, Placement},
             front::{FrontListener, FrontStop},
             targets::{
                 BeliefBounds, BoardSettings, Confirmation, ControlRequest, FleetView, TargetBoard,
@@ -17,7 +17,7 @@
     },
     std::{
         cell::RefCell,
-        net::TcpListener,
+        net::{SocketAddr, TcpListener},
         rc::Rc,
         sync::{Arc, atomic::AtomicUsize},
         time::{Duration, Instant},
@@ -45,6 +45,12 @@
     Placement(Placement),
     Load(EngineLoad),
     Standing(EngineStanding),
+    Borrowed(Loan),
+    /// Another host asks for a part of this one's allowance of repeats.
+    LoanAsked {
+        to: SocketAddr,
+        ask: LoanAsk,
+    },
 }
 
 /// What the traffic thread needs from its start.
@@ -72,6 +78,7 @@
         budget_window: bounds.budget_window,
         budget_ratio: bounds.budget_ratio,
         budget_extra: bounds.budget_extra,
+        first_start: parts.settings.first_start,
         policy: parts.settings.policy,
         bounds: BeliefBounds {
             declared: bounds.config,
@@ -108,6 +115,7 @@
                     board.report_usage(Instant::now());
                 }
                 tell_ages(&mut board, bounds);
+                board.look_at_budgets(Instant::now());
             }
         }
     }
@@ -141,5 +149,7 @@
         TrafficInput::Placement(placement) => board.on_placement(&placement, Instant::now()),
         TrafficInput::Load(load) => board.on_engine_load(&load, Instant::now()),
         TrafficInput::Standing(standing) => board.on_standing(&standing, Instant::now()),
+        TrafficInput::Borrowed(loan) => board.on_loan(&loan, Instant::now()),
+        TrafficInput::LoanAsked { to, ask } => board.on_loan_ask(to, &ask, Instant::now()),
     }
 }
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{HostIdentity, HostState, KnownHost},
+    super::{HostIdentity, HostState, KnownHost, SiteSize},
     crate::connection::datagram::{HostRumor, RumorState},
     rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
     std::{
@@ -94,6 +94,7 @@
     /// When a host last became known, or this one started.
     last_new: Instant,
     rng: StdRng,
+    size: SiteSize,
 }
 
 impl HostTable {
@@ -114,6 +115,7 @@
             events: Vec::new(),
             last_new: now,
             rng: StdRng::seed_from_u64(me.process),
+            size: SiteSize::default(),
             me,
         }
     }
@@ -143,6 +145,23 @@
         1 + self.hosts().filter(|host| host.state.is_up()).count()
     }
 
+    /// These hosts are thought to be there from the start.
+    pub fn expect(
+        &mut self,
+        peers: impl Iterator<Item = SocketAddr>,
+    ) {
+        let me = self.me.peer;
+        self.size.expect(peers.filter(|peer| *peer != me));
+    }
+
+    /// The largest number of hosts that this one, or one that it hears, has counted over a long time; this
+    /// one included, and those that don't answer.
+    pub fn known_count(&self) -> usize {
+        let told = self.hosts().map(|host| host.counted).max();
+        let told = told.map_or(0, |count| count as usize);
+        self.size.counted().max(told)
+    }
+
     /// True once no host has become known for so long.
     pub fn is_settled(
         &self,
@@ -212,6 +231,7 @@
             lease_version,
             ready,
             link_mbps: self.me.link_mbps,
+            counted: u32::try_from(self.size.counted()).unwrap_or(u32::MAX),
         }
     }
 
@@ -257,6 +277,7 @@
     ) -> Vec<HostAction> {
         let mut actions = self.follow_up(now);
         self.bury(now);
+        self.size.count(self.hosts.keys(), now);
         if self.next_ping.is_none_or(|at| now >= at) {
             let pause = self.timings.round / self.hosts.len().max(1) as u32;
             self.next_ping = Some(now + pause.max(self.timings.least_pause));
@@ -314,6 +335,11 @@
         known.incarnation = rumor.incarnation;
         known.holds.clone_from(&rumor.holds);
         known.heard = Some(now);
+        known.counted = rumor.counted;
+        match rumor.state() {
+            RumorState::Leaving => self.size.on_leaving(peer, now),
+            _ => self.size.on_heard(peer, now),
+        }
         if lease_changed {
             known.lease_version = rumor.lease_version;
             known.lease_known_since = now;
@@ -526,6 +552,9 @@
         }
         known.state = state;
         known.since = now;
+        if state == HostState::Leaving {
+            self.size.on_leaving(peer, now);
+        }
         if known.heard.is_some() {
             self.news.insert(peer, 0);
         }
--- a/src/process/hosts/known_host.rs
+++ b/src/process/hosts/known_host.rs
@@ -81,6 +81,8 @@
     pub lease_known_since: Instant,
     /// It takes requests.
     pub ready: bool,
+    /// Hosts that it has itself counted over a long time.
+    pub counted: u32,
 }
 
 impl KnownHost {
@@ -105,6 +107,8 @@
             lease_version: self.lease_version,
             ready: self.ready,
             link_mbps: self.identity.link_mbps,
+            // Told of itself only: a count that others passed on would never end.
+            counted: 0,
         }
     }
 
@@ -131,6 +135,7 @@
             lease_version: rumor.lease_version,
             lease_known_since: now,
             ready: rumor.ready,
+            counted: 0,
         }
     }
 }
--- a/src/process/hosts/mod.rs
+++ b/src/process/hosts/mod.rs
@@ -2,8 +2,10 @@
 
 mod host_table;
 mod known_host;
+mod site_size;
 
 pub use {
     host_table::{HostAction, HostEvent, HostTable, HostTimings},
     known_host::{HostIdentity, HostState, KnownHost},
+    site_size::SiteSize,
 };
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -69,6 +69,8 @@
     pub link_mbps: Option<f64>,
     pub lease: OrderLeaseSettings,
     pub policy: Policy,
+    /// No process of this host ran before: the whole site starts for the first time.
+    pub first_start: bool,
 }
 
 impl NodeSettings {
@@ -107,6 +109,7 @@
             .filter(|mbps| *mbps > 0.0);
         let lease = lease(ini);
         let policy = policy(ini);
+        let first_start = ini.optional("host", "first_start").unwrap_or(false);
         Some(Self {
             name: name?,
             hall: hall?,
@@ -117,6 +120,7 @@
             link_mbps,
             lease,
             policy,
+            first_start,
         })
     }
 
--- a/src/request/direct/mod.rs
+++ b/src/request/direct/mod.rs
@@ -8,7 +8,6 @@
 mod patience;
 mod plain_choice;
 mod policy;
-mod resend_window;
 
 pub use {
     attempt_end::AttemptEnd,
@@ -21,5 +20,4 @@
     patience::{Patience, RequestTime, wait_or_refuse},
     plain_choice::{PlainCandidate, choose_plain},
     policy::Policy,
-    resend_window::ResendWindow,
 };
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -14,6 +14,7 @@
 mod rate_limits;
 mod refusal;
 mod refusal_code;
+pub mod repeats;
 mod request_parser;
 mod retry_budget;
 mod route;
--- /dev/null
+++ b/src/request/repeats/borrowed.rs
@@ -0,0 +1,54 @@
+use std::{collections::VecDeque, time::Instant};
+
+#[derive(Debug)]
+struct Loan {
+    amount: f64,
+    until: Instant,
+}
+
+/// What other hosts have lent this one, each part until a time of its own.
+#[derive(Debug, Default)]
+pub struct Borrowed {
+    loans: VecDeque<Loan>,
+}
+
+impl Borrowed {
+    pub fn add(
+        &mut self,
+        amount: f64,
+        until: Instant,
+    ) {
+        let place = self.loans.partition_point(|loan| loan.until <= until);
+        self.loans.insert(place, Loan { amount, until });
+    }
+
+    pub fn left(
+        &mut self,
+        now: Instant,
+    ) -> f64 {
+        while self.loans.front().is_some_and(|loan| loan.until <= now) {
+            self.loans.pop_front();
+        }
+        self.loans.iter().map(|loan| loan.amount).sum()
+    }
+
+    /// Spends up to this amount, what ends first before the rest; returns what was spent.
+    pub fn spend(
+        &mut self,
+        amount: f64,
+        now: Instant,
+    ) -> f64 {
+        self.left(now);
+        let mut spent = 0.0;
+        while let Some(loan) = self.loans.front_mut() {
+            let part = loan.amount.min(amount - spent);
+            loan.amount -= part;
+            spent += part;
+            if loan.amount > 0.0 {
+                break;
+            }
+            self.loans.pop_front();
+        }
+        spent
+    }
+}
--- /dev/null
+++ b/src/request/repeats/earned.rs
@@ -0,0 +1,65 @@
+use {
+    super::{
+        BudgetTerms,
+        budget_terms::KEPT_PART,
+        recent_count::{RecentCount, Rounding},
+    },
+    std::time::Instant,
+};
+
+/// Repeats that a host's own requests have earned.
+///
+/// What is kept is a fixed part of what a window earns, so that a process that starts anew, or a demand that
+/// moves from host to host, can't bring the earnings of two windows into one.
+#[derive(Debug)]
+pub struct Earned {
+    terms: BudgetTerms,
+    requests: RecentCount,
+    kept: f64,
+}
+
+impl Earned {
+    pub fn new(terms: BudgetTerms) -> Self {
+        Self {
+            terms,
+            requests: RecentCount::new(terms.window, Rounding::Down),
+            kept: 0.0,
+        }
+    }
+
+    pub fn on_request(
+        &mut self,
+        now: Instant,
+    ) {
+        self.requests.add(1.0, now);
+        self.kept += self.terms.earned_by_request();
+    }
+
+    /// What can be spent.
+    pub fn left(
+        &mut self,
+        now: Instant,
+    ) -> f64 {
+        let earned = self.requests.sum(now) * self.terms.earned_by_request();
+        self.kept = self.kept.min(earned * KEPT_PART);
+        self.kept
+    }
+
+    /// Spends up to this amount; returns what was spent.
+    pub fn spend(
+        &mut self,
+        amount: f64,
+        now: Instant,
+    ) -> f64 {
+        let spent = self.left(now).min(amount);
+        self.kept -= spent;
+        spent
+    }
+
+    pub fn give_back(
+        &mut self,
+        amount: f64,
+    ) {
+        self.kept += amount;
+    }
+}
--- /dev/null
+++ b/src/request/repeats/extra_share.rs
@@ -0,0 +1,98 @@
+use {
+    super::{
+        BudgetTerms,
+        recent_count::{RecentCount, Rounding},
+    },
+    std::time::Instant,
+};
+
+/// A host's own share of the extra allowance: what it has spent and lent of it.
+#[derive(Debug)]
+pub struct ExtraShare {
+    terms: BudgetTerms,
+    /// The process has no share before.
+    from: Instant,
+    spent: RecentCount,
+    lent: RecentCount,
+}
+
+impl ExtraShare {
+    pub fn new(
+        terms: BudgetTerms,
+        from: Instant,
+    ) -> Self {
+        Self {
+            terms,
+            from,
+            spent: RecentCount::new(terms.spent_time(), Rounding::Up),
+            lent: RecentCount::new(terms.lent_time(), Rounding::Up),
+        }
+    }
+
+    /// The whole share, among so many hosts.
+    pub fn share(
+        &self,
+        hosts: usize,
+        now: Instant,
+    ) -> f64 {
+        match now < self.from {
+            true => 0.0,
+            false => self.terms.share(hosts),
+        }
+    }
+
+    /// The share of a host that has one.
+    pub fn full_share(
+        &self,
+        hosts: usize,
+    ) -> f64 {
+        self.terms.share(hosts)
+    }
+
+    pub fn left(
+        &mut self,
+        hosts: usize,
+        now: Instant,
+    ) -> f64 {
+        let used = self.spent.sum(now) + self.lent.sum(now);
+        (self.share(hosts, now) - used).max(0.0)
+    }
+
+    pub fn spend(
+        &mut self,
+        amount: f64,
+        now: Instant,
+    ) {
+        self.spent.add(amount, now);
+    }
+
+    pub fn give_back(
+        &mut self,
+        amount: f64,
+        at: Instant,
+    ) {
+        self.spent.take_back(amount, at);
+    }
+
+    pub fn lend(
+        &mut self,
+        amount: f64,
+        now: Instant,
+    ) {
+        self.lent.add(amount, now);
+    }
+
+    pub fn spent(
+        &mut self,
+        now: Instant,
+    ) -> f64 {
+        self.spent.sum(now)
+    }
+
+    pub fn lent(
+        &mut self,
+        now: Instant,
+    ) -> f64 {
+        self.lent.sum(now)
+    }
+}
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -102,6 +102,7 @@
     RequestCallerGone = 618 "request_caller_gone" Info,
     RequestHeld = 619 "request_held" Info,
     RequestUnplaced = 620 "request_unplaced" Info,
+    RepeatsCounted = 621 "repeats_counted" Info,
     TargetUnreachable = 701 "target_unreachable" Warn,
     TargetBack = 702 "target_back" Info,
     TargetRestarted = 703 "target_restarted" Warn,
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -88,6 +88,9 @@
     drop(metrics.first_event.get_or_create(&kind));
     drop(metrics.waits.get_or_create(&cause));
     drop(metrics.resends.get_or_create(&cause));
+    drop(metrics.repeats.get_or_create(&state));
+    drop(metrics.repeat_allowance.get_or_create(&state));
+    drop(metrics.repeat_loans.get_or_create(&state));
     drop(metrics.wants_turned_away.get_or_create(&cause));
     drop(metrics.store_calls.get_or_create(&call));
     drop(metrics.orders.get_or_create(&order));
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -6,7 +6,7 @@
         request::direct::{
             AttemptEnd, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Generation,
             NextStep, Patience, PlainCandidate, Policy, PromptPart, RequestHistory, RequestTime,
-            ResendWindow, USUAL_LOAD, choose_engine, choose_plain, next_step, wait_or_refuse,
+            USUAL_LOAD, choose_engine, choose_plain, next_step, wait_or_refuse,
         },
         version::routing::{
             BaseModel, EngineSpec, FrontLimits, Route, RouteKind, RoutingTable, TargetService,
@@ -321,42 +321,6 @@
     assert_eq!(wait_or_refuse(&time, ms(expected)), patience);
 }
 
-#[test]
-fn the_budget_of_repeats_follows_requests_and_hosts() {
-    let begin = Instant::now();
-    let repeats = |hosts: usize, requests: u32| {
-        let mut window = ResendWindow::new(ms(10_000), 0.2, 50.0);
-        for _ in 0..requests {
-            window.on_request(begin);
-        }
-        let mut repeats = 0;
-        while window.allows(hosts, begin) {
-            window.on_repeat(begin);
-            repeats += 1;
-        }
-        repeats
-    };
-    assert_eq!(repeats(1, 0), 40);
-    assert_eq!(repeats(5, 0), 8);
-    assert_eq!(repeats(5, 100), 24);
-    // All hosts together stay within ratio and extra, whatever each has seen.
-    for hosts in [2, 7, 91] {
-        let total = repeats(hosts, 100) * hosts as u32;
-        assert!(f64::from(total) <= 0.2 * 100.0 * hosts as f64 + 50.0);
-    }
-}
-
-#[test]
-fn repeats_leave_the_window_with_time() {
-    let begin = Instant::now();
-    let mut window = ResendWindow::new(ms(10_000), 0.0, 10.0);
-    while window.allows(1, begin) {
-        window.on_repeat(begin);
-    }
-    assert!(!window.allows(1, begin + ms(9_000)));
-    assert!(window.allows(1, begin + ms(10_700)));
-}
-
 #[test]
 fn a_generation_is_understood() {
     let mut generation = Generation {
--- a/tests/target_board.rs
+++ b/tests/target_board.rs
@@ -81,6 +81,7 @@
             budget_window: ms(10_000),
             budget_ratio: 0.2,
             budget_extra: 50.0,
+            first_start: false,
             policy: Policy::default(),
             bounds: BeliefBounds {
                 declared: ms(3_000),
