--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -209,6 +209,7 @@
     };
     let (control, _told) = flume::unbounded();
     let settings = BoardSettings {
+        first_start: false,
         budget_window: Duration::from_secs(10),
         budget_ratio: 0.2,
         budget_extra: 50.0,
--- a/src/connection/targets/fleet_view.rs
+++ b/src/connection/targets/fleet_view.rs
@@ -25,6 +25,8 @@
     pub versions: Arc<HashMap<String, VersionHistory>>,
     /// Hosts that answer, this one included.
     pub hosts: usize,
+    /// Hosts that were known within a long time, those that don't answer included.
+    pub known_hosts: usize,
     /// How well the tables behind this are known to be right.
     pub confirmation: Confirmation,
 }
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -6,6 +6,7 @@
 mod confirmation;
 mod fleet_view;
 mod reading_speed;
+mod repeat_budgets;
 mod serves_until;
 mod target_board;
 mod target_health;
@@ -19,6 +20,7 @@
     confirmation::{Confirmation, SEND_MARGIN, TableConfirmation},
     fleet_view::{FleetView, TargetView},
     reading_speed::ReadingSpeed,
+    repeat_budgets::RepeatBudgets,
     serves_until::ServesUntil,
     target_board::{
         AdapterAsk, BoardSettings, ControlRequest, MAX_TOLD_HOSTS, ServiceTarget, TargetBoard,
