--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -117,8 +117,8 @@
         now: Instant,
     ) -> Vec<ControlAction> {
         let wanted = self.hosts.on_tick(now);
-        let actions = self.host_actions(wanted, now);
-        self.note_host_events();
+        let mut actions = self.host_actions(wanted, now);
+        actions.extend(self.take_host_events(now));
         actions
     }
 
@@ -129,7 +129,7 @@
         arrived_after: Instant,
         now: Instant,
     ) -> Vec<ControlAction> {
-        let actions = match message {
+        let mut actions = match message {
             Message::Ping(ping) => self.on_ping(from, &ping, arrived_after, now),
             Message::Ack(ack) => {
                 let mut actions = self.on_host_news(&ack.sender, &ack.rumors, now);
@@ -153,7 +153,7 @@
             Message::EngineQuery(query) => self.on_query(from, &query, now).into_iter().collect(),
             Message::EngineStanding(standing) => vec![ControlAction::Stand(standing)],
         };
-        self.note_host_events();
+        actions.extend(self.take_host_events(now));
         actions
     }
 
@@ -302,12 +302,22 @@
             .collect()
     }
 
-    fn note_host_events(&mut self) {
+    /// Takes changes of hosts in. A host that answers from now on is told at once which engines are held here:
+    /// who was not known when all were told would else hear of it when its turn to be pinged comes,
+    /// after 30 s with 300 hosts.
+    fn take_host_events(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut untold = Vec::new();
         for event in self.hosts.take_events() {
             self.changed = true;
             match event {
                 HostEvent::StateChanged { peer, name, state } => {
                     note!(event_of(state), peer = name, address = peer);
+                    if state == HostState::Alive && !self.told_holds.is_empty() {
+                        untold.push(peer);
+                    }
                     if state == HostState::Dead {
                         for desk in self.desks.values_mut() {
                             desk.on_host_gone(peer);
@@ -319,6 +329,7 @@
                 }
             }
         }
+        self.tell(untold, now)
     }
 }
 
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -254,7 +254,7 @@
     }
 
     /// Sends these hosts a message that needs no answer.
-    fn tell(
+    pub(super) fn tell(
         &mut self,
         peers: Vec<SocketAddr>,
         now: Instant,
