Base models: count them over a window instead of spacing them

Now a holder orders its part of five seconds' loads, whenever within them, and one in its first five.

--- a/src/process/engines/base_load_pace.rs
+++ b/src/process/engines/base_load_pace.rs
@@ -1,27 +1,32 @@
 use std::{
     cell::RefCell,
+    collections::VecDeque,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-/// Share of the weight store's rate that hosts use together. The rest, a tenth of a window and three loads that
-/// the store bears besides leave room for one load of each holder that comes on top: seven holders of twelve
-/// engines order 20 in five seconds at the most where 21 are allowed.
-const USED_SHARE: f64 = 0.8;
+/// Loads are counted over so long: the weight store bounds them over spans of some seconds, and a holder whose
+/// engines are replaced one after the other needs not wait within a span.
+const WINDOW: Duration = Duration::from_secs(5);
 
 /// Shared by the desks of one host, which all decide on the same thread.
 pub type SharedBaseLoadPace = Rc<RefCell<BaseLoadPace>>;
 
-/// Spaces the base models that the engines of this host take from the weight store.
+/// Limits the base models that the engines of this host take from the weight store.
 ///
-/// The store bounds the loads of the whole site. Each holder takes the part of it that its engines are of all, and
-/// saves up no more than one load. A host that starts anew waits first: it doesn't know what was ordered before.
+/// The store bounds the loads of the whole site. Each holder takes the part of it that its engines are of all, to
+/// the nearest load and one at the least: seven holders of twelve engines order 17 in five seconds where 21
+/// are allowed. A host that starts anew doesn't know what was ordered before, and orders one in its first window.
+/// Spaced evenly instead, engines that are replaced one a second waited for their model: 0.607 of the worth
+/// of a day, where 0.664 was reached without a limit.
 #[derive(Debug, Default)]
 pub struct BaseLoadPace {
     /// Part of the site's engines that this host holds; none sets no limit.
     share: Option<f64>,
-    /// When the last load was ordered, or the first share became known.
-    last: Option<Instant>,
+    /// When the first share became known.
+    started: Option<Instant>,
+    /// Loads ordered within the window.
+    ordered: VecDeque<Instant>,
 }
 
 impl BaseLoadPace {
@@ -33,7 +38,7 @@
         now: Instant,
     ) {
         self.share = Some(held as f64 / engines.max(1) as f64);
-        self.last.get_or_insert(now);
+        self.started.get_or_insert(now);
     }
 
     /// True if a load may be ordered now; it counts as ordered then.
@@ -45,13 +50,19 @@
         let Some(share) = self.share else {
             return true;
         };
-        let rate = loads_per_second * USED_SHARE * share;
-        let pause = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX);
-        let last = self.last.unwrap_or(now);
-        if now.saturating_duration_since(last) < pause {
+        let is_over = |at: &Instant| now.saturating_duration_since(*at) > WINDOW;
+        while self.ordered.front().is_some_and(is_over) {
+            self.ordered.pop_front();
+        }
+        let part = (loads_per_second * WINDOW.as_secs_f64() * share).round();
+        let allowed = match self.started.as_ref().is_some_and(is_over) {
+            true => part.max(1.0),
+            false => 1.0,
+        };
+        if self.ordered.len() as f64 >= allowed {
             return false;
         }
-        self.last = Some(now);
+        self.ordered.push_back(now);
         true
     }
 }
