--- a/src/request/repeats/borrowed.rs
+++ b/src/request/repeats/borrowed.rs
@@ -29,7 +29,8 @@
         while self.loans.front().is_some_and(|loan| loan.until <= now) {
             self.loans.pop_front();
         }
-        self.loans.iter().map(|loan| loan.amount).sum()
+        // Not `sum`, which makes -0 of none.
+        self.loans.iter().fold(0.0, |sum, loan| sum + loan.amount)
     }
 
     /// Spends up to this amount, what ends first before the rest; returns what was spent.
