--- a/src/process/engines/desk_outcomes.rs
+++ b/src/process/engines/desk_outcomes.rs
@@ -92,8 +92,8 @@
         let Some(order) = self.under_way.take() else {
             return Vec::new();
         };
-        if std::mem::take(&mut self.under_way_crossed) {
-            return self.on_crossed_end(order, reply, now);
+        if std::mem::take(&mut self.under_way_is_of_earlier_start) {
+            return self.on_earlier_starts_order_end(order, reply, now);
         }
         match reply {
             Some(reply @ (OrderReply::Accepted | OrderReply::Done)) => match order.purpose {
@@ -171,7 +171,7 @@
 
     /// The order was not sent after all.
     pub fn on_order_withheld(&mut self) {
-        self.under_way_crossed = false;
+        self.under_way_is_of_earlier_start = false;
         if let Some(order) = self.under_way.take() {
             self.forget_ordered(&order);
         }
--- a/src/process/engines/desk_start.rs
+++ b/src/process/engines/desk_start.rs
@@ -88,7 +88,7 @@
         self.busy = false;
         self.unresponsive_until = None;
         self.unsettled = None;
-        self.under_way_crossed = self.under_way.is_some();
+        self.under_way_is_of_earlier_start = self.under_way.is_some();
         self.late_orders.on_new_start();
         self.sequence = None;
         self.count_room();
@@ -110,7 +110,7 @@
     }
 
     /// An order ended that was given to an earlier start: either start may have taken it.
-    pub(super) fn on_crossed_end(
+    pub(super) fn on_earlier_starts_order_end(
         &mut self,
         order: DeskOrder,
         reply: Option<OrderReply>,
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -88,7 +88,7 @@
     /// An order without an answer: it may be carried out while the sequence stays as it was.
     pub(super) unsettled: Option<DeskOrder>,
     /// The engine has started anew while the answer to the order under way was awaited.
-    pub(super) under_way_crossed: bool,
+    pub(super) under_way_is_of_earlier_start: bool,
     /// Orders without an answer, which an engine that starts anew may still carry out.
     pub(super) late_orders: LateOrders,
     pub(super) report_asked: Option<Instant>,
@@ -126,7 +126,7 @@
             sequence: None,
             under_way: None,
             unsettled: None,
-            under_way_crossed: false,
+            under_way_is_of_earlier_start: false,
             late_orders: LateOrders::default(),
             report_asked: None,
             report_due: Some(now),
--- a/src/process/host/control_gauges.rs
+++ b/src/process/host/control_gauges.rs
@@ -43,7 +43,7 @@
             (TargetState::Leaving, "leaving"),
         ] {
             let targets = self.targets.values();
-            let targets = targets.filter(|target| !target.is_spoilt);
+            let targets = targets.filter(|target| !target.names_no_target);
             let count = targets
                 .filter(|target| target.record.state == state)
                 .count();
--- a/src/process/host/control_targets.rs
+++ b/src/process/host/control_targets.rs
@@ -85,7 +85,7 @@
                 );
                 return Vec::new();
             }
-            EntryNews::Strange => {
+            EntryNews::Foreign => {
                 self.on_spoilt(&id, "it does not tell the target's start");
                 return Vec::new();
             }
@@ -129,7 +129,7 @@
     ) {
         tell_unusable(key, problem);
         if let Some(target) = self.targets.get_mut(key) {
-            target.is_spoilt = true;
+            target.names_no_target = true;
         }
     }
 
--- a/src/process/host/listed_target.rs
+++ b/src/process/host/listed_target.rs
@@ -11,7 +11,7 @@
     /// Its entry has vanished without a word; it is used until then.
     pub vanished_until: Option<Instant>,
     /// What its key holds now names no target to use.
-    pub is_spoilt: bool,
+    pub names_no_target: bool,
 }
 
 /// What a target's entry means beside what is known of the target.
@@ -24,7 +24,7 @@
     /// The entry was written before what is known already.
     Late,
     /// The target has told of its starts before, and the entry does not.
-    Strange,
+    Foreign,
 }
 
 impl ListedTarget {
@@ -32,7 +32,7 @@
         Self {
             record: Arc::new(record),
             vanished_until: None,
-            is_spoilt: false,
+            names_no_target: false,
         }
     }
 
@@ -45,7 +45,7 @@
         record: &TargetRecord,
     ) -> EntryNews {
         match (self.record.started, record.started) {
-            (Some(_), None) => EntryNews::Strange,
+            (Some(_), None) => EntryNews::Foreign,
             (Some(known), Some(told)) if told < known => EntryNews::Late,
             (Some(known), Some(told)) if told > known => EntryNews::Restarted { before: known },
             (Some(_), Some(_)) if self.has_left() && record.state == TargetState::Ready => {
@@ -57,7 +57,7 @@
 
     /// True if the target takes new requests.
     pub fn is_usable(&self) -> bool {
-        !self.is_spoilt && !self.has_left()
+        !self.names_no_target && !self.has_left()
     }
 
     fn has_left(&self) -> bool {
