--- a/src/standin/fault_proxy.rs
+++ b/src/standin/fault_proxy.rs
@@ -184,7 +184,13 @@
     let mut fault = shared.fault.clone();
     let mut piece = vec![0; PIECE];
     loop {
-        let read = from.read(&mut piece).await?;
+        let read = match from.read(&mut piece).await {
+            Ok(read) => read,
+            Err(problem) => {
+                reset(to);
+                return Err(problem);
+            }
+        };
         let passes = |fault: &ProxyFault| !(fault.stall || answers && fault.stall_answers);
         let fault = match fault.wait_for(passes).await {
             Ok(fault) => *fault,
@@ -206,3 +212,9 @@
         to.write_all(&piece[..read]).await?;
     }
 }
+
+/// Passes a reset on: as an orderly end it would make an answer without a length look whole.
+fn reset(to: OwnedWriteHalf) {
+    let _ = to.as_ref().set_zero_linger();
+    to.forget();
+}
