--- a/benches/control.rs
+++ b/benches/control.rs
@@ -10,10 +10,11 @@
 use {
     coveproxy::{
         client::{CallSpec, SeenOutcome},
+        clock::Instant,
         version::{Change, OutfitterSpec},
     },
     figures::{cpu_seconds, median, resident_kib},
-    std::time::{Duration, Instant},
+    std::time::Duration,
     support::{Bed, BedPlan, model},
 };
 
--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -7,6 +7,7 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         connection::targets::{BeliefBounds, BoardSettings, FleetView, TargetBoard, TargetView},
         formats::{TargetRecord, TargetState},
         process::{
@@ -17,13 +18,7 @@
         version::{AdapterVersion, Change, EngineSpec, SiteConfig, TargetRole, TargetSpec},
     },
     figures::{median, resident_kib},
-    std::{
-        collections::BTreeMap,
-        hint::black_box,
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, hint::black_box, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 fn main() {
--- a/benches/path.rs
+++ b/benches/path.rs
@@ -10,6 +10,7 @@
 use {
     coveproxy::{
         client::{CallResult, CallSpec, CallerClient, SeenOutcome},
+        clock::Instant,
         connection::target::{AnswerCheck, SseReader, TargetCall, TargetClient},
         version::AdapterVersion,
     },
@@ -21,7 +22,7 @@
             Arc,
             atomic::{AtomicU64, Ordering},
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     support::{Bed, BedPlan, model},
     tokio::task::JoinSet,
--- a/benches/rouille_front.rs
+++ b/benches/rouille_front.rs
@@ -3,6 +3,7 @@
 //! `cargo bench --bench rouille_front`
 
 use {
+    coveproxy::clock::Instant,
     rouille::{Response, ResponseBody, Server},
     std::{
         io::{self, Read, Write},
@@ -12,7 +13,7 @@
             atomic::{AtomicUsize, Ordering},
         },
         thread,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/src/client/caller_client.rs
+++ b/src/client/caller_client.rs
@@ -1,6 +1,7 @@
 use {
     super::{CallResult, CallSpec, SeenOutcome, call_spec::CallKind},
     crate::{
+        clock::Instant,
         connection::{header_text, target::SseReader},
         errors::RunError,
         request::{
@@ -19,11 +20,7 @@
     rand::RngExt,
     serde::Deserialize,
     serde_json::Value,
-    std::{
-        net::SocketAddr,
-        sync::Mutex,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, sync::Mutex, time::Duration},
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
--- a/src/connection/caller/caller_front.rs
+++ b/src/connection/caller/caller_front.rs
@@ -1,6 +1,7 @@
 use {
     super::{ErrorAnswer, Outcome, answer_body::AnswerBody},
     crate::{
+        clock::Instant,
         errors::RequestError,
         process::{
             control::{SharedView, View},
@@ -29,7 +30,7 @@
     rand::RngExt,
     serde::Deserialize,
     serde_json::json,
-    std::{net::SocketAddr, sync::Arc, time::Instant},
+    std::{net::SocketAddr, sync::Arc},
     tokio::sync::{mpsc, oneshot},
 };
 
--- a/src/connection/datagram/socket.rs
+++ b/src/connection/datagram/socket.rs
@@ -1,6 +1,7 @@
 use {
     super::{Message, decode, encode},
     crate::{
+        clock::Instant,
         metrics::{StateLabels, metrics},
         note,
         timeline::Event,
@@ -9,7 +10,6 @@
         cell::{Cell, RefCell},
         io,
         net::SocketAddr,
-        time::Instant,
     },
     tokio::net::UdpSocket,
 };
--- a/src/connection/front/adapter_standing.rs
+++ b/src/connection/front/adapter_standing.rs
@@ -4,10 +4,11 @@
         engine_sample::is_coming,
     },
     crate::{
+        clock::Instant,
         connection::targets::{AdapterCopy, TargetBoard},
         request::direct::CopyState,
     },
-    std::time::{Duration, Instant},
+    std::time::Duration,
 };
 
 /// How an adapter stands for a request: which versions may serve it, and where they are.
--- a/src/connection/front/against_engines.rs
+++ b/src/connection/front/against_engines.rs
@@ -1,6 +1,6 @@
 use {
+    crate::clock::Instant,
     crate::request::direct::{CopyState, EngineCandidate},
-    std::time::Instant,
 };
 
 /// Engines that were weighed for a request and could not take it, by the first thing that spoke against
--- a/src/connection/front/belief_gate.rs
+++ b/src/connection/front/belief_gate.rs
@@ -2,13 +2,14 @@
 
 use {
     super::request_trace::millis,
-    crate::{connection::targets::TargetBoard, note, timeline::Event},
-    std::{
-        cell::RefCell,
-        rc::Rc,
-        time::{Duration, Instant},
+    crate::{
+        clock::{Instant, timeout_at},
+        connection::targets::TargetBoard,
+        note,
+        timeline::Event,
     },
-    tokio::{sync::Notify, time::timeout_at},
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    tokio::sync::Notify,
 };
 
 /// A request is held back for so long at the most. News that are late are mostly late by less; past
@@ -69,7 +70,7 @@
             news.notified().await;
         }
     };
-    let confirmed = timeout_at((begun + MOST_HELD).into(), confirmed).await;
+    let confirmed = timeout_at(begun + MOST_HELD, confirmed).await;
     note!(
         Event::RequestHeld,
         id = request,
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -9,6 +9,7 @@
         tries::Tries,
     },
     crate::{
+        clock::Instant,
         connection::targets::{AdapterAsk, TargetBoard},
         request::direct::{
             CallRequest, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Patience,
@@ -16,12 +17,7 @@
         },
     },
     rand::RngExt,
-    std::{
-        cell::RefCell,
-        rc::Rc,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
 
 /// Wait for the answer of a holder that was just asked.
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -10,6 +10,7 @@
         waiter::Waiter,
     },
     crate::{
+        clock::{Instant, sleep_until, timeout_at},
         connection::targets::TargetBoard,
         formats::Formats,
         metrics::{KindLabels, OutcomeLabels, WaitLabels, metrics},
@@ -22,13 +23,7 @@
         version::routing::RouteKind,
     },
     http::Response,
-    std::{
-        cell::RefCell,
-        rc::Rc,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
-    tokio::time::{sleep_until, timeout_at},
+    std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
 
 /// Callers that were refused come back after this time, if nothing better is known.
@@ -80,7 +75,7 @@
         self.note_demand(&request);
         let mut unserved = Unserved::new(&request);
         let tried = self.try_targets(&request, &mut unserved.tries, None);
-        let outcome = timeout_at(request.ends.into(), tried).await;
+        let outcome = timeout_at(request.ends, tried).await;
         let mut tries = unserved.disarm();
         let response = match outcome {
             Ok(Outcome::Final(response)) => response,
@@ -356,7 +351,7 @@
         let news = self.board.borrow().standing_news();
         tokio::select! {
             _ = news.notified() => {}
-            _ = sleep_until(until.into()) => {}
+            _ = sleep_until(until) => {}
         }
     }
 
@@ -367,13 +362,13 @@
         until: Instant,
     ) {
         let Some(adapter) = request.generation.as_ref().and_then(|g| g.adapter()) else {
-            sleep_until(until.into()).await;
+            sleep_until(until).await;
             return;
         };
         let waiter = Waiter::start(&self.board, adapter, request.route.priority);
         tokio::select! {
             _ = waiter.news() => {}
-            _ = sleep_until(until.into()) => {}
+            _ = sleep_until(until) => {}
         }
     }
 
--- a/src/connection/front/engine_outlook.rs
+++ b/src/connection/front/engine_outlook.rs
@@ -1,13 +1,11 @@
 use {
     super::tries::Tries,
     crate::{
+        clock::Instant,
         connection::targets::{ReadingSpeed, TargetBoard, TargetLink},
         request::direct::{CallRequest, CopyState, EngineCandidate, Policy, USUAL_LOAD},
     },
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
 };
 
 /// What other hosts send to an engine is unknown when it was last told longer ago.
--- a/src/connection/front/engine_sample.rs
+++ b/src/connection/front/engine_sample.rs
@@ -3,14 +3,12 @@
 use {
     super::tries::{QueryRound, Tries},
     crate::{
+        clock::Instant,
         connection::{datagram::EngineQuery, targets::TargetBoard},
         request::direct::{CallRequest, CopyState},
     },
     rand::seq::IndexedRandom,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
 };
 
 /// Wait for what holders tell of their engines.
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        clock::Instant,
         connection::{
             http1::{BodyDecoder, ExchangeError, HttpConnection, ResponseHead},
             targets::{RequestTokens, TargetBoard, TargetLink},
@@ -13,7 +14,7 @@
         cell::{Cell, RefCell},
         rc::Rc,
         sync::Arc,
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::time::timeout,
 };
--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -4,6 +4,7 @@
         belief_gate::{Belief, HELD_COME_BACK, wait_until_confirmed},
     },
     crate::{
+        clock::Instant,
         connection::targets::TargetBoard,
         formats::Formats,
         metrics::{StateLabels, metrics},
@@ -20,7 +21,7 @@
             Arc,
             atomic::{AtomicUsize, Ordering},
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
--- a/src/connection/front/request_reader.rs
+++ b/src/connection/front/request_reader.rs
@@ -1,6 +1,7 @@
 use {
     super::OwnCause,
     crate::{
+        clock::{Instant, timeout_at},
         formats::{Formats, HeaderNames},
         request::direct::{CallRequest, Generation},
         version::routing::{Route, RoutingTable, TargetService},
@@ -9,11 +10,7 @@
     http::{HeaderMap, HeaderName, HeaderValue, Request, header, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
-    tokio::time::timeout_at,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Headers that concern one connection only.
@@ -194,7 +191,7 @@
     }
     let mut whole = BytesMut::new();
     loop {
-        let frame = timeout_at(ends.into(), body.frame()).await;
+        let frame = timeout_at(ends, body.frame()).await;
         let frame = frame.map_err(|_| RequestProblem::Answer(OwnCause::BodyTooSlow))?;
         let Some(frame) = frame else {
             return Ok(whole.freeze());
--- a/src/connection/front/request_trace.rs
+++ b/src/connection/front/request_trace.rs
@@ -1,10 +1,7 @@
 use {
     super::{against_engines::AgainstEngines, exchange::VersionSent},
-    crate::{note, timeline::Event},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    crate::{clock::Instant, note, timeline::Event},
+    std::{sync::Arc, time::Duration},
 };
 
 /// Steps of one request that are kept; later ones are only counted.
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -6,14 +6,16 @@
         request_trace::millis,
         tries::Tries,
     },
-    crate::{note, request::direct::CallRequest, timeline::Event},
+    crate::{
+        clock::{Instant, sleep_until, timeout_at},
+        note,
+        request::direct::CallRequest,
+        timeline::Event,
+    },
     bytes::Bytes,
     http::Response,
-    std::{rc::Rc, time::Instant},
-    tokio::{
-        sync::mpsc,
-        time::{sleep_until, timeout_at},
-    },
+    std::rc::Rc,
+    tokio::sync::mpsc,
 };
 
 /// Pieces that wait for a slow caller before the target is held up.
@@ -125,8 +127,8 @@
             let piece = tokio::select! {
                 piece = source.next() => piece,
                 _ = self.caller.closed() => return RelayEnd::CallerGone,
-                _ = sleep_until(self.request.ends.into()) => return RelayEnd::TimeOver,
-                _ = sleep_until(silent_at.into()), if self.request.route.resumable => {
+                _ = sleep_until(self.request.ends) => return RelayEnd::TimeOver,
+                _ = sleep_until(silent_at), if self.request.route.resumable => {
                     match source.target_is_silent(silence) {
                         true => return RelayEnd::Silent,
                         false => continue,
@@ -178,7 +180,7 @@
             .dispatcher
             .resume(&self.request, &mut self.tries, broken, after);
         tokio::select! {
-            resumed = timeout_at(self.request.ends.into(), resumed) => resumed.ok().flatten(),
+            resumed = timeout_at(self.request.ends, resumed) => resumed.ok().flatten(),
             _ = caller.closed() => None,
         }
     }
--- a/src/connection/front/tries.rs
+++ b/src/connection/front/tries.rs
@@ -3,8 +3,9 @@
         exchange::{Destination, WholeAnswer},
         request_trace::{RequestTrace, TraceStep},
     },
+    crate::clock::Instant,
     crate::request::direct::{AttemptEnd, RequestHistory},
-    std::{sync::Arc, time::Instant},
+    std::sync::Arc,
 };
 
 /// Samples of engines that are given up for one request, at the most.
--- a/src/connection/targets/adapter_demand.rs
+++ b/src/connection/targets/adapter_demand.rs
@@ -1,7 +1,5 @@
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use crate::clock::Instant;
+use std::{collections::HashMap, time::Duration};
 
 /// Time after which half of a past request is forgotten.
 const HALF_LIFE: Duration = Duration::from_secs(4);
--- a/src/connection/targets/adapter_map.rs
+++ b/src/connection/targets/adapter_map.rs
@@ -1,8 +1,8 @@
 use {
-    crate::{formats::HeldModel, request::direct::CopyState},
+    crate::{clock::Instant, formats::HeldModel, request::direct::CopyState},
     std::{
         collections::{HashMap, VecDeque},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/src/connection/targets/belief_ages.rs
+++ b/src/connection/targets/belief_ages.rs
@@ -1,4 +1,5 @@
-use std::time::{Duration, Instant};
+use crate::clock::Instant;
+use std::time::Duration;
 
 /// Ages are told of once in such a time.
 const PERIOD: Duration = Duration::from_secs(1);
--- a/src/connection/targets/confirmation.rs
+++ b/src/connection/targets/confirmation.rs
@@ -1,4 +1,5 @@
-use std::time::{Duration, Instant};
+use crate::clock::Instant;
+use std::time::Duration;
 
 /// Time from the last look at the age of a belief until the request that rests on it has reached its
 /// target, at the most. A host looks right before it writes the request to an open connection; the
--- a/src/connection/targets/fleet_view.rs
+++ b/src/connection/targets/fleet_view.rs
@@ -1,7 +1,7 @@
 use {
     super::{Confirmation, VersionHistory},
-    crate::{formats::TargetRecord, version::routing::RoutingTable},
-    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Instant},
+    crate::{clock::Instant, formats::TargetRecord, version::routing::RoutingTable},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc},
 };
 
 /// A target that may get requests.
--- a/src/connection/targets/repeat_budgets.rs
+++ b/src/connection/targets/repeat_budgets.rs
@@ -1,16 +1,14 @@
 use {
     super::BoardSettings,
     crate::{
+        clock::Instant,
         connection::datagram::{Loan, LoanAsk},
         metrics::{StateLabels, metrics},
         note,
         request::repeats::{BudgetTerms, RepeatBudget, RepeatUsage},
         timeline::Event,
     },
-    std::{
-        collections::BTreeMap,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// Time between two tellings of how budgets stand.
--- a/src/connection/targets/serves_until.rs
+++ b/src/connection/targets/serves_until.rs
@@ -1,7 +1,4 @@
-use {
-    super::SEND_MARGIN,
-    std::time::{Duration, Instant},
-};
+use {super::SEND_MARGIN, crate::clock::Instant, std::time::Duration};
 
 /// A request begins at its engine later than expected by so much at the most: prompts that other hosts send at
 /// the same moment are not counted yet, and urgent ones are read first. Of 14,900 requests on six calm days and
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -5,6 +5,7 @@
         TargetView, VersionHistory,
     },
     crate::{
+        clock::Instant,
         connection::datagram::{
             AdapterUsage, EngineLoad, EngineQuery, EngineStanding, Loan, LoanAsk, Placement,
             PlacementState, Usage, Want,
@@ -17,13 +18,7 @@
         },
         version::routing::RoutingTable,
     },
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        rc::Rc,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::sync::Notify,
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
--- a/src/connection/targets/target_health.rs
+++ b/src/connection/targets/target_health.rs
@@ -1,4 +1,5 @@
-use std::time::{Duration, Instant};
+use crate::clock::Instant;
+use std::time::Duration;
 
 /// First time for which a target is avoided after a failure; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -1,11 +1,8 @@
 use {
     super::{TargetHealth, TargetView},
+    crate::clock::Instant,
     crate::connection::http1::HttpConnection,
-    std::{
-        collections::HashMap,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
 /// An idle connection is not used so shortly before the target would close it.
--- a/src/connection/targets/version_history.rs
+++ b/src/connection/targets/version_history.rs
@@ -1,5 +1,4 @@
-use std::time::Instant;
-
+use crate::clock::Instant;
 /// Steps of one adapter's history that are kept. Versions come seconds apart, so that those before the
 /// oldest step may serve no longer anyway.
 const MAX_STEPS: usize = 32;
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -1,11 +1,12 @@
 use {
     super::{SitePlan, Tally, TrafficKind},
     crate::client::{CallSpec, CallerClient},
+    crate::clock::{Instant, sleep_until},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::task::JoinSet,
 };
@@ -53,7 +54,7 @@
         let mut calls = JoinSet::new();
         let mut told = 0;
         while due.as_secs_f64() < self.plan.seconds {
-            tokio::time::sleep_until((began + due).into()).await;
+            sleep_until(began + due).await;
             let spec = self.next_call();
             let (client, tally) = (self.client.clone(), self.tally.clone());
             calls.spawn(async move {
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -1,6 +1,7 @@
 use {
     super::{SitePlan, site_plan::BASE_MODEL},
     crate::{
+        clock::Instant,
         connection::platform::{HostState, HttpObjectStore, HttpTable, ListedHost},
         errors::RunError,
         process::{node::Node, settings::HostSettings},
@@ -9,12 +10,7 @@
         },
         version::{Change, ConfigStore, SiteConfig},
     },
-    std::{
-        net::SocketAddr,
-        path::Path,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, path::Path, sync::Arc, time::Duration},
 };
 
 /// A site that does not come up within this time is not going to.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cli;
 pub mod client;
+pub mod clock;
 pub mod connection;
 pub mod demo;
 pub mod errors;
--- a/src/process/control/control.rs
+++ b/src/process/control/control.rs
@@ -1,6 +1,7 @@
 use {
     super::{Action, Input},
     crate::{
+        clock::Instant,
         process::{
             loads::{LoadDecision, LoadQueue},
             membership::{Heartbeat, Liveness, Membership, Rumor},
@@ -12,11 +13,7 @@
         timeline::{Event, EventLog},
         version::SiteConfig,
     },
-    std::{
-        collections::BTreeMap,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
 /// Looks at the table that must fail in a row before it counts as out.
--- a/src/process/control/control_ownership.rs
+++ b/src/process/control/control_ownership.rs
@@ -6,6 +6,7 @@
         control::{TABLE_FAILURES, named},
     },
     crate::{
+        clock::Instant,
         connection::{
             platform::{Row, RowScan},
             target::EngineOrder,
@@ -16,7 +17,6 @@
         },
         timeline::Event,
     },
-    std::time::Instant,
 };
 
 /// Ownership decisions wait this many probe periods after the start, to hear of the others.
--- a/src/process/control/control_targets.rs
+++ b/src/process/control/control_targets.rs
@@ -3,11 +3,11 @@
 use {
     super::{Action, Control, control::named},
     crate::{
+        clock::Instant,
         connection::target::{EngineOrder, EngineReport},
         errors::TargetError,
         timeline::Event,
     },
-    std::time::Instant,
 };
 
 impl Control {
--- a/src/process/control/control_thread.rs
+++ b/src/process/control/control_thread.rs
@@ -1,6 +1,7 @@
 use {
     super::{Action, Control, ControlEvent, Input, LoadGrant, SharedView},
     crate::{
+        clock::Instant,
         process::{
             loads::AskId,
             node::ActionRunner,
@@ -8,11 +9,7 @@
         },
         version::AdapterVersion,
     },
-    std::{
-        collections::HashMap,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::sync::oneshot,
 };
 
@@ -63,7 +60,7 @@
                 let view = self.control.view();
                 self.view.store(Arc::new(view));
             }
-            match self.events.recv_deadline(next_tick) {
+            match self.events.recv_timeout(next_tick - Instant::now()) {
                 Ok(ControlEvent::Stop) => return,
                 Ok(event) => self.on_event(event),
                 Err(flume::RecvTimeoutError::Timeout) => {}
--- a/src/process/control/control_view.rs
+++ b/src/process/control/control_view.rs
@@ -3,6 +3,7 @@
 use {
     super::{Control, HostView, OwnerView, View},
     crate::{
+        clock::Instant,
         connection::{peer::wire, platform::HostState},
         process::{
             membership::{Heartbeat, Liveness},
@@ -10,7 +11,7 @@
             target::TargetState,
         },
     },
-    std::{collections::BTreeMap, time::Instant},
+    std::collections::BTreeMap,
 };
 
 impl Control {
--- a/src/process/control/input.rs
+++ b/src/process/control/input.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        clock::Instant,
         connection::{
             platform::{ListedHost, RowScan},
             target::{EngineOrder, EngineReport},
@@ -13,7 +14,7 @@
         },
         version::{AdapterVersion, SiteConfig},
     },
-    std::{sync::Arc, time::Instant},
+    std::sync::Arc,
 };
 
 /// Everything that the control state learns of.
--- a/src/process/engines/adapter_place.rs
+++ b/src/process/engines/adapter_place.rs
@@ -1,7 +1,8 @@
+use crate::clock::Instant;
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Time after which half of an adapter's use is forgotten.
--- a/src/process/engines/desk_choice.rs
+++ b/src/process/engines/desk_choice.rs
@@ -6,8 +6,9 @@
         engine_desk::{MAX_COMING, key, name_of},
         load_limiter::LOAD_TIME,
     },
+    crate::clock::Instant,
     crate::formats::OrderKind,
-    std::time::{Duration, Instant},
+    std::time::Duration,
 };
 
 /// An adapter is dropped only if nobody has used it for this time: two periods in which hosts tell of
--- a/src/process/engines/desk_outcomes.rs
+++ b/src/process/engines/desk_outcomes.rs
@@ -7,10 +7,11 @@
         load_limiter::LOAD_TIME,
     },
     crate::{
+        clock::Instant,
         connection::datagram::PlacementState,
         formats::{OrderKind, OrderReply, TargetReport},
     },
-    std::time::{Duration, Instant},
+    std::time::Duration,
 };
 
 /// Pause before a load that was found not to be over is looked at again, as a share of its time so far.
--- a/src/process/engines/desk_start.rs
+++ b/src/process/engines/desk_start.rs
@@ -6,10 +6,10 @@
         engine_desk::REMEMBERED_PER_PLACE,
     },
     crate::{
+        clock::Instant,
         connection::datagram::PlacementState,
         formats::{OrderReply, TargetReport, TargetStart},
     },
-    std::time::Instant,
 };
 
 impl EngineDesk {
--- a/src/process/engines/engine_desk.rs
+++ b/src/process/engines/engine_desk.rs
@@ -5,6 +5,7 @@
         SharedLoadLimiter, WishRank, load_wish::Wish,
     },
     crate::{
+        clock::Instant,
         connection::datagram::{EngineQuery, Placement, PlacementState, Usage, Want},
         formats::{OrderKind, TargetStart},
         request::direct::Policy,
@@ -13,7 +14,7 @@
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/src/process/engines/engine_use.rs
+++ b/src/process/engines/engine_use.rs
@@ -1,10 +1,7 @@
 use {
+    crate::clock::Instant,
     crate::connection::datagram::{EngineQuery, Usage},
-    std::{
-        collections::BTreeMap,
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
 /// A host that asked how an engine stands has sent its request there by then, or elsewhere.
--- a/src/process/engines/late_orders.rs
+++ b/src/process/engines/late_orders.rs
@@ -1,7 +1,8 @@
 use {
     super::{DeskOrder, engine_desk::key},
+    crate::clock::Instant,
     crate::formats::OrderKind,
-    std::time::{Duration, Instant},
+    std::time::Duration,
 };
 
 /// An order without an answer is carried out within this time, or never. The platform's pages speak of
--- a/src/process/engines/load_wish.rs
+++ b/src/process/engines/load_wish.rs
@@ -1,8 +1,5 @@
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use crate::clock::Instant;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 /// Requests of this rank and those behind it are the least urgent.
 const LEAST_URGENT: u32 = 2;
--- a/src/process/engines/told_loads.rs
+++ b/src/process/engines/told_loads.rs
@@ -1,10 +1,7 @@
 use {
+    crate::clock::Instant,
     crate::connection::datagram::EngineLoad,
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
 
 /// A load that has not changed is told again after this time, since reports may be lost.
--- a/src/process/holding/holding.rs
+++ b/src/process/holding/holding.rs
@@ -5,6 +5,7 @@
         turns::Turns,
     },
     crate::{
+        clock::Instant,
         formats::{Expectation, Row, RowKey, RowWrite, Transaction},
         process::ownership::SessionLease,
     },
@@ -13,7 +14,7 @@
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::Arc,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -3,6 +3,7 @@
 use {
     super::{ControlAction, HostControl},
     crate::{
+        clock::Instant,
         connection::{
             datagram::{
                 EngineLoad, EngineQuery, EngineStanding, Message, Placement, PlacementState, Want,
@@ -15,7 +16,7 @@
         process::engines::{DeskAction, DeskOrder, EngineDesk, OrderPurpose, WishRank},
         timeline::Event,
     },
-    std::{net::SocketAddr, time::Instant},
+    std::net::SocketAddr,
 };
 
 /// Hosts up to which all are told where adapters stand and how busy engines are.
--- a/src/process/host/control_event.rs
+++ b/src/process/host/control_event.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        clock::Instant,
         connection::{
             datagram::{HostRumor, Message},
             targets::ControlRequest,
@@ -8,7 +9,7 @@
         formats::{Commit, OrderReply, RowBatch, RowsReply, TargetReport},
         process::{holding::TakenEngine, tables::TableChanges},
     },
-    std::{net::SocketAddr, time::Instant},
+    std::net::SocketAddr,
 };
 
 /// The tables of the store that every host keeps a copy of.
--- a/src/process/host/control_gauges.rs
+++ b/src/process/host/control_gauges.rs
@@ -3,11 +3,12 @@
 use {
     super::{HostControl, TableName},
     crate::{
+        clock::Instant,
         formats::TargetState,
         metrics::{CopyLabels, StateLabels, metrics},
         process::hosts::HostState,
     },
-    std::time::{Duration, Instant},
+    std::time::Duration,
 };
 
 impl HostControl {
--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -4,6 +4,7 @@
 use {
     super::{ControlAction, HostControl, control_tables::quoted},
     crate::{
+        clock::Instant,
         connection::datagram::HostRumor,
         formats::{Commit, Row, RowBatch},
         note,
@@ -17,7 +18,7 @@
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
         sync::Arc,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -3,6 +3,7 @@
 use {
     super::{ControlAction, HostControl},
     crate::{
+        clock::Instant,
         connection::{
             datagram::{Ack, HostRumor, LoanAsk, Message, Ping, PingEcho, PingRequest, Vouch},
             targets::ControlRequest,
@@ -12,10 +13,7 @@
         timeline::Event,
     },
     rand::RngExt,
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Times after the start at which the seeds are asked.
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -9,6 +9,7 @@
         wake_watch::{WakeWatch, tell_wake},
     },
     crate::{
+        clock::{Instant, sleep_until},
         connection::{
             datagram::DatagramSocket,
             http1::CallLimit,
@@ -23,13 +24,7 @@
             settings::NodeSettings,
         },
     },
-    std::{
-        cell::RefCell,
-        net::SocketAddr,
-        rc::Rc,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::task::spawn_local,
 };
 
@@ -117,7 +112,7 @@
                     message,
                     arrived_after: self.socket.drained_at(),
                 },
-                _ = tokio::time::sleep_until(wake.into()) => {
+                _ = sleep_until(wake) => {
                     if wake > looked {
                         // What had arrived by then would have come first.
                         self.socket.note_drained(looked);
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -3,6 +3,7 @@
 use {
     super::{ControlAction, HostControl, TableName},
     crate::{
+        clock::Instant,
         connection::{
             datagram::{Freshness, HostRumor, Message},
             targets::{TableConfirmation, VersionHistory},
@@ -13,11 +14,7 @@
         timeline::Event,
         version::routing::RoutingTable,
     },
-    std::{
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     xxhash_rust::xxh3::xxh3_64,
 };
 
--- a/src/process/host/control_targets.rs
+++ b/src/process/host/control_targets.rs
@@ -7,11 +7,12 @@
         listed_target::{EntryNews, ListedTarget},
     },
     crate::{
+        clock::Instant,
         formats::{Row, TargetRecord, TargetStart, TargetState},
         note,
         timeline::Event,
     },
-    std::{net::SocketAddr, time::Instant},
+    std::net::SocketAddr,
 };
 
 impl HostControl {
--- a/src/process/host/copy_reader.rs
+++ b/src/process/host/copy_reader.rs
@@ -6,6 +6,7 @@
         peer_pages::{copy_call, hosts_call, parse_hosts},
     },
     crate::{
+        clock::Instant,
         connection::{
             http1::{CallFailure, CallLimit},
             pull::CopyPage,
@@ -14,12 +15,7 @@
         formats::{Formats, HttpReply, RowBatch, RowsReply},
         process::tables::TableChanges,
     },
-    std::{
-        net::SocketAddr,
-        rc::Rc,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::task::spawn_local,
 };
 
--- a/src/process/host/copy_server.rs
+++ b/src/process/host/copy_server.rs
@@ -1,11 +1,12 @@
 use {
     super::{HostControl, TableName, peer_answer::PeerAnswer, send_allowance::SendAllowance},
     crate::{
+        clock::Instant,
         connection::pull::CopyPage,
         metrics::{CopyLabels, metrics},
         process::tables::TableChanges,
     },
-    std::{collections::HashMap, time::Instant},
+    std::collections::HashMap,
     xxhash_rust::xxh3::Xxh3Default,
 };
 
--- a/src/process/host/copy_transfer.rs
+++ b/src/process/host/copy_transfer.rs
@@ -1,6 +1,7 @@
 use {
     super::TableName,
     crate::{
+        clock::Instant,
         metrics::{TransferLabels, metrics},
         note,
         timeline::Event,
@@ -8,7 +9,7 @@
     std::{
         fmt::{self, Display, Formatter},
         net::SocketAddr,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/src/process/host/ended_targets.rs
+++ b/src/process/host/ended_targets.rs
@@ -1,9 +1,7 @@
 use {
     super::listed_target::ListedTarget,
-    std::{
-        collections::HashMap,
-        time::{Duration, Instant},
-    },
+    crate::clock::Instant,
+    std::{collections::HashMap, time::Duration},
 };
 
 /// A target that is gone is remembered for so long: entries were seen to be written up to 12 s late.
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -4,6 +4,7 @@
         ended_targets::EndedTargets, listed_target::ListedTarget, open_engines::OpenEngines,
     },
     crate::{
+        clock::Instant,
         connection::{
             datagram::{CopyState, Freshness, HostRumor, Ping},
             targets::{
@@ -27,7 +28,7 @@
         collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         net::SocketAddr,
         sync::Arc,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/src/process/host/host_process.rs
+++ b/src/process/host/host_process.rs
@@ -6,6 +6,7 @@
         traffic::{TrafficParts, run_traffic},
     },
     crate::{
+        clock::Instant,
         connection::{datagram::DatagramSocket, front::FrontStop},
         errors::RunError,
         formats::Formats,
@@ -19,7 +20,7 @@
             Arc,
             atomic::{AtomicUsize, Ordering},
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{
         net::TcpListener,
--- a/src/process/host/listed_target.rs
+++ b/src/process/host/listed_target.rs
@@ -1,6 +1,7 @@
 use {
+    crate::clock::Instant,
     crate::formats::{TargetRecord, TargetStart, TargetState},
-    std::{sync::Arc, time::Instant},
+    std::sync::Arc,
 };
 
 /// A target as the list has it.
--- a/src/process/host/peer_pages.rs
+++ b/src/process/host/peer_pages.rs
@@ -3,11 +3,11 @@
 use {
     super::{HostControl, TableName, copy_server::CopyServer, peer_answer::PeerAnswer},
     crate::{
+        clock::Instant,
         connection::{datagram::HostRumor, pull::HostsBody},
         formats::HttpCall,
     },
     prost::Message,
-    std::time::Instant,
 };
 
 const COPY_PATH: &str = "/copy/";
--- a/src/process/host/public_pages.rs
+++ b/src/process/host/public_pages.rs
@@ -6,6 +6,7 @@
         HostControl, copy_server::CopyServer, peer_answer::PeerAnswer, peer_pages::answer_peer,
     },
     crate::{
+        clock::Instant,
         connection::front::AnswerBody,
         formats::{Formats, PublicCall},
         metrics::metrics,
@@ -13,13 +14,7 @@
     http::{HeaderValue, Request, Response, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{
-        cell::RefCell,
-        convert::Infallible,
-        rc::Rc,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{cell::RefCell, convert::Infallible, rc::Rc, sync::Arc, time::Duration},
     tokio::{net::TcpListener, task::spawn_local},
 };
 
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        clock::Instant,
         connection::{
             datagram::{EngineLoad, EngineStanding, Loan, LoanAsk, Placement},
             front::{FrontListener, FrontStop},
@@ -20,7 +21,7 @@
         net::{SocketAddr, TcpListener},
         rc::Rc,
         sync::{Arc, atomic::AtomicUsize},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{
         runtime::Builder,
--- a/src/process/host/wake_watch.rs
+++ b/src/process/host/wake_watch.rs
@@ -1,13 +1,11 @@
 use {
     crate::{
+        clock::Instant,
         metrics::{KindLabels, metrics},
         note,
         timeline::Event,
     },
-    std::{
-        collections::BTreeMap,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// Wakes are judged over such a time.
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -1,13 +1,9 @@
 use {
     super::{HostIdentity, HostState, KnownHost, SiteSize},
+    crate::clock::Instant,
     crate::connection::datagram::{HostRumor, RumorState},
     rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
-    std::{
-        cmp::Reverse,
-        collections::BTreeMap,
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
 /// Hosts asked to ping one that does not answer, before it is suspected.
--- a/src/process/hosts/known_host.rs
+++ b/src/process/hosts/known_host.rs
@@ -1,6 +1,7 @@
 use {
+    crate::clock::Instant,
     crate::connection::datagram::{HostRumor, RumorState},
-    std::{net::SocketAddr, time::Instant},
+    std::net::SocketAddr,
 };
 
 /// What does not change while a host's process runs.
--- a/src/process/loads/load_queue.rs
+++ b/src/process/loads/load_queue.rs
@@ -1,9 +1,7 @@
 use {
+    crate::clock::Instant,
     crate::version::AdapterVersion,
-    std::{
-        collections::BTreeMap,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// An ask that was not granted within this time is answered, so that its score is renewed.
--- a/src/process/membership/member.rs
+++ b/src/process/membership/member.rs
@@ -1,4 +1,4 @@
-use {crate::connection::platform::ListedHost, std::time::Instant};
+use {crate::clock::Instant, crate::connection::platform::ListedHost};
 
 /// What is believed of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/process/membership/membership.rs
+++ b/src/process/membership/membership.rs
@@ -1,14 +1,12 @@
 use {
     super::{Liveness, Member, Rumor, RumorQueue},
     crate::{
+        clock::Instant,
         connection::platform::{HostState, ListedHost},
         process::settings::MembershipSettings,
     },
     rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        time::Instant,
-    },
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Hosts asked to probe on this one's behalf before a host is suspected.
--- a/src/process/node/action_runner.rs
+++ b/src/process/node/action_runner.rs
@@ -1,6 +1,7 @@
 use {
     super::JobPool,
     crate::{
+        clock::Instant,
         connection::{
             peer::{PeerLinks, heartbeat_from_wire, heartbeat_to_wire, wire},
             platform::{Commit, Condition, Table, Transaction, Write},
@@ -18,10 +19,7 @@
         timeline::{Event, EventLog},
         version::AdapterVersion,
     },
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
     tokio::{runtime::Handle, sync::oneshot},
 };
 
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -4,6 +4,7 @@
         SessionKeeper, report_loop,
     },
     crate::{
+        clock::Instant,
         connection::{
             caller::{CallerFront, FrontContext, HttpListener, ListenerLimits},
             peer::{PeerLinks, PeerServer, wire::peer_server::PeerServer as PeerGrpc},
@@ -30,7 +31,7 @@
             atomic::{AtomicBool, Ordering},
         },
         thread,
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio::{
         net::{TcpListener, TcpSocket},
--- a/src/process/node/report_loop.rs
+++ b/src/process/node/report_loop.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        clock::Instant,
         connection::target::TargetClient,
         process::control::{ControlHandle, Input, SharedView},
     },
@@ -7,7 +8,7 @@
         collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::{Arc, Mutex},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::sync::watch,
 };
--- a/src/process/node/session_keeper.rs
+++ b/src/process/node/session_keeper.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        clock::Instant,
         connection::platform::{Commit, Condition, Table, Transaction, Write},
         errors::PlatformError,
         process::{
@@ -8,10 +9,7 @@
         },
     },
     rand::RngExt,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
 };
 
 /// Pause after a failed renewal; jittered, so that hosts do not come back all at once.
--- a/src/process/ownership/ownership.rs
+++ b/src/process/ownership/ownership.rs
@@ -1,13 +1,11 @@
 use {
     super::{OwnerRow, SessionWatch, assign},
     crate::{
+        clock::Instant,
         process::membership::{Liveness, Membership},
         version::SiteConfig,
     },
-    std::{
-        collections::BTreeMap,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// An owner that sees a better assignment waits this long before it hands over.
--- a/src/process/ownership/session_lease.rs
+++ b/src/process/ownership/session_lease.rs
@@ -1,9 +1,10 @@
+use crate::clock::Instant;
 use std::{
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// This process's own lease, readable from every thread at the last moment before an order.
--- a/src/process/ownership/session_watch.rs
+++ b/src/process/ownership/session_watch.rs
@@ -1,9 +1,7 @@
 use {
     super::SessionRow,
-    std::{
-        collections::BTreeMap,
-        time::{Duration, Instant},
-    },
+    crate::clock::Instant,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// Watches the session rows of hosts believed dead, to see them lapse.
--- a/src/process/tables/read_schedule.rs
+++ b/src/process/tables/read_schedule.rs
@@ -1,4 +1,5 @@
-use std::time::{Duration, Instant};
+use crate::clock::Instant;
+use std::time::Duration;
 
 /// A host that starts leaves others this time to hand it their copies, before it reads itself.
 const FIRST_WAIT: Duration = Duration::from_millis(150);
--- a/src/process/tables/table_copy.rs
+++ b/src/process/tables/table_copy.rs
@@ -1,11 +1,8 @@
 use {
     super::TableChanges,
+    crate::clock::Instant,
     crate::formats::{Row, RowBatch},
-    std::{
-        collections::BTreeMap,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
--- a/src/process/target/adapter_slot.rs
+++ b/src/process/target/adapter_slot.rs
@@ -1,5 +1,4 @@
-use std::time::Instant;
-
+use crate::clock::Instant;
 /// State of an adapter on an engine, as its owner knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SlotState {
--- a/src/process/target/drop_choice.rs
+++ b/src/process/target/drop_choice.rs
@@ -1,7 +1,6 @@
 use {
-    super::AdapterSlot,
-    crate::version::AdapterVersion,
-    std::{collections::BTreeMap, time::Instant},
+    super::AdapterSlot, crate::clock::Instant, crate::version::AdapterVersion,
+    std::collections::BTreeMap,
 };
 
 /// The idle adapter that is missed least: the lowest aged frequency, then the least recent use.
--- a/src/process/target/target_action.rs
+++ b/src/process/target/target_action.rs
@@ -1,6 +1,8 @@
 use {
-    crate::{connection::target::EngineOrder, request::Refusal, version::AdapterVersion},
-    std::time::{Duration, Instant},
+    crate::{
+        clock::Instant, connection::target::EngineOrder, request::Refusal, version::AdapterVersion,
+    },
+    std::time::Duration,
 };
 
 /// Names one request at its owner.
--- a/src/process/target/target_health.rs
+++ b/src/process/target/target_health.rs
@@ -1,4 +1,5 @@
-use std::time::{Duration, Instant};
+use crate::clock::Instant;
+use std::time::Duration;
 
 /// Failures in a row that open the circuit.
 const OPEN_AFTER: u32 = 3;
--- a/src/process/target/target_loads.rs
+++ b/src/process/target/target_loads.rs
@@ -5,12 +5,13 @@
         AdapterSlot, SlotState, TargetAction, TargetState, choose_drop, target_state::LOAD_PAUSE,
     },
     crate::{
+        clock::Instant,
         connection::target::EngineOrder,
         errors::TargetError,
         request::{Refusal, RefusalCode},
         version::AdapterVersion,
     },
-    std::time::{Duration, Instant},
+    std::time::Duration,
 };
 
 /// Told to those whose load failed.
--- a/src/process/target/target_report.rs
+++ b/src/process/target/target_report.rs
@@ -3,10 +3,11 @@
 use {
     super::{AdapterSlot, SlotState, TargetAction, TargetState},
     crate::{
+        clock::Instant,
         connection::target::{AdapterState, EngineOrder, EngineReport},
         version::AdapterVersion,
     },
-    std::{collections::BTreeSet, time::Instant},
+    std::collections::BTreeSet,
 };
 
 impl TargetState {
--- a/src/process/target/target_state.rs
+++ b/src/process/target/target_state.rs
@@ -3,13 +3,14 @@
         AdapterSlot, Admission, SlotState, TargetAction, TargetHealth, Ticket, TicketId, WaitQueue,
     },
     crate::{
+        clock::Instant,
         connection::target::EngineOrder,
         request::{Refusal, RefusalCode},
         version::{AdapterVersion, TargetSpec},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/src/process/target/wait_queue.rs
+++ b/src/process/target/wait_queue.rs
@@ -1,11 +1,8 @@
 use {
     super::{Ticket, TicketId},
+    crate::clock::Instant,
     crate::version::AdapterVersion,
-    std::{
-        cmp::Ordering,
-        collections::BTreeMap,
-        time::{Duration, Instant},
-    },
+    std::{cmp::Ordering, collections::BTreeMap, time::Duration},
 };
 
 /// Each priority step outweighs this much waiting.
--- a/src/request/attempt_ledger.rs
+++ b/src/request/attempt_ledger.rs
@@ -1,10 +1,11 @@
 use {
+    crate::clock::{Instant, timeout_at},
     bytes::Bytes,
     http::{HeaderMap, StatusCode},
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, MutexGuard},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::sync::Notify,
 };
@@ -125,10 +126,7 @@
             if record.state != AttemptState::Running {
                 return Some(record);
             }
-            if tokio::time::timeout_at(deadline.into(), notified)
-                .await
-                .is_err()
-            {
+            if timeout_at(deadline, notified).await.is_err() {
                 return Some(record);
             }
         }
--- a/src/request/caller_request.rs
+++ b/src/request/caller_request.rs
@@ -1,10 +1,10 @@
 use {
     crate::{
-        connection::peer::wire::ForwardRequest, request::headers_to_wire, version::AdapterVersion,
+        clock::Instant, connection::peer::wire::ForwardRequest, request::headers_to_wire,
+        version::AdapterVersion,
     },
     bytes::Bytes,
     http::{HeaderMap, Method},
-    std::time::Instant,
 };
 
 /// A caller's request, checked against the configuration.
--- a/src/request/claim_store.rs
+++ b/src/request/claim_store.rs
@@ -1,6 +1,7 @@
 use {
     super::{AttemptState, KeptAnswer},
     crate::{
+        clock::Instant,
         connection::platform::{Commit, Condition, Table, Transaction, Write},
         errors::PlatformError,
     },
@@ -12,7 +13,7 @@
         collections::{BTreeMap, VecDeque},
         sync::Arc,
         thread,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -261,7 +262,7 @@
         }
         let until = Instant::now() + GATHER;
         while self.pending.len() < GROUP {
-            match self.received.recv_deadline(until) {
+            match self.received.recv_timeout(until - Instant::now()) {
                 Ok(update) => self.take(update),
                 Err(_) => break,
             }
--- a/src/request/direct/call_request.rs
+++ b/src/request/direct/call_request.rs
@@ -1,12 +1,10 @@
 use {
     super::Generation,
+    crate::clock::Instant,
     crate::version::routing::{Route, TargetService},
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
 };
 
 /// One attempt of a caller, whole.
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -1,7 +1,4 @@
-use {
-    super::Policy,
-    std::time::{Duration, Instant},
-};
+use {super::Policy, crate::clock::Instant, std::time::Duration};
 
 /// Where an adapter stands on one engine, as far as this host knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/request/entry_service.rs
+++ b/src/request/entry_service.rs
@@ -8,6 +8,7 @@
         try_history::TryHistory,
     },
     crate::{
+        clock::Instant,
         connection::peer::wire,
         process::{
             control::{SharedView, View},
@@ -15,10 +16,7 @@
         },
         timeline::{Event, EventLog},
     },
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
 };
 
 /// How long a request waits for a target to get an owner or come back, at the most.
--- a/src/request/owner_service.rs
+++ b/src/request/owner_service.rs
@@ -4,6 +4,7 @@
         PartSender, Refusal, RefusalCode, RunEnd, TargetRun,
     },
     crate::{
+        clock::{Instant, timeout_at},
         connection::{
             peer::wire::{ForwardRequest, OutcomeReply},
             target::TargetClient,
@@ -17,10 +18,7 @@
         timeline::EventLog,
         version::{AdapterVersion, TargetSpec},
     },
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
 };
 
 /// What the service of an owner needs from its process.
@@ -301,7 +299,7 @@
         // Only a stream can be come back to; a whole answer is run anew.
         if request.resumed && request.stream {
             let run = self.target_run(spec, request, 0, Duration::ZERO, parts);
-            let resumed = tokio::time::timeout_at(deadline.into(), run.resume()).await;
+            let resumed = timeout_at(deadline, run.resume()).await;
             match resumed {
                 Ok(Some(end)) => return end,
                 Ok(None) if request.repeatable => {}
@@ -390,9 +388,7 @@
     run: impl Future<Output = RunEnd>,
 ) -> RunEnd {
     let late = RunEnd::Refused(Refusal::unknown(RefusalCode::DeadlinePassed));
-    tokio::time::timeout_at(deadline.into(), run)
-        .await
-        .unwrap_or(late)
+    timeout_at(deadline, run).await.unwrap_or(late)
 }
 
 fn lost() -> RunEnd {
--- a/src/request/rate_limits.rs
+++ b/src/request/rate_limits.rs
@@ -1,4 +1,5 @@
-use std::{collections::HashMap, sync::Mutex, time::Instant};
+use crate::clock::Instant;
+use std::{collections::HashMap, sync::Mutex};
 
 /// A quiet service may send this many seconds' worth at once.
 const BURST_SECONDS: f64 = 1.0;
--- a/src/request/repeats/borrowed.rs
+++ b/src/request/repeats/borrowed.rs
@@ -1,4 +1,5 @@
-use std::{collections::VecDeque, time::Instant};
+use crate::clock::Instant;
+use std::collections::VecDeque;
 
 #[derive(Debug)]
 struct Loan {
--- a/src/request/repeats/earned.rs
+++ b/src/request/repeats/earned.rs
@@ -4,7 +4,7 @@
         budget_terms::KEPT_PART,
         recent_count::{RecentCount, Rounding},
     },
-    std::time::Instant,
+    crate::clock::Instant,
 };
 
 /// Repeats that a host's own requests have earned.
--- a/src/request/repeats/extra_share.rs
+++ b/src/request/repeats/extra_share.rs
@@ -3,7 +3,7 @@
         BudgetTerms,
         recent_count::{RecentCount, Rounding},
     },
-    std::time::Instant,
+    crate::clock::Instant,
 };
 
 /// A host's own share of the extra allowance: what it has spent and lent of it.
--- a/src/request/repeats/loan_asks.rs
+++ b/src/request/repeats/loan_asks.rs
@@ -1,9 +1,7 @@
 use {
     super::budget_terms::LOAN_VALIDITY,
-    std::{
-        collections::VecDeque,
-        time::{Duration, Instant},
-    },
+    crate::clock::Instant,
+    std::{collections::VecDeque, time::Duration},
 };
 
 /// Time between two rounds of asking, at the least.
--- a/src/request/repeats/paid.rs
+++ b/src/request/repeats/paid.rs
@@ -1,5 +1,4 @@
-use std::time::Instant;
-
+use crate::clock::Instant;
 /// What one repeat was paid with.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Paid {
--- a/src/request/repeats/recent_count.rs
+++ b/src/request/repeats/recent_count.rs
@@ -1,7 +1,5 @@
-use std::{
-    collections::VecDeque,
-    time::{Duration, Instant},
-};
+use crate::clock::Instant;
+use std::{collections::VecDeque, time::Duration};
 
 /// Slices of the time over which something is counted; what was spent counts for a fortieth of it too long.
 const SLICES: u32 = 40;
--- a/src/request/repeats/repeat_budget.rs
+++ b/src/request/repeats/repeat_budget.rs
@@ -7,7 +7,8 @@
         loan_asks::LoanAsks,
         recent_count::{RecentCount, Rounding},
     },
-    std::time::{Duration, Instant},
+    crate::clock::Instant,
+    std::time::Duration,
 };
 
 /// Time that a host looks ahead: it wants at hand what it needed in so long. Loans come within 0.2 s.
--- a/src/request/request_parser.rs
+++ b/src/request/request_parser.rs
@@ -1,17 +1,14 @@
 use {
     super::{CallerRequest, passed_headers},
     crate::{
+        clock::Instant,
         errors::RequestError,
         version::{AdapterVersion, KeyHash, KindSpec, ServiceSpec, SiteConfig},
     },
     bytes::Bytes,
     http::{HeaderMap, Method},
     serde::Deserialize,
-    std::{
-        fmt::Display,
-        str::FromStr,
-        time::{Duration, Instant},
-    },
+    std::{fmt::Display, str::FromStr, time::Duration},
 };
 
 /// Names the caller's service; its key alone names it too.
--- a/src/request/try_history.rs
+++ b/src/request/try_history.rs
@@ -1,10 +1,8 @@
 use {
     super::{EntryEnd, Refusal, entry_progress::EntryProgress},
+    crate::clock::Instant,
     rand::RngExt,
-    std::{
-        collections::BTreeSet,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// Pauses between tries; they double from the first to the longest.
--- a/src/standin/engine/engine_batch.rs
+++ b/src/standin/engine/engine_batch.rs
@@ -1,7 +1,4 @@
-use {
-    std::{cmp::Reverse, time::Instant},
-    tokio::sync::oneshot,
-};
+use {crate::clock::Instant, std::cmp::Reverse, tokio::sync::oneshot};
 
 /// The slots of a continuous batch; higher priorities get a free slot first.
 #[derive(Debug)]
--- a/src/standin/engine/engine_job.rs
+++ b/src/standin/engine/engine_job.rs
@@ -9,6 +9,7 @@
         prefix_cache::PrefixCache,
     },
     crate::{
+        clock::{Instant, sleep_until},
         connection::header_text,
         connection::target::{FENCE_HEADER, KEY_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER},
         version::AdapterVersion,
@@ -191,10 +192,10 @@
     stream: &Arc<EngineStream>,
 ) {
     sleep(job.prefill).await;
-    let start = tokio::time::Instant::now();
+    let start = Instant::now();
     for index in job.first..job.tokens {
         let due = job.token_time.mul_f64((index - job.first + 1) as f64);
-        tokio::time::sleep_until(start + due).await;
+        sleep_until(start + due).await;
         if stream.is_abandoned(job.abandoned_after) {
             stream.cancel();
         }
--- a/src/standin/engine/engine_standin.rs
+++ b/src/standin/engine/engine_standin.rs
@@ -1,11 +1,11 @@
 use {
     super::{EngineFaults, EngineRecord, engine_http::router, engine_state::EngineState},
-    crate::{standin::StandinServer, version::AdapterVersion},
+    crate::{clock::Instant, standin::StandinServer, version::AdapterVersion},
     std::{
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/src/standin/engine/engine_state.rs
+++ b/src/standin/engine/engine_state.rs
@@ -4,13 +4,13 @@
         engine_stream::EngineStream, prefix_cache::PrefixCache,
     },
     crate::{
+        clock::Instant,
         connection::target::{AdapterReport, AdapterState, EngineReport},
         version::AdapterVersion,
     },
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
-        time::Instant,
     },
 };
 
--- a/src/standin/engine/engine_stream.rs
+++ b/src/standin/engine/engine_stream.rs
@@ -1,7 +1,8 @@
 use {
+    crate::clock::Instant,
     std::{
         sync::{Arc, Mutex},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::sync::Notify,
 };
--- a/src/standin/fault_proxy.rs
+++ b/src/standin/fault_proxy.rs
@@ -1,4 +1,5 @@
 use {
+    crate::clock::{Instant, sleep_until},
     std::{
         io,
         net::SocketAddr,
@@ -15,7 +16,6 @@
             tcp::{OwnedReadHalf, OwnedWriteHalf},
         },
         sync::watch,
-        time::Instant,
     },
 };
 
@@ -202,7 +202,7 @@
                 true => &shared.answers,
                 false => &shared.asks,
             };
-            tokio::time::sleep_until(lane.enter(read, bytes_per_s)).await;
+            sleep_until(lane.enter(read, bytes_per_s)).await;
         }
         if read == 0 {
             // A half-closed connection may still be answered.
--- a/src/standin/platform/platform_standin.rs
+++ b/src/standin/platform/platform_standin.rs
@@ -1,6 +1,7 @@
 use {
     super::{PlatformFaults, TableRows, WeightFetches},
     crate::{
+        clock::Instant,
         connection::{
             caller::DropConnection,
             platform::{ListedHost, Transaction, WeightStoreHealth},
@@ -23,7 +24,7 @@
         io,
         net::SocketAddr,
         sync::{Arc, Mutex},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::time::sleep,
     xxhash_rust::xxh3::xxh3_64,
--- a/src/timeline/line_gate.rs
+++ b/src/timeline/line_gate.rs
@@ -1,11 +1,9 @@
 use {
     super::Event,
-    std::{
-        sync::{
-            OnceLock,
-            atomic::{AtomicU32, AtomicU64, Ordering},
-        },
-        time::Instant,
+    crate::clock::Instant,
+    std::sync::{
+        OnceLock,
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
 };
 
--- a/src/timeline/line_writer.rs
+++ b/src/timeline/line_writer.rs
@@ -1,5 +1,6 @@
 use {
     super::{Event, line_gate::take_held_back},
+    crate::clock::Instant,
     crate::metrics::{StateLabels, metrics},
     std::{
         io::{self, Write},
@@ -8,7 +9,7 @@
             atomic::{AtomicU64, Ordering},
         },
         thread,
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
 };
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         connection::{
             platform::{HostState, ListedHost},
             target::{AdapterReport, AdapterState, EngineOrder, EngineReport},
@@ -22,10 +23,7 @@
         },
     },
     rstest::rstest,
-    std::{
-        path::Path,
-        time::{Duration, Instant},
-    },
+    std::{path::Path, time::Duration},
 };
 
 const PIN_QUIET: Duration = Duration::from_secs(3);
--- a/tests/engine_desk.rs
+++ b/tests/engine_desk.rs
@@ -3,6 +3,7 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         connection::datagram::{AdapterUsage, EngineQuery, Placement, PlacementState, Usage, Want},
         formats::{HeldAdapter, HeldModel, OrderKind, OrderReply, TargetReport, TargetStart},
         process::engines::{
@@ -16,7 +17,7 @@
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/tests/engine_standing.rs
+++ b/tests/engine_standing.rs
@@ -3,14 +3,12 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         connection::datagram::{EngineQuery, Usage},
         process::engines::{EngineLoads, EngineUse, LoadLimiter},
     },
     rstest::rstest,
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Duration},
 };
 
 fn ms(ms: u64) -> Duration {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -5,15 +5,13 @@
 use {
     coveproxy::{
         client::{CallResult, CallSpec, SeenOutcome},
+        clock::Instant,
         connection::platform::HostState,
         standin::{EngineFaults, PlainFaults, PlainStandin, PlatformFaults, ProxyFault},
         version::Change,
     },
     rstest::rstest,
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Duration},
     support::{Bed, BedPlan, Callers, Verdict},
 };
 
--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -3,6 +3,7 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         formats::{Commit, Row, RowKey, Transaction},
         process::holding::{
             HOLDING_TABLE, HeldEngine, HolderRow, Holding, HoldingAction, HoldingTimings, HostRow,
@@ -15,7 +16,7 @@
         collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         sync::Arc,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/tests/host_table.rs
+++ b/tests/host_table.rs
@@ -2,13 +2,11 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         connection::datagram::{HostRumor, RumorState},
         process::hosts::{HostAction, HostIdentity, HostState, HostTable, HostTimings},
     },
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Duration},
 };
 
 const STEP: Duration = Duration::from_millis(50);
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -5,6 +5,7 @@
 use {
     bytes::Bytes,
     coveproxy::client::{CallSpec, SeenOutcome},
+    coveproxy::clock::Instant,
     http::{HeaderMap, Request, StatusCode},
     http_body_util::{BodyExt, Full},
     hyper_util::{
@@ -430,7 +431,7 @@
         let (client, spec) = (bed.client.clone(), spec.clone());
         let host = bed.hosts[at % bed.hosts.len()].callers;
         calls.spawn(async move {
-            let began = std::time::Instant::now();
+            let began = Instant::now();
             client.call_at(host, &spec, began).await.unwrap()
         });
     }
@@ -617,7 +618,7 @@
         };
         spec.deadline = Some(Duration::from_secs(20));
         calls.spawn(async move {
-            let began = std::time::Instant::now();
+            let began = Instant::now();
             client.call_at(host, &spec, began).await
         });
     }
@@ -647,7 +648,7 @@
     let entry: Value = serde_json::from_slice(&body).unwrap();
     let best: SocketAddr = entry["addresses"][0].as_str().unwrap().parse().unwrap();
     let spec = CallSpec::completion("key-notes", model(1), 4, true);
-    let began = std::time::Instant::now();
+    let began = Instant::now();
     let result = bed.client.call_at(best, &spec, began).await.unwrap();
     let owner = bed.owner(&result.target).await;
     assert_eq!(best, bed.hosts[owner].callers, "{entry}");
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -5,6 +5,7 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         connection::target::{AdapterReport, AdapterState, EngineOrder, EngineReport},
         errors::TargetError,
         process::{
@@ -21,7 +22,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -2,16 +2,14 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         connection::datagram::{HostRumor, RumorState},
         process::hosts::{HostIdentity, HostTable, HostTimings},
         request::repeats::{ARRIVAL_LAG, BudgetTerms, LOAN_VALIDITY, Paid, RepeatBudget},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom},
     rstest::rstest,
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Duration},
 };
 
 const WINDOW: Duration = Duration::from_secs(10);
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -2,6 +2,7 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         connection::targets::ReadingSpeed,
         request::direct::{
             AttemptEnd, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Generation,
@@ -14,7 +15,7 @@
         },
     },
     rstest::rstest,
-    std::time::{Duration, Instant},
+    std::time::Duration,
 };
 
 fn ms(ms: u64) -> Duration {
--- a/tests/support/bed.rs
+++ b/tests/support/bed.rs
@@ -1,6 +1,7 @@
 use {
     coveproxy::{
         client::CallerClient,
+        clock::Instant,
         connection::platform::{HostState, HttpObjectStore, HttpTable, ListedHost},
         standin::{
             EngineStandin, EngineStandinSpec, FaultProxy, PlainStandin, PlatformStandin,
@@ -20,7 +21,7 @@
             Arc,
             atomic::{AtomicU64, Ordering},
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{
         net::TcpSocket,
--- a/tests/table_copy.rs
+++ b/tests/table_copy.rs
@@ -2,15 +2,13 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         formats::{Row, RowBatch},
         process::tables::{Comparison, ReadSchedule, ReadTimings, TableCopy},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     rstest::rstest,
-    std::{
-        collections::BTreeMap,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, time::Duration},
 };
 
 fn ms(ms: u64) -> Duration {
--- a/tests/table_transfer.rs
+++ b/tests/table_transfer.rs
@@ -2,6 +2,7 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         connection::pull::{ChangesBody, CopyPage, PageProblem},
         formats::Row,
         process::{
@@ -11,7 +12,7 @@
     },
     proptest::{collection::vec, prelude::*},
     rstest::rstest,
-    std::time::{Duration, Instant},
+    std::time::Duration,
 };
 
 const AGE: Duration = Duration::from_millis(70);
--- a/tests/target_board.rs
+++ b/tests/target_board.rs
@@ -2,6 +2,7 @@
 
 use {
     coveproxy::{
+        clock::Instant,
         connection::{
             datagram::{Placement, PlacementState, Usage},
             targets::{
@@ -13,11 +14,7 @@
         request::direct::Policy,
     },
     rstest::rstest,
-    std::{
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 const ENGINE: &str = "engine-1";
--- a/tests/told_loads.rs
+++ b/tests/told_loads.rs
@@ -1,11 +1,8 @@
 //! Which loads of engines are told to other hosts.
 
 use {
-    coveproxy::{connection::datagram::EngineLoad, process::engines::ToldLoads},
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    coveproxy::{clock::Instant, connection::datagram::EngineLoad, process::engines::ToldLoads},
+    std::{net::SocketAddr, time::Duration},
 };
 
 fn host(at: u8) -> SocketAddr {
--- a/tests/wake_watch.rs
+++ b/tests/wake_watch.rs
@@ -1,8 +1,9 @@
 //! When the control thread tells that it wakes too often, or takes too long.
 
 use {
+    coveproxy::clock::Instant,
     coveproxy::process::host::{BusyPeriod, WakeWatch},
-    std::time::{Duration, Instant},
+    std::time::Duration,
 };
 
 fn us(us: u64) -> Duration {
