Hosts know again a request that ends its targets, together, and refuse it

Cause: each attempt of a caller is a new request to a host, which blames the target for a lost answer and forgets the request; nothing told an end of a target from a connection that broke, and no host told another. Ruled out: repeats of a host's own (none in the record), a count that hosts hold apart (there was none). Change: a request is named by a digest of site, method, path and body. One that is lost as its target had just begun it is accused if the target takes no connections twice 0.2 s apart; the strike goes to all hosts at once, into pings' digests for those that missed it, and from two strikes on into the store. Three ends alone, or four in all, and it is refused at once with 500 ends_targets; a whole answer from any target clears it.

--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -73,6 +73,10 @@
     /// When this was told, as time since the start of the sender's process, in microseconds.
     #[prost(uint64, tag = "3")]
     pub told_us: u64,
+    /// What the sender knows of requests that end targets, equal for what means the same; absent until it
+    /// knows what others or the store know.
+    #[prost(fixed64, optional, tag = "4")]
+    pub poison: Option<u64>,
 }
 
 /// Asks for an answer.
@@ -288,6 +292,39 @@
     pub amount: u32,
 }
 
+/// One end of a target that speaks against a request.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct PoisonStrike {
+    /// Names the end of one start of a target.
+    #[prost(fixed64, tag = "1")]
+    pub end: u64,
+    /// No other target was seen to end with it.
+    #[prost(bool, tag = "2")]
+    pub alone: bool,
+}
+
+/// What is known of one request that targets have ended under.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PoisonEntry {
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    #[prost(message, repeated, tag = "2")]
+    pub strikes: Vec<PoisonStrike>,
+    /// Ends that no longer speak against it.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub cleared: Vec<u64>,
+    /// Time since the last strike, in seconds.
+    #[prost(uint32, tag = "4")]
+    pub age_s: u32,
+}
+
+/// Tells of requests that end targets.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PoisonNews {
+    #[prost(message, repeated, tag = "1")]
+    pub entries: Vec<PoisonEntry>,
+}
+
 /// Any message between hosts.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Message {
@@ -315,6 +352,8 @@
     LoanAsk(LoanAsk),
     #[prost(message, tag = "12")]
     Loan(Loan),
+    #[prost(message, tag = "13")]
+    PoisonNews(PoisonNews),
 }
 
 impl Message {
@@ -333,13 +372,14 @@
             Self::EngineStanding(_) => "engine_standing",
             Self::LoanAsk(_) => "loan_ask",
             Self::Loan(_) => "loan",
+            Self::PoisonNews(_) => "poison_news",
         }
     }
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
-    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     message: Option<Message>,
 }
 
--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -9,7 +9,7 @@
     message::{
         Ack, AdapterUsage, CopyState, EngineLoad, EngineQuery, EngineStanding, Freshness,
         HostRumor, Loan, LoanAsk, Message, Ping, PingEcho, PingRequest, Placement, PlacementState,
-        RumorState, Usage, Vouch, Want, decode, encode,
+        PoisonEntry, PoisonNews, PoisonStrike, RumorState, Usage, Vouch, Want, decode, encode,
     },
     socket::DatagramSocket,
 };
--- /dev/null
+++ b/src/connection/front/crash_probe.rs
@@ -0,0 +1,184 @@
+//! Finds out whether a target has ended under a request, or only broke its answer off.
+
+use {
+    crate::{
+        clock::Instant,
+        connection::{
+            http1::{CallClient, CallEnd, CallLimit},
+            targets::{Accused, TargetBoard, TargetRun},
+        },
+        formats::{HeaderNames, HttpCall},
+        note,
+        request::{
+            direct::CallRequest,
+            poison::{Fingerprint, PoisonReport, Strike, TargetEnd},
+        },
+        timeline::Event,
+    },
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::task::spawn_local,
+};
+
+/// Time for a target's answer to a check of its health; a sound one answers within some milliseconds.
+const PROBE_LIMIT: Duration = Duration::from_millis(300);
+
+/// Time from the first check to the second. One that turned the first away for want of room has answered others by then; an end is
+/// told to all hosts so much later.
+const SECOND_CHECK: Duration = Duration::from_millis(200);
+
+/// What a check of a target's health showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Health {
+    /// It answered, whatever it said.
+    Answers,
+    /// Nothing takes connections there, or they end at once.
+    Down,
+    /// It says nothing: a link may be cut.
+    Silent,
+}
+
+/// A request was lost as its target had just begun it: finds out whether the target has ended, and tells all
+/// hosts if so.
+pub fn accuse(
+    board: &Rc<RefCell<TargetBoard>>,
+    names: &HeaderNames,
+    request: &CallRequest,
+    run: TargetRun,
+) {
+    let lost = Instant::now();
+    let accused = Accused {
+        fingerprint: request.fingerprint(),
+        id: request.id_text().to_string(),
+    };
+    let address = {
+        let mut board = board.borrow_mut();
+        board.crashes.on_loss(&run.0, lost);
+        if !board.crashes.accuse(&run, accused) {
+            return;
+        }
+        let link = board.links.get(&run.0);
+        link.map(|link| link.view.record.address)
+    };
+    let probe = CrashProbe {
+        board: board.clone(),
+        call: HttpCall::get(request.service.health_path.clone()),
+        expect: format!("{}: {}\r\n", names.expect_target, run.0),
+        run,
+        lost,
+    };
+    spawn_local(probe.run(address));
+}
+
+/// A target gave a request a whole answer: what ended under it before was ended by others.
+pub fn acquit(
+    board: &Rc<RefCell<TargetBoard>>,
+    request: &CallRequest,
+) {
+    let board = board.borrow();
+    if board.crashes.is_quiet() {
+        return;
+    }
+    let fingerprint = request.fingerprint();
+    if board.crashes.standing(&fingerprint).is_some() {
+        board.report_poison(PoisonReport::Cleared { fingerprint });
+    }
+}
+
+/// Looks at one start of a target.
+struct CrashProbe {
+    board: Rc<RefCell<TargetBoard>>,
+    call: HttpCall,
+    /// The header line that lets only this target answer.
+    expect: String,
+    run: TargetRun,
+    lost: Instant,
+}
+
+impl CrashProbe {
+    async fn run(
+        self,
+        address: Option<SocketAddr>,
+    ) {
+        let ended = self.has_ended(address).await;
+        let mut board = self.board.borrow_mut();
+        let accused = board.crashes.take_accused(&self.run);
+        if !ended {
+            note!(
+                Event::AccusationDropped,
+                target = self.run.0,
+                requests = accused.len(),
+            );
+            return;
+        }
+        let strike = Strike {
+            end: TargetEnd::of(&self.run.0, self.run.1),
+            alone: board.crashes.was_alone(&self.run.0, self.lost),
+        };
+        let beside = accused.len() - 1;
+        for accused in &accused {
+            note!(
+                Event::RequestAccused,
+                id = accused.id,
+                fingerprint = accused.fingerprint,
+                target = self.run.0,
+                alone = strike.alone,
+                beside = beside,
+            );
+        }
+        let fingerprints: Vec<Fingerprint> = accused.iter().map(|a| a.fingerprint).collect();
+        board.report_poison(PoisonReport::Struck {
+            fingerprints,
+            strike,
+        });
+    }
+
+    /// True if the target takes no connections twice, and nothing was heard of this start meanwhile.
+    async fn has_ended(
+        &self,
+        address: Option<SocketAddr>,
+    ) -> bool {
+        let Some(address) = address else {
+            return true;
+        };
+        if self.check(address).await != Health::Down {
+            return self.has_other_start();
+        }
+        tokio::time::sleep(SECOND_CHECK).await;
+        if self.has_other_start() {
+            return true;
+        }
+        self.check(address).await == Health::Down && !self.was_heard()
+    }
+
+    async fn check(
+        &self,
+        address: SocketAddr,
+    ) -> Health {
+        let limit = CallLimit::whole(PROBE_LIMIT);
+        let reply = CallClient::new(address)
+            .call(&self.call, &self.expect, limit)
+            .await;
+        match reply {
+            Ok(_) => Health::Answers,
+            Err(failure) => match failure.end {
+                CallEnd::TimedOut | CallEnd::Silent => Health::Silent,
+                CallEnd::Broken(_) => Health::Down,
+            },
+        }
+    }
+
+    /// True if the target is gone or has started anew.
+    fn has_other_start(&self) -> bool {
+        let board = self.board.borrow();
+        let link = board.links.get(&self.run.0);
+        link.is_none_or(|link| link.view.record.started != self.run.1)
+    }
+
+    /// True if this start of the target has sent anything since the loss.
+    fn was_heard(&self) -> bool {
+        let board = self.board.borrow();
+        let link = board.links.get(&self.run.0);
+        link.and_then(|link| link.heard)
+            .is_some_and(|at| at > self.lost)
+    }
+}
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -3,6 +3,7 @@
         AnswerBody, OwnAnswer, OwnCause,
         belief_gate::{Belief, HELD_COME_BACK, wait_until_confirmed},
         chooser::{Choice, Chooser},
+        crash_probe::{accuse, acquit},
         exchange::{Destination, OpenAnswer, Sent, WholeAnswer, send},
         request_trace::{TraceStep, millis},
         stream_relay::StreamRelay,
@@ -11,12 +12,13 @@
     },
     crate::{
         clock::{Instant, sleep_until, timeout_at},
-        connection::targets::TargetBoard,
+        connection::targets::{TargetBoard, TargetRun},
         formats::Formats,
         metrics::{KindLabels, OutcomeLabels, WaitLabels, metrics},
         note,
         request::{
             direct::{AttemptEnd, CallRequest, CopyState, NextStep, next_step},
+            poison::Standing,
             repeats::Paid,
         },
         timeline::Event,
@@ -39,6 +41,10 @@
 /// Time between two looks whether a loan has come.
 const LOAN_LOOK: Duration = Duration::from_millis(10);
 
+/// A stream whose first event came so shortly before it broke off may have ended its target by its begin: a target falls within a
+/// tenth of a second, and hundreds of tokens later others are as likely.
+const JUST_BEGUN: Duration = Duration::from_secs(1);
+
 /// How the sends of a request ended.
 enum Outcome {
     /// This is the final answer.
@@ -72,6 +78,9 @@
         self: &Rc<Self>,
         request: CallRequest,
     ) -> Response<AnswerBody> {
+        if let Some(response) = self.refuse_poison(&request) {
+            return response;
+        }
         self.note_demand(&request);
         let mut unserved = Unserved::new(&request);
         let tried = self.try_targets(&request, &mut unserved.tries, None);
@@ -117,6 +126,42 @@
         }
     }
 
+    /// The answer to a request that is known to end targets. It is told so at once: it would only end another one, with all
+    /// that runs there.
+    fn refuse_poison(
+        &self,
+        request: &CallRequest,
+    ) -> Option<Response<AnswerBody>> {
+        if self.board.borrow().crashes.is_quiet() {
+            return None;
+        }
+        let fingerprint = request.fingerprint();
+        let standing = self.board.borrow().crashes.standing(&fingerprint);
+        if standing != Some(Standing::Refused) {
+            return None;
+        }
+        note!(
+            Event::RequestRefused,
+            id = request.id_text(),
+            fingerprint = fingerprint,
+            route = request.route.name,
+        );
+        let cause = OwnCause::EndsTargets;
+        let status = cause.status().as_u16();
+        let passed = request.arrived.elapsed();
+        count(request, &Tries::default(), status, Some(cause), passed);
+        Some(self.answer(request, OwnAnswer::new(cause)))
+    }
+
+    /// True if targets have ended under the request: it is not sent again by itself, its caller may do so.
+    fn is_suspected(
+        &self,
+        request: &CallRequest,
+    ) -> bool {
+        let board = self.board.borrow();
+        !board.crashes.is_quiet() && board.crashes.standing(&request.fingerprint()).is_some()
+    }
+
     fn note_demand(
         &self,
         request: &CallRequest,
@@ -176,6 +221,7 @@
             if repeats && paid.is_none() {
                 return self.unserved(request, tries, OwnCause::TurnedAway, COME_BACK);
             }
+            let run = self.run_at(&destination.target);
             // Until its end is known a send may have run.
             tries.history.runs += 1;
             let sent = send(&self.board, names, request, &destination, streams).await;
@@ -185,11 +231,15 @@
                 board.budget(&request.service.name).give_back(&paid);
             }
             let end = match sent {
-                Sent::Whole(answer) => return Outcome::Final(pass_on(answer)),
+                Sent::Whole(answer) => {
+                    acquit(&self.board, request);
+                    return Outcome::Final(pass_on(answer));
+                }
                 Sent::Open(answer) => return Outcome::Open(answer),
                 Sent::Failed(answer) => {
                     let status = answer.status.as_u16();
                     tries.failure = Some(answer);
+                    acquit(&self.board, request);
                     AttemptEnd::Failed { status }
                 }
                 Sent::Misdirected => {
@@ -200,6 +250,10 @@
                     }
                 }
                 Sent::Unconfirmed => continue,
+                Sent::Ended(AttemptEnd::Lost) => {
+                    accuse(&self.board, names, request, run);
+                    AttemptEnd::Lost
+                }
                 Sent::Ended(end) => end,
             };
             tries.note_end(&destination, end, Instant::now());
@@ -209,6 +263,36 @@
         }
     }
 
+    /// The start of a target that a send now is for.
+    fn run_at(
+        &self,
+        target: &Arc<str>,
+    ) -> TargetRun {
+        (target.clone(), self.board.borrow().started(target))
+    }
+
+    /// A stream was broken off; its request is accused if its answer had just begun.
+    pub fn on_broken(
+        &self,
+        request: &CallRequest,
+        run: TargetRun,
+        first_event: Instant,
+    ) {
+        let now = Instant::now();
+        match now.saturating_duration_since(first_event) < JUST_BEGUN {
+            true => accuse(&self.board, self.formats.headers(), request, run),
+            false => self.board.borrow_mut().crashes.on_loss(&run.0, now),
+        }
+    }
+
+    /// A stream came to its end.
+    pub fn on_whole(
+        &self,
+        request: &CallRequest,
+    ) {
+        acquit(&self.board, request);
+    }
+
     /// Waits until all that a send rests on is young enough; false if that took too long.
     async fn wait_until_confirmed(
         &self,
@@ -238,6 +322,9 @@
         let now = Instant::now();
         let service = &request.service.name;
         let mut step = next_step(&request.route, &tries.history, end, true);
+        if end == AttemptEnd::Lost && self.is_suspected(request) {
+            step = next_step(&request.route, &tries.history, end, false);
+        }
         let repeats = step == NextStep::Resend { repeats: true };
         if repeats && !self.wait_for_allowance(request).await {
             self.board.borrow_mut().budget(service).on_refused(now);
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -3,7 +3,7 @@
         clock::Instant,
         connection::{
             http1::{BodyDecoder, ExchangeError, HttpConnection, ResponseHead},
-            targets::{RequestTokens, TargetBoard, TargetLink},
+            targets::{RequestTokens, TargetBoard, TargetLink, TargetRun},
         },
         formats::{HeaderNames, TargetStart},
         request::direct::{AttemptEnd, CallRequest},
@@ -194,6 +194,11 @@
         &self.flight.target
     }
 
+    /// The start of the target that answers.
+    pub fn run(&self) -> TargetRun {
+        (self.flight.target.clone(), self.flight.started)
+    }
+
     /// The body is over.
     pub fn finish(self) {
         if self.reusable {
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -5,6 +5,7 @@
 mod answer_body;
 mod belief_gate;
 mod chooser;
+mod crash_probe;
 mod dispatcher;
 mod engine_outlook;
 mod engine_sample;
--- a/src/connection/front/own_answer.rs
+++ b/src/connection/front/own_answer.rs
@@ -28,6 +28,8 @@
     TimeOver,
     /// It may have run, and its answer is lost.
     AnswerLost,
+    /// Targets end under it, so that it is sent to none any more.
+    EndsTargets,
 }
 
 impl OwnCause {
@@ -46,6 +48,7 @@
             Self::TimeOverUnsent => "time_over_unsent",
             Self::TimeOver => "time_over",
             Self::AnswerLost => "answer_lost",
+            Self::EndsTargets => "ends_targets",
         }
     }
 
@@ -64,6 +67,9 @@
             | Self::TimeOverUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimeOver => StatusCode::GATEWAY_TIMEOUT,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            // It has not run, but 503 would promise that it may be served later, and callers' libraries send 502 to
+            // 504 again by themselves.
+            Self::EndsTargets => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 }
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -87,9 +87,17 @@
         mut source: AnswerSource,
     ) {
         loop {
+            let first_event = Instant::now();
             let end = self.pass_on(first, &mut source).await;
+            if end == RelayEnd::Broken {
+                let run = source.run();
+                self.dispatcher.on_broken(&self.request, run, first_event);
+            }
             match end {
-                RelayEnd::Whole => return source.finish(),
+                RelayEnd::Whole => {
+                    self.dispatcher.on_whole(&self.request);
+                    return source.finish();
+                }
                 RelayEnd::CallerGone => return self.tell(Event::RequestCallerGone, end, &source),
                 RelayEnd::Broken | RelayEnd::Silent if self.request.route.resumable => {
                     let target = source.target().to_string();
--- /dev/null
+++ b/src/connection/targets/crash_watch.rs
@@ -0,0 +1,123 @@
+use {
+    crate::{
+        clock::Instant,
+        formats::TargetStart,
+        request::poison::{Fingerprint, Standing},
+    },
+    std::{
+        collections::{HashMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Targets that broke answers off within this time of one another may have ended by the same cause, such as a loss
+/// of power.
+const SAME_TIME: Duration = Duration::from_millis(300);
+
+/// Lost answers that are remembered: those of a whole hall within the time above on a small host.
+const MAX_LOSSES: usize = 256;
+
+/// Requests that are accused of one target's end, at the most: its whole batch.
+const MAX_ACCUSED: usize = 64;
+
+/// Targets that are looked at, at the most; when more end at once, no request did it.
+const MAX_LOOKED_AT: usize = 32;
+
+/// A start of a target.
+pub type TargetRun = (Arc<str>, Option<TargetStart>);
+
+/// A request that a target may have ended under.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Accused {
+    pub fingerprint: Fingerprint,
+    /// As its caller named it, for logs.
+    pub id: String,
+}
+
+/// What this host's requests have seen of targets that end, and how requests stand that end them.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    standings: HashMap<Fingerprint, Standing>,
+    /// Targets that broke an answer off, the last one at the end.
+    losses: VecDeque<(Instant, Arc<str>)>,
+    /// Requests that had just begun at targets that are looked at.
+    accused: HashMap<TargetRun, Vec<Accused>>,
+}
+
+impl CrashWatch {
+    /// True if nothing speaks against any request: none need be looked up.
+    pub fn is_quiet(&self) -> bool {
+        self.standings.is_empty()
+    }
+
+    /// What is thought of a request; `None` if nothing speaks against it.
+    pub fn standing(
+        &self,
+        fingerprint: &Fingerprint,
+    ) -> Option<Standing> {
+        self.standings.get(fingerprint).copied()
+    }
+
+    /// A request stands otherwise from now on.
+    pub fn set_standing(
+        &mut self,
+        fingerprint: Fingerprint,
+        standing: Option<Standing>,
+    ) {
+        match standing {
+            Some(standing) => self.standings.insert(fingerprint, standing),
+            None => self.standings.remove(&fingerprint),
+        };
+    }
+
+    /// A target broke an answer off.
+    pub fn on_loss(
+        &mut self,
+        target: &Arc<str>,
+        now: Instant,
+    ) {
+        if self.losses.len() >= MAX_LOSSES {
+            self.losses.pop_front();
+        }
+        self.losses.push_back((now, target.clone()));
+    }
+
+    /// A request was lost as a target had just begun it; true if the target must be looked at.
+    pub fn accuse(
+        &mut self,
+        run: &TargetRun,
+        accused: Accused,
+    ) -> bool {
+        if let Some(others) = self.accused.get_mut(run) {
+            if others.len() < MAX_ACCUSED {
+                others.push(accused);
+            }
+            return false;
+        }
+        if self.accused.len() >= MAX_LOOKED_AT {
+            return false;
+        }
+        self.accused.insert(run.clone(), vec![accused]);
+        true
+    }
+
+    /// The look at a target is over; gives the requests that had just begun there.
+    pub fn take_accused(
+        &mut self,
+        run: &TargetRun,
+    ) -> Vec<Accused> {
+        self.accused.remove(run).unwrap_or_default()
+    }
+
+    /// True if no other target broke answers off at about this time.
+    pub fn was_alone(
+        &self,
+        target: &str,
+        lost: Instant,
+    ) -> bool {
+        let near = |at: Instant| at.max(lost).saturating_duration_since(at.min(lost)) <= SAME_TIME;
+        let mut near = self.losses.iter().filter(|(at, _)| near(*at));
+        !near.any(|(_, other)| **other != *target)
+    }
+}
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -4,6 +4,7 @@
 mod adapter_map;
 mod belief_ages;
 mod confirmation;
+mod crash_watch;
 mod fleet_view;
 mod reading_speed;
 mod repeat_budgets;
@@ -18,6 +19,7 @@
     adapter_map::{AdapterCopy, AdapterMap},
     belief_ages::{BeliefAges, BeliefBounds, LargestAges},
     confirmation::{Confirmation, SEND_MARGIN, TableConfirmation},
+    crash_watch::{Accused, CrashWatch, TargetRun},
     fleet_view::{FleetView, TargetView},
     reading_speed::ReadingSpeed,
     repeat_budgets::RepeatBudgets,
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -1,8 +1,8 @@
 use {
     super::{
-        AdapterDemand, AdapterMap, BeliefAges, BeliefBounds, Confirmation, FleetView, LargestAges,
-        ReadingSpeed, RepeatBudgets, RequestTokens, ServesUntil, Succession, TargetLink,
-        TargetView, VersionHistory,
+        AdapterDemand, AdapterMap, BeliefAges, BeliefBounds, Confirmation, CrashWatch, FleetView,
+        LargestAges, ReadingSpeed, RepeatBudgets, RequestTokens, ServesUntil, Succession,
+        TargetLink, TargetView, VersionHistory,
     },
     crate::{
         clock::Instant,
@@ -14,6 +14,7 @@
         metrics::{CopyLabels, metrics},
         request::{
             direct::{CopyState, Policy},
+            poison::PoisonReport,
             repeats::RepeatBudget,
         },
         version::routing::RoutingTable,
@@ -64,6 +65,8 @@
     Missing { target: String, adapter: String },
     /// Ask one host, whichever comes next, for a part of its allowance of repeats.
     AskLoan(LoanAsk),
+    /// A request ended targets, or got a whole answer after all.
+    Poison(PoisonReport),
     /// Lend a host a part of this one's allowance.
     GiveLoan { to: SocketAddr, loan: Loan },
 }
@@ -101,6 +104,8 @@
     /// Wakes requests that are held back until these are known to be right.
     confirmation_news: Rc<Notify>,
     belief_ages: BeliefAges,
+    /// Targets that end, and the requests that end them.
+    pub crashes: CrashWatch,
     control: flume::Sender<ControlRequest>,
 }
 
@@ -137,6 +142,7 @@
             confirmation: Confirmation::default(),
             confirmation_news: Rc::default(),
             belief_ages: BeliefAges::new(settings.bounds, Instant::now()),
+            crashes: CrashWatch::default(),
             control,
         }
     }
@@ -283,6 +289,14 @@
         self.view.hosts > MAX_TOLD_HOSTS
     }
 
+    /// Tells the control thread of a request that ends targets, or does not after all.
+    pub fn report_poison(
+        &self,
+        report: PoisonReport,
+    ) {
+        let _ = self.control.send(ControlRequest::Poison(report));
+    }
+
     /// Asks the holder of an engine how it stands; false if it has none.
     pub fn query(
         &self,
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -46,6 +46,7 @@
     pub wants_turned_away: Family<WaitLabels, Counter>,
     pub hosts: Family<StateLabels, Gauge>,
     pub targets: Family<StateLabels, Gauge>,
+    pub poison: Family<StateLabels, Gauge>,
     pub copy_age: Family<CopyLabels, Seconds>,
     pub copy_transfers: Family<TransferLabels, Counter>,
     pub copy_received: Family<TransferLabels, Counter>,
@@ -90,6 +91,7 @@
             wants_turned_away: Family::default(),
             hosts: Family::default(),
             targets: Family::default(),
+            poison: Family::default(),
             copy_age: Family::default(),
             copy_transfers: Family::default(),
             copy_received: Family::default(),
@@ -150,6 +152,11 @@
             "Targets, by what is believed",
             self.targets.clone(),
         );
+        registry.register(
+            "poison_requests",
+            "Requests that targets ended under, by how they stand",
+            self.poison.clone(),
+        );
         registry.register(
             "lease_held",
             "1 while this host may give orders",
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -5,8 +5,9 @@
             datagram::{EngineLoad, EngineStanding, Loan, LoanAsk, Message, Placement},
             targets::{Confirmation, FleetView},
         },
-        formats::{Order, Transaction},
+        formats::{Order, RowWrite, Transaction},
         process::holding::TakenEngine,
+        request::poison::{Fingerprint, Standing},
     },
     std::{net::SocketAddr, sync::Arc},
 };
@@ -66,6 +67,17 @@
     Load(EngineLoad),
     Stand(EngineStanding),
     Borrow(Loan),
+    /// A request stands so from now on; `None` if nothing speaks against it.
+    Stands {
+        fingerprint: Fingerprint,
+        standing: Option<Standing>,
+    },
+    /// Read what the store keeps of requests that end targets.
+    ReadPoison,
+    /// Keep what is known of such requests in the store.
+    KeepPoison {
+        writes: Vec<RowWrite>,
+    },
     /// Another host asks for a part of this one's allowance of repeats.
     Lend {
         to: SocketAddr,
--- a/src/process/host/control_event.rs
+++ b/src/process/host/control_event.rs
@@ -86,6 +86,10 @@
         target: String,
         report: Option<TargetReport>,
     },
+    /// What the store keeps of requests that end targets was read; `None` if it could not be.
+    PoisonRead {
+        rows: Option<RowBatch>,
+    },
     /// The settings were read again.
     SettingsRead(Result<(), RunError>),
     /// The process is told to stop.
@@ -99,7 +103,10 @@
             Self::Tick => "tick",
             Self::Message { message, .. } => message.kind(),
             Self::Request(_) => "request",
-            Self::ChangesRead { .. } | Self::TableRead { .. } | Self::HoldersRead { .. } => "store",
+            Self::ChangesRead { .. }
+            | Self::TableRead { .. }
+            | Self::HoldersRead { .. }
+            | Self::PoisonRead { .. } => "store",
             Self::ChangesPulled { .. } | Self::HostsPulled { .. } => "pull",
             Self::Renewed { .. } | Self::Taken { .. } => "lease",
             Self::OrderEnded { .. } | Self::OrderWithheld { .. } => "order",
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -139,6 +139,7 @@
                 self.on_exchange(from, &ack, now);
                 let mut actions = self.on_host_news(&ack.sender, &ack.rumors, now);
                 actions.extend(self.on_freshness(&ack.sender, &ack.freshness, arrived_after, now));
+                actions.extend(self.on_poison_digest(from, ack.freshness.poison, now));
                 actions
             }
             Message::PingRequest(request) => self.on_ping_request(from, &request, now),
@@ -159,6 +160,7 @@
             Message::EngineStanding(standing) => vec![ControlAction::Stand(standing)],
             Message::LoanAsk(ask) => vec![ControlAction::Lend { to: from, ask }],
             Message::Loan(loan) => vec![ControlAction::Borrow(loan)],
+            Message::PoisonNews(news) => self.on_poison_news(&news, now),
         };
         actions.extend(self.take_host_events(now));
         actions
@@ -200,6 +202,7 @@
                 }
                 Vec::new()
             }
+            ControlRequest::Poison(report) => self.on_poison_report(report, now),
             ControlRequest::AskLoan(ask) => self.ask_loan(ask).into_iter().collect(),
             ControlRequest::GiveLoan { to, loan } => vec![ControlAction::Send {
                 to,
@@ -247,6 +250,7 @@
     ) -> Vec<ControlAction> {
         let mut actions = self.on_host_news(&ping.sender, &ping.rumors, now);
         actions.extend(self.on_freshness(&ping.sender, &ping.freshness, arrived_after, now));
+        actions.extend(self.on_poison_digest(from, ping.freshness.poison, now));
         if !ping.one_way {
             let ack = Ack {
                 sender: self.my_rumor(now),
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -5,6 +5,7 @@
         ControlAction, ControlEvent, HostControl,
         copy_reader::{CopyReader, STORE_LIMIT},
         kept_calls::KeptCalls,
+        poison_rows::POISON_TABLE,
         traffic::TrafficInput,
         wake_watch::{WakeWatch, tell_wake},
     },
@@ -16,7 +17,7 @@
             store::{StoreClient, StoreFailure},
             targets::ControlRequest,
         },
-        formats::{Commit, Formats, Order, OrderReply, Transaction},
+        formats::{Commit, Formats, Order, OrderReply, RowWrite, Transaction},
         metrics::{OrderLabels, metrics},
         process::{
             holding::{HOLDING_TABLE, TakenEngine},
@@ -34,6 +35,13 @@
 /// Longest time for an engine's report.
 const REPORT_LIMIT: Duration = Duration::from_millis(400);
 
+/// Rows that the store takes in one transaction.
+const MAX_WRITES: usize = 100;
+
+/// Tries to keep rows, and the pause between them: an outage of the store lasts seconds to a minute.
+const KEEP_TRIES: u32 = 30;
+const KEEP_PAUSE: Duration = Duration::from_secs(2);
+
 /// An order is not sent so shortly before the lease ends.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -167,6 +175,15 @@
                 self.tell_traffic(TrafficInput::Standing(standing));
             }
             ControlAction::Borrow(loan) => self.tell_traffic(TrafficInput::Borrowed(loan)),
+            ControlAction::Stands {
+                fingerprint,
+                standing,
+            } => self.tell_traffic(TrafficInput::Stands {
+                fingerprint,
+                standing,
+            }),
+            ControlAction::ReadPoison => self.read_poison(),
+            ControlAction::KeepPoison { writes } => self.keep_poison(writes),
             ControlAction::Lend { to, ask } => {
                 self.tell_traffic(TrafficInput::LoanAsked { to, ask });
             }
@@ -203,6 +220,37 @@
         });
     }
 
+    fn read_poison(&self) {
+        let (store, events) = (self.store.clone(), self.events.clone());
+        spawn_local(async move {
+            let rows = store.read_table(POISON_TABLE).await.ok();
+            let _ = events.send(ControlEvent::PoisonRead { rows });
+        });
+    }
+
+    /// Writes rows, again and again until the store takes them or they are no longer worth it: hosts know without the store,
+    /// which only stands for a loss of all of them.
+    fn keep_poison(
+        &self,
+        writes: Vec<RowWrite>,
+    ) {
+        let store = self.store.clone();
+        spawn_local(async move {
+            for group in writes.chunks(MAX_WRITES) {
+                let transaction = Transaction {
+                    expected: Vec::new(),
+                    writes: group.to_vec(),
+                };
+                for _ in 0..KEEP_TRIES {
+                    if store.commit(&transaction).await.is_ok() {
+                        break;
+                    }
+                    tokio::time::sleep(KEEP_PAUSE).await;
+                }
+            }
+        });
+    }
+
     fn take(
         &self,
         engines: Vec<TakenEngine>,
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        ControlAction, ControlEvent, TableName, drawn_takers::DrawnTakers,
-        ended_targets::EndedTargets, listed_target::ListedTarget, open_engines::OpenEngines,
+        ControlAction, ControlEvent, TableName, control_poison::KnownPoison,
+        drawn_takers::DrawnTakers, ended_targets::EndedTargets, listed_target::ListedTarget,
+        open_engines::OpenEngines,
     },
     crate::{
         clock::Instant,
@@ -125,6 +126,8 @@
     pub(super) lenders: Vec<SocketAddr>,
     /// Hosts known over a long time, as requests were last told.
     pub(super) told_known_hosts: usize,
+    /// Requests that end targets.
+    pub(super) poison: KnownPoison,
 }
 
 impl HostControl {
@@ -192,6 +195,7 @@
             joins: 0,
             lenders: Vec::new(),
             told_known_hosts: 0,
+            poison: KnownPoison::default(),
         }
     }
 
@@ -284,6 +288,7 @@
             ControlEvent::Reported { target, report } => {
                 self.at_desk(&target, now, |desk| desk.on_report(report, now))
             }
+            ControlEvent::PoisonRead { rows } => self.on_poison_read(rows, now),
             ControlEvent::SettingsRead(_) => Vec::new(),
             ControlEvent::Stop => self.on_stop(now),
         };
@@ -315,6 +320,7 @@
         self.drop_vanished(now);
         actions.extend(self.confirm());
         actions.extend(self.tick_engines(now));
+        actions.extend(self.tick_poison(now));
         if now >= self.next_loads {
             self.next_loads = now + LOAD_PERIOD;
             actions.extend(self.tell_loads(now));
@@ -379,6 +385,7 @@
             declared: state(&self.declared.copy),
             targets: state(&self.listed.copy),
             told_us: self.uptime_us(now),
+            poison: self.poison_digest(),
         }
     }
 
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -14,6 +14,7 @@
         formats::Formats,
         note,
         process::settings::{Bounds, NodeSettings},
+        request::poison::{Fingerprint, Standing},
         timeline::Event,
     },
     std::{
@@ -47,6 +48,11 @@
     Load(EngineLoad),
     Standing(EngineStanding),
     Borrowed(Loan),
+    /// A request stands so from now on; `None` if nothing speaks against it.
+    Stands {
+        fingerprint: Fingerprint,
+        standing: Option<Standing>,
+    },
     /// Another host asks for a part of this one's allowance of repeats.
     LoanAsked {
         to: SocketAddr,
@@ -151,6 +157,10 @@
         TrafficInput::Placement(placement) => board.on_placement(&placement, Instant::now()),
         TrafficInput::Load(load) => board.on_engine_load(&load, Instant::now()),
         TrafficInput::Standing(standing) => board.on_standing(&standing, Instant::now()),
+        TrafficInput::Stands {
+            fingerprint,
+            standing,
+        } => board.crashes.set_standing(fingerprint, standing),
         TrafficInput::Borrowed(loan) => board.on_loan(&loan, Instant::now()),
         TrafficInput::LoanAsked { to, ask } => board.on_loan_ask(to, &ask, Instant::now()),
     }
--- a/src/request/direct/call_request.rs
+++ b/src/request/direct/call_request.rs
@@ -1,7 +1,10 @@
 use {
     super::Generation,
-    crate::clock::Instant,
-    crate::version::routing::{Route, TargetService},
+    crate::{
+        clock::Instant,
+        request::poison::Fingerprint,
+        version::routing::{Route, TargetService},
+    },
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method},
     std::{sync::Arc, time::Duration},
@@ -41,6 +44,17 @@
         self.ends.saturating_duration_since(now)
     }
 
+    /// What makes it known again when it comes under another id. Who sends it does not count: what it does to a target lies in what
+    /// it says.
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(
+            &self.route.host,
+            self.method.as_str(),
+            &self.path_and_query,
+            &self.body,
+        )
+    }
+
     /// When an answer stops being in time.
     pub fn aim(&self) -> Instant {
         self.arrived + self.route.aim
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod forwarder;
 mod owner_service;
 mod passed_headers;
+pub mod poison;
 mod rate_limits;
 mod refusal;
 mod refusal_code;
--- /dev/null
+++ b/src/request/poison/fingerprint.rs
@@ -0,0 +1,74 @@
+use {
+    serde::{Deserialize, Serialize},
+    sha2::{Digest, Sha256},
+    std::{fmt, str::FromStr},
+    thiserror::Error,
+};
+
+/// Bytes of a fingerprint: short enough for datagrams, and nobody finds two requests with the same one.
+const BYTES: usize = 16;
+
+/// Names what is the same request when it comes again, under whatever id and at whatever host.
+///
+/// A digest that can't be steered: with a weaker one a caller could have somebody else's request refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint([u8; BYTES]);
+
+/// A text that names no request.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("a fingerprint has {} hexadecimal digits", BYTES * 2)]
+pub struct NoFingerprint;
+
+impl Fingerprint {
+    /// The fingerprint of a request to a site's name.
+    pub fn of(
+        site: &str,
+        method: &str,
+        path_and_query: &str,
+        body: &[u8],
+    ) -> Self {
+        let mut digest = Sha256::new();
+        for part in [site, method, path_and_query] {
+            digest.update(part.as_bytes());
+            // No part's end can be taken for the next one's begin.
+            digest.update([0]);
+        }
+        digest.update(body);
+        let whole = digest.finalize();
+        let mut bytes = [0; BYTES];
+        bytes.copy_from_slice(&whole[..BYTES]);
+        Self(bytes)
+    }
+
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(
+        &self,
+        formatter: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
+        for byte in self.0 {
+            write!(formatter, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = NoFingerprint;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = u128::from_str_radix(text, 16).map_err(|_| NoFingerprint)?;
+        match text.len() == BYTES * 2 {
+            true => Ok(Self(number.to_be_bytes())),
+            false => Err(NoFingerprint),
+        }
+    }
+}
--- /dev/null
+++ b/src/request/poison/mod.rs
@@ -0,0 +1,20 @@
+//! Requests that end the targets which begin them: what makes one known again, what speaks against it, and what all hosts
+//! know of it together. Nothing here waits or sends.
+
+mod fingerprint;
+mod poison_ledger;
+mod poison_record;
+mod poison_report;
+mod standing;
+mod strike;
+mod told_poison;
+
+pub use {
+    fingerprint::Fingerprint,
+    poison_ledger::{MAX_REFUSED, MAX_SUSPECTED, PoisonLedger},
+    poison_record::{KEEP_REFUSED, KEEP_SUSPECTED, PoisonRecord},
+    poison_report::PoisonReport,
+    standing::Standing,
+    strike::{Strike, TargetEnd},
+    told_poison::ToldPoison,
+};
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -96,6 +96,7 @@
     drop(metrics.orders.get_or_create(&order));
     drop(metrics.hosts.get_or_create(&state));
     drop(metrics.targets.get_or_create(&state));
+    drop(metrics.poison.get_or_create(&state));
     let copy = CopyLabels { table: "test" };
     let transfer = TransferLabels {
         table: "test",
