--- a/src/process/host/control_poison.rs
+++ b/src/process/host/control_poison.rs
@@ -186,7 +186,7 @@
             matters.then(|| row_of(&told))
         });
         let writes: Vec<_> = kept.collect();
-        (!writes.is_empty()).then(|| ControlAction::KeepPoison { writes })
+        (!writes.is_empty()).then_some(ControlAction::KeepPoison { writes })
     }
 
     /// Looks at what is due: the first read of the store, and records that are old.
