--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -158,6 +158,16 @@
     }
 
     /// True if targets have ended under the request: it is not sent again by itself, its caller may do so.
+    fn has_ended_targets(
+        &self,
+        request: &CallRequest,
+    ) -> bool {
+        let board = self.board.borrow();
+        !board.crashes.is_quiet() && board.crashes.standing(&request.fingerprint()).is_some()
+    }
+
+    /// True if targets have ended under the request, or one may have a moment ago: it goes to targets only that answer
+    /// right now.
     fn is_suspected(
         &self,
         request: &CallRequest,
@@ -334,7 +344,7 @@
         let now = Instant::now();
         let service = &request.service.name;
         let mut step = next_step(&request.route, &tries.history, end, true);
-        if end == AttemptEnd::Lost && self.is_suspected(request) {
+        if end == AttemptEnd::Lost && self.has_ended_targets(request) {
             step = next_step(&request.route, &tries.history, end, false);
         }
         let repeats = step == NextStep::Resend { repeats: true };
