--- a/src/process/host/host_process.rs
+++ b/src/process/host/host_process.rs
@@ -2,7 +2,7 @@
     super::{
         ControlEvent, HostControl,
         control_runner::ControlRunner,
-        public_pages::PublicPages,
+        public_pages::{Audience, PublicPages},
         traffic::{TrafficParts, run_traffic},
     },
     crate::{
@@ -69,24 +69,26 @@
     let listen = &settings.listen;
     let front = std::net::TcpListener::bind(listen.front)
         .map_err(|problem| listen_error(listen.front, &problem))?;
+    let (control_sender, requests) = flume::unbounded();
     let pages = Rc::new(PublicPages::new(
         control.clone(),
         formats.clone(),
         settings.bounds.entry_life,
         settings.link_mbps,
+        control_sender.clone(),
     ));
-    let addresses = [listen.entry, listen.ready, listen.peers];
-    for address in addresses.into_iter().chain(listen.metrics) {
+    let addresses = [listen.entry, listen.ready, listen.peers].map(|at| (at, Audience::Anyone));
+    let figures = listen.metrics.map(|at| (at, Audience::Operators));
+    for (address, audience) in addresses.into_iter().chain(figures) {
         let listener = TcpListener::bind(address)
             .await
             .map_err(|problem| listen_error(address, &problem))?;
-        spawn_local(pages.clone().serve(listener));
+        spawn_local(pages.clone().serve(listener, audience));
     }
     let socket = DatagramSocket::bind(listen.peers)
         .await
         .map_err(|problem| listen_error(listen.peers, &problem))?;
     let (stop, stop_seen) = watch::channel(FrontStop::Serving);
-    let (control_sender, requests) = flume::unbounded();
     let (traffic, inputs) = flume::unbounded();
     let open_connections = Arc::new(AtomicUsize::new(0));
     let parts = TrafficParts {
--- a/src/process/host/public_pages.rs
+++ b/src/process/host/public_pages.rs
@@ -7,11 +7,12 @@
     },
     crate::{
         clock::Instant,
-        connection::front::AnswerBody,
+        connection::{front::AnswerBody, targets::ControlRequest},
         formats::{Formats, PublicCall},
         metrics::metrics,
+        request::poison::{Fingerprint, PoisonReport},
     },
-    http::{HeaderValue, Request, Response, StatusCode, header},
+    http::{HeaderValue, Method, Request, Response, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{cell::RefCell, convert::Infallible, rc::Rc, sync::Arc, time::Duration},
@@ -24,6 +25,9 @@
 /// Where figures are served.
 const METRICS_PATH: &str = "/metrics";
 
+/// Where operators let a request pass again that is refused since targets ended under it; its fingerprint follows.
+const PARDON_PREFIX: &str = "/pardon/";
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -36,6 +40,16 @@
     formats: Arc<dyn Formats>,
     entry_life: Duration,
     copies: RefCell<CopyServer>,
+    requests: flume::Sender<ControlRequest>,
+}
+
+/// Who can reach an address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// Callers, other hosts and the platform's checks.
+    Anyone,
+    /// Whoever gathers figures, and operators.
+    Operators,
 }
 
 impl PublicPages {
@@ -44,12 +58,14 @@
         formats: Arc<dyn Formats>,
         longest_life: Duration,
         link_mbps: Option<f64>,
+        requests: flume::Sender<ControlRequest>,
     ) -> Self {
         Self {
             control,
             formats,
             entry_life: longest_life.mul_f64(LIFE_SHARE),
             copies: RefCell::new(CopyServer::new(link_mbps)),
+            requests,
         }
     }
 
@@ -57,6 +73,7 @@
     pub async fn serve(
         self: Rc<Self>,
         listener: TcpListener,
+        audience: Audience,
     ) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
@@ -66,7 +83,10 @@
             let _ = stream.set_nodelay(true);
             let pages = self.clone();
             let service = service_fn(move |request| {
-                let response = pages.answer(&request);
+                let response = match audience {
+                    Audience::Operators => pages.answer_operator(&request),
+                    Audience::Anyone => pages.answer(&request),
+                };
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = Builder::new()
@@ -79,6 +99,23 @@
         }
     }
 
+    /// What operators may ask for besides what anyone may.
+    fn answer_operator(
+        &self,
+        request: &Request<Incoming>,
+    ) -> Response<AnswerBody> {
+        let named = request.uri().path().strip_prefix(PARDON_PREFIX);
+        let Some(named) = named.filter(|_| *request.method() == Method::POST) else {
+            return self.answer(request);
+        };
+        let Ok(fingerprint) = named.parse::<Fingerprint>() else {
+            return page(StatusCode::NOT_FOUND, Vec::new());
+        };
+        let report = PoisonReport::Cleared { fingerprint };
+        let _ = self.requests.send(ControlRequest::Poison(report));
+        page(StatusCode::ACCEPTED, Vec::new())
+    }
+
     fn answer(
         &self,
         request: &Request<Incoming>,
