--- a/src/connection/front/against_engines.rs
+++ b/src/connection/front/against_engines.rs
@@ -1,6 +1,6 @@
-use {
-    crate::clock::Instant,
-    crate::request::direct::{CopyState, EngineCandidate},
+use crate::{
+    clock::Instant,
+    request::direct::{CopyState, EngineCandidate},
 };
 
 /// Engines that were weighed for a request and could not take it, by the first thing that spoke against
--- a/src/connection/front/tries.rs
+++ b/src/connection/front/tries.rs
@@ -3,8 +3,10 @@
         exchange::{Destination, WholeAnswer},
         request_trace::{RequestTrace, TraceStep},
     },
-    crate::clock::Instant,
-    crate::request::direct::{AttemptEnd, RequestHistory},
+    crate::{
+        clock::Instant,
+        request::direct::{AttemptEnd, RequestHistory},
+    },
     std::sync::Arc,
 };
 
--- a/src/connection/targets/adapter_demand.rs
+++ b/src/connection/targets/adapter_demand.rs
@@ -1,5 +1,7 @@
-use crate::clock::Instant;
-use std::{collections::HashMap, time::Duration};
+use {
+    crate::clock::Instant,
+    std::{collections::HashMap, time::Duration},
+};
 
 /// Time after which half of a past request is forgotten.
 const HALF_LIFE: Duration = Duration::from_secs(4);
--- a/src/connection/targets/belief_ages.rs
+++ b/src/connection/targets/belief_ages.rs
@@ -1,5 +1,4 @@
-use crate::clock::Instant;
-use std::time::Duration;
+use {crate::clock::Instant, std::time::Duration};
 
 /// Ages are told of once in such a time.
 const PERIOD: Duration = Duration::from_secs(1);
--- a/src/connection/targets/confirmation.rs
+++ b/src/connection/targets/confirmation.rs
@@ -1,5 +1,4 @@
-use crate::clock::Instant;
-use std::time::Duration;
+use {crate::clock::Instant, std::time::Duration};
 
 /// Time from the last look at the age of a belief until the request that rests on it has reached its
 /// target, at the most. A host looks right before it writes the request to an open connection; the
--- a/src/connection/targets/target_health.rs
+++ b/src/connection/targets/target_health.rs
@@ -1,5 +1,4 @@
-use crate::clock::Instant;
-use std::time::Duration;
+use {crate::clock::Instant, std::time::Duration};
 
 /// First time for which a target is avoided after a failure; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -1,7 +1,6 @@
 use {
     super::{TargetHealth, TargetView},
-    crate::clock::Instant,
-    crate::connection::http1::HttpConnection,
+    crate::{clock::Instant, connection::http1::HttpConnection},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -1,7 +1,9 @@
 use {
     super::{SitePlan, Tally, TrafficKind},
-    crate::client::{CallSpec, CallerClient},
-    crate::clock::{Instant, sleep_until},
+    crate::{
+        client::{CallSpec, CallerClient},
+        clock::{Instant, sleep_until},
+    },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
         net::SocketAddr,
--- a/src/process/engines/adapter_place.rs
+++ b/src/process/engines/adapter_place.rs
@@ -1,8 +1,10 @@
-use crate::clock::Instant;
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    time::Duration,
+use {
+    crate::clock::Instant,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
 /// Time after which half of an adapter's use is forgotten.
--- a/src/process/engines/base_load_pace.rs
+++ b/src/process/engines/base_load_pace.rs
@@ -1,5 +1,7 @@
-use crate::clock::Instant;
-use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
+use {
+    crate::clock::Instant,
+    std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration},
+};
 
 /// Loads are counted over so long: the weight store bounds them over spans of some seconds, and a holder whose
 /// engines are replaced one after the other needs not wait within a span.
--- a/src/process/engines/desk_choice.rs
+++ b/src/process/engines/desk_choice.rs
@@ -6,8 +6,7 @@
         engine_desk::{MAX_COMING, key, name_of},
         load_limiter::LOAD_TIME,
     },
-    crate::clock::Instant,
-    crate::formats::OrderKind,
+    crate::{clock::Instant, formats::OrderKind},
     std::time::Duration,
 };
 
--- a/src/process/engines/engine_use.rs
+++ b/src/process/engines/engine_use.rs
@@ -1,6 +1,8 @@
 use {
-    crate::clock::Instant,
-    crate::connection::datagram::{EngineQuery, Usage},
+    crate::{
+        clock::Instant,
+        connection::datagram::{EngineQuery, Usage},
+    },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
--- a/src/process/engines/late_orders.rs
+++ b/src/process/engines/late_orders.rs
@@ -1,7 +1,6 @@
 use {
     super::{DeskOrder, engine_desk::key},
-    crate::clock::Instant,
-    crate::formats::OrderKind,
+    crate::{clock::Instant, formats::OrderKind},
     std::time::Duration,
 };
 
--- a/src/process/engines/load_wish.rs
+++ b/src/process/engines/load_wish.rs
@@ -1,5 +1,7 @@
-use crate::clock::Instant;
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use {
+    crate::clock::Instant,
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
 
 /// Requests of this rank and those behind it are the least urgent.
 const LEAST_URGENT: u32 = 2;
--- a/src/process/engines/told_loads.rs
+++ b/src/process/engines/told_loads.rs
@@ -1,6 +1,5 @@
 use {
-    crate::clock::Instant,
-    crate::connection::datagram::EngineLoad,
+    crate::{clock::Instant, connection::datagram::EngineLoad},
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
 
--- a/src/process/host/listed_target.rs
+++ b/src/process/host/listed_target.rs
@@ -1,6 +1,8 @@
 use {
-    crate::clock::Instant,
-    crate::formats::{TargetRecord, TargetStart, TargetState},
+    crate::{
+        clock::Instant,
+        formats::{TargetRecord, TargetStart, TargetState},
+    },
     std::sync::Arc,
 };
 
--- a/src/process/host/send_allowance.rs
+++ b/src/process/host/send_allowance.rs
@@ -1,5 +1,4 @@
-use crate::clock::Instant;
-use std::time::Duration;
+use {crate::clock::Instant, std::time::Duration};
 
 /// Share of the link that large copies for other hosts may take; answers to callers go over it too.
 const LINK_SHARE: f64 = 0.5;
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -1,7 +1,9 @@
 use {
     super::{HostIdentity, HostState, KnownHost, SiteSize},
-    crate::clock::Instant,
-    crate::connection::datagram::{HostRumor, RumorState},
+    crate::{
+        clock::Instant,
+        connection::datagram::{HostRumor, RumorState},
+    },
     rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
     std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration},
 };
--- a/src/process/hosts/known_host.rs
+++ b/src/process/hosts/known_host.rs
@@ -1,6 +1,8 @@
 use {
-    crate::clock::Instant,
-    crate::connection::datagram::{HostRumor, RumorState},
+    crate::{
+        clock::Instant,
+        connection::datagram::{HostRumor, RumorState},
+    },
     std::net::SocketAddr,
 };
 
--- a/src/process/hosts/peer_clocks.rs
+++ b/src/process/hosts/peer_clocks.rs
@@ -1,5 +1,7 @@
-use crate::clock::Instant;
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use {
+    crate::clock::Instant,
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
 
 /// What an exchange told of another process's clock counts for one to two such times: long enough that
 /// each pair of hosts of a large site makes one (302 hosts ping one another every 30 s), short enough for
--- a/src/process/hosts/site_size.rs
+++ b/src/process/hosts/site_size.rs
@@ -1,8 +1,10 @@
-use crate::clock::Instant;
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    time::Duration,
+use {
+    crate::clock::Instant,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
 /// A host that was not heard for so long is no longer counted. Regions lose each other for an hour; a host
--- a/src/process/loads/load_queue.rs
+++ b/src/process/loads/load_queue.rs
@@ -1,6 +1,5 @@
 use {
-    crate::clock::Instant,
-    crate::version::AdapterVersion,
+    crate::{clock::Instant, version::AdapterVersion},
     std::{collections::BTreeMap, time::Duration},
 };
 
--- a/src/process/ownership/session_lease.rs
+++ b/src/process/ownership/session_lease.rs
@@ -1,10 +1,12 @@
-use crate::clock::Instant;
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
+use {
+    crate::clock::Instant,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
     },
-    time::Duration,
 };
 
 /// This process's own lease, readable from every thread at the last moment before an order.
--- a/src/process/tables/read_schedule.rs
+++ b/src/process/tables/read_schedule.rs
@@ -1,5 +1,4 @@
-use crate::clock::Instant;
-use std::time::Duration;
+use {crate::clock::Instant, std::time::Duration};
 
 /// A host that starts leaves others this time to hand it their copies, before it reads itself.
 const FIRST_WAIT: Duration = Duration::from_millis(150);
--- a/src/process/tables/table_copy.rs
+++ b/src/process/tables/table_copy.rs
@@ -1,7 +1,9 @@
 use {
     super::TableChanges,
-    crate::clock::Instant,
-    crate::formats::{Row, RowBatch},
+    crate::{
+        clock::Instant,
+        formats::{Row, RowBatch},
+    },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
--- a/src/process/target/drop_choice.rs
+++ b/src/process/target/drop_choice.rs
@@ -1,5 +1,6 @@
 use {
-    super::AdapterSlot, crate::clock::Instant, crate::version::AdapterVersion,
+    super::AdapterSlot,
+    crate::{clock::Instant, version::AdapterVersion},
     std::collections::BTreeMap,
 };
 
--- a/src/process/target/target_health.rs
+++ b/src/process/target/target_health.rs
@@ -1,5 +1,4 @@
-use crate::clock::Instant;
-use std::time::Duration;
+use {crate::clock::Instant, std::time::Duration};
 
 /// Failures in a row that open the circuit.
 const OPEN_AFTER: u32 = 3;
--- a/src/process/target/wait_queue.rs
+++ b/src/process/target/wait_queue.rs
@@ -1,7 +1,6 @@
 use {
     super::{Ticket, TicketId},
-    crate::clock::Instant,
-    crate::version::AdapterVersion,
+    crate::{clock::Instant, version::AdapterVersion},
     std::{cmp::Ordering, collections::BTreeMap, time::Duration},
 };
 
--- a/src/request/rate_limits.rs
+++ b/src/request/rate_limits.rs
@@ -1,5 +1,7 @@
-use crate::clock::Instant;
-use std::{collections::HashMap, sync::Mutex};
+use {
+    crate::clock::Instant,
+    std::{collections::HashMap, sync::Mutex},
+};
 
 /// A quiet service may send this many seconds' worth at once.
 const BURST_SECONDS: f64 = 1.0;
--- a/src/request/repeats/borrowed.rs
+++ b/src/request/repeats/borrowed.rs
@@ -1,5 +1,4 @@
-use crate::clock::Instant;
-use std::collections::VecDeque;
+use {crate::clock::Instant, std::collections::VecDeque};
 
 #[derive(Debug)]
 struct Loan {
--- a/src/request/repeats/recent_count.rs
+++ b/src/request/repeats/recent_count.rs
@@ -1,5 +1,7 @@
-use crate::clock::Instant;
-use std::{collections::VecDeque, time::Duration};
+use {
+    crate::clock::Instant,
+    std::{collections::VecDeque, time::Duration},
+};
 
 /// Slices of the time over which something is counted; what was spent counts for a fortieth of it too long.
 const SLICES: u32 = 40;
--- a/src/timeline/line_writer.rs
+++ b/src/timeline/line_writer.rs
@@ -1,7 +1,9 @@
 use {
     super::{Event, line_gate::take_held_back},
-    crate::clock::Instant,
-    crate::metrics::{StateLabels, metrics},
+    crate::{
+        clock::Instant,
+        metrics::{StateLabels, metrics},
+    },
     std::{
         io::{self, Write},
         sync::{
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -4,8 +4,10 @@
 
 use {
     bytes::Bytes,
-    coveproxy::client::{CallSpec, SeenOutcome},
-    coveproxy::clock::Instant,
+    coveproxy::{
+        client::{CallSpec, SeenOutcome},
+        clock::Instant,
+    },
     http::{HeaderMap, Request, StatusCode},
     http_body_util::{BodyExt, Full},
     hyper_util::{
--- a/tests/peer_clocks.rs
+++ b/tests/peer_clocks.rs
@@ -1,8 +1,10 @@
 //! When messages of other hosts left them, by what answered pings tell of their clocks.
 
 use {
-    coveproxy::clock::Instant,
-    coveproxy::process::hosts::{PeerClocks, PingExchange},
+    coveproxy::{
+        clock::Instant,
+        process::hosts::{PeerClocks, PingExchange},
+    },
     rstest::rstest,
     std::{net::SocketAddr, time::Duration},
 };
--- a/tests/wake_watch.rs
+++ b/tests/wake_watch.rs
@@ -1,8 +1,10 @@
 //! When the control thread tells that it wakes too often, or takes too long.
 
 use {
-    coveproxy::clock::Instant,
-    coveproxy::process::host::{BusyPeriod, WakeWatch},
+    coveproxy::{
+        clock::Instant,
+        process::host::{BusyPeriod, WakeWatch},
+    },
     std::time::Duration,
 };
 
