--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -167,6 +167,18 @@
     assert!(!ledger.join(&old, now + KEEP_REFUSED));
 }
 
+#[test]
+fn a_request_that_comes_each_few_minutes_is_known_in_the_end() {
+    let mut ledger = PoisonLedger::default();
+    let now = Instant::now();
+    for number in 0..3u32 {
+        let later = now + KEEP_SUSPECTED / 2 * number;
+        ledger.drop_old(later);
+        ledger.join(&struck(1, &[u64::from(number)], true), later);
+    }
+    assert_eq!(ledger.standing(&fingerprint(1)), Some(Standing::Refused));
+}
+
 #[test]
 fn pages_go_around_all_records() {
     let mut ledger = PoisonLedger::default();
