A request that waits as it becomes known to end targets is not sent either; targets that leave end by plan

Cause (found by reading): the refusal was looked at only as a request arrived; one that waited for its adapter was sent seconds later. It is looked at right before each send now. A request that was lost at a target that leaves is not accused.

--- a/src/connection/front/crash_probe.rs
+++ b/src/connection/front/crash_probe.rs
@@ -111,11 +111,16 @@
     let address = {
         let mut board = board.borrow_mut();
         board.crashes.on_loss(&run.0, lost);
+        let link = board.links.get(&run.0);
+        // One that leaves ends by plan, whatever runs there.
+        let link = link.filter(|link| link.view.usable_until.is_none());
+        let Some(address) = link.map(|link| link.view.record.address) else {
+            return;
+        };
         if !board.crashes.accuse(&run, accused) {
             return;
         }
-        let link = board.links.get(&run.0);
-        link.map(|link| link.view.record.address)
+        address
     };
     let probe = CrashProbe {
         board: board.clone(),
@@ -152,7 +157,7 @@
 impl CrashProbe {
     async fn run(
         self,
-        address: Option<SocketAddr>,
+        address: SocketAddr,
     ) {
         let ended = self.has_ended(address).await;
         let mut board = self.board.borrow_mut();
@@ -190,11 +195,8 @@
     /// True if the target takes no connections twice, and nothing was heard of this start meanwhile.
     async fn has_ended(
         &self,
-        address: Option<SocketAddr>,
+        address: SocketAddr,
     ) -> bool {
-        let Some(address) = address else {
-            return true;
-        };
         if self.check.at(address).await != Health::Down {
             return self.has_other_start();
         }
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -82,8 +82,11 @@
         self: &Rc<Self>,
         request: CallRequest,
     ) -> Response<AnswerBody> {
-        if let Some(response) = self.refuse_poison(&request) {
-            return response;
+        if self.is_refused(&request) {
+            let cause = OwnCause::EndsTargets;
+            let status = cause.status().as_u16();
+            tell(&request, &Tries::default(), status, Some(cause));
+            return self.refuse_poison(&request);
         }
         self.note_demand(&request);
         let mut unserved = Unserved::new(&request);
@@ -135,26 +138,34 @@
     fn refuse_poison(
         &self,
         request: &CallRequest,
-    ) -> Option<Response<AnswerBody>> {
-        if self.board.borrow().crashes.is_quiet() {
-            return None;
-        }
-        let fingerprint = request.fingerprint();
-        let standing = self.board.borrow().crashes.standing(&fingerprint);
-        if standing != Some(Standing::Refused) {
-            return None;
-        }
+    ) -> Response<AnswerBody> {
         note!(
             Event::RequestRefused,
             id = request.id_text(),
-            fingerprint = fingerprint,
+            fingerprint = request.fingerprint(),
             route = request.route.name,
         );
-        let cause = OwnCause::EndsTargets;
-        let status = cause.status().as_u16();
-        let passed = request.arrived.elapsed();
-        count(request, &Tries::default(), status, Some(cause), passed);
-        Some(self.answer(request, OwnAnswer::new(cause)))
+        self.answer(request, OwnAnswer::new(OwnCause::EndsTargets))
+    }
+
+    /// What is thought of a request under which targets have ended; `None` for every other one.
+    fn standing(
+        &self,
+        request: &CallRequest,
+    ) -> Option<Standing> {
+        let board = self.board.borrow();
+        match board.crashes.is_quiet() {
+            true => None,
+            false => board.crashes.standing(&request.fingerprint()),
+        }
+    }
+
+    /// True if the request is known to end targets.
+    fn is_refused(
+        &self,
+        request: &CallRequest,
+    ) -> bool {
+        self.standing(request) == Some(Standing::Refused)
     }
 
     /// True if targets have ended under the request: it is not sent again by itself, its caller may do so.
@@ -162,8 +173,7 @@
         &self,
         request: &CallRequest,
     ) -> bool {
-        let board = self.board.borrow();
-        !board.crashes.is_quiet() && board.crashes.standing(&request.fingerprint()).is_some()
+        self.standing(request).is_some()
     }
 
     /// True if targets have ended under the request, or one may have a moment ago: it goes to targets only that answer
@@ -241,8 +251,12 @@
                 tries.tried.push(destination.target.to_string());
                 continue;
             }
+            // It may have become known while this one waited for its adapter, for seconds.
+            if self.is_refused(request) {
+                return Outcome::Final(self.refuse_poison(request));
+            }
             let run = self.run_at(&destination.target);
-            let begun = Instant::now();
+            let sent_at = Instant::now();
             // Until its end is known a send may have run.
             tries.history.runs += 1;
             let sent = send(&self.board, names, request, &destination, streams).await;
@@ -272,7 +286,7 @@
                 }
                 Sent::Unconfirmed => continue,
                 Sent::Ended(AttemptEnd::Lost) => {
-                    let begun = verified || begun.elapsed() >= LEAST_RUN;
+                    let begun = verified || sent_at.elapsed() >= LEAST_RUN;
                     accuse(&self.board, names, request, run, begun);
                     AttemptEnd::Lost
                 }
