The ledger of requests that end targets tells what it pushes out, and holds its limits when one becomes refused

Cause (read-through): a suspect that had to go for a newer one stayed suspected in the traffic thread for good, one entry each, and one that became refused was put beside a full list without making room. Ruled out: suspects that grow old, which are told. Change: the ledger keeps whom it pushed out until the next look for old records, and makes room whenever a record's kind changes. Besides, a new record is joined once, not twice, and the delay of the first read of the store is drawn in a function of its own.

--- a/src/process/host/control_poison.rs
+++ b/src/process/host/control_poison.rs
@@ -205,21 +205,15 @@
             self.poison.is_known = true;
             return actions;
         }
+        // How many hosts there are becomes clear in the first moments.
+        if now < self.started + FIRST_READ {
+            return actions;
+        }
         let due = match self.poison.next_read {
             Some(due) => due,
-            None => {
-                let hosts = u32::try_from(self.hosts.known_count()).unwrap_or(u32::MAX);
-                let spread = READ_SPREAD * hosts.max(1);
-                let due =
-                    self.started + FIRST_READ + rand::rng().random_range(Duration::ZERO..spread);
-                // Who is known becomes clear in the first moments.
-                if now < self.started + FIRST_READ {
-                    return actions;
-                }
-                self.poison.next_read = Some(due);
-                due
-            }
+            None => self.started + FIRST_READ + self.read_delay(),
         };
+        self.poison.next_read = Some(due);
         if now >= due {
             self.poison.next_read = Some(now + READ_PAUSE);
             actions.push(ControlAction::ReadPoison);
@@ -227,6 +221,12 @@
         actions
     }
 
+    /// Drawn by chance, the longer the more hosts there are.
+    fn read_delay(&self) -> Duration {
+        let hosts = u32::try_from(self.hosts.known_count()).unwrap_or(u32::MAX);
+        rand::rng().random_range(Duration::ZERO..READ_SPREAD * hosts.max(1))
+    }
+
     /// The store's rows were read, or could not be.
     pub(super) fn on_poison_read(
         &mut self,
--- a/src/request/poison/poison_ledger.rs
+++ b/src/request/poison/poison_ledger.rs
@@ -19,6 +19,8 @@
     records: BTreeMap<Fingerprint, PoisonRecord>,
     /// Sum of the records' digests.
     digest: u64,
+    /// Requests that others were kept in place of, until they are told.
+    pushed_out: Vec<Fingerprint>,
 }
 
 impl PoisonLedger {
@@ -29,15 +31,19 @@
         now: Instant,
     ) -> bool {
         let latest = now - told.age;
-        let known = self.records.get(&told.fingerprint);
-        let mut record = known
-            .cloned()
-            .unwrap_or_else(|| PoisonRecord::new(told, latest));
-        let changed = record.join(told, latest) || known.is_none();
+        let known = self.records.get(&told.fingerprint).cloned();
+        let (record, changed) = match known.clone() {
+            Some(mut record) => {
+                let changed = record.join(told, latest);
+                (record, changed)
+            }
+            None => (PoisonRecord::new(told, latest), true),
+        };
         if record.kept_until() <= now {
             return false;
         }
-        if known.is_none() && !self.makes_room(&record) {
+        let has_room = known.is_some_and(|known| is_refused(&known) == is_refused(&record));
+        if !has_room && !self.makes_room(&record) {
             return false;
         }
         self.put(told.fingerprint, record);
@@ -57,7 +63,7 @@
         changed
     }
 
-    /// Forgets what is old; gives the requests that nothing speaks against any more.
+    /// Forgets what is old; gives the requests that are known no longer, those that others were kept in place of included.
     pub fn drop_old(
         &mut self,
         now: Instant,
@@ -70,7 +76,10 @@
         for fingerprint in &old {
             self.remove(fingerprint);
         }
-        old
+        let mut gone = std::mem::take(&mut self.pushed_out);
+        gone.extend(old);
+        gone.retain(|fingerprint| !self.records.contains_key(fingerprint));
+        gone
     }
 
     /// What is thought of a request; `None` if nothing speaks against it.
@@ -123,13 +132,13 @@
             .collect()
     }
 
-    /// Makes room for a record that is not known yet; false if it is older than all that would have to go.
+    /// Makes room for a record among those that stand alike; false if it is older than all that would have to go.
     fn makes_room(
         &mut self,
         record: &PoisonRecord,
     ) -> bool {
-        let refused = record.standing() == Some(Standing::Refused);
-        let alike = |kept: &PoisonRecord| (kept.standing() == Some(Standing::Refused)) == refused;
+        let refused = is_refused(record);
+        let alike = |kept: &PoisonRecord| is_refused(kept) == refused;
         let most = match refused {
             true => MAX_REFUSED,
             false => MAX_SUSPECTED,
@@ -142,6 +151,7 @@
         match oldest.map(|(fingerprint, kept)| (*fingerprint, kept.latest())) {
             Some((oldest, latest)) if latest < record.latest() => {
                 self.remove(&oldest);
+                self.pushed_out.push(oldest);
                 true
             }
             _ => false,
@@ -167,3 +177,7 @@
         }
     }
 }
+
+fn is_refused(record: &PoisonRecord) -> bool {
+    record.standing() == Some(Standing::Refused)
+}
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -143,6 +143,10 @@
     }
     assert_eq!(ledger.standing(&fingerprint(0)), Some(Standing::Refused));
     assert_eq!(ledger.count(Standing::Suspected), MAX_SUSPECTED);
+    // Those that had to go are told, once.
+    let later = now + Duration::from_secs(10);
+    assert_eq!(ledger.drop_old(later).len(), MAX_SUSPECTED * 2 - 1);
+    assert!(ledger.drop_old(later).is_empty());
     let newest = MAX_SUSPECTED as u64 * 3 - 1;
     assert_eq!(
         ledger.standing(&fingerprint(newest)),
