Customers' keys on the direct path: whose a request is, and keys that end in time

Cause: the hosts that users measure knew no customers.

Ruled out: a check by the age that routes are held against (bounds lift while the store fails a host; a key that was taken away must end there as well). A look at the store for each request (6,000 reads a second at the store, none in an outage). A short wait for news of a key that is unknown here: copies are confirmed each 0.9 s, so most waits of 0.25 s would end without news, and callers with dead keys would hold connections; a copy older than its bound answers 503 instead, since 401 would be taken for the last word.

The age of the configuration is looked at when a request comes and right before it is sent, against the bound for keys less 1 s, whatever the store does; the key is looked up again before a send that waited. Urgency is the customer's priority, then the route's. The pure parts of limits (messages, names) are in here and not used yet.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -211,6 +211,7 @@
         policy: Policy::default(),
         bounds: BeliefBounds {
             declared: Duration::from_secs(3),
+            revoke: Duration::from_secs(5),
             targets: Duration::from_secs(2),
             version: Duration::from_secs(5),
         },
--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -328,6 +328,52 @@
     pub entries: Vec<PoisonEntry>,
 }
 
+/// Asks the host that counts a part of a customer's use to let some of it be used.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ChargeAsk {
+    /// The group of customers that it counts.
+    #[prost(uint32, tag = "1")]
+    pub slot: u32,
+    #[prost(string, tag = "2")]
+    pub customer: String,
+    /// Names the ask to the host that asks.
+    #[prost(fixed64, tag = "3")]
+    pub id: u64,
+    /// Units for the request that waits, all or none, and for those that are likely to follow.
+    #[prost(uint32, tag = "4")]
+    pub need: u32,
+    #[prost(uint32, tag = "5")]
+    pub ahead: u32,
+}
+
+/// Answers an ask for use.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ChargeAnswer {
+    /// As in the message that asked for it.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Units granted; none if there are too few for the request.
+    #[prost(uint32, tag = "2")]
+    pub granted: u32,
+    /// Time until there are enough, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub come_back_ms: u32,
+    /// The sender does not count this customer's use.
+    #[prost(bool, tag = "4")]
+    pub not_counted: bool,
+}
+
+/// Units that were granted are not used after all.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ChargeRefund {
+    #[prost(uint32, tag = "1")]
+    pub slot: u32,
+    #[prost(string, tag = "2")]
+    pub customer: String,
+    #[prost(uint32, tag = "3")]
+    pub amount: u32,
+}
+
 /// Any message between hosts.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Message {
@@ -357,6 +403,12 @@
     Loan(Loan),
     #[prost(message, tag = "13")]
     PoisonNews(PoisonNews),
+    #[prost(message, tag = "14")]
+    ChargeAsk(ChargeAsk),
+    #[prost(message, tag = "15")]
+    ChargeAnswer(ChargeAnswer),
+    #[prost(message, tag = "16")]
+    ChargeRefund(ChargeRefund),
 }
 
 impl Message {
@@ -376,13 +428,19 @@
             Self::LoanAsk(_) => "loan_ask",
             Self::Loan(_) => "loan",
             Self::PoisonNews(_) => "poison_news",
+            Self::ChargeAsk(_) => "charge_ask",
+            Self::ChargeAnswer(_) => "charge_answer",
+            Self::ChargeRefund(_) => "charge_refund",
         }
     }
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
-    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(
+        oneof = "Message",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+    )]
     message: Option<Message>,
 }
 
--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -7,9 +7,10 @@
 pub use {
     address::Address,
     message::{
-        Ack, AdapterUsage, CopyState, EngineLoad, EngineQuery, EngineStanding, Freshness,
-        HostRumor, Loan, LoanAsk, Message, Ping, PingEcho, PingRequest, Placement, PlacementState,
-        PoisonEntry, PoisonNews, PoisonStrike, RumorState, Usage, Vouch, Want, decode, encode,
+        Ack, AdapterUsage, ChargeAnswer, ChargeAsk, ChargeRefund, CopyState, EngineLoad,
+        EngineQuery, EngineStanding, Freshness, HostRumor, Loan, LoanAsk, Message, Ping, PingEcho,
+        PingRequest, Placement, PlacementState, PoisonEntry, PoisonNews, PoisonStrike, RumorState,
+        Usage, Vouch, Want, decode, encode,
     },
     socket::DatagramSocket,
 };
--- a/src/connection/front/belief_gate.rs
+++ b/src/connection/front/belief_gate.rs
@@ -24,6 +24,8 @@
 pub(super) enum Belief {
     /// It is to be routed: by the configuration.
     Declared,
+    /// It is to be sent for a customer: by the keys that stand.
+    Keys,
     /// It is to be sent: by the list of targets.
     Targets,
     /// It is to be sent for an adapter: by what is known of its versions.
@@ -34,6 +36,7 @@
     fn word(self) -> &'static str {
         match self {
             Self::Declared => "declared",
+            Self::Keys => "keys",
             Self::Targets => "targets",
             Self::Versions => "versions",
         }
@@ -46,6 +49,7 @@
     ) -> bool {
         match self {
             Self::Declared => board.allows_routing(now),
+            Self::Keys => board.allows_keys(now),
             Self::Targets => board.allows_sends(now),
             Self::Versions => board.allows_versions(now),
         }
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -142,7 +142,7 @@
         let terms = ChoiceTerms {
             copy_price: Duration::ZERO,
             aim_left: request.aim().saturating_duration_since(now),
-            priority: request.route.priority,
+            priority: request.urgency,
             policy: board.policy(),
             now,
         };
@@ -184,7 +184,7 @@
         let terms = ChoiceTerms {
             copy_price: copy_price(board, adapter, now),
             aim_left: request.aim().saturating_duration_since(now),
-            priority: request.route.priority,
+            priority: request.urgency,
             policy: board.policy(),
             now,
         };
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         clock::{Instant, sleep_until, timeout_at},
-        connection::targets::{TargetBoard, TargetRun},
+        connection::targets::{KeyStanding, TargetBoard, TargetRun},
         formats::Formats,
         metrics::{KindLabels, OutcomeLabels, WaitLabels, metrics},
         note,
@@ -215,6 +215,11 @@
             if !self.wait_until_confirmed(request).await {
                 return self.unserved(request, tries, OwnCause::Unconfirmed, HELD_COME_BACK);
             }
+            if resume_after.is_none()
+                && let Some(cause) = self.lost_key(request)
+            {
+                return self.unserved(request, tries, cause, HELD_COME_BACK);
+            }
             let mut destination = match self.chooser.choose(request, tries, Instant::now()) {
                 Choice::Send(destination) => destination,
                 Choice::Wait { until, expected } => {
@@ -341,12 +346,32 @@
             .and_then(|g| g.adapter())
             .is_some();
         // What a request was routed by may have aged while it waited for its adapter.
+        if request.credential.is_some()
+            && !wait_until_confirmed(&self.board, Belief::Keys, id).await
+        {
+            return false;
+        }
         if has_adapter && !wait_until_confirmed(&self.board, Belief::Versions, id).await {
             return false;
         }
         wait_until_confirmed(&self.board, Belief::Targets, id).await
     }
 
+    /// Why a request must not be sent by the key that it was admitted by: it may have been taken away while the request
+    /// waited for its adapter, for seconds.
+    fn lost_key(
+        &self,
+        request: &CallRequest,
+    ) -> Option<OwnCause> {
+        let credential = request.credential.as_ref()?;
+        let standing = self.board.borrow().key_standing(credential, Instant::now());
+        match standing {
+            KeyStanding::Valid => None,
+            KeyStanding::Gone => Some(OwnCause::UnknownKey),
+            KeyStanding::Moved | KeyStanding::Unconfirmed => Some(OwnCause::Unconfirmed),
+        }
+    }
+
     /// Decides what follows a send without an answer; gives the final answer if there is one.
     async fn after(
         &self,
@@ -488,7 +513,7 @@
             sleep_until(until).await;
             return;
         };
-        let waiter = Waiter::start(&self.board, adapter, request.route.priority);
+        let waiter = Waiter::start(&self.board, adapter, request.urgency);
         tokio::select! {
             _ = waiter.news() => {}
             _ = sleep_until(until) => {}
--- a/src/connection/front/engine_outlook.rs
+++ b/src/connection/front/engine_outlook.rs
@@ -99,7 +99,7 @@
         request: &CallRequest,
     ) -> u64 {
         let backlog = link.backlog_tokens();
-        match self.policy.ranks_backlog && request.route.priority == MOST_URGENT {
+        match self.policy.ranks_backlog && request.urgency == MOST_URGENT {
             true => backlog.min(self.speed.prompt_in_reading()),
             false => backlog,
         }
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -3,7 +3,7 @@
         clock::Instant,
         connection::{
             http1::{BodyDecoder, ExchangeError, HttpConnection, ResponseHead},
-            targets::{RequestTokens, TargetBoard, TargetLink, TargetRun},
+            targets::{KeyStanding, RequestTokens, TargetBoard, TargetLink, TargetRun},
         },
         formats::{HeaderNames, TargetStart},
         request::direct::{AttemptEnd, CallRequest},
@@ -25,6 +25,9 @@
 /// Bodies up to this size are read whole before they are passed on, in bytes.
 const WHOLE_LIMIT: usize = 256 * 1024;
 
+/// The last rank that engines know among the requests that wait there.
+const LEAST_URGENT: u8 = 9;
+
 /// The version of its adapter that a request is sent for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct VersionSent {
@@ -325,7 +328,14 @@
             let until = board.serves_until(adapter, sent.version);
             until.allows(sent.wait, now)
         });
-    serves && board.allows_sends(now)
+    // A stream that goes on elsewhere began while its key stood.
+    let resumes = destination.resume_after.is_some();
+    let key_stands = resumes
+        || request
+            .credential
+            .as_ref()
+            .is_none_or(|credential| board.key_standing(credential, now) == KeyStanding::Valid);
+    serves && key_stands && board.allows_sends(now)
 }
 
 fn backlog(
@@ -478,13 +488,20 @@
         ]);
     }
     if request.generation.is_some() {
-        let priority = request.route.priority.min(9).to_string();
+        let priority = request.urgency.min(LEAST_URGENT).to_string();
         line(&[
             names.priority.as_str().as_bytes(),
             b": ",
             priority.as_bytes(),
         ]);
     }
+    if let Some(credential) = &request.credential {
+        line(&[
+            names.customer.as_str().as_bytes(),
+            b": ",
+            credential.customer.name.as_bytes(),
+        ]);
+    }
     let length = request.body.len().to_string();
     line(&[b"content-length: ", length.as_bytes()]);
     line(&[]);
--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -2,12 +2,15 @@
     super::{
         AnswerBody, Dispatcher, OwnAnswer, OwnCause, RequestProblem, RequestReader,
         belief_gate::{Belief, HELD_COME_BACK, wait_until_confirmed},
+        request_trace::millis,
     },
     crate::{
         clock::Instant,
         connection::targets::TargetBoard,
         formats::Formats,
         metrics::{StateLabels, metrics},
+        note,
+        timeline::Event,
     },
     http::{Request, Response},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
@@ -144,12 +147,43 @@
                 OwnCause::NotReady,
                 NOT_READY_COME_BACK,
             ))),
-            Err(RequestProblem::Answer(cause)) => Ok(own(OwnAnswer::new(cause))),
+            Err(RequestProblem::Answer(cause)) => Ok(own(self.reject(cause, id_text))),
             Err(RequestProblem::Gone) => Err(io::ErrorKind::ConnectionAborted.into()),
         }
     }
 }
 
+impl FrontListener {
+    /// The answer to a request that is not routed, with a line on what that rests on.
+    ///
+    /// A key that stands nowhere may have been added since a configuration that is older than its bound; its caller
+    /// would take 401 for the last word.
+    fn reject(
+        &self,
+        cause: OwnCause,
+        id: &str,
+    ) -> OwnAnswer {
+        let now = Instant::now();
+        let board = self.board.borrow();
+        let answer = match cause {
+            OwnCause::UnknownKey if !board.allows_unknown_keys(now) => {
+                OwnAnswer::after(OwnCause::Unconfirmed, HELD_COME_BACK)
+            }
+            cause => OwnAnswer::new(cause),
+        };
+        let age = board.confirmation().declared.age(now);
+        note!(
+            Event::RequestRejected,
+            id = id,
+            cause = cause.word(),
+            answered = answer.cause.word(),
+            config = board.routing().version,
+            age_ms = age.map_or(-1.0, millis),
+        );
+        answer
+    }
+}
+
 /// A connection that is open; counted until dropped.
 struct OpenConnection {
     count: Arc<AtomicUsize>,
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -1,6 +1,7 @@
 //! Callers: their connections, reading their requests, sending these to targets, and the answers.
 
 mod adapter_standing;
+mod admission;
 mod against_engines;
 mod answer_body;
 mod belief_gate;
--- a/src/connection/front/own_answer.rs
+++ b/src/connection/front/own_answer.rs
@@ -10,6 +10,12 @@
     /// No configuration is known yet.
     NotReady,
     NoRoute,
+    /// No customer has the key that the request bears, or it bears none.
+    UnknownKey,
+    /// Its customer has used up what it may, over all hosts.
+    OverLimit,
+    /// Nobody who counts its customer's use answers; other hosts may reach one.
+    Uncounted,
     BodyTooLarge,
     BodyTooSlow,
     /// The process stops.
@@ -38,6 +44,9 @@
         match self {
             Self::NotReady => "not_ready",
             Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::OverLimit => "over_limit",
+            Self::Uncounted => "uncounted",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
             Self::Stopping => "host_stopping",
@@ -56,11 +65,14 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NotReady
             | Self::Stopping
             | Self::Unconfirmed
+            | Self::Uncounted
             | Self::NoTarget
             | Self::NoAdapter
             | Self::TurnedAway
--- a/src/connection/front/request_reader.rs
+++ b/src/connection/front/request_reader.rs
@@ -1,9 +1,9 @@
 use {
-    super::OwnCause,
+    super::{OwnCause, admission::identify},
     crate::{
         clock::{Instant, timeout_at},
         formats::{Formats, HeaderNames},
-        request::direct::{CallRequest, Generation},
+        request::direct::{CallRequest, Credential, Generation, token_counts},
         version::routing::{Route, RoutingTable, TargetService},
     },
     bytes::{Bytes, BytesMut},
@@ -69,6 +69,8 @@
         }
         let (parts, body) = request.into_parts();
         let route = find_route(&parts, routing).ok_or(RequestProblem::Answer(OwnCause::NoRoute))?;
+        let credential =
+            identify(&parts.headers, &route, &routing.customers).map_err(RequestProblem::Answer)?;
         let service = find_service(&route, routing, draw)?;
         let names = self.formats.headers();
         let ends = arrived + allowed_time(&parts.headers, names, &route);
@@ -82,13 +84,16 @@
                 .map_or("/", |text| text.as_str())
                 .to_string(),
             method: parts.method,
-            headers: passed_headers(&parts.headers, names),
+            headers: passed_headers(&parts.headers, names, routing),
             body,
             arrived,
             ends,
+            urgency: urgency(routing, &route, credential.as_ref()),
+            told_tokens: told_tokens(&parts.headers, names),
             route,
             service,
             generation,
+            credential,
         })
     }
 }
@@ -140,6 +145,23 @@
     Some(generation)
 }
 
+fn urgency(
+    routing: &RoutingTable,
+    route: &Route,
+    credential: Option<&Credential>,
+) -> u8 {
+    let customer = credential.map(|credential| &*credential.customer);
+    routing.urgency(route, customer)
+}
+
+fn told_tokens(
+    headers: &HeaderMap,
+    names: &HeaderNames,
+) -> Option<u64> {
+    let (tokens_in, tokens_out) = token_counts(text(headers, &names.token_counts)?);
+    Some(u64::from(tokens_in) + u64::from(tokens_out))
+}
+
 fn text<'a>(
     headers: &'a HeaderMap,
     name: &HeaderName,
@@ -154,11 +176,14 @@
     text(headers, name)?.trim().parse().ok()
 }
 
-/// Headers that go on to the target; those that only hosts may set are left out.
+/// Headers that go on to the target; those that only hosts may set are left out, and callers' keys, which are no
+/// business of targets.
 fn passed_headers(
     headers: &HeaderMap,
     names: &HeaderNames,
+    routing: &RoutingTable,
 ) -> HeaderMap {
+    let has_keys = !routing.customers.is_empty();
     let named_by_connection: Vec<&str> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -170,6 +195,7 @@
         .iter()
         .filter(|(name, _)| !HOP_BY_HOP.contains(name) && name.as_str() != KEEP_ALIVE)
         .filter(|(name, _)| !names.is_set_by_hosts(name))
+        .filter(|(name, _)| !(has_keys && **name == header::AUTHORIZATION))
         .filter(|(name, _)| {
             let named = |named: &&str| named.eq_ignore_ascii_case(name.as_str());
             names.is_of_request(name) || !named_by_connection.iter().any(named)
--- a/src/connection/targets/belief_ages.rs
+++ b/src/connection/targets/belief_ages.rs
@@ -12,6 +12,8 @@
 pub struct BeliefBounds {
     /// The configuration, when a caller sends a request that is routed by it.
     pub declared: Duration,
+    /// The configuration, when a request is sent for a customer's key that may have been taken away.
+    pub revoke: Duration,
     /// The list of targets, when a request reaches one.
     pub targets: Duration,
     /// An adapter's version after its successor was acknowledged, when a request begins on it.
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -6,6 +6,8 @@
 mod confirmation;
 mod crash_watch;
 mod fleet_view;
+mod key_standing;
+mod quota_book;
 mod reading_speed;
 mod repeat_budgets;
 mod serves_until;
@@ -21,6 +23,8 @@
     confirmation::{Confirmation, SEND_MARGIN, TableConfirmation},
     crash_watch::{Accused, CrashWatch, TargetRun},
     fleet_view::{FleetView, TargetView},
+    key_standing::KeyStanding,
+    quota_book::{AskGuard, QuotaBook},
     reading_speed::ReadingSpeed,
     repeat_budgets::RepeatBudgets,
     serves_until::ServesUntil,
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -1,19 +1,19 @@
 use {
     super::{
         AdapterDemand, AdapterMap, BeliefAges, BeliefBounds, Confirmation, CrashWatch, FleetView,
-        LargestAges, ReadingSpeed, RepeatBudgets, RequestTokens, ServesUntil, Succession,
-        TargetLink, TargetView, VersionHistory,
+        KeyStanding, LargestAges, QuotaBook, ReadingSpeed, RepeatBudgets, RequestTokens,
+        ServesUntil, Succession, TargetLink, TargetView, VersionHistory,
     },
     crate::{
         clock::Instant,
         connection::datagram::{
-            AdapterUsage, EngineLoad, EngineQuery, EngineStanding, Loan, LoanAsk, Placement,
-            PlacementState, Usage, Want,
+            AdapterUsage, ChargeAsk, ChargeRefund, EngineLoad, EngineQuery, EngineStanding, Loan,
+            LoanAsk, Placement, PlacementState, Usage, Want,
         },
         formats::TargetStart,
         metrics::{CopyLabels, metrics},
         request::{
-            direct::{CopyState, Policy},
+            direct::{CopyState, Credential, Policy},
             poison::PoisonReport,
             repeats::RepeatBudget,
         },
@@ -24,6 +24,11 @@
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
+/// What is kept back of the bound for keys that are taken away: the way to the target (0.2 s), and what a copy may
+/// be older than it seems. That is the time for which a message waits on its way before its sender has answered
+/// a ping; 0.6 s were seen on full links.
+const KEY_MARGIN: Duration = Duration::from_millis(1_000);
+
 /// Adapters that an engine is thought to remember, as a multiple of its places.
 const REMEMBERED_PER_SLOT: usize = 4;
 
@@ -67,6 +72,13 @@
     AskLoan(LoanAsk),
     /// A request ended targets, or got a whole answer after all.
     Poison(PoisonReport),
+    /// Ask the host that counts a customer's use.
+    Charge { to: SocketAddr, ask: ChargeAsk },
+    /// Tell it that some of what it granted is not used.
+    Refund {
+        to: SocketAddr,
+        refund: ChargeRefund,
+    },
     /// Lend a host a part of this one's allowance.
     GiveLoan { to: SocketAddr, loan: Loan },
 }
@@ -106,6 +118,8 @@
     belief_ages: BeliefAges,
     /// Targets that end, and the requests that end them.
     pub crashes: CrashWatch,
+    /// Customers' use, as it is asked for here.
+    pub quotas: QuotaBook,
     control: flume::Sender<ControlRequest>,
 }
 
@@ -143,6 +157,7 @@
             confirmation_news: Rc::default(),
             belief_ages: BeliefAges::new(settings.bounds, Instant::now()),
             crashes: CrashWatch::default(),
+            quotas: QuotaBook::default(),
             control,
         }
     }
@@ -201,6 +216,65 @@
         self.newest_serves_until().allows(Duration::ZERO, now)
     }
 
+    /// True if the configuration is young enough to take a customer's key for one that stands.
+    ///
+    /// This holds whatever the host can reach: an outage of the store, which lets other beliefs go on, lifts nothing.
+    pub fn allows_keys(
+        &self,
+        now: Instant,
+    ) -> bool {
+        let age = self.confirmation.declared.age(now);
+        age.is_some_and(|age| age + KEY_MARGIN <= self.settings.bounds.revoke)
+    }
+
+    /// True if the configuration is young enough to say that a key stands nowhere: it may have been added since.
+    pub fn allows_unknown_keys(
+        &self,
+        now: Instant,
+    ) -> bool {
+        let age = self.confirmation.declared.age(now);
+        age.is_some_and(|age| age <= self.settings.bounds.declared)
+    }
+
+    /// How the key stands that a request was admitted by.
+    pub fn key_standing(
+        &self,
+        credential: &Credential,
+        now: Instant,
+    ) -> KeyStanding {
+        let customers = &self.view.routing.customers;
+        match customers.of_key(&credential.key) {
+            _ if !self.allows_keys(now) => KeyStanding::Unconfirmed,
+            None => KeyStanding::Gone,
+            Some(customer) if customer.name != credential.customer.name => KeyStanding::Moved,
+            Some(_) => KeyStanding::Valid,
+        }
+    }
+
+    /// Asks the host that counts a part of a customer's use; false if nobody is known to.
+    pub fn ask_charge(
+        &self,
+        ask: ChargeAsk,
+    ) -> bool {
+        let holder = self.view.ledgers.get(ask.slot as usize);
+        let Some(to) = holder.copied().flatten() else {
+            return false;
+        };
+        let _ = self.control.send(ControlRequest::Charge { to, ask });
+        true
+    }
+
+    /// Tells the host that counts a part of a customer's use that some is not used after all.
+    pub fn refund(
+        &self,
+        refund: ChargeRefund,
+    ) {
+        let holder = self.view.ledgers.get(refund.slot as usize);
+        if let Some(to) = holder.copied().flatten() {
+            let _ = self.control.send(ControlRequest::Refund { to, refund });
+        }
+    }
+
     /// The newest version of an adapter, as far as is known.
     pub fn newest_version(
         &self,
--- a/src/formats/header_names.rs
+++ b/src/formats/header_names.rs
@@ -21,6 +21,8 @@
     pub expect_target: HeaderName,
     /// Version of the adapter that the request must run with.
     pub expect_version: HeaderName,
+    /// Name of the customer on whose behalf a request runs.
+    pub customer: HeaderName,
     /// Says that the target did not run the request.
     pub not_run: HeaderName,
     /// Last event of a stream that its receiver has.
@@ -41,6 +43,7 @@
             &self.expect_target,
             &self.expect_version,
             &self.priority,
+            &self.customer,
         ];
         own.contains(&name) || self.reserved.contains(name)
     }
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -39,6 +39,8 @@
     pub repeats: Family<StateLabels, Counter>,
     pub repeat_allowance: Family<StateLabels, Amount>,
     pub repeat_loans: Family<StateLabels, Counter>,
+    pub quota_asks: Family<StateLabels, Counter>,
+    pub quota_charges: Family<StateLabels, Counter>,
     pub known_hosts: Gauge,
     pub store_calls: Family<CallLabels, Counter>,
     pub orders: Family<OrderLabels, Counter>,
@@ -84,6 +86,8 @@
             repeats: Family::default(),
             repeat_allowance: Family::default(),
             repeat_loans: Family::default(),
+            quota_asks: Family::default(),
+            quota_charges: Family::default(),
             known_hosts: Gauge::default(),
             store_calls: Family::default(),
             orders: Family::default(),
@@ -278,6 +282,16 @@
             "Loans of the allowance of repeats between hosts",
             self.repeat_loans.clone(),
         );
+        registry.register(
+            "quota_asks",
+            "Asks whether a customer may use more, by what became of them",
+            self.quota_asks.clone(),
+        );
+        registry.register(
+            "quota_charges",
+            "Asks that this host answered as it counts a part of the customer's use, by outcome",
+            self.quota_charges.clone(),
+        );
         registry.register(
             "known_hosts",
             "Hosts that the extra allowance of repeats is divided by",
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -2,7 +2,9 @@
     super::TableName,
     crate::{
         connection::{
-            datagram::{EngineLoad, EngineStanding, Loan, LoanAsk, Message, Placement},
+            datagram::{
+                ChargeAnswer, EngineLoad, EngineStanding, Loan, LoanAsk, Message, Placement,
+            },
             targets::{Confirmation, FleetView},
         },
         formats::{Order, RowWrite, Transaction},
@@ -67,6 +69,7 @@
     Load(EngineLoad),
     Stand(EngineStanding),
     Borrow(Loan),
+    Charged(ChargeAnswer),
     /// A request stands so from now on; `None` if nothing speaks against it.
     Stands {
         fingerprint: Fingerprint,
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -30,7 +30,8 @@
     ) -> Vec<ControlAction> {
         let mut actions = self.decide_holding(now);
         self.open_desks(now);
-        let engines = self.engine_keys().len();
+        self.open_ledgers(now);
+        let engines = self.engine_keys().len() - self.slot_count();
         let mut base_loads = self.shared.base_loads.borrow_mut();
         base_loads.set_share(self.desks.len(), engines, now);
         drop(base_loads);
--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -12,6 +12,7 @@
             engines::EngineDesk,
             holding::{HolderRow, HoldingAction, HostRow, KnownLease, TakenEngine},
         },
+        request::quotas::slot_name,
         timeline::Event,
     },
     std::{
@@ -46,10 +47,12 @@
         &mut self,
         now: Instant,
     ) -> Vec<ControlAction> {
-        if self.told_holds.iter().eq(self.desks.keys()) || now < self.next_holds {
+        let slots = self.held_slots(now).into_iter().map(slot_name);
+        let holds: Vec<String> = self.desks.keys().cloned().chain(slots).collect();
+        if self.told_holds == holds || now < self.next_holds {
             return Vec::new();
         }
-        self.told_holds = self.desks.keys().cloned().collect();
+        self.told_holds = holds;
         self.next_holds = now + HOLDS_PAUSE;
         self.tell_all(now)
     }
@@ -214,7 +217,8 @@
             .collect()
     }
 
-    /// The engines there are, with the key by which they are shared out. They are put together anew only
+    /// The engines there are, and the slots of customers' use where any is limited, with the key by which they are shared
+    /// out. They are put together anew only
     /// when targets or the configuration have changed: it is looked at twenty times a second, and at 3,000
     /// engines each time cost 1.5 ms, a quarter of what a small host's processor gives.
     pub(super) fn engine_keys(&mut self) -> Arc<BTreeMap<String, String>> {
@@ -225,7 +229,8 @@
         let engines = engines
             .filter(|(_, target)| self.is_engine(&target.record.service))
             .map(|(id, target)| (id.clone(), target.record.address.to_string()));
-        let engines: Arc<BTreeMap<String, String>> = Arc::new(engines.collect());
+        let slots = (0..self.slot_count()).map(|slot| (slot_name(slot), slot_name(slot)));
+        let engines: Arc<BTreeMap<String, String>> = Arc::new(engines.chain(slots).collect());
         self.engines = Some(engines.clone());
         engines
     }
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -161,6 +161,12 @@
             Message::LoanAsk(ask) => vec![ControlAction::Lend { to: from, ask }],
             Message::Loan(loan) => vec![ControlAction::Borrow(loan)],
             Message::PoisonNews(news) => self.on_poison_news(&news, now),
+            Message::ChargeAsk(ask) => vec![self.on_charge_ask(from, &ask, now)],
+            Message::ChargeAnswer(answer) => vec![ControlAction::Charged(answer)],
+            Message::ChargeRefund(refund) => {
+                self.on_charge_refund(&refund, now);
+                Vec::new()
+            }
         };
         actions.extend(self.take_host_events(now));
         actions
@@ -203,6 +209,21 @@
                 Vec::new()
             }
             ControlRequest::Poison(report) => self.on_poison_report(report, now),
+            ControlRequest::Charge { to, ask } if to == me => {
+                vec![self.on_charge_ask(me, &ask, now)]
+            }
+            ControlRequest::Charge { to, ask } => vec![ControlAction::Send {
+                to,
+                message: Message::ChargeAsk(ask),
+            }],
+            ControlRequest::Refund { to, refund } if to == me => {
+                self.on_charge_refund(&refund, now);
+                Vec::new()
+            }
+            ControlRequest::Refund { to, refund } => vec![ControlAction::Send {
+                to,
+                message: Message::ChargeRefund(refund),
+            }],
             ControlRequest::AskLoan(ask) => self.ask_loan(ask).into_iter().collect(),
             ControlRequest::GiveLoan { to, loan } => vec![ControlAction::Send {
                 to,
@@ -237,6 +258,7 @@
             Message::Placement(placement) => ControlAction::Place(placement),
             Message::EngineLoad(load) => ControlAction::Load(load),
             Message::EngineStanding(standing) => ControlAction::Stand(standing),
+            Message::ChargeAnswer(answer) => ControlAction::Charged(answer),
             message => ControlAction::Send { to, message },
         }
     }
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -338,6 +338,9 @@
             before = self.routing.version,
             source = source,
             routes = routing.routes().count(),
+            customers = routing.customers.iter().count(),
+            keys = routing.customers.key_count(),
+            shared_keys = routing.customers.shared_key_count(),
         );
         self.routing = routing;
         self.engines = None;
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         ControlAction, ControlEvent, TableName, control_poison::KnownPoison,
-        drawn_takers::DrawnTakers, ended_targets::EndedTargets, listed_target::ListedTarget,
-        open_engines::OpenEngines,
+        control_quotas::HeldLedger, drawn_takers::DrawnTakers, ended_targets::EndedTargets,
+        listed_target::ListedTarget, open_engines::OpenEngines,
     },
     crate::{
         clock::Instant,
@@ -128,6 +128,8 @@
     pub(super) told_known_hosts: usize,
     /// Requests that end targets.
     pub(super) poison: KnownPoison,
+    /// The parts of customers' use that are counted here, by slot.
+    pub(super) ledgers: BTreeMap<usize, HeldLedger>,
 }
 
 impl HostControl {
@@ -196,6 +198,7 @@
             lenders: Vec::new(),
             told_known_hosts: 0,
             poison: KnownPoison::default(),
+            ledgers: BTreeMap::new(),
         }
     }
 
@@ -503,6 +506,7 @@
             routing: self.routing.clone(),
             targets: targets.collect(),
             versions: self.versions.clone(),
+            ledgers: self.ledger_holders(&holders),
             hosts: self.hosts.up_count(),
             known_hosts: self.hosts.known_count(),
             confirmation: self.told_confirmation,
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -8,6 +8,7 @@
 mod control_holding;
 mod control_peers;
 mod control_poison;
+mod control_quotas;
 mod control_runner;
 mod control_tables;
 mod control_targets;
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Instant,
         connection::{
-            datagram::{EngineLoad, EngineStanding, Loan, LoanAsk, Placement},
+            datagram::{ChargeAnswer, EngineLoad, EngineStanding, Loan, LoanAsk, Placement},
             front::{FrontListener, FrontStop},
             targets::{
                 BeliefBounds, BoardSettings, Confirmation, ControlRequest, FleetView, TargetBoard,
@@ -48,6 +48,8 @@
     Load(EngineLoad),
     Standing(EngineStanding),
     Borrowed(Loan),
+    /// The host that counts a customer's use has answered.
+    Charged(ChargeAnswer),
     /// A request stands so from now on; `None` if nothing speaks against it.
     Stands {
         fingerprint: Fingerprint,
@@ -89,6 +91,7 @@
         policy: parts.settings.policy,
         bounds: BeliefBounds {
             declared: bounds.config,
+            revoke: bounds.revoke,
             targets: bounds.drain,
             version: bounds.version,
         },
@@ -161,6 +164,7 @@
             fingerprint,
             standing,
         } => board.crashes.set_standing(fingerprint, standing),
+        TrafficInput::Charged(answer) => board.quotas.on_answer(answer),
         TrafficInput::Borrowed(loan) => board.on_loan(&loan, Instant::now()),
         TrafficInput::LoanAsked { to, ask } => board.on_loan_ask(to, &ask, Instant::now()),
     }
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -35,6 +35,13 @@
     pub config: Duration,
     /// No request begins on a version of an adapter later than this after a newer one was accepted.
     pub version: Duration,
+    /// No request runs for a key later than this after it was taken away, whatever its host can reach.
+    pub revoke: Duration,
+    /// A customer's use is counted over a sliding time; its limit may be exceeded there by a part of it and by so
+    /// many units besides.
+    pub quota_window: Duration,
+    pub quota_over: f64,
+    pub quota_slack: f64,
     /// Orders of two hosts to one engine lie so far apart.
     pub lease_gap: Duration,
     /// Repeats allowed for each request, and besides, over a sliding window.
@@ -158,6 +165,12 @@
         // Of a shorter one nothing is left: hosts hear of versions after up to 1.2 s, and 1.7 s are kept back
         // for the way to the engine and the wait there.
         version: ini.millis(SECTION, "version_ms", 5_000, 4_000..=86_400_000),
+        // Of a shorter one nothing is left: hosts hear of changes after up to 1.8 s, and 1 s is kept back for the way to
+        // the target.
+        revoke: ini.millis(SECTION, "revoke_ms", 5_000, 3_000..=86_400_000),
+        quota_window: seconds(ini, "quota_window_s", 8.0),
+        quota_over: ini.number(SECTION, "quota_over", 0.1, 0.0..=1.0),
+        quota_slack: ini.number(SECTION, "quota_slack", 0.0, 0.0..=1e9),
         lease_gap: millis(ini, "lease_ms", 3_000.0),
         budget_ratio: ini.number(SECTION, "budget_ratio", 0.2, 0.0..=10.0),
         budget_extra: ini.number(SECTION, "budget_extra", 50.0, 0.0..=1e6),
--- a/src/request/direct/call_request.rs
+++ b/src/request/direct/call_request.rs
@@ -3,13 +3,20 @@
     crate::{
         clock::Instant,
         request::poison::Fingerprint,
-        version::routing::{Route, TargetService},
+        version::routing::{Customer, KeyDigest, Route, TargetService},
     },
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method},
     std::{sync::Arc, time::Duration},
 };
 
+/// On whose behalf a request is sent, and by which key.
+#[derive(Debug, Clone)]
+pub struct Credential {
+    pub customer: Arc<Customer>,
+    pub key: KeyDigest,
+}
+
 /// One attempt of a caller, whole.
 #[derive(Debug, Clone)]
 pub struct CallRequest {
@@ -27,6 +34,12 @@
     pub service: Arc<TargetService>,
     /// Set for requests to model engines.
     pub generation: Option<Generation>,
+    /// Absent where requests need no key.
+    pub credential: Option<Credential>,
+    /// Tokens that the caller told, of the prompt and the most of the answer together.
+    pub told_tokens: Option<u64>,
+    /// 0 goes first.
+    pub urgency: u8,
 }
 
 impl CallRequest {
--- a/src/request/direct/generation.rs
+++ b/src/request/direct/generation.rs
@@ -38,9 +38,9 @@
         &mut self,
         text: &str,
     ) {
-        let mut counts = text.split(',').map(|count| count.trim().parse().ok());
-        self.tokens_in = counts.next().flatten().unwrap_or_default();
-        self.tokens_out = counts.next().flatten().unwrap_or_default();
+        let (tokens_in, tokens_out) = token_counts(text);
+        self.tokens_in = tokens_in;
+        self.tokens_out = tokens_out;
     }
 
     /// Understands `ID:TOKENS,…` with ids in hex; parts that make no sense are left out.
@@ -58,3 +58,10 @@
         self.parts = text.split(',').filter_map(part).collect();
     }
 }
+
+/// Understands `IN,OUT`: tokens of a prompt and most tokens of its answer; what makes no sense counts as none.
+pub fn token_counts(text: &str) -> (u32, u32) {
+    let mut counts = text.split(',').map(|count| count.trim().parse().ok());
+    let mut next = || counts.next().flatten().unwrap_or_default();
+    (next(), next())
+}
--- a/src/request/direct/mod.rs
+++ b/src/request/direct/mod.rs
@@ -11,11 +11,11 @@
 
 pub use {
     attempt_end::AttemptEnd,
-    call_request::CallRequest,
+    call_request::{CallRequest, Credential},
     engine_choice::{
         ChoiceTerms, CopyState, EngineCandidate, EngineChoice, USUAL_LOAD, choose_engine,
     },
-    generation::{Generation, PromptPart},
+    generation::{Generation, PromptPart, token_counts},
     next_step::{NextStep, RequestHistory, next_step},
     patience::{Patience, RequestTime, wait_or_refuse},
     plain_choice::{PlainCandidate, choose_plain},
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -12,6 +12,7 @@
 mod owner_service;
 mod passed_headers;
 pub mod poison;
+pub mod quotas;
 mod rate_limits;
 mod refusal;
 mod refusal_code;
--- /dev/null
+++ b/src/request/quotas/mod.rs
@@ -0,0 +1,16 @@
+//! How much customers use, over all hosts of a site: each part of a customer's limit is counted by one host, which
+//! others ask. Nothing here waits or sends.
+
+mod customer_use;
+mod quota_ledger;
+mod quota_slot;
+mod quota_terms;
+mod token_bucket;
+
+pub use {
+    customer_use::{AskedParts, CustomerUse, QuotaStep},
+    quota_ledger::{Charge, QuotaLedger},
+    quota_slot::{SLOTS, slot_for, slot_name, slot_of},
+    quota_terms::{BucketTerms, GRANT_VALIDITY, PARTS, QuotaTerms},
+    token_bucket::TokenBucket,
+};
--- a/src/request/repeats/mod.rs
+++ b/src/request/repeats/mod.rs
@@ -12,8 +12,10 @@
 mod usage;
 
 pub use {
+    borrowed::Borrowed,
     budget_terms::{ARRIVAL_LAG, BudgetTerms, LOAN_VALIDITY},
     paid::Paid,
+    recent_count::{RecentCount, Rounding},
     repeat_budget::RepeatBudget,
     usage::RepeatUsage,
 };
--- a/src/version/routing/route.rs
+++ b/src/version/routing/route.rs
@@ -51,6 +51,8 @@
     pub max_attempts: u32,
     /// A broken stream may go on at another target.
     pub resumable: bool,
+    /// Requests need no key, also where there are customers.
+    pub public: bool,
 }
 
 impl Route {
--- a/src/version/routing/routing_table.rs
+++ b/src/version/routing/routing_table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Route, TargetService},
+    super::{Customer, Customers, Route, TargetService},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
@@ -29,9 +29,12 @@
     /// Rises with each configuration; 0 before the first.
     pub version: u64,
     pub limits: FrontLimits,
+    pub customers: Customers,
     services: HashMap<String, Arc<TargetService>>,
     /// By host, the longest prefix first.
     routes: HashMap<String, Vec<Arc<Route>>>,
+    /// Priorities that routes have, from 0 on.
+    route_priorities: u8,
 }
 
 impl RoutingTable {
@@ -42,6 +45,7 @@
         routes: Vec<Route>,
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        let lowest = routes.iter().map(|route| route.priority).max();
         for route in routes {
             by_host
                 .entry(route.host.to_ascii_lowercase())
@@ -58,11 +62,33 @@
         Self {
             version,
             limits,
+            customers: Customers::default(),
             services,
             routes: by_host,
+            route_priorities: lowest.unwrap_or_default().saturating_add(1),
         }
     }
 
+    /// The same with customers, whose requests bear keys.
+    pub fn with_customers(
+        self,
+        customers: Customers,
+    ) -> Self {
+        Self { customers, ..self }
+    }
+
+    /// How urgent a request is; 0 goes first. The customer's priority comes before that of the route.
+    pub fn urgency(
+        &self,
+        route: &Route,
+        customer: Option<&Customer>,
+    ) -> u8 {
+        let customer = customer.map_or(0, |customer| customer.priority);
+        customer
+            .saturating_mul(self.route_priorities)
+            .saturating_add(route.priority)
+    }
+
     /// The route with the longest prefix that begins `path`, among those of `host`.
     pub fn find(
         &self,
--- a/src/version/service_spec.rs
+++ b/src/version/service_spec.rs
@@ -1,6 +1,6 @@
 use {
+    super::routing::KeyDigest,
     serde::{Deserialize, Serialize},
-    sha2::{Digest, Sha256},
     subtle::ConstantTimeEq,
 };
 
@@ -11,8 +11,14 @@
 impl KeyHash {
     /// Hashes a key.
     pub fn from_key(key: &str) -> Self {
-        let digest = Sha256::digest(key.as_bytes());
-        Self(digest.iter().map(|byte| format!("{byte:02x}")).collect())
+        let digest = KeyDigest::of(key.as_bytes());
+        Self(
+            digest
+                .as_bytes()
+                .iter()
+                .map(|byte| format!("{byte:02x}"))
+                .collect(),
+        )
     }
 
     /// Compares in constant time.
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -39,6 +39,7 @@
         services: vec![weighted("s", 1)],
         max_attempts,
         resumable,
+        public: false,
     }
 }
 
--- a/tests/target_board.rs
+++ b/tests/target_board.rs
@@ -83,6 +83,7 @@
             policy: Policy::default(),
             bounds: BeliefBounds {
                 declared: ms(3_000),
+                revoke: Duration::from_secs(5),
                 targets: ms(2_000),
                 version: ms(5_000),
             },
