What a request passes before it is sent stands in one folder; the circle of chooser and standing is undone

Cause: the checks of a request (age of what is believed, key, limit, place) lay in four places of the front, and adapter_standing and chooser needed each other for two constants.

Change: front/admission holds one file a check, its module page tells the order; the two constants stand in waits.rs. No behaviour changes.

--- a/src/connection/front/adapter_standing.rs
+++ b/src/connection/front/adapter_standing.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        chooser::{ASK_WAIT, LOOK_AGAIN},
         engine_sample::is_coming,
+        waits::{ASK_WAIT, LOOK_AGAIN},
     },
     crate::{
         clock::Instant,
--- a/src/connection/front/belief_gate.rs
+++ b/src/connection/front/admission/belief_gate.rs
@@ -1,10 +1,9 @@
 //! Holds requests back while what they would rest on is too old.
 
 use {
-    super::request_trace::millis,
     crate::{
         clock::{Instant, timeout_at},
-        connection::targets::TargetBoard,
+        connection::{front::request_trace::millis, targets::TargetBoard},
         note,
         timeline::Event,
     },
@@ -17,11 +16,11 @@
 const MOST_HELD: Duration = Duration::from_millis(250);
 
 /// Callers that were turned away come back after this time: to another host, as a rule.
-pub(super) const HELD_COME_BACK: Duration = Duration::from_millis(50);
+pub const HELD_COME_BACK: Duration = Duration::from_millis(50);
 
 /// What a request is held back for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Belief {
+pub enum Belief {
     /// It is to be routed: by the configuration.
     Declared,
     /// It is to be sent for a customer: by the keys that stand.
@@ -60,7 +59,7 @@
 ///
 /// It guards against a host whose control thread gets no processor, or whose news are held up on full
 /// links: it must not send requests to targets that said longer ago than the bound that they leave.
-pub(super) async fn wait_until_confirmed(
+pub async fn wait_until_confirmed(
     board: &Rc<RefCell<TargetBoard>>,
     belief: Belief,
     request: &str,
--- a/src/connection/front/admission/mod.rs
+++ b/src/connection/front/admission/mod.rs
@@ -1,9 +1,16 @@
-//! What is asked of each request before a target is looked for: whose it is, and whether that customer may use more.
+//! What a request passes before it is sent to a target, in this order: that the configuration is young enough to route
+//! it by (`belief_gate`), whose it is (`key_check`), whether that customer may use more (`quota_gate`); then before each
+//! send whether keys, versions and the list of targets are young enough (`belief_gate`), and, for plain services, at
+//! which target there is a place (`place_gate`).
 
+mod belief_gate;
 mod key_check;
+mod place_gate;
 mod quota_gate;
 
 pub use {
+    belief_gate::{Belief, HELD_COME_BACK, wait_until_confirmed},
     key_check::identify,
+    place_gate::{PlaceFound, find_place},
     quota_gate::{Charged, charge},
 };
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -7,6 +7,7 @@
         exchange::{Destination, VersionSent},
         request_trace::TraceStep,
         tries::Tries,
+        waits::{ASK_WAIT, LOOK_AGAIN},
     },
     crate::{
         clock::Instant,
@@ -20,18 +21,12 @@
     std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
 
-/// Wait for the answer of a holder that was just asked.
-pub(super) const ASK_WAIT: Duration = Duration::from_millis(60);
-
 /// Price of a copy of an adapter that is asked for once in a few seconds over all hosts.
 const COPY_PRICE: Duration = Duration::from_millis(300);
 
 /// A request waits for an engine at least this long before it looks again.
 const LEAST_WAIT: Duration = Duration::from_millis(2);
 
-/// Pause before a request that no engine can take looks again.
-pub(super) const LOOK_AGAIN: Duration = Duration::from_millis(25);
-
 /// Share of its aim after which it is refused.
 const LOOK_SHARE: f64 = 0.17;
 
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -1,12 +1,12 @@
 use {
     super::{
         AnswerBody, OwnAnswer, OwnCause,
-        admission::{Charged, charge},
-        belief_gate::{Belief, HELD_COME_BACK, wait_until_confirmed},
+        admission::{
+            Belief, Charged, HELD_COME_BACK, PlaceFound, charge, find_place, wait_until_confirmed,
+        },
         chooser::{Choice, Chooser},
         crash_probe::{accuse, acquit, answers_now},
         exchange::{Destination, OpenAnswer, Sent, WholeAnswer, send},
-        place_gate::{PlaceFound, find_place},
         request_trace::{TraceStep, millis},
         stream_relay::StreamRelay,
         tries::Tries,
--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         AnswerBody, Dispatcher, OwnAnswer, OwnCause, RequestProblem, RequestReader,
-        belief_gate::{Belief, HELD_COME_BACK, wait_until_confirmed},
+        admission::{Belief, HELD_COME_BACK, wait_until_confirmed},
         request_trace::millis,
     },
     crate::{
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -4,7 +4,6 @@
 mod admission;
 mod against_engines;
 mod answer_body;
-mod belief_gate;
 mod chooser;
 mod crash_probe;
 mod dispatcher;
@@ -14,12 +13,12 @@
 mod exchange;
 mod front_listener;
 mod own_answer;
-mod place_gate;
 mod request_reader;
 mod request_trace;
 mod stream_relay;
 mod tries;
 mod waiter;
+mod waits;
 
 pub use {
     answer_body::{AnswerBody, BrokenAnswer},
