--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -14,8 +14,15 @@
             holding::{Holding, HoldingTimings, HostRow},
             ownership::assign,
         },
-        request::{direct::Policy, engine_candidates},
-        version::{AdapterVersion, Change, EngineSpec, SiteConfig, TargetRole, TargetSpec},
+        request::{
+            direct::Policy,
+            engine_candidates,
+            quotas::{Charge, QuotaLedger, QuotaTerms},
+        },
+        version::{
+            AdapterVersion, Change, EngineSpec, SiteConfig, TargetRole, TargetSpec,
+            routing::{Customer, Customers, KeyDigest, UseLimit, UseUnit},
+        },
     },
     figures::{median, resident_kib},
     std::{collections::BTreeMap, hint::black_box, net::SocketAddr, sync::Arc, time::Duration},
@@ -39,6 +46,75 @@
     for (targets, hosts) in [(12, 6), (820, 380), (3_000, 302)] {
         control_row(targets, hosts);
     }
+    println!(
+        "\ncustomers with ten keys each: taken in, memory, one look-up, one charge of a limit"
+    );
+    for customers in [16, 1_000, 10_000] {
+        customers_row(customers);
+    }
+}
+
+fn customers_row(customers: usize) {
+    let before = resident_kib(std::process::id());
+    let build = || {
+        let mut all = Customers::default();
+        for at in 0..customers {
+            let keys = (0..10).map(|key| KeyDigest::of(format!("key-{at}-{key}").as_bytes()));
+            all.add(limited_customer(at), keys);
+        }
+        all
+    };
+    let all = build();
+    let memory = (resident_kib(std::process::id()) - before) as f64 / 1024.0;
+    let taken_in = timed(5, || {
+        black_box(build());
+    });
+    let lookups = timed(20, || {
+        for at in 0..1_000 {
+            let key = KeyDigest::of(format!("key-{}-7", at % customers).as_bytes());
+            black_box(all.of_key(&key));
+        }
+    });
+    let start = Instant::now();
+    let mut ledger = QuotaLedger::new(Duration::from_secs(8), start);
+    let terms = QuotaTerms {
+        window: Duration::from_secs(8),
+        over: 0.1,
+        slack: 11_000.0,
+    };
+    let mut id = 0;
+    let charges = timed(20, || {
+        for at in 0..1_000 {
+            id += 1;
+            let customer = limited_customer(at % customers);
+            let bucket = terms.bucket(&customer.limit.unwrap());
+            let charge = Charge {
+                id,
+                need: 1.0,
+                ahead: 0.0,
+            };
+            let now = start + Duration::from_millis(id);
+            let _ = black_box(ledger.charge(&customer.name, &bucket, charge, now));
+        }
+    });
+    println!(
+        "{customers:>9} {:>9.2} ms {memory:>9.1} MiB {:>9.3} us {:>9.3} us",
+        taken_in * 1e3,
+        lookups * 1e3,
+        charges * 1e3,
+    );
+}
+
+fn limited_customer(at: usize) -> Customer {
+    Customer {
+        name: format!("customer-{at:05}"),
+        priority: 1,
+        limit: Some(UseLimit {
+            rate: 10_000.0,
+            burst: 10_000.0,
+            unit: UseUnit::Requests,
+        }),
+    }
 }
 
 fn row(
