--- a/src/connection/front/admission/mod.rs
+++ b/src/connection/front/admission/mod.rs
@@ -11,6 +11,6 @@
 pub use {
     belief_gate::{Belief, HELD_COME_BACK, wait_until_confirmed},
     key_check::identify,
-    place_gate::{PlaceFound, find_place},
+    place_gate::{HeldPlace, PlaceFound, find_place},
     quota_gate::{Charged, charge},
 };
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -2,7 +2,8 @@
     super::{
         AnswerBody, OwnAnswer, OwnCause,
         admission::{
-            Belief, Charged, HELD_COME_BACK, PlaceFound, charge, find_place, wait_until_confirmed,
+            Belief, Charged, HELD_COME_BACK, HeldPlace, PlaceFound, charge, find_place,
+            wait_until_confirmed,
         },
         chooser::{Choice, Chooser},
         crash_probe::{accuse, acquit, answers_now},
@@ -255,22 +256,7 @@
             {
                 return self.unserved(request, tries, cause, HELD_COME_BACK);
             }
-            let mut place = None;
-            if request.generation.is_none() {
-                match find_place(&self.board, request, &tries.tried).await {
-                    PlaceFound::Place(held) => place = Some(held),
-                    PlaceFound::Full { come_back } => {
-                        return self.unserved(request, tries, OwnCause::NoTarget, come_back);
-                    }
-                    PlaceFound::Unknown => {}
-                }
-            }
-            let choice = match &place {
-                Some(place) => self
-                    .chooser
-                    .choose_place(tries, &place.target, Instant::now()),
-                None => self.chooser.choose(request, tries, Instant::now()),
-            };
+            let (choice, mut place) = self.choose(request, tries).await;
             let mut destination = match choice {
                 Choice::Send(destination) => destination,
                 Choice::Wait { until, expected } => {
@@ -285,7 +271,7 @@
                     continue;
                 }
                 Choice::Refuse(come_back) if tries.history.runs == 0 => {
-                    return self.refuse(request, OwnCause::NoAdapter, come_back);
+                    return self.refuse(request, unplaced_cause(request), come_back);
                 }
                 Choice::Refuse(_) | Choice::Nowhere => return self.nowhere(request, tries),
             };
@@ -359,6 +345,27 @@
         }
     }
 
+    /// Where a request goes next, and its place there if it needs one.
+    async fn choose(
+        &self,
+        request: &CallRequest,
+        tries: &mut Tries,
+    ) -> (Choice, Option<HeldPlace>) {
+        if request.generation.is_some() {
+            return (self.chooser.choose(request, tries, Instant::now()), None);
+        }
+        let found = find_place(&self.board, request, &tries.tried).await;
+        let now = Instant::now();
+        match found {
+            PlaceFound::Place(place) => {
+                let choice = self.chooser.choose_place(tries, &place.target, now);
+                (choice, Some(place))
+            }
+            PlaceFound::Full { come_back } => (Choice::Refuse(come_back), None),
+            PlaceFound::Unknown => (self.chooser.choose(request, tries, now), None),
+        }
+    }
+
     /// The start of a target that a send now is for.
     fn run_at(
         &self,
@@ -580,11 +587,7 @@
         request: &CallRequest,
         tries: &mut Tries,
     ) -> Outcome {
-        let cause = match request.generation {
-            Some(_) => OwnCause::NoAdapter,
-            None => OwnCause::NoTarget,
-        };
-        self.unserved(request, tries, cause, COME_BACK)
+        self.unserved(request, tries, unplaced_cause(request), COME_BACK)
     }
 
     /// The answer to a request that is sent nowhere, or not once more.
@@ -684,6 +687,14 @@
     }
 }
 
+/// Why a request finds no target.
+fn unplaced_cause(request: &CallRequest) -> OwnCause {
+    match request.generation {
+        Some(_) => OwnCause::NoAdapter,
+        None => OwnCause::NoTarget,
+    }
+}
+
 /// What a send tells of how busy its target is.
 fn place_end(
     sent: &Sent,
