A request is no longer called uncounted when a time passes while other parts are asked

Cause: found on rereading. A part that said that it has enough again in a millisecond counted for nothing once that had passed, while the other two were asked; if all three had passed, the request waited for news and was refused as one whose use nobody counts (uncounted, 503), though all had answered. Times below a millisecond were told as none.

Ruled out: that holders were silent (they had answered within the same request).

Change: what a part said counts until it is asked again or is silent; times are rounded up.

Measured: a_time_that_passes_while_others_are_asked_is_no_silence fails on the code before (Uncounted) and passes after; tests/quotas.rs 75 passed.

--- a/src/process/host/control_quotas.rs
+++ b/src/process/host/control_quotas.rs
@@ -164,6 +164,7 @@
     }
 }
 
+/// Rounded up: who comes back sooner finds too little.
 fn whole_millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+    u32::try_from(time.as_millis() + 1).unwrap_or(u32::MAX)
 }
--- a/src/request/quotas/customer_use.rs
+++ b/src/request/quotas/customer_use.rs
@@ -174,20 +174,23 @@
         part: usize,
         now: Instant,
     ) {
-        self.parts[part].silent_until = Some(now + SILENT_PAUSE);
+        self.parts[part] = PartState {
+            over: None,
+            silent_until: Some(now + SILENT_PAUSE),
+        };
     }
 
-    /// Time until a part has enough again for a request of this cost, if any said that it has too little.
+    /// Time until a part has enough again for a request of this cost, if any said that it has too little; none if that
+    /// time has passed while others were asked.
     fn first_again(
         &self,
         cost: f64,
         now: Instant,
     ) -> Option<Duration> {
-        let over = self.parts.iter().filter(|part| is_over(part, cost, now));
-        let until = over.filter_map(|part| part.over).map(|(_, until)| until);
-        until
-            .min()
-            .map(|until| until.saturating_duration_since(now))
+        let over = self.parts.iter().filter_map(|part| part.over);
+        let until = over.filter(|(refused, _)| cost >= *refused);
+        let first = until.map(|(_, until)| until).min()?;
+        Some(first.saturating_duration_since(now))
     }
 }
 
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -419,6 +419,27 @@
     assert!(matches!(later, QuotaStep::Ask { .. }), "{later:?}");
 }
 
+/// While the other parts are asked, the time of the first may pass: the request is over the limit no less, and nobody is
+/// silent. It was refused as one whose use nobody counts.
+#[test]
+fn a_time_that_passes_while_others_are_asked_is_no_silence() {
+    let now = Instant::now();
+    let mut known = CustomerUse::new(0);
+    let asked = [true; PARTS];
+    for part in 0..PARTS {
+        known.on_over(part, 1_000.0, ms(1), now);
+    }
+    let step = known.next_step(1_000.0, &asked, now + ms(5));
+    let come_back = Duration::ZERO;
+    assert_eq!(step, QuotaStep::Over { come_back });
+    // Once they are silent, what they said before counts no more.
+    for part in 0..PARTS {
+        known.on_silent(part, now + ms(5));
+    }
+    let step = known.next_step(1_000.0, &asked, now + ms(6));
+    assert_eq!(step, QuotaStep::Uncounted);
+}
+
 /// A request that costs more than a bucket holds passes once the bucket is full, and is paid off afterwards.
 #[test]
 fn a_request_that_costs_more_than_the_bucket_holds_passes_a_full_one() {
