Sight: what targets say of themselves in the heads of their answers is read and told

Nothing of what an answer says of its target was read, so no line names a limit, a rest or that a target leaves. No decision rests on it yet. An answer that a request was meant for another target says nothing, as it may come from whoever has the address now.

--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -6,7 +6,10 @@
             targets::{KeyStanding, RequestTokens, TargetBoard, TargetLink, TargetRun},
         },
         formats::{HeaderNames, TargetStart},
-        request::direct::{AttemptEnd, CallRequest},
+        request::{
+            direct::{AttemptEnd, CallRequest},
+            notices::NoticeHeaders,
+        },
     },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, StatusCode, header},
@@ -120,6 +123,25 @@
         self.with_link(|link| link.heard = Some(Instant::now()));
     }
 
+    /// The head of the answer to a request that was sent at `sent` has come.
+    fn on_head(
+        &self,
+        names: &HeaderNames,
+        head: &ResponseHead,
+        sent: Instant,
+    ) {
+        let said = NoticeHeaders {
+            names,
+            status: head.status,
+            headers: &head.headers,
+        };
+        let mut board = self.board.borrow_mut();
+        let (target, start) = (&self.target, self.started);
+        board
+            .notices
+            .on_answer(target, start, &said, sent, Instant::now());
+    }
+
     /// The first of the answer has come, or none will.
     fn on_prompt_read(&self) {
         if !self.unread.replace(false) {
@@ -263,6 +285,7 @@
         Ok(answer) => answer,
         Err(_) => return lost(&flight),
     };
+    flight.on_head(names, &head, now);
     let mut source = AnswerSource {
         connection,
         decoder: BodyDecoder::new(head.framing),
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -7,6 +7,7 @@
 mod crash_watch;
 mod fleet_view;
 mod key_standing;
+mod notice_watch;
 mod open_asks;
 mod quota_book;
 mod reading_speed;
@@ -25,6 +26,7 @@
     crash_watch::{Accused, CrashWatch, TargetRun},
     fleet_view::{FleetView, TargetView},
     key_standing::KeyStanding,
+    notice_watch::NoticeWatch,
     open_asks::{OpenAsk, OpenAsks},
     quota_book::{QuotaBook, count_ask},
     reading_speed::ReadingSpeed,
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         AdapterDemand, AdapterMap, BeliefAges, BeliefBounds, Confirmation, CrashWatch, FleetView,
-        KeyStanding, LargestAges, OpenAsks, QuotaBook, ReadingSpeed, RepeatBudgets, RequestTokens,
-        ServesUntil, Succession, TargetLink, TargetView, VersionHistory,
+        KeyStanding, LargestAges, NoticeWatch, OpenAsks, QuotaBook, ReadingSpeed, RepeatBudgets,
+        RequestTokens, ServesUntil, Succession, TargetLink, TargetView, VersionHistory,
     },
     crate::{
         clock::Instant,
@@ -123,6 +123,8 @@
     belief_ages: BeliefAges,
     /// Targets that end, and the requests that end them.
     pub crashes: CrashWatch,
+    /// What targets say of themselves in their answers.
+    pub notices: NoticeWatch,
     /// Customers' use, as it is asked for here.
     pub quotas: QuotaBook,
     /// Asks for places at targets of plain services.
@@ -164,6 +166,7 @@
             confirmation_news: Rc::default(),
             belief_ages: BeliefAges::new(settings.bounds, Instant::now()),
             crashes: CrashWatch::default(),
+            notices: NoticeWatch::default(),
             quotas: QuotaBook::default(),
             places: OpenAsks::default(),
             control,
--- a/src/formats/header_names.rs
+++ b/src/formats/header_names.rs
@@ -25,6 +25,10 @@
     pub customer: HeaderName,
     /// Says that the target did not run the request.
     pub not_run: HeaderName,
+    /// Requests a second that the target which answers takes from all hosts together, as a decimal number.
+    pub target_limit: HeaderName,
+    /// Says that the target which answers is leaving.
+    pub target_leaving: HeaderName,
     /// Last event of a stream that its receiver has.
     pub last_event_id: HeaderName,
     /// Headers by which a request would use memory, places or copies that engines keep for another
@@ -44,6 +48,8 @@
             &self.expect_version,
             &self.priority,
             &self.customer,
+            &self.target_limit,
+            &self.target_leaving,
         ];
         own.contains(&name) || self.reserved.contains(name)
     }
--- a/src/formats/target_start.rs
+++ b/src/formats/target_start.rs
@@ -12,6 +12,11 @@
     pub fn from_unix_ms(ms: u64) -> Self {
         Self(ms)
     }
+
+    /// Its Unix time, in milliseconds.
+    pub fn unix_ms(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for TargetStart {
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -42,6 +42,7 @@
     pub quota_asks: Family<StateLabels, Counter>,
     pub quota_charges: Family<StateLabels, Counter>,
     pub places: Family<StateLabels, Counter>,
+    pub target_notices: Family<StateLabels, Counter>,
     pub known_hosts: Gauge,
     pub store_calls: Family<CallLabels, Counter>,
     pub orders: Family<OrderLabels, Counter>,
@@ -90,6 +91,7 @@
             quota_asks: Family::default(),
             quota_charges: Family::default(),
             places: Family::default(),
+            target_notices: Family::default(),
             known_hosts: Gauge::default(),
             store_calls: Family::default(),
             orders: Family::default(),
@@ -299,6 +301,11 @@
             "Asks for a place at a plain target that this host answered, by outcome",
             self.places.clone(),
         );
+        registry.register(
+            "target_notices",
+            "What targets newly say of themselves in their answers",
+            self.target_notices.clone(),
+        );
         registry.register(
             "known_hosts",
             "Hosts that the extra allowance of repeats is divided by",
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod entry_progress;
 mod entry_service;
 mod forwarder;
+pub mod notices;
 mod owner_service;
 mod passed_headers;
 pub mod places;
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -121,6 +121,11 @@
     TargetForgotten = 707 "target_forgotten" Info,
     TargetEntryUnusable = 708 "target_entry_unusable" Warn,
     TargetEntryLate = 709 "target_entry_late" Info,
+    TargetLimited = 710 "target_limited" Info,
+    TargetUnlimited = 711 "target_unlimited" Info,
+    TargetSaidLeaving = 712 "target_said_leaving" Info,
+    TargetRests = 713 "target_rests" Info,
+    TargetNoticeUnreadable = 714 "target_notice_unreadable" Warn,
     LinesDropped = 801 "lines_dropped" Warn,
     LinesHeldBack = 802 "lines_held_back" Warn,
 }
