--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -1,6 +1,11 @@
 //! The messages. Fields are numbered as in any protobuf schema, and numbers are never used again.
 
-use {super::Address, crate::request::places::PlaceEnd, prost::Message as _, std::time::Duration};
+use {
+    super::{Address, PermitAnswer, PermitAsk, TargetNews},
+    crate::request::places::PlaceEnd,
+    prost::Message as _,
+    std::time::Duration,
+};
 
 /// How a host is described to others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
@@ -503,6 +508,12 @@
     PlaceGiven(PlaceGiven),
     #[prost(message, tag = "19")]
     PlaceEnded(PlaceEnded),
+    #[prost(message, tag = "20")]
+    TargetNews(TargetNews),
+    #[prost(message, tag = "21")]
+    PermitAsk(PermitAsk),
+    #[prost(message, tag = "22")]
+    PermitAnswer(PermitAnswer),
 }
 
 impl Message {
@@ -528,6 +539,9 @@
             Self::PlaceWanted(_) => "place_wanted",
             Self::PlaceGiven(_) => "place_given",
             Self::PlaceEnded(_) => "place_ended",
+            Self::TargetNews(_) => "target_news",
+            Self::PermitAsk(_) => "permit_ask",
+            Self::PermitAnswer(_) => "permit_answer",
         }
     }
 }
@@ -536,7 +550,7 @@
 struct Envelope {
     #[prost(
         oneof = "Message",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     message: Option<Message>,
 }
--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -3,6 +3,7 @@
 mod address;
 mod message;
 mod socket;
+mod target_news;
 
 pub use {
     address::Address,
@@ -13,4 +14,5 @@
         PoisonNews, PoisonStrike, RumorState, Usage, Vouch, Want, decode, encode,
     },
     socket::DatagramSocket,
+    target_news::{LimitNews, PermitAnswer, PermitAsk, TargetNews},
 };
--- /dev/null
+++ b/src/connection/datagram/target_news.rs
@@ -0,0 +1,115 @@
+//! Messages on what targets say of themselves, and on leave to send to those that take only so many requests.
+
+use crate::{
+    clock::Instant,
+    formats::TargetStart,
+    request::notices::{NamedLimit, TargetNotices},
+};
+
+/// A limit that a target has named.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct LimitNews {
+    /// Requests a second from all hosts together.
+    #[prost(double, tag = "1")]
+    pub rate: f64,
+    /// Time since a host last heard of it, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub told_ago_ms: u32,
+    /// What was heard then is that it is over.
+    #[prost(bool, tag = "3")]
+    pub ended: bool,
+}
+
+/// What a target has said of itself.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TargetNews {
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Which start of it, as Unix milliseconds; absent where the platform does not tell.
+    #[prost(uint64, optional, tag = "2")]
+    pub start_ms: Option<u64>,
+    /// It leaves.
+    #[prost(bool, tag = "3")]
+    pub leaves: bool,
+    #[prost(message, optional, tag = "4")]
+    pub limit: Option<LimitNews>,
+}
+
+/// Asks the host that counts what a target gets for leave to send one request there.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PermitAsk {
+    /// Names the ask to the host that asks.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// The target, and the limit as the host that asks knows it.
+    #[prost(message, required, tag = "2")]
+    pub news: TargetNews,
+}
+
+/// Answers an ask for leave.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PermitAnswer {
+    /// As in the ask.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+    /// If not, the time after which to ask again, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub ask_again_ms: u32,
+}
+
+impl TargetNews {
+    /// What is known of one start of a target, for another host.
+    pub fn of(
+        target: &str,
+        notices: &TargetNotices,
+        now: Instant,
+    ) -> Self {
+        let limit = notices.limit.map(|limit| LimitNews {
+            rate: limit.rate,
+            told_ago_ms: millis_since(limit.told, now),
+            ended: limit.ended,
+        });
+        Self {
+            target: target.to_string(),
+            start_ms: notices.start.map(TargetStart::unix_ms),
+            leaves: notices.leaves,
+            limit,
+        }
+    }
+
+    /// What another host knows, by this host's clock.
+    pub fn notices(
+        &self,
+        now: Instant,
+    ) -> TargetNotices {
+        let start = self.start_ms.map(TargetStart::from_unix_ms);
+        let limit = self.limit.filter(|limit| limit.rate >= 0.0);
+        TargetNotices {
+            limit: limit.map(|limit| NamedLimit {
+                rate: limit.rate,
+                told: before(now, limit.told_ago_ms),
+                ended: limit.ended,
+            }),
+            leaves: self.leaves,
+            ..TargetNotices::new(start, now)
+        }
+    }
+}
+
+fn millis_since(
+    at: Instant,
+    now: Instant,
+) -> u32 {
+    let passed = now.saturating_duration_since(at);
+    u32::try_from(passed.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn before(
+    now: Instant,
+    ms: u32,
+) -> Instant {
+    let time = std::time::Duration::from_millis(u64::from(ms));
+    now.checked_sub(time).unwrap_or(now)
+}
--- a/src/connection/front/admission/place_gate.rs
+++ b/src/connection/front/admission/place_gate.rs
@@ -7,7 +7,7 @@
             datagram::{PlaceEnded, PlaceGiven, PlaceWanted},
             targets::TargetBoard,
         },
-        request::{direct::CallRequest, places::PlaceEnd},
+        request::{direct::CallRequest, notices::Openness, places::PlaceEnd},
     },
     std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
@@ -98,8 +98,8 @@
     }
 }
 
-/// Targets that a request is not to go to: those that it was sent to, and those that this host avoids, unless it avoids
-/// all of them.
+/// Targets that a request is not to go to: those that it was sent to, those that take none now, and those that this host
+/// avoids, unless it avoids all of them.
 fn passed_over(
     board: &TargetBoard,
     service: &str,
@@ -112,6 +112,9 @@
     if passed.len() == board.targets_of(service).len() {
         passed.clear();
     }
+    let targets = board.targets_of(service).iter();
+    let closed = targets.filter(|target| board.openness(&target.id, now) == Openness::Closed);
+    passed.extend(closed.map(|target| target.id.to_string()));
     passed.extend(tried.iter().cloned());
     passed
 }
--- a/src/connection/front/against_engines.rs
+++ b/src/connection/front/against_engines.rs
@@ -1,6 +1,9 @@
 use crate::{
     clock::Instant,
-    request::direct::{CopyState, EngineCandidate},
+    request::{
+        direct::{CopyState, EngineCandidate},
+        notices::Openness,
+    },
 };
 
 /// Engines that were weighed for a request and could not take it, by the first thing that spoke against
@@ -11,6 +14,8 @@
     pub weighed: usize,
     /// The request was turned away there before.
     pub tried: usize,
+    /// They take no request now, by what they say of themselves.
+    pub closed: usize,
     /// Avoided after failures.
     pub avoided: usize,
     /// Nobody gives orders to them.
@@ -32,6 +37,8 @@
             let is_full = matches!(candidate.copy, CopyState::Full { until } if until > now);
             if candidate.tried {
                 counts.tried += 1;
+            } else if candidate.openness == Openness::Closed {
+                counts.closed += 1;
             } else if candidate.avoided {
                 counts.avoided += 1;
             } else if !candidate.has_holder {
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -30,6 +30,9 @@
 /// Share of its aim after which it is refused.
 const LOOK_SHARE: f64 = 0.17;
 
+/// Callers that are refused while all targets are closed are told to come back within this time after the first opens.
+const OPENING_SPREAD: Duration = Duration::from_millis(500);
+
 /// What is decided for the next send.
 pub enum Choice {
     Send(Destination),
@@ -109,12 +112,14 @@
                     near: link.view.record.hall == self.hall,
                     avoided_for: link.avoided_for(now),
                     tried: tries.has_tried(&target.id),
+                    openness: board.openness(&target.id, now),
                 }
             })
             .collect();
         let draw = rand::rng().random::<f64>();
         let Some(at) = choose_plain(&candidates, draw) else {
-            return Choice::Nowhere;
+            let ids: Vec<Arc<str>> = targets.iter().map(|target| target.id.clone()).collect();
+            return closed_yet(board, request, &ids, now).unwrap_or(Choice::Nowhere);
         };
         send_to(
             board,
@@ -160,7 +165,7 @@
                 (targets.len(), targets.len()),
                 now,
             ),
-            _ => nowhere_yet(request, now),
+            _ => nowhere_yet(board, request, &targets, now),
         }
     }
 
@@ -256,7 +261,7 @@
             EngineChoice::Nowhere => {
                 let against = AgainstEngines::of(&candidates, now);
                 tries.trace.add(TraceStep::Unplaced(against), now);
-                nowhere_yet(request, now)
+                nowhere_yet(board, request, &targets, now)
             }
         }
     }
@@ -309,11 +314,16 @@
 
 /// No engine can take a request: it looks again a few times while a refusal is still prompt.
 fn nowhere_yet(
+    board: &TargetBoard,
     request: &CallRequest,
+    targets: &[Arc<str>],
     now: Instant,
 ) -> Choice {
+    if let Some(choice) = closed_yet(board, request, targets, now) {
+        return choice;
+    }
     let again = now + LOOK_AGAIN;
-    match again.saturating_duration_since(request.arrived) < request.route.aim.mul_f64(LOOK_SHARE) {
+    match is_prompt(request, again) {
         true => Choice::Wait {
             until: again,
             expected: None,
@@ -322,6 +332,35 @@
     }
 }
 
+/// All targets are closed by what they say of themselves: a request waits if one opens while a refusal is still prompt; else
+/// it is refused at once, and its caller is told when one opens. `None` if a target is not closed.
+fn closed_yet(
+    board: &TargetBoard,
+    request: &CallRequest,
+    targets: &[Arc<str>],
+    now: Instant,
+) -> Option<Choice> {
+    let opens = board.all_closed_until(targets.iter(), now)?;
+    if is_prompt(request, opens) {
+        return Some(Choice::Wait {
+            until: opens,
+            expected: None,
+        });
+    }
+    // Callers that are refused together don't come back together.
+    let spread = rand::rng().random_range(Duration::ZERO..OPENING_SPREAD);
+    let come_back = opens.saturating_duration_since(now) + spread;
+    Some(Choice::Refuse(come_back))
+}
+
+/// True if a refusal at this time is still prompt.
+fn is_prompt(
+    request: &CallRequest,
+    at: Instant,
+) -> bool {
+    at.saturating_duration_since(request.arrived) < request.route.aim.mul_f64(LOOK_SHARE)
+}
+
 fn time_of(
     request: &CallRequest,
     now: Instant,
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -3,7 +3,7 @@
         AnswerBody, OwnAnswer, OwnCause,
         admission::{
             Belief, Charged, HELD_COME_BACK, HeldPlace, PlaceFound, charge, find_place,
-            wait_until_confirmed,
+            take_permit, wait_until_confirmed,
         },
         chooser::{Choice, Chooser},
         crash_probe::{accuse, acquit, answers_now},
@@ -275,6 +275,12 @@
                 }
                 Choice::Refuse(_) | Choice::Nowhere => return self.nowhere(request, tries),
             };
+            if !take_permit(&self.board, &destination.target).await {
+                let target = destination.target.clone();
+                let step = TraceStep::NoPermit { target };
+                tries.trace.add(step, Instant::now());
+                continue;
+            }
             destination.resume_after = resume_after;
             let names = self.formats.headers();
             let streams = request.route.kind == RouteKind::Stream;
--- a/src/connection/front/request_trace.rs
+++ b/src/connection/front/request_trace.rs
@@ -35,6 +35,10 @@
     },
     /// No engine could take it, for these reasons.
     Unplaced(AgainstEngines),
+    /// The host that counts what the target gets did not let it through.
+    NoPermit {
+        target: Arc<str>,
+    },
     NotReached {
         target: Arc<str>,
     },
@@ -191,11 +195,20 @@
                 ago_ms = ago_ms,
                 weighed = against.weighed,
                 tried = against.tried,
+                closed = against.closed,
                 avoided = against.avoided,
                 without_holder = against.without_holder,
                 full = against.full,
             );
         }
+        TraceStep::NoPermit { target } => {
+            note!(
+                Event::RequestNoPermit,
+                id = id,
+                ago_ms = ago_ms,
+                target = target
+            );
+        }
         TraceStep::NotReached { target } => {
             note!(
                 Event::RequestNotReached,
--- a/src/connection/targets/notice_watch.rs
+++ b/src/connection/targets/notice_watch.rs
@@ -1,10 +1,14 @@
 use {
+    super::ControlRequest,
     crate::{
         clock::Instant,
+        connection::datagram::TargetNews,
         formats::TargetStart,
         metrics::{StateLabels, metrics},
         note,
-        request::notices::{NoticeBook, NoticeHeaders, NoticeNews, UnreadableNotice},
+        request::notices::{
+            NoticeBook, NoticeHeaders, NoticeNews, Openness, TargetNotices, UnreadableNotice,
+        },
         timeline::Event,
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
@@ -17,14 +21,93 @@
 const MAX_UNREADABLE: usize = 1024;
 
 /// What targets say of themselves, as the requests of this host hear it.
-#[derive(Debug, Default)]
 pub struct NoticeWatch {
     book: NoticeBook,
+    /// Targets that this host leaves alone for a moment, until when, and of which start that holds.
+    closed: HashMap<Arc<str>, (Option<TargetStart>, Instant)>,
+    control: flume::Sender<ControlRequest>,
     /// Targets whose headers made no sense, and when that was told last.
     unreadable: HashMap<Arc<str>, Instant>,
 }
 
 impl NoticeWatch {
+    pub fn new(control: flume::Sender<ControlRequest>) -> Self {
+        Self {
+            book: NoticeBook::default(),
+            closed: HashMap::new(),
+            control,
+            unreadable: HashMap::new(),
+        }
+    }
+
+    /// True while no target is in need.
+    pub fn is_quiet(&self) -> bool {
+        self.book.is_empty()
+    }
+
+    /// Whether a target may get a request of this host now.
+    pub fn openness(
+        &self,
+        target: &str,
+        start: Option<TargetStart>,
+        now: Instant,
+    ) -> Openness {
+        if self.closed_until(target, start, now).is_some() {
+            return Openness::Closed;
+        }
+        let said = self.book.get(target, start);
+        match said.is_some_and(|said| said.is_limited(now)) {
+            true => Openness::Limited,
+            false => Openness::Open,
+        }
+    }
+
+    /// Until when a target is closed to this host, if it is.
+    pub fn closed_until(
+        &self,
+        target: &str,
+        start: Option<TargetStart>,
+        now: Instant,
+    ) -> Option<Instant> {
+        let closed = self.closed.get(target);
+        let closed = closed.filter(|(of, _)| *of == start);
+        let until = closed.map(|(_, until)| *until);
+        until.filter(|until| now < *until)
+    }
+
+    /// A target is left alone until then.
+    pub fn close(
+        &mut self,
+        target: &Arc<str>,
+        start: Option<TargetStart>,
+        until: Instant,
+    ) {
+        let now = Instant::now();
+        self.closed.retain(|_, (_, until)| now < *until);
+        self.closed.insert(target.clone(), (start, until));
+    }
+
+    /// What is known of a start of a target, for another host; `None` if that is nothing.
+    pub fn news_of(
+        &self,
+        target: &str,
+        start: Option<TargetStart>,
+        now: Instant,
+    ) -> Option<TargetNews> {
+        let said = self.book.get(target, start)?;
+        Some(TargetNews::of(target, said, now))
+    }
+
+    /// Another host has heard what a target says.
+    pub fn take(
+        &mut self,
+        target: &str,
+        notices: &TargetNotices,
+        now: Instant,
+    ) {
+        self.book.take(target, notices, now);
+    }
+
     /// Reads what the head of an answer says of its target; the request was sent at `sent`.
     pub fn on_answer(
         &mut self,
@@ -42,6 +125,14 @@
         for news in &news {
             tell(target, news, now);
         }
+        if news.iter().any(NoticeNews::concerns_all_hosts)
+            && let Some(notices) = self.book.get(target, start)
+        {
+            let _ = self.control.send(ControlRequest::Heard {
+                target: target.to_string(),
+                notices: *notices,
+            });
+        }
     }
 
     fn tell_unreadable(
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -8,12 +8,14 @@
         clock::Instant,
         connection::datagram::{
             AdapterUsage, ChargeAsk, ChargeRefund, EngineLoad, EngineQuery, EngineStanding, Loan,
-            LoanAsk, PlaceEnded, PlaceGiven, PlaceWanted, Placement, PlacementState, Usage, Want,
+            LoanAsk, PermitAnswer, PermitAsk, PlaceEnded, PlaceGiven, PlaceWanted, Placement,
+            PlacementState, Usage, Want,
         },
         formats::TargetStart,
         metrics::{CopyLabels, metrics},
         request::{
             direct::{CopyState, Credential, Policy},
+            notices::{Openness, TargetNotices},
             poison::PoisonReport,
             quotas::slot_for,
             repeats::RepeatBudget,
@@ -77,6 +79,13 @@
     Charge { to: SocketAddr, ask: ChargeAsk },
     /// Ask the host that gives out the places of a plain service for one.
     WantPlace { to: SocketAddr, wanted: PlaceWanted },
+    /// An answer of a target says something new of it.
+    Heard {
+        target: String,
+        notices: TargetNotices,
+    },
+    /// Ask the host that counts what a target gets for leave to send one request there.
+    WantPermit(PermitAsk),
     /// Tell it that a place is free again.
     EndPlace { to: SocketAddr, ended: PlaceEnded },
     /// Tell it that some of what it granted is not used.
@@ -129,6 +138,8 @@
     pub quotas: QuotaBook,
     /// Asks for places at targets of plain services.
     pub places: OpenAsks<PlaceGiven>,
+    /// Asks for leave to send to targets that take only so many requests.
+    pub permits: OpenAsks<PermitAnswer>,
     control: flume::Sender<ControlRequest>,
 }
 
@@ -166,9 +177,10 @@
             confirmation_news: Rc::default(),
             belief_ages: BeliefAges::new(settings.bounds, Instant::now()),
             crashes: CrashWatch::default(),
-            notices: NoticeWatch::default(),
+            notices: NoticeWatch::new(control.clone()),
             quotas: QuotaBook::default(),
             places: OpenAsks::default(),
+            permits: OpenAsks::default(),
             control,
         }
     }
@@ -367,6 +379,56 @@
         link.is_some_and(|link| until(link).is_none_or(|until| now < until))
     }
 
+    /// Whether a target may get a request of this host now, by what it says of itself.
+    pub fn openness(
+        &self,
+        target: &str,
+        now: Instant,
+    ) -> Openness {
+        match self.notices.is_quiet() {
+            true => Openness::Open,
+            false => self.notices.openness(target, self.started(target), now),
+        }
+    }
+
+    /// Until when each of these targets is closed to this host, the earliest; `None` if one of them is not.
+    pub fn all_closed_until<'a>(
+        &self,
+        targets: impl Iterator<Item = &'a Arc<str>>,
+        now: Instant,
+    ) -> Option<Instant> {
+        let until = |target: &Arc<str>| {
+            let start = self.started(target);
+            self.notices.closed_until(target, start, now)
+        };
+        let until: Option<Vec<Instant>> = targets.map(until).collect();
+        until?.into_iter().min()
+    }
+
+    /// A target is left alone until then.
+    pub fn close(
+        &mut self,
+        target: &Arc<str>,
+        until: Instant,
+    ) {
+        let start = self.started(target);
+        self.notices.close(target, start, until);
+    }
+
+    /// Asks the host that counts what a target gets for leave to send one request there.
+    pub fn ask_permit(
+        &self,
+        id: u64,
+        target: &str,
+        now: Instant,
+    ) {
+        let start = self.started(target);
+        if let Some(news) = self.notices.news_of(target, start, now) {
+            let ask = PermitAsk { id, news };
+            let _ = self.control.send(ControlRequest::WantPermit(ask));
+        }
+    }
+
     /// Which start of a target is known here.
     pub fn started(
         &self,
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -43,6 +43,8 @@
     pub quota_charges: Family<StateLabels, Counter>,
     pub places: Family<StateLabels, Counter>,
     pub target_notices: Family<StateLabels, Counter>,
+    pub permit_asks: Family<StateLabels, Counter>,
+    pub permits: Family<StateLabels, Counter>,
     pub known_hosts: Gauge,
     pub store_calls: Family<CallLabels, Counter>,
     pub orders: Family<OrderLabels, Counter>,
@@ -92,6 +94,8 @@
             quota_charges: Family::default(),
             places: Family::default(),
             target_notices: Family::default(),
+            permit_asks: Family::default(),
+            permits: Family::default(),
             known_hosts: Gauge::default(),
             store_calls: Family::default(),
             orders: Family::default(),
@@ -306,6 +310,16 @@
             "What targets newly say of themselves in their answers",
             self.target_notices.clone(),
         );
+        registry.register(
+            "permit_asks",
+            "Asks for leave to send to targets that take only so many requests, by outcome",
+            self.permit_asks.clone(),
+        );
+        registry.register(
+            "permits",
+            "Asks for such leave that this host answered as it counts, by outcome",
+            self.permits.clone(),
+        );
         registry.register(
             "known_hosts",
             "Hosts that the extra allowance of repeats is divided by",
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -3,14 +3,17 @@
     crate::{
         connection::{
             datagram::{
-                ChargeAnswer, EngineLoad, EngineStanding, Loan, LoanAsk, Message, PlaceGiven,
-                Placement,
+                ChargeAnswer, EngineLoad, EngineStanding, Loan, LoanAsk, Message, PermitAnswer,
+                PlaceGiven, Placement,
             },
             targets::{Confirmation, FleetView},
         },
         formats::{Order, RowWrite, Transaction},
         process::holding::TakenEngine,
-        request::poison::{Fingerprint, Standing},
+        request::{
+            notices::TargetNotices,
+            poison::{Fingerprint, Standing},
+        },
     },
     std::{net::SocketAddr, sync::Arc},
 };
@@ -72,6 +75,12 @@
     Borrow(Loan),
     Charged(ChargeAnswer),
     PlaceGiven(PlaceGiven),
+    Permit(PermitAnswer),
+    /// Another host has heard what a target says of itself.
+    TargetNews {
+        target: String,
+        notices: TargetNotices,
+    },
     /// A request stands so from now on; `None` if nothing speaks against it.
     Stands {
         fingerprint: Fingerprint,
--- /dev/null
+++ b/src/process/host/control_notices.rs
@@ -0,0 +1,190 @@
+//! The control thread's part for what targets say of themselves: news of it between hosts, and leave to send to those that
+//! take only so many requests a second.
+
+use {
+    super::{ControlAction, HostControl},
+    crate::{
+        clock::Instant,
+        connection::datagram::{Message, PermitAnswer, PermitAsk, TargetNews},
+        metrics::{StateLabels, metrics},
+        process::hosts::HostState,
+        request::{
+            notices::{NoticeBook, TargetNotices},
+            permits::{PermitDesk, permit_giver},
+        },
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// News of a target is told to all so many times, since messages are lost.
+const TELLINGS: u32 = 3;
+
+/// Time between two of them.
+const TELLING_PAUSE: Duration = Duration::from_millis(300);
+
+/// A host that is not the one to count says so, and is not asked again for so long: by then all know the same hosts.
+const NOT_COUNTED_PAUSE: Duration = Duration::from_millis(100);
+
+/// What targets have said of themselves, as this host knows it, and what it counts for the others.
+#[derive(Debug, Default)]
+pub(super) struct KnownNotices {
+    pub book: NoticeBook,
+    desk: PermitDesk,
+    /// News that all hosts are still to be told of.
+    untold: Vec<Telling>,
+}
+
+#[derive(Debug)]
+struct Telling {
+    target: String,
+    notices: TargetNotices,
+    left: u32,
+    due: Instant,
+}
+
+impl HostControl {
+    /// An answer to a request of this host says something new of its target.
+    pub(super) fn on_notice_heard(
+        &mut self,
+        target: &str,
+        notices: &TargetNotices,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        if !self.take_notices(target, notices, now) {
+            return Vec::new();
+        }
+        match self.permit_giver(target) {
+            Some(giver) if giver != self.hosts.me().peer => {
+                let news = TargetNews::of(target, notices, now);
+                let message = Message::TargetNews(news);
+                vec![ControlAction::Send { to: giver, message }]
+            }
+            _ => self.tell_notices(target, notices, now),
+        }
+    }
+
+    /// Another host tells of a target.
+    pub(super) fn on_target_news(
+        &mut self,
+        news: &TargetNews,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let notices = news.notices(now);
+        if !self.take_notices(&news.target, &notices, now) {
+            return Vec::new();
+        }
+        let mut actions = vec![ControlAction::TargetNews {
+            target: news.target.clone(),
+            notices,
+        }];
+        // Whoever hears of a target tells the host that counts for it, and that one all others.
+        if self.permit_giver(&news.target) == Some(self.hosts.me().peer) {
+            actions.extend(self.tell_notices(&news.target, &notices, now));
+        }
+        actions
+    }
+
+    /// A host asks for leave to send one request to a target.
+    pub(super) fn on_permit_ask(
+        &mut self,
+        from: SocketAddr,
+        ask: &PermitAsk,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut actions = self.on_target_news(&ask.news, now);
+        let outcome = self.permit(&ask.news, now);
+        let state = match &outcome {
+            Ok(()) => "granted",
+            Err(_) => "denied",
+        };
+        let labels = StateLabels { state };
+        metrics().permits.get_or_create(&labels).inc();
+        let pause = outcome.err().unwrap_or_default();
+        let answer = PermitAnswer {
+            id: ask.id,
+            granted: outcome.is_ok(),
+            ask_again_ms: u32::try_from(pause.as_millis() + 1).unwrap_or(u32::MAX),
+        };
+        actions.push(self.send(from, Message::PermitAnswer(answer)));
+        actions
+    }
+
+    fn permit(
+        &mut self,
+        news: &TargetNews,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        if self.permit_giver(&news.target) != Some(self.hosts.me().peer) {
+            return Err(NOT_COUNTED_PAUSE);
+        }
+        let start = news.notices(now).start;
+        let known = self.notices.book.get(&news.target, start);
+        let limit = known.and_then(|known| known.limit);
+        match limit.and_then(|limit| limit.rate_at(now)) {
+            Some(rate) => self.notices.desk.ask(&news.target, start, rate, now),
+            // The limit is over; whoever asks has not heard of it.
+            None => Ok(()),
+        }
+    }
+
+    /// Where this host asks for leave to send to a target.
+    pub(super) fn permit_giver(
+        &self,
+        target: &str,
+    ) -> Option<SocketAddr> {
+        let others = self.hosts.hosts();
+        let alive = others.filter(|host| host.state == HostState::Alive);
+        let peers = alive.map(|host| host.identity.peer);
+        let me = (!self.hosts.is_leaving()).then(|| self.hosts.me().peer);
+        permit_giver(target, peers.chain(me))
+    }
+
+    fn take_notices(
+        &mut self,
+        target: &str,
+        notices: &TargetNotices,
+        now: Instant,
+    ) -> bool {
+        self.notices.book.take(target, notices, now)
+    }
+
+    /// Tells all hosts of a target, a few times.
+    fn tell_notices(
+        &mut self,
+        target: &str,
+        notices: &TargetNotices,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let untold = &mut self.notices.untold;
+        untold.retain(|telling| telling.target != target);
+        untold.push(Telling {
+            target: target.to_string(),
+            notices: *notices,
+            left: TELLINGS,
+            due: now,
+        });
+        self.tick_notices(now)
+    }
+
+    /// Tells what is due to be told.
+    pub(super) fn tick_notices(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut untold = std::mem::take(&mut self.notices.untold);
+        let mut actions = Vec::new();
+        for telling in untold.iter_mut().filter(|telling| telling.due <= now) {
+            telling.left -= 1;
+            telling.due = now + TELLING_PAUSE;
+            let news = TargetNews::of(&telling.target, &telling.notices, now);
+            let up = self.hosts.hosts().filter(|host| host.state.is_up());
+            actions.extend(up.map(|host| ControlAction::Send {
+                to: host.identity.peer,
+                message: Message::TargetNews(news.clone()),
+            }));
+        }
+        untold.retain(|telling| telling.left > 0);
+        self.notices.untold = untold;
+        actions
+    }
+}
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -5,7 +5,9 @@
     crate::{
         clock::Instant,
         connection::{
-            datagram::{Ack, HostRumor, LoanAsk, Message, Ping, PingEcho, PingRequest, Vouch},
+            datagram::{
+                Ack, HostRumor, LoanAsk, Message, PermitAsk, Ping, PingEcho, PingRequest, Vouch,
+            },
             targets::ControlRequest,
         },
         note,
@@ -164,6 +166,9 @@
             Message::ChargeAsk(ask) => vec![self.on_charge_ask(from, &ask, now)],
             Message::PlaceWanted(wanted) => vec![self.on_place_wanted(from, &wanted, now)],
             Message::PlaceGiven(given) => vec![ControlAction::PlaceGiven(given)],
+            Message::TargetNews(news) => self.on_target_news(&news, now),
+            Message::PermitAsk(ask) => self.on_permit_ask(from, &ask, now),
+            Message::PermitAnswer(answer) => vec![ControlAction::Permit(answer)],
             Message::PlaceEnded(ended) => {
                 self.on_place_ended(&ended);
                 Vec::new()
@@ -229,6 +234,10 @@
                 to,
                 message: Message::PlaceWanted(wanted),
             }],
+            ControlRequest::Heard { target, notices } => {
+                self.on_notice_heard(&target, &notices, now)
+            }
+            ControlRequest::WantPermit(ask) => self.want_permit(ask, now),
             ControlRequest::EndPlace { to, ended } if to == me => {
                 self.on_place_ended(&ended);
                 Vec::new()
@@ -266,6 +275,22 @@
         Some(ControlAction::Send { to, message })
     }
 
+    /// Asks the host that counts what a target gets for leave to send one request there.
+    fn want_permit(
+        &mut self,
+        ask: PermitAsk,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let me = self.hosts.me().peer;
+        match self.permit_giver(&ask.news.target) {
+            Some(to) if to != me => vec![ControlAction::Send {
+                to,
+                message: Message::PermitAsk(ask),
+            }],
+            _ => self.on_permit_ask(me, &ask, now),
+        }
+    }
+
     /// Sends a message to a host, or hands it to this host's own requests.
     pub(super) fn send(
         &self,
@@ -281,6 +306,7 @@
             Message::EngineStanding(standing) => ControlAction::Stand(standing),
             Message::ChargeAnswer(answer) => ControlAction::Charged(answer),
             Message::PlaceGiven(given) => ControlAction::PlaceGiven(given),
+            Message::PermitAnswer(answer) => ControlAction::Permit(answer),
             message => ControlAction::Send { to, message },
         }
     }
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -178,6 +178,10 @@
                 self.tell_traffic(TrafficInput::Standing(standing));
             }
             ControlAction::PlaceGiven(given) => self.tell_traffic(TrafficInput::PlaceGiven(given)),
+            ControlAction::Permit(answer) => self.tell_traffic(TrafficInput::Permit(answer)),
+            ControlAction::TargetNews { target, notices } => {
+                self.tell_traffic(TrafficInput::TargetNews { target, notices });
+            }
             ControlAction::Charged(answer) => self.tell_traffic(TrafficInput::Charged(answer)),
             ControlAction::Borrow(loan) => self.tell_traffic(TrafficInput::Borrowed(loan)),
             ControlAction::Stands {
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -1,8 +1,9 @@
 use {
     super::{
-        ControlAction, ControlEvent, TableName, control_places::GivenPlaces,
-        control_poison::KnownPoison, control_quotas::HeldLedger, drawn_takers::DrawnTakers,
-        ended_targets::EndedTargets, listed_target::ListedTarget, open_engines::OpenEngines,
+        ControlAction, ControlEvent, TableName, control_notices::KnownNotices,
+        control_places::GivenPlaces, control_poison::KnownPoison, control_quotas::HeldLedger,
+        drawn_takers::DrawnTakers, ended_targets::EndedTargets, listed_target::ListedTarget,
+        open_engines::OpenEngines,
     },
     crate::{
         clock::Instant,
@@ -132,6 +133,8 @@
     pub(super) ledgers: BTreeMap<usize, HeldLedger>,
     /// Places at targets of the plain services that are given out here.
     pub(super) places: BTreeMap<String, GivenPlaces>,
+    /// What targets say of themselves.
+    pub(super) notices: KnownNotices,
 }
 
 impl HostControl {
@@ -202,6 +205,7 @@
             poison: KnownPoison::default(),
             ledgers: BTreeMap::new(),
             places: BTreeMap::new(),
+            notices: KnownNotices::default(),
         }
     }
 
@@ -327,6 +331,7 @@
         actions.extend(self.confirm());
         actions.extend(self.tick_engines(now));
         actions.extend(self.tick_poison(now));
+        actions.extend(self.tick_notices(now));
         if now >= self.next_loads {
             self.next_loads = now + LOAD_PERIOD;
             actions.extend(self.tell_loads(now));
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -5,7 +5,8 @@
         clock::Instant,
         connection::{
             datagram::{
-                ChargeAnswer, EngineLoad, EngineStanding, Loan, LoanAsk, PlaceGiven, Placement,
+                ChargeAnswer, EngineLoad, EngineStanding, Loan, LoanAsk, PermitAnswer, PlaceGiven,
+                Placement,
             },
             front::{FrontListener, FrontStop},
             targets::{
@@ -16,7 +17,10 @@
         formats::Formats,
         note,
         process::settings::{Bounds, NodeSettings},
-        request::poison::{Fingerprint, Standing},
+        request::{
+            notices::TargetNotices,
+            poison::{Fingerprint, Standing},
+        },
         timeline::Event,
     },
     std::{
@@ -54,6 +58,13 @@
     Charged(ChargeAnswer),
     /// The host that gives out places has answered.
     PlaceGiven(PlaceGiven),
+    /// The host that counts what a target gets has answered.
+    Permit(PermitAnswer),
+    /// Another host has heard what a target says of itself.
+    TargetNews {
+        target: String,
+        notices: TargetNotices,
+    },
     /// A request stands so from now on; `None` if nothing speaks against it.
     Stands {
         fingerprint: Fingerprint,
@@ -171,6 +182,12 @@
         TrafficInput::PlaceGiven(given) => {
             board.places.on_answer(given.id, given);
         }
+        TrafficInput::Permit(answer) => {
+            board.permits.on_answer(answer.id, answer);
+        }
+        TrafficInput::TargetNews { target, notices } => {
+            board.notices.take(&target, &notices, Instant::now());
+        }
         TrafficInput::Charged(answer) => board.quotas.on_answer(answer),
         TrafficInput::Borrowed(loan) => board.on_loan(&loan, Instant::now()),
         TrafficInput::LoanAsked { to, ask } => board.on_loan_ask(to, &ask, Instant::now()),
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -1,4 +1,8 @@
-use {super::Policy, crate::clock::Instant, std::time::Duration};
+use {
+    super::Policy,
+    crate::{clock::Instant, request::notices::Openness},
+    std::time::Duration,
+};
 
 /// Where an adapter stands on one engine, as far as this host knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +48,8 @@
     pub has_holder: bool,
     /// This request was turned away there.
     pub tried: bool,
+    /// Whether it may get a request now, by what it says of itself.
+    pub openness: Openness,
 }
 
 /// What is done with a request for an engine.
@@ -136,9 +142,35 @@
 const ASKED_WAIT: Duration = Duration::from_millis(60);
 
 /// Chooses an engine for a request; the candidates come in the order in which the adapter settles.
+///
+/// Engines that take only so many requests get those that would else have to wait for their adapter or be refused. None is
+/// asked to load an adapter while another engine can.
 pub fn choose_engine(
     candidates: &[EngineCandidate],
     terms: &ChoiceTerms,
+) -> EngineChoice {
+    let is_open = |candidate: &EngineCandidate| candidate.openness == Openness::Open;
+    let choice = choose_among(candidates, terms, &is_open);
+    if matches!(choice, EngineChoice::Send { .. }) || candidates.iter().all(is_open) {
+        return choice;
+    }
+    let is_spare = |candidate: &EngineCandidate| {
+        candidate.openness == Openness::Limited && candidate.copy == CopyState::Ready
+    };
+    match (choose_among(candidates, terms, &is_spare), choice) {
+        (send @ EngineChoice::Send { .. }, _) => send,
+        (_, EngineChoice::Nowhere) => choose_among(candidates, terms, &|candidate| {
+            candidate.openness != Openness::Closed
+        }),
+        (_, choice) => choice,
+    }
+}
+
+/// Chooses among the engines that are accepted.
+fn choose_among(
+    candidates: &[EngineCandidate],
+    terms: &ChoiceTerms,
+    accepts: &dyn Fn(&EngineCandidate) -> bool,
 ) -> EngineChoice {
     let away = match candidates.iter().any(|candidate| has_copy(candidate.copy)) {
         true => AWAY,
@@ -148,7 +180,8 @@
         let priced = candidates
             .iter()
             .enumerate()
-            .filter(|(_, candidate)| !candidate.tried && !candidate.avoided && accept(candidate))
+            .filter(|(_, candidate)| !candidate.tried && !candidate.avoided)
+            .filter(|(_, candidate)| accepts(candidate) && accept(candidate))
             .map(|(at, candidate)| (at, cost(at, candidate, away, terms)));
         priced.min_by(|a, b| a.1.total_cmp(&b.1))
     };
--- a/src/request/direct/plain_choice.rs
+++ b/src/request/direct/plain_choice.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {crate::request::notices::Openness, std::time::Duration};
 
 /// A target of a plain service, as it stands at this moment.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -13,6 +13,8 @@
     pub avoided_for: Duration,
     /// This request was sent there before.
     pub tried: bool,
+    /// Whether it may get a request now, by what it says of itself.
+    pub openness: Openness,
 }
 
 /// A distant target counts as so much fuller.
@@ -20,7 +22,8 @@
 
 /// Chooses the trusted target with the most room; ties fall to `draw`, a number from 0 to below 1.
 ///
-/// A target that is avoided, or that had this request before, is used only if there is no other.
+/// A target that is avoided, that takes only so many requests, or that had this request before, is used only if there is no
+/// other; one that is closed is not.
 pub fn choose_plain(
     candidates: &[PlainCandidate],
     draw: f64,
@@ -28,14 +31,23 @@
     let count = candidates.len();
     let first = (draw * count as f64) as usize;
     let order = (0..count).map(|at| (at + first) % count.max(1));
-    order.min_by(|a, b| {
+    let open = order.filter(|at| candidates[*at].openness != Openness::Closed);
+    open.min_by(|a, b| {
         let (a, b) = (&candidates[*a], &candidates[*b]);
         let tried = a.tried.cmp(&b.tried);
         let avoided = a.avoided_for.cmp(&b.avoided_for);
-        tried.then(avoided).then(load(a).total_cmp(&load(b)))
+        let limited = is_limited(a).cmp(&is_limited(b));
+        tried
+            .then(avoided)
+            .then(limited)
+            .then(load(a).total_cmp(&load(b)))
     })
 }
 
+fn is_limited(candidate: &PlainCandidate) -> bool {
+    candidate.openness == Openness::Limited
+}
+
 fn load(candidate: &PlainCandidate) -> f64 {
     let distance = match candidate.near {
         true => 0.0,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -12,6 +12,7 @@
 pub mod notices;
 mod owner_service;
 mod passed_headers;
+pub mod permits;
 pub mod places;
 pub mod poison;
 pub mod quotas;
--- a/src/request/notices/mod.rs
+++ b/src/request/notices/mod.rs
@@ -4,11 +4,13 @@
 mod named_limit;
 mod notice;
 mod notice_book;
+mod openness;
 mod target_notices;
 
 pub use {
     named_limit::NamedLimit,
     notice::{LimitWord, Notice, NoticeHeaders, UnreadableNotice},
     notice_book::NoticeBook,
+    openness::Openness,
     target_notices::{NoticeNews, TargetNotices},
 };
--- a/src/request/notices/notice_book.rs
+++ b/src/request/notices/notice_book.rs
@@ -18,6 +18,11 @@
 }
 
 impl NoticeBook {
+    /// True if no target has said anything.
+    pub fn is_empty(&self) -> bool {
+        self.by_target.is_empty()
+    }
+
     /// Takes in what an answer says to a request that was sent at `sent`; gives what is new.
     pub fn hear(
         &mut self,
--- a/src/request/notices/target_notices.rs
+++ b/src/request/notices/target_notices.rs
@@ -16,6 +16,13 @@
     Rests { until: Instant },
 }
 
+impl NoticeNews {
+    /// True for what all hosts must know; a rest is for the one that is told of it.
+    pub fn concerns_all_hosts(&self) -> bool {
+        !matches!(self, Self::Rests { .. })
+    }
+}
+
 /// What one start of a target has said of itself.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TargetNotices {
@@ -100,6 +107,15 @@
         }
     }
 
+    /// True if the target takes only so many requests a second now.
+    pub fn is_limited(
+        &self,
+        now: Instant,
+    ) -> bool {
+        let limit = self.limit.as_ref();
+        limit.is_some_and(|limit| limit.rate_at(now).is_some())
+    }
+
     /// Takes in what another host knows of the same start; true if something is new. Rests are each host's own.
     pub fn join(
         &mut self,
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -112,6 +112,7 @@
     PoisonStoreFailed = 626 "poison_store_failed" Warn,
     RequestRejected = 627 "request_rejected" Info,
     RequestOverLimit = 628 "request_over_limit" Info,
+    RequestNoPermit = 629 "request_no_permit" Info,
     TargetUnreachable = 701 "target_unreachable" Warn,
     TargetBack = 702 "target_back" Info,
     TargetRestarted = 703 "target_restarted" Warn,
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -95,6 +95,8 @@
     drop(metrics.quota_charges.get_or_create(&state));
     drop(metrics.places.get_or_create(&state));
     drop(metrics.target_notices.get_or_create(&state));
+    drop(metrics.permit_asks.get_or_create(&state));
+    drop(metrics.permits.get_or_create(&state));
     drop(metrics.wants_turned_away.get_or_create(&cause));
     drop(metrics.store_calls.get_or_create(&call));
     drop(metrics.orders.get_or_create(&order));
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -4,10 +4,13 @@
     coveproxy::{
         clock::Instant,
         connection::targets::ReadingSpeed,
-        request::direct::{
-            AttemptEnd, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Generation,
-            NextStep, Patience, PlainCandidate, Policy, PromptPart, RequestHistory, RequestTime,
-            USUAL_LOAD, choose_engine, choose_plain, next_step, wait_or_refuse,
+        request::{
+            direct::{
+                AttemptEnd, ChoiceTerms, CopyState, EngineCandidate, EngineChoice, Generation,
+                NextStep, Patience, PlainCandidate, Policy, PromptPart, RequestHistory,
+                RequestTime, USUAL_LOAD, choose_engine, choose_plain, next_step, wait_or_refuse,
+            },
+            notices::Openness,
         },
         version::routing::{
             BaseModel, EngineSpec, FrontLimits, Route, RouteKind, RoutingTable, TargetService,
@@ -134,6 +137,7 @@
         near,
         avoided_for: Duration::ZERO,
         tried: false,
+        openness: Openness::Open,
     }
 }
 
@@ -146,6 +150,12 @@
 #[case::not_where_it_was(vec![PlainCandidate { tried: true, ..plain(0, true) }, plain(5, true)], Some(1))]
 #[case::a_failed_one_if_there_is_no_other(
     vec![PlainCandidate { avoided_for: ms(100), ..plain(0, true) }], Some(0))]
+#[case::a_limited_one_only_if_there_is_no_other(
+    vec![PlainCandidate { openness: Openness::Limited, ..plain(0, true) }, plain(5, false)], Some(1))]
+#[case::a_limited_one_if_the_others_are_closed(
+    vec![PlainCandidate { openness: Openness::Closed, ..plain(0, true) },
+         PlainCandidate { openness: Openness::Limited, ..plain(5, false) }], Some(1))]
+#[case::all_closed(vec![PlainCandidate { openness: Openness::Closed, ..plain(0, true) }], None)]
 #[case::none(vec![], None)]
 fn the_plain_target_with_most_room_is_chosen(
     #[case] candidates: Vec<PlainCandidate>,
@@ -172,6 +182,7 @@
         avoided: false,
         has_holder: true,
         tried: false,
+        openness: Openness::Open,
     }
 }
 
@@ -264,6 +275,7 @@
 #[rstest]
 #[case::avoided(EngineCandidate { avoided: true, ..engine(CopyState::Ready, 0) })]
 #[case::turned_away_there(EngineCandidate { tried: true, ..engine(CopyState::Ready, 0) })]
+#[case::closed(EngineCandidate { openness: Openness::Closed, ..engine(CopyState::Ready, 0) })]
 #[case::no_holder_and_no_copy(EngineCandidate { has_holder: false, ..engine(CopyState::Unknown, 0) })]
 fn engines_that_can_not_serve_are_left_out(#[case] candidate: EngineCandidate) {
     let now = Instant::now();
@@ -489,3 +501,28 @@
         expected
     );
 }
+
+fn limited(
+    copy: CopyState,
+    wait_ms: u64,
+) -> EngineCandidate {
+    EngineCandidate {
+        openness: Openness::Limited,
+        ..engine(copy, wait_ms)
+    }
+}
+
+/// An engine that takes only so many requests gets those that would else wait or be refused, and loads nothing while another
+/// one can.
+#[rstest]
+#[case::another_copy_serves(vec![limited(CopyState::Ready, 0), engine(CopyState::Ready, 80)], send(1))]
+#[case::its_copy_is_the_only_one(vec![limited(CopyState::Ready, 0), engine(CopyState::Unknown, 0)], send(0))]
+#[case::another_loads(vec![limited(CopyState::Unknown, 0), engine(CopyState::Unknown, 50)], EngineChoice::Ask(1))]
+#[case::nobody_else_can(vec![limited(CopyState::Unknown, 0)], EngineChoice::Ask(0))]
+fn a_limited_engine_is_used_for_what_only_it_serves_well(
+    #[case] candidates: Vec<EngineCandidate>,
+    #[case] expected: EngineChoice,
+) {
+    let terms = terms(0, Instant::now());
+    assert_eq!(choose_engine(&candidates, &terms), expected);
+}
--- /dev/null
+++ b/tests/target_notices.rs
@@ -0,0 +1,292 @@
+//! What targets say of themselves: how it is read, how hosts join what they know, and how one host counts for all.
+
+use {
+    coveproxy::{
+        clock::Instant,
+        formats::{HeaderNames, TargetStart},
+        request::{
+            notices::{
+                LimitWord, NamedLimit, Notice, NoticeBook, NoticeHeaders, NoticeNews, TargetNotices,
+            },
+            permits::{PermitDesk, permit_giver},
+        },
+    },
+    http::{HeaderMap, HeaderName, HeaderValue, StatusCode},
+    proptest::prelude::*,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    rstest::rstest,
+    std::{net::SocketAddr, time::Duration},
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn names() -> HeaderNames {
+    let name = HeaderName::from_static;
+    HeaderNames {
+        request_id: name("id"),
+        deadline_ms: name("deadline"),
+        model: name("model"),
+        token_counts: name("tokens"),
+        prompt_parts: name("parts"),
+        length_hint: name("length"),
+        priority: name("priority"),
+        expect_target: name("target"),
+        expect_version: name("version"),
+        customer: name("customer"),
+        not_run: name("not-run"),
+        target_limit: name("limit"),
+        target_leaving: name("leaving"),
+        last_event_id: name("last"),
+        reserved: Vec::new(),
+    }
+}
+
+fn read(
+    status: u16,
+    lines: &[(&'static str, &[u8])],
+) -> (Notice, usize) {
+    let mut headers = HeaderMap::new();
+    for (name, value) in lines {
+        let value = HeaderValue::from_bytes(value).unwrap();
+        headers.append(HeaderName::from_static(name), value);
+    }
+    let (notice, unreadable) = NoticeHeaders {
+        names: &names(),
+        status: StatusCode::from_u16(status).unwrap(),
+        headers: &headers,
+    }
+    .read();
+    (notice, unreadable.len())
+}
+
+#[rstest]
+#[case::fraction(b"2.25", LimitWord::Rate(2.25))]
+#[case::zero(b"0", LimitWord::Rate(0.0))]
+#[case::blanks(b" 4 ", LimitWord::Rate(4.0))]
+#[case::empty(b"", LimitWord::Unknown)]
+#[case::negative(b"-1", LimitWord::Unknown)]
+#[case::no_number(b"NaN", LimitWord::Unknown)]
+#[case::infinite(b"1e400", LimitWord::Unknown)]
+#[case::words(b"two", LimitWord::Unknown)]
+#[case::long(&[b'1'; 10_000], LimitWord::Unknown)]
+#[case::not_ascii(b"2\xff", LimitWord::Unknown)]
+fn a_limit_is_read_or_left_aside(
+    #[case] text: &[u8],
+    #[case] expected: LimitWord,
+) {
+    let (notice, unreadable) = read(200, &[("limit", text)]);
+    assert_eq!(notice.limit, expected);
+    assert_eq!(unreadable, usize::from(expected == LimitWord::Unknown));
+}
+
+#[rstest]
+#[case::doubled(200, &[("limit", b"2".as_slice()), ("limit", b"3")], LimitWord::Unknown)]
+#[case::of_another_target(421, &[("limit", b"2".as_slice())], LimitWord::Unknown)]
+#[case::absent(200, &[], LimitWord::Absent)]
+fn what_can_not_be_gone_by_is_left_aside(
+    #[case] status: u16,
+    #[case] lines: &[(&'static str, &[u8])],
+    #[case] expected: LimitWord,
+) {
+    assert_eq!(read(status, lines).0.limit, expected);
+}
+
+#[test]
+fn a_limit_ends_with_an_answer_that_names_none_and_lifts_slowly() {
+    let begin = Instant::now();
+    let mut said = TargetNotices::new(None, begin);
+    let named = Notice {
+        limit: LimitWord::Rate(2.0),
+        ..Notice::default()
+    };
+    let news = said.hear(&named, begin, begin + ms(10));
+    assert_eq!(news, [NoticeNews::Limited { rate: 2.0 }]);
+    // An answer to a request from before says nothing of it.
+    let absent = Notice::default();
+    assert_eq!(said.hear(&absent, begin, begin + ms(20)), []);
+    let over = begin + ms(1_000);
+    let news = said.hear(&absent, begin + ms(900), over);
+    assert_eq!(news, [NoticeNews::Unlimited { rate: 2.0 }]);
+    let rate = |at| said.limit.unwrap().rate_at(at);
+    assert_eq!(rate(over), Some(2.0));
+    assert_eq!(rate(over + ms(2_000)), Some(8.0));
+    assert_eq!(rate(over + ms(6_000)), None);
+}
+
+#[test]
+fn a_later_start_makes_void_what_an_earlier_one_said() {
+    let now = Instant::now();
+    let mut book = NoticeBook::default();
+    let start = |ms| Some(TargetStart::from_unix_ms(ms));
+    let leaves = Notice {
+        leaves: true,
+        ..Notice::default()
+    };
+    book.hear("t", start(5), &leaves, now, now);
+    assert!(book.leaves("t", start(5)));
+    assert!(!book.leaves("t", start(6)));
+    let named = Notice {
+        limit: LimitWord::Rate(1.0),
+        ..Notice::default()
+    };
+    book.hear("t", start(6), &named, now, now);
+    assert!(!book.leaves("t", start(6)));
+    // News of the earlier start comes late.
+    let late = TargetNotices {
+        leaves: true,
+        ..TargetNotices::new(start(5), now)
+    };
+    assert!(!book.take("t", &late, now));
+    assert!(!book.leaves("t", start(6)));
+    assert!(book.get("t", start(6)).unwrap().limit.is_some());
+}
+
+/// News of one start of a target, as hosts tell it to one another.
+fn any_news(begin: Instant) -> impl Strategy<Value = TargetNotices> {
+    let limit = (0u64..20, 0u32..4, any::<bool>());
+    (any::<bool>(), proptest::option::of(limit)).prop_map(move |(leaves, limit)| TargetNotices {
+        leaves,
+        limit: limit.map(|(told, rate, ended)| NamedLimit {
+            rate: f64::from(rate),
+            told: begin + ms(told),
+            ended,
+        }),
+        ..TargetNotices::new(None, begin)
+    })
+}
+
+proptest! {
+    /// Order, repetition and detours of news don't matter.
+    #[test]
+    fn hosts_that_have_heard_the_same_news_know_the_same(
+        (news, order) in {
+            let begin = Instant::now();
+            proptest::collection::vec(any_news(begin), 1..8)
+                .prop_flat_map(|news| {
+                    let repeated: Vec<usize> = (0..news.len()).chain(0..news.len()).collect();
+                    (Just(news), Just(repeated).prop_shuffle())
+                })
+        },
+    ) {
+        let begin = news[0].heard;
+        let mut straight = TargetNotices::new(None, begin);
+        for told in &news {
+            straight.join(told);
+        }
+        let mut shuffled = TargetNotices::new(None, begin);
+        for at in order {
+            shuffled.join(&news[at]);
+        }
+        prop_assert_eq!(straight.limit, shuffled.limit);
+        prop_assert_eq!(straight.leaves, shuffled.leaves);
+    }
+}
+
+/// Hosts that send to one target for as long as callers ask for more than it takes.
+struct Crowd {
+    rng: StdRng,
+    rate: f64,
+    /// Each host: when it may ask again.
+    hosts: Vec<Instant>,
+    desk: PermitDesk,
+    sent: Vec<Instant>,
+}
+
+impl Crowd {
+    fn new(
+        seed: u64,
+        hosts: usize,
+        rate: f64,
+        begin: Instant,
+    ) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            rate,
+            hosts: vec![begin; hosts],
+            desk: PermitDesk::default(),
+            sent: Vec::new(),
+        }
+    }
+
+    /// Plays some seconds, a request at one of the hosts each few milliseconds; at these times another host counts.
+    fn play(
+        &mut self,
+        begin: Instant,
+        seconds: u64,
+        changes: &[Duration],
+    ) {
+        let mut changes = changes.iter().peekable();
+        for step in 0..seconds * 200 {
+            let passed = ms(step * 5);
+            if changes.next_if(|at| **at <= passed).is_some() {
+                self.desk = PermitDesk::default();
+            }
+            let now = begin + passed;
+            let host = self.rng.random_range(0..self.hosts.len());
+            if self.hosts[host] > now {
+                continue;
+            }
+            match self.desk.ask("t", None, self.rate, now) {
+                Ok(()) => self.sent.push(now),
+                Err(pause) => self.hosts[host] = now + pause,
+            }
+        }
+    }
+
+    fn most_in(
+        &self,
+        window: Duration,
+    ) -> usize {
+        let in_window = |from: &Instant| {
+            let within = |at: &&Instant| **at >= *from && **at < *from + window;
+            self.sent.iter().filter(within).count()
+        };
+        self.sent.iter().map(in_window).max().unwrap_or_default()
+    }
+}
+
+/// One host counts for all: nine tenths of a limit are used while callers ask for more, and it is not exceeded by more than
+/// half, plus five, in four seconds, whoever counts.
+#[rstest]
+fn a_limit_is_used_and_kept(
+    #[values(6, 24, 195, 380)] hosts: usize,
+    #[values(0.3, 2.0, 4.0, 20.0)] rate: f64,
+    #[values(1, 2, 3)] seed: u64,
+    #[values(&[], &[ms(7_000), ms(7_500), ms(9_000), ms(20_000)])] changes: &[Duration],
+) {
+    let begin = Instant::now();
+    let mut crowd = Crowd::new(seed, hosts, rate, begin);
+    let seconds = 60;
+    crowd.play(begin, seconds, changes);
+    let allowed = 1.5 * rate * 4.0 + 5.0;
+    let most = crowd.most_in(ms(4_000));
+    assert!(most as f64 <= allowed, "{most} of {allowed}");
+    if changes.is_empty() {
+        let used = crowd.sent.len() as f64;
+        let least = 0.9 * rate * seconds as f64;
+        assert!(used >= least, "{used} of {least}");
+    }
+}
+
+/// All hosts name the same one to count, and one that goes changes that only for the targets it counted.
+#[test]
+fn hosts_agree_on_who_counts() {
+    let hosts: Vec<SocketAddr> = (1..=20)
+        .map(|at| SocketAddr::from(([10, 0, 0, at], 7_000)))
+        .collect();
+    let gone = hosts[7];
+    let rest: Vec<SocketAddr> = hosts.iter().copied().filter(|host| *host != gone).collect();
+    let mut counted = 0;
+    for target in 0..200 {
+        let target = format!("i-{target}");
+        let giver = permit_giver(&target, hosts.iter().copied()).unwrap();
+        let reversed = permit_giver(&target, hosts.iter().rev().copied()).unwrap();
+        assert_eq!(giver, reversed);
+        let after = permit_giver(&target, rest.iter().copied()).unwrap();
+        assert!(giver == gone || giver == after);
+        counted += usize::from(giver == gone);
+    }
+    assert!((2..30).contains(&counted), "{counted}");
+}
