A target that asks a host for rest gets nothing from that host until the rest is over

What callers and operators saw: targets that turned requests away and asked for 3 s of rest got up to eight requests of one host in that time; requests went from one such target to the next until their tries were spent, and three kinds of requests were served less than nine times of ten. Cause: the time was read into the end of a send and dropped, and an end without a run counted as no failure, so that a target that turns all away looked idle and got more than sound ones. Class: what a neighbour asks for is parsed and not acted on. Ruled out: that the rest ended with other news (it never began), and that only adapters without another copy went back. Why the mend holds: a rest is kept with the start of the target that asked for it, the later end of several counts, and it is looked at when a target is chosen and again right before each send. The time in a send's end is gone: it stood twice.

--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -331,10 +331,7 @@
                 }
                 Sent::Misdirected => {
                     self.on_misdirected(request, &destination);
-                    AttemptEnd::NotRun {
-                        status: 421,
-                        retry_after: None,
-                    }
+                    AttemptEnd::NotRun { status: 421 }
                 }
                 Sent::Unconfirmed => continue,
                 Sent::Ended(AttemptEnd::Lost) => {
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -359,7 +359,7 @@
             .credential
             .as_ref()
             .is_none_or(|credential| board.key_standing(credential, now) == KeyStanding::Valid);
-    let forbidden = board.forbids(&destination.target);
+    let forbidden = board.forbids(&destination.target, now);
     serves && key_stands && !forbidden && board.allows_sends(now)
 }
 
@@ -399,12 +399,6 @@
     mut source: AnswerSource,
 ) -> Sent {
     let status = head.status;
-    let retry_after = head
-        .headers
-        .get(header::RETRY_AFTER)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.trim().parse::<f64>().ok())
-        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     while let Ok(Some(_)) = source.next().await {}
     source.finish();
     if status == StatusCode::MISDIRECTED_REQUEST {
@@ -412,7 +406,6 @@
     }
     Sent::Ended(AttemptEnd::NotRun {
         status: status.as_u16(),
-        retry_after,
     })
 }
 
--- a/src/connection/targets/notice_watch.rs
+++ b/src/connection/targets/notice_watch.rs
@@ -74,8 +74,10 @@
         &self,
         target: &str,
         start: Option<TargetStart>,
+        now: Instant,
     ) -> bool {
-        self.book.leaves(target, start)
+        let said = self.book.get(target, start);
+        said.is_some_and(|said| said.leaves || said.rests(now).is_some())
     }
 
     /// Until when a target is closed to this host, if it is.
@@ -85,13 +87,16 @@
         start: Option<TargetStart>,
         now: Instant,
     ) -> Option<Closing> {
-        if self.book.leaves(target, start) {
+        let said = self.book.get(target, start);
+        if said.is_some_and(|said| said.leaves) {
             return Some(Closing::ForGood);
         }
+        let rests = said.and_then(|said| said.rests(now));
         let closed = self.closed.get(target);
         let closed = closed.filter(|(of, _)| *of == start);
         let until = closed.map(|(_, until)| *until);
-        until.filter(|until| now < *until).map(Closing::Until)
+        let closed = until.filter(|until| now < *until);
+        rests.max(closed).map(Closing::Until)
     }
 
     /// A target is left alone until then.
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -396,8 +396,9 @@
     pub fn forbids(
         &self,
         target: &str,
+        now: Instant,
     ) -> bool {
-        !self.notices.is_quiet() && self.notices.forbids(target, self.started(target))
+        !self.notices.is_quiet() && self.notices.forbids(target, self.started(target), now)
     }
 
     /// When the first of these targets opens, if all of them are closed to this host now and one will open.
--- a/src/request/notices/target_notices.rs
+++ b/src/request/notices/target_notices.rs
@@ -107,6 +107,14 @@
         }
     }
 
+    /// Until when the target wants nothing from this host, if it rests now.
+    pub fn rests(
+        &self,
+        now: Instant,
+    ) -> Option<Instant> {
+        self.rest_until.filter(|until| now < *until)
+    }
+
     /// True if the target takes only so many requests a second now.
     pub fn is_limited(
         &self,
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -56,10 +56,7 @@
     }
 }
 
-const NOT_RUN: AttemptEnd = AttemptEnd::NotRun {
-    status: 503,
-    retry_after: None,
-};
+const NOT_RUN: AttemptEnd = AttemptEnd::NotRun { status: 503 };
 const FAILED: AttemptEnd = AttemptEnd::Failed { status: 500 };
 const FIRST: NextStep = NextStep::Resend { repeats: false };
 const AGAIN: NextStep = NextStep::Resend { repeats: true };
