What a target says still is no news to other hosts, and engines in need are passed over in samples

What would have been seen: each ask for leave says when the limit was last named; taken as news, it was told on to all hosts three times, so that each request to one target was a message to every host. And an adapter whose eight settling engines are all in need, or a request whose sample of engines was closed, was refused while other engines were open. Cause: news was compared with the time it was heard at; samples were drawn without a look at what targets say. Why the mend holds: only what a target says to all is compared; engines in need make room for others where adapters settle, and closed ones are left out of samples unless all are.

--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -139,7 +139,7 @@
         tries: &mut Tries,
         now: Instant,
     ) -> Choice {
-        let drawn = |board: &TargetBoard| sample_of_service(board, request);
+        let drawn = |board: &TargetBoard| sample_of_service(board, request, now);
         let targets = match look_before_send(board, request, tries, drawn, now) {
             Ok(targets) => targets,
             Err(until) => return Choice::Look { until },
--- a/src/connection/front/engine_sample.rs
+++ b/src/connection/front/engine_sample.rs
@@ -5,7 +5,10 @@
     crate::{
         clock::Instant,
         connection::{datagram::EngineQuery, targets::TargetBoard},
-        request::direct::{CallRequest, CopyState},
+        request::{
+            direct::{CallRequest, CopyState},
+            notices::Openness,
+        },
     },
     rand::seq::IndexedRandom,
     std::{sync::Arc, time::Duration},
@@ -30,11 +33,14 @@
 pub(super) fn sample_of_service(
     board: &TargetBoard,
     request: &CallRequest,
+    now: Instant,
 ) -> Vec<Arc<str>> {
     let engines = board.engines_of(&request.service.name);
     if !board.asks_before_sends() {
         return engines;
     }
+    let is_closed = |engine: &Arc<str>| board.openness(engine, now) == Openness::Closed;
+    let engines = without_closed(engines, is_closed);
     engines
         .sample(&mut rand::rng(), QUERIED_READY)
         .cloned()
@@ -51,10 +57,10 @@
 ) -> Vec<Arc<str>> {
     let service = &request.service.name;
     if !board.asks_before_sends() {
-        return board.settle_order(service, adapter, SETTLING_PLACES);
+        return board.settle_order(service, adapter, SETTLING_PLACES, now);
     }
     let places = SETTLING_PLACES + board.adapters.known(adapter);
-    let order = board.settle_order(service, adapter, places);
+    let order = board.settle_order(service, adapter, places, now);
     let copy = |at: &usize| board.adapters.get(adapter, &order[*at]);
     let state = |at: &usize| copy(at).map(|copy| copy.state);
     let is_held = |at: &usize| copy(at).is_some_and(|copy| copy.held().is_some());
@@ -66,6 +72,8 @@
     // Where it was lately it comes back much faster.
     open.sort_by_key(|at| state(at) != Some(CopyState::Remembered));
     open.truncate(QUERIED_OTHERS);
+    let is_closed = |engine: &Arc<str>| board.openness(engine, now) == Openness::Closed;
+    let ready = without_closed(ready, |at| is_closed(&order[*at]));
     let ready = ready.sample(&mut rand::rng(), QUERIED_READY).copied();
     let mut chosen: Vec<usize> = ready.chain(coming).chain(open).collect();
     chosen.sort_unstable();
@@ -143,6 +151,18 @@
     asked > 0
 }
 
+/// Leaves out engines that take no request now, unless all do: a sample of closed ones would have a request refused that others
+/// would take.
+fn without_closed<T>(
+    engines: Vec<T>,
+    is_closed: impl Fn(&T) -> bool,
+) -> Vec<T> {
+    match engines.iter().all(&is_closed) {
+        true => engines,
+        false => engines.into_iter().filter(|at| !is_closed(at)).collect(),
+    }
+}
+
 fn is_full(
     copy: CopyState,
     now: Instant,
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -561,13 +561,14 @@
 
     /// The engines that hold an adapter, or on which it settles, in the order in which it does; the
     /// order is the same on every host. At most `places` that do not hold it are among them; as long
-    /// as there are others, engines without a base model are passed over, and on a small site those
+    /// as there are others, engines in need and those without a base model are passed over, and on a small site those
     /// without a holder.
     pub fn settle_order(
         &self,
         service: &str,
         adapter: &str,
         places: usize,
+        now: Instant,
     ) -> Vec<Arc<str>> {
         let seed = xxh3_64(adapter.as_bytes());
         let mut ranked: Vec<(u64, &ServiceTarget)> = self
@@ -580,7 +581,8 @@
             let view = &self.links[&target.id].view;
             // On a large site nobody knows what an engine without a holder holds.
             let loads = view.holder.is_some() || self.asks_before_sends();
-            loads && !view.record.is_empty
+            let in_need = self.openness(&target.id, now) != Openness::Open;
+            loads && !in_need && !view.record.is_empty
         };
         let any_may = ranked.iter().any(|(_, target)| may_load(target));
         let mut open = places;
--- a/src/request/notices/target_notices.rs
+++ b/src/request/notices/target_notices.rs
@@ -124,18 +124,25 @@
         limit.is_some_and(|limit| limit.rate_at(now).is_some())
     }
 
-    /// Takes in what another host knows of the same start; true if something is new. Rests are each host's own.
+    /// Takes in what another host knows of the same start; true if the target says something else than was known. That it says
+    /// the same still is no news: each answer does. Rests are each host's own.
     pub fn join(
         &mut self,
         other: &Self,
     ) -> bool {
-        let before = (self.limit, self.leaves);
+        let before = self.word();
         self.leaves |= other.leaves;
         self.limit = match (self.limit, other.limit) {
             (Some(known), Some(told)) => Some(known.join(told)),
             (known, told) => known.or(told),
         };
         self.heard = self.heard.max(other.heard);
-        before != (self.limit, self.leaves)
+        before != self.word()
+    }
+
+    /// What it says to all hosts.
+    fn word(&self) -> (Option<(f64, bool)>, bool) {
+        let limit = self.limit.map(|limit| (limit.rate, limit.ended));
+        (limit, self.leaves)
     }
 }
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -157,6 +157,27 @@
     })
 }
 
+/// Each answer of a target in need names its limit again, and each ask for leave says when it was last named: told on to all as
+/// news, every request to one target would be a message to every host.
+#[test]
+fn that_a_target_says_the_same_still_is_no_news() {
+    let begin = Instant::now();
+    let mut book = NoticeBook::default();
+    let named = |at: Instant, rate: f64| TargetNotices {
+        limit: Some(NamedLimit {
+            rate,
+            told: at,
+            ended: false,
+        }),
+        ..TargetNotices::new(None, at)
+    };
+    assert!(book.take("t", &named(begin, 2.0), begin));
+    let later = begin + ms(700);
+    assert!(!book.take("t", &named(later, 2.0), later));
+    assert_eq!(book.get("t", None).unwrap().limit.unwrap().told, later);
+    assert!(book.take("t", &named(later + ms(1), 1.0), later + ms(1)));
+}
+
 proptest! {
     /// Order, repetition and detours of news don't matter.
     #[test]
