The board of targets is taken apart by what it answers

Its functions move unchanged into files for what requests rest on, what other hosts count, what targets say, and where adapters are; what requests ask of the control thread gets a file of its own.

--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -3,7 +3,12 @@
 mod adapter_demand;
 mod adapter_map;
 mod belief_ages;
+mod board_adapters;
+mod board_beliefs;
+mod board_counting;
+mod board_notices;
 mod confirmation;
+mod control_request;
 mod crash_watch;
 mod fleet_view;
 mod key_standing;
@@ -23,6 +28,7 @@
     adapter_map::{AdapterCopy, AdapterMap},
     belief_ages::{BeliefAges, BeliefBounds, LargestAges},
     confirmation::{Confirmation, SEND_MARGIN, TableConfirmation},
+    control_request::{AdapterAsk, ControlRequest},
     crash_watch::{Accused, CrashWatch, TargetRun},
     fleet_view::{FleetView, TargetView},
     key_standing::KeyStanding,
@@ -32,9 +38,7 @@
     reading_speed::ReadingSpeed,
     repeat_budgets::RepeatBudgets,
     serves_until::ServesUntil,
-    target_board::{
-        AdapterAsk, BoardSettings, ControlRequest, MAX_TOLD_HOSTS, ServiceTarget, TargetBoard,
-    },
+    target_board::{BoardSettings, MAX_TOLD_HOSTS, ServiceTarget, TargetBoard},
     target_health::TargetHealth,
     target_link::{IdleConnection, RequestTokens, TargetLink},
     version_history::{Succession, VersionHistory},
