Read again: one place says that a target leaves, and the permit desk has no arm that can't be reached

What would stop a reader: the question whether a target has said that it leaves stood twice, as a method that borrowed too much for one of its callers; the permit desk looked an entry up twice and had an answer for the impossible case; two names (word, closed_yet) said little. Change: the question belongs to what the control thread knows of notices; the desk uses the map's entry; said_to_all and wait_for_opening.

--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -119,7 +119,7 @@
         let draw = rand::rng().random::<f64>();
         let Some(at) = choose_plain(&candidates, draw) else {
             let ids: Vec<Arc<str>> = targets.iter().map(|target| target.id.clone()).collect();
-            return closed_yet(board, request, &ids, now).unwrap_or(Choice::Nowhere);
+            return wait_for_opening(board, request, &ids, now).unwrap_or(Choice::Nowhere);
         };
         send_to(
             board,
@@ -319,7 +319,7 @@
     targets: &[Arc<str>],
     now: Instant,
 ) -> Choice {
-    if let Some(choice) = closed_yet(board, request, targets, now) {
+    if let Some(choice) = wait_for_opening(board, request, targets, now) {
         return choice;
     }
     let again = now + LOOK_AGAIN;
@@ -334,7 +334,7 @@
 
 /// All targets are closed by what they say of themselves: a request waits if one opens while a refusal is still prompt; else
 /// it is refused at once, and its caller is told when one opens. `None` if a target is not closed.
-fn closed_yet(
+fn wait_for_opening(
     board: &TargetBoard,
     request: &CallRequest,
     targets: &[Arc<str>],
--- a/src/process/host/control_notices.rs
+++ b/src/process/host/control_notices.rs
@@ -2,7 +2,7 @@
 //! take only so many requests a second.
 
 use {
-    super::{ControlAction, HostControl},
+    super::{ControlAction, HostControl, listed_target::ListedTarget},
     crate::{
         clock::Instant,
         connection::datagram::{Message, PermitAnswer, PermitAsk, TargetNews},
@@ -30,7 +30,7 @@
 /// What targets have said of themselves, as this host knows it, and what it counts for the others.
 #[derive(Debug, Default)]
 pub(super) struct KnownNotices {
-    pub book: NoticeBook,
+    book: NoticeBook,
     desk: PermitDesk,
     /// News that all hosts are still to be told of.
     untold: Vec<Telling>,
@@ -44,6 +44,17 @@
     due: Instant,
 }
 
+impl KnownNotices {
+    /// True if a target has said in an answer that it leaves; the list may say so much later, or still tell otherwise.
+    pub fn says_leaving(
+        &self,
+        id: &str,
+        target: &ListedTarget,
+    ) -> bool {
+        self.book.leaves(id, target.record.started)
+    }
+}
+
 impl HostControl {
     /// An answer to a request of this host says something new of its target.
     pub(super) fn on_notice_heard(
--- a/src/process/host/control_places.rs
+++ b/src/process/host/control_places.rs
@@ -94,10 +94,7 @@
             let targets = self.targets.iter();
             let targets = targets
                 .filter(|(_, target)| target.record.service == wanted.service)
-                .filter(|(id, target)| {
-                    let leaves = self.notices.book.leaves(id, target.record.started);
-                    target.is_usable() && !leaves
-                })
+                .filter(|(id, target)| target.is_usable() && !self.notices.says_leaving(id, target))
                 .map(|(id, target)| (id.as_str(), target.record.slots));
             given.places.set_targets(targets);
         }
--- a/src/process/host/control_targets.rs
+++ b/src/process/host/control_targets.rs
@@ -143,19 +143,10 @@
             return false;
         };
         listed.is_usable()
-            && !self.says_leaving(target, listed)
+            && !self.notices.says_leaving(target, listed)
             && !self.is_own_address(listed.record.address)
     }
 
-    /// True if a target has said in an answer that it leaves; the list may say so much later, or still tell otherwise.
-    pub(super) fn says_leaving(
-        &self,
-        id: &str,
-        target: &ListedTarget,
-    ) -> bool {
-        self.notices.book.leaves(id, target.record.started)
-    }
-
     /// Addresses at which hosts answer: a request that was sent there as to a target would come back as one of
     /// a caller, again and again.
     pub(super) fn own_addresses(&self) -> impl Iterator<Item = SocketAddr> {
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -506,7 +506,7 @@
             .targets
             .iter()
             .filter(|(_, target)| !own.contains(&target.record.address))
-            .filter(|(id, target)| target.is_usable() && !self.says_leaving(id, target))
+            .filter(|(id, target)| target.is_usable() && !self.notices.says_leaving(id, target))
             .map(|(id, target)| {
                 let holder = holders.get(id.as_str()).copied();
                 (id.clone(), self.target_view(id, target, holder))
--- a/src/request/notices/target_notices.rs
+++ b/src/request/notices/target_notices.rs
@@ -130,18 +130,18 @@
         &mut self,
         other: &Self,
     ) -> bool {
-        let before = self.word();
+        let before = self.said_to_all();
         self.leaves |= other.leaves;
         self.limit = match (self.limit, other.limit) {
             (Some(known), Some(told)) => Some(known.join(told)),
             (known, told) => known.or(told),
         };
         self.heard = self.heard.max(other.heard);
-        before != self.word()
+        before != self.said_to_all()
     }
 
     /// What it says to all hosts.
-    fn word(&self) -> (Option<(f64, bool)>, bool) {
+    fn said_to_all(&self) -> (Option<(f64, bool)>, bool) {
         let limit = self.limit.map(|limit| (limit.rate, limit.ended));
         (limit, self.leaves)
     }
--- a/src/request/permits/permit_desk.rs
+++ b/src/request/permits/permit_desk.rs
@@ -48,27 +48,33 @@
         rate: f64,
         now: Instant,
     ) -> Result<(), Duration> {
-        let is_known = |counted: &Counted| counted.start == start;
-        if !self.by_target.get(target).is_some_and(is_known) {
+        if !self.by_target.contains_key(target) {
             let is_recent = |at: Instant| now.saturating_duration_since(at) < MEMORY;
             self.by_target.retain(|_, counted| is_recent(counted.asked));
-            let counted = Counted {
-                start,
-                bucket: RateBucket::new(now),
-                turned_away: 0.0,
-                asked: now,
-                spread: 0,
-            };
-            self.by_target.insert(target.into(), counted);
         }
-        match self.by_target.get_mut(target) {
-            Some(counted) => counted.ask(rate, now),
-            None => Err(MOST_PAUSE),
+        let counted = self.by_target.entry(target.into());
+        let counted = counted.or_insert_with(|| Counted::new(start, now));
+        if counted.start != start {
+            *counted = Counted::new(start, now);
         }
+        counted.ask(rate, now)
     }
 }
 
 impl Counted {
+    fn new(
+        start: Option<TargetStart>,
+        now: Instant,
+    ) -> Self {
+        Self {
+            start,
+            bucket: RateBucket::new(now),
+            turned_away: 0.0,
+            asked: now,
+            spread: 0,
+        }
+    }
+
     fn ask(
         &mut self,
         rate: f64,
