--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -1,7 +1,7 @@
 //! The messages. Fields are numbered as in any protobuf schema, and numbers are never used again.
 
 use {
-    super::{Address, PermitAnswer, PermitAsk, TargetNews},
+    super::{Address, EngineLoad, EngineQuery, PermitAnswer, PermitAsk, TargetNews, Usage},
     crate::request::places::SlotOutcome,
     prost::Message as _,
     std::time::Duration,
@@ -197,71 +197,6 @@
     pub uses: u32,
 }
 
-/// How much one adapter was used through one host.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct AdapterUsage {
-    #[prost(string, tag = "1")]
-    pub adapter: String,
-    /// Requests that run or were sent and have not ended.
-    #[prost(uint32, tag = "2")]
-    pub in_flight: u32,
-    /// Requests sent since the last report.
-    #[prost(uint32, tag = "3")]
-    pub started: u32,
-}
-
-/// A host tells the holder of an engine what it sends there.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Usage {
-    #[prost(string, tag = "1")]
-    pub target: String,
-    #[prost(message, repeated, tag = "2")]
-    pub adapters: Vec<AdapterUsage>,
-    /// All requests of the sender that run there.
-    #[prost(uint32, tag = "3")]
-    pub in_flight: u32,
-    /// Tokens of those requests.
-    #[prost(uint32, tag = "4")]
-    pub tokens: u32,
-    /// Tokens of the prompts among them that have brought no event yet.
-    #[prost(uint32, tag = "5")]
-    pub unread_tokens: u32,
-}
-
-/// The holder of an engine tells how busy it is.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct EngineLoad {
-    #[prost(string, tag = "1")]
-    pub target: String,
-    /// Requests that run there, those of the receiver left out.
-    #[prost(uint32, tag = "2")]
-    pub in_flight: u32,
-    /// Tokens of those requests.
-    #[prost(uint32, tag = "3")]
-    pub tokens: u32,
-    /// Tokens of the prompts among them that have brought no event yet.
-    #[prost(uint32, tag = "4")]
-    pub unread_tokens: u32,
-}
-
-/// Asks the holder of an engine how it stands, right before a request is sent somewhere.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct EngineQuery {
-    #[prost(string, tag = "1")]
-    pub target: String,
-    /// Empty if only the load matters.
-    #[prost(string, tag = "2")]
-    pub adapter: String,
-    /// Chance that the request is sent there next, in hundredths.
-    #[prost(uint32, tag = "3")]
-    pub chance: u32,
-    /// Tokens of the request, and those of its prompt.
-    #[prost(uint32, tag = "4")]
-    pub tokens: u32,
-    #[prost(uint32, tag = "5")]
-    pub prompt_tokens: u32,
-}
-
 /// Answers a query.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct EngineStanding {
@@ -269,6 +204,9 @@
     pub load: EngineLoad,
     #[prost(message, optional, tag = "2")]
     pub placement: Option<Placement>,
+    /// Leading tokens of the queried prompt that the engine need not read again.
+    #[prost(uint32, tag = "3")]
+    pub cached_tokens: u32,
 }
 
 /// Asks a host for a part of its allowance of repeats.
--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -1,17 +1,21 @@
 //! Datagrams between hosts: small, repeated until answered, and harmless when they come twice.
 
 mod address;
+mod engine_messages;
 mod message;
 mod socket;
 mod target_news;
 
 pub use {
     address::Address,
+    engine_messages::{
+        AdapterUsage, EngineLoad, EngineQuery, PaceReport, PromptSegment, SentPrompt, Usage,
+    },
     message::{
-        Ack, AdapterUsage, ChargeAnswer, ChargeAsk, ChargeRefund, CopyState, EngineLoad,
-        EngineQuery, EngineStanding, Freshness, HostRumor, Loan, LoanAsk, Message, Ping, PingEcho,
-        PingRequest, PlaceEnded, PlaceGiven, PlaceWanted, Placement, PlacementState, PoisonEntry,
-        PoisonNews, PoisonStrike, RumorState, Usage, Vouch, Want, decode, encode,
+        Ack, ChargeAnswer, ChargeAsk, ChargeRefund, CopyState, EngineStanding, Freshness,
+        HostRumor, Loan, LoanAsk, Message, Ping, PingEcho, PingRequest, PlaceEnded, PlaceGiven,
+        PlaceWanted, Placement, PlacementState, PoisonEntry, PoisonNews, PoisonStrike, RumorState,
+        Vouch, Want, decode, encode,
     },
     socket::DatagramSocket,
     target_news::{LimitNews, PermitAnswer, PermitAsk, TargetNews},
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -307,6 +307,7 @@
         target: target.clone(),
         version,
         resume_after: None,
+        estimate: None,
     })
 }
 
--- a/src/connection/front/engine_sample.rs
+++ b/src/connection/front/engine_sample.rs
@@ -148,6 +148,7 @@
             chance,
             tokens: tokens.0.saturating_add(tokens.1),
             prompt_tokens: tokens.0,
+            segments: Vec::new(),
         }));
     }
     queried > 0
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -9,6 +9,7 @@
         request::{
             direct::{AttemptEnd, CallRequest},
             notices::NoticeHeaders,
+            pace::PaceEstimate,
         },
     },
     bytes::{Bytes, BytesMut},
@@ -48,6 +49,8 @@
     pub version: Option<ExpectedVersion>,
     /// Id of the event after which the answer continues.
     pub resume_after: Option<u64>,
+    /// Estimate by which an engine was chosen.
+    pub estimate: Option<PaceEstimate>,
 }
 
 impl Destination {
@@ -57,6 +60,7 @@
             target: target.into(),
             version: None,
             resume_after: None,
+            estimate: None,
         }
     }
 }
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -391,6 +391,8 @@
         in_flight: link.in_flight,
         tokens: u32::try_from(link.tokens).unwrap_or(u32::MAX),
         unread_tokens: u32::try_from(link.unread_tokens).unwrap_or(u32::MAX),
+        prompts: Vec::new(),
+        pace: None,
     };
     let _ = control.send(ControlRequest::ReportUsage { holder, usage });
 }
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -154,6 +154,7 @@
         let answer = EngineStanding {
             load: load_excluding(&query.target, allocator, from),
             placement,
+            cached_tokens: 0,
         };
         Some(self.send(from, Message::EngineStanding(answer)))
     }
@@ -324,6 +325,8 @@
         in_flight: others.in_flight,
         tokens: others.tokens,
         unread_tokens: others.unread_tokens,
+        pace: None,
+        reading_ms: 0,
     }
 }
 
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -208,6 +208,9 @@
         ranks_wishes: on("ranks_wishes"),
         limits_loads: on("limits_loads"),
         uses_engine_memory: on("uses_engine_memory"),
+        learns_pace: on("learns_pace"),
+        prefers_cached_prompts: on("prefers_cached_prompts"),
+        bounds_waits: on("bounds_waits"),
     }
 }
 
--- a/src/request/direct/policy.rs
+++ b/src/request/direct/policy.rs
@@ -24,6 +24,12 @@
     pub limits_loads: bool,
     /// Adapters that an engine has cached are loaded there first, outside the limit on loads.
     pub uses_engine_memory: bool,
+    /// Each engine's pace is learnt, and requests are placed by it.
+    pub learns_pace: bool,
+    /// Requests prefer engines that have read parts of their prompts.
+    pub prefers_cached_prompts: bool,
+    /// Requests wait only while an engine can be expected to serve them.
+    pub bounds_waits: bool,
 }
 
 impl Default for Policy {
@@ -40,6 +46,9 @@
             ranks_wishes: true,
             limits_loads: true,
             uses_engine_memory: true,
+            learns_pace: true,
+            prefers_cached_prompts: true,
+            bounds_waits: true,
         }
     }
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -12,6 +12,7 @@
 mod forwarder;
 pub mod notices;
 mod owner_service;
+pub mod pace;
 mod passed_headers;
 pub mod permits;
 pub mod places;
--- a/tests/engine_allocator.rs
+++ b/tests/engine_allocator.rs
@@ -472,9 +472,7 @@
             adapters: adapters
                 .filter(|usage| usage.in_flight + usage.started > 0)
                 .collect(),
-            in_flight: 0,
-            tokens: 0,
-            unread_tokens: 0,
+            ..Usage::default()
         };
         self.allocator.on_usage(host(1), &usage, self.now);
     }
@@ -843,6 +841,7 @@
         chance: 0,
         tokens: 1_000,
         prompt_tokens: 500,
+        ..EngineQuery::default()
     };
     let due = |world: &mut World| {
         let placement = world
--- a/tests/engine_standing.rs
+++ b/tests/engine_standing.rs
@@ -25,6 +25,7 @@
         chance,
         tokens: 1_000,
         prompt_tokens: 600,
+        ..EngineQuery::default()
     }
 }
 
@@ -35,6 +36,7 @@
         in_flight,
         tokens: in_flight * 1_000,
         unread_tokens: in_flight * 600,
+        ..Usage::default()
     }
 }
 
