Requests that no engine can take wait only while one can be expected to serve them

Cause: requests without an engine waited until their deadline without an expectation, or were rejected together with one fixed Retry-After.

Change: one pure decision (bounded_wait) on an outlook of the engines, a spread of the retries, engines with a known holder when none of the sample has one, an event and a metric of rejections.

--- a/src/connection/front/adapter_waiter.rs
+++ b/src/connection/front/adapter_waiter.rs
@@ -7,6 +7,7 @@
 /// Counts a request as waiting for an adapter until dropped.
 pub struct AdapterWaiter {
     table: Rc<RefCell<TargetTable>>,
+    service: String,
     adapter: String,
     update: Rc<Notify>,
 }
@@ -14,12 +15,16 @@
 impl AdapterWaiter {
     pub fn start(
         table: &Rc<RefCell<TargetTable>>,
+        service: &str,
         adapter: &str,
         priority: u8,
     ) -> Self {
+        let mut targets = table.borrow_mut();
+        targets.unplaced(service).on_wait();
         Self {
-            update: table.borrow_mut().start_waiting(adapter, priority),
+            update: targets.start_waiting(adapter, priority),
             table: table.clone(),
+            service: service.to_string(),
             adapter: adapter.to_string(),
         }
     }
@@ -32,6 +37,8 @@
 
 impl Drop for AdapterWaiter {
     fn drop(&mut self) {
-        self.table.borrow_mut().stop_waiting(&self.adapter);
+        let mut table = self.table.borrow_mut();
+        table.unplaced(&self.service).on_wait_over();
+        table.stop_waiting(&self.adapter);
     }
 }
--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -5,7 +5,7 @@
     },
     crate::{
         clock::Instant,
-        request::direct::{AttemptEnd, RequestHistory},
+        request::direct::{AttemptEnd, EngineOutlook, RequestHistory},
     },
     std::sync::Arc,
 };
@@ -26,6 +26,8 @@
     pub query: Option<QueryRound>,
     /// Discarded samples of engines.
     discarded_samples: u32,
+    /// Since when no holder has confirmed a load that the request waits for.
+    unconfirmed_since: Option<Instant>,
 }
 
 /// Engines whose holders were queried, and the time of the query.
@@ -44,6 +46,7 @@
     ) {
         self.history.record(end);
         self.query = None;
+        self.unconfirmed_since = None;
         let target = destination.target.clone();
         let step = match end {
             AttemptEnd::NotSent => TraceStep::Unreachable { target },
@@ -64,6 +67,21 @@
         true
     }
 
+    /// Returns since when no holder has confirmed a load that the request waits for, given the present outlook.
+    pub fn unconfirmed_since(
+        &mut self,
+        outlook: &EngineOutlook,
+        now: Instant,
+    ) -> Instant {
+        match outlook {
+            EngineOutlook::Confirmed { .. } => {
+                self.unconfirmed_since = None;
+                now
+            }
+            _ => *self.unconfirmed_since.get_or_insert(now),
+        }
+    }
+
     /// Returns true if this target is not to be tried again.
     pub fn has_tried(
         &self,
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -7,15 +7,14 @@
         engine_sample::{query_before_send, sample_for_adapter, sample_of_service},
         exchange::{Destination, ExpectedVersion},
         request_trace::TraceStep,
-        waits::{CHOICE_RETRY_INTERVAL, HOLDER_TIMEOUT},
+        unplaced::Unplaced,
     },
     crate::{
         clock::Instant,
         connection::targets::{AdapterRequest, TargetTable},
         request::direct::{
-            AdapterCopyState, CallRequest, ChoiceContext, EngineCandidate, EngineChoice,
-            PlainCandidate, RequestTiming, WaitDecision, choose_engine, choose_plain,
-            wait_or_reject,
+            AdapterCopyState, Awaited, CallRequest, ChoiceContext, EngineCandidate, EngineChoice,
+            PlainCandidate, RejectReason, choose_engine, choose_plain,
         },
     },
     rand::RngExt,
@@ -25,25 +24,19 @@
 /// Cost of loading a copy of an adapter that is requested once in a few seconds over all hosts.
 const COPY_COST: Duration = Duration::from_millis(300);
 
-/// Minimum wait of a request before it tries to choose an engine again.
-const MIN_WAIT: Duration = Duration::from_millis(2);
-
-/// Share of the route's latency objective after which a request that no target can take is rejected.
-const PROMPT_REJECT_SHARE: f64 = 0.17;
-
-/// Retries of callers that are rejected while all targets are closed are spread over this time after the first one
-/// opens.
-const RETRY_SPREAD: Duration = Duration::from_millis(500);
-
 /// Decision on the next send of a request.
 pub enum Choice {
     Send(Destination),
     Wait {
         until: Instant,
         expected: Option<Duration>,
+        awaited: Awaited,
     },
     /// Reject the request; the caller should retry after this time.
-    Reject(Duration),
+    Reject {
+        retry_after: Duration,
+        reason: RejectReason,
+    },
     NoTarget,
     /// Wait until the queried holders have reported the status of their engines, at most until this time.
     AwaitReports {
@@ -122,7 +115,8 @@
         let draw = rand::rng().random::<f64>();
         let Some(at) = choose_plain(&candidates, draw) else {
             let ids: Vec<Arc<str>> = targets.iter().map(|target| target.id.clone()).collect();
-            return wait_for_opening(table, request, &ids, now).unwrap_or(Choice::NoTarget);
+            let unplaced = Unplaced::of(request, &ids, &[], now);
+            return unplaced.wait_for_opening(table).unwrap_or(Choice::NoTarget);
         };
         send_to(
             table,
@@ -170,7 +164,7 @@
                 (targets.len(), targets.len()),
                 now,
             ),
-            _ => wait_or_give_up(table, request, &targets, now),
+            _ => Unplaced::of(request, &targets, &candidates, now).wait_or_give_up(table, attempts),
         }
     }
 
@@ -213,6 +207,7 @@
                 .time_to_goal
                 .saturating_sub(candidates[at].time_to_first_event),
         };
+        let unplaced = Unplaced::of(request, &targets, &candidates, now);
         match choose_engine(&candidates, &context) {
             EngineChoice::Send { to, .. }
                 if candidates[to].batch_share > 1.0 && attempts.discard_sample() =>
@@ -244,11 +239,11 @@
                 )
             }
             EngineChoice::RequestLoad(at) => {
-                request_adapter(table, attempts, &load_request(at, false), now);
-                Choice::Wait {
-                    until: now + HOLDER_TIMEOUT,
-                    expected: None,
+                let choice = unplaced.await_reply(table, attempts);
+                if matches!(choice, Choice::Wait { .. }) {
+                    request_adapter(table, attempts, &load_request(at, false), now);
                 }
+                choice
             }
             EngineChoice::Wait { until, expected } => {
                 // Overdue holders are asked again; the table limits the rate of these requests.
@@ -257,24 +252,16 @@
                         request_adapter(table, attempts, &load_request(at, false), now);
                     }
                 }
-                let rejectable = expected.filter(|_| context.policy.refuses_early);
-                match rejectable
-                    .map(|expected| wait_or_reject(&request_time(request, now), expected))
-                {
-                    Some(WaitDecision::Reject { retry_after }) => {
-                        attempts.trace.add(TraceStep::Waiting { expected }, now);
-                        Choice::Reject(retry_after)
-                    }
-                    _ => Choice::Wait {
-                        until: until.max(now + MIN_WAIT),
-                        expected,
-                    },
-                }
+                unplaced.await_load(table, attempts, until, expected)
             }
             EngineChoice::NoEngine => {
                 let exclusions = EngineExclusions::of(&candidates, now);
                 attempts.trace.add(TraceStep::Unplaced(exclusions), now);
-                wait_or_give_up(table, request, &targets, now)
+                if table.bounds_waits() && attempts.discard_sample() {
+                    // Engines outside the sample may have room.
+                    return self.choose_for_adapter(table, request, attempts, adapter, now);
+                }
+                unplaced.wait_or_give_up(table, attempts)
             }
         }
     }
@@ -326,68 +313,6 @@
     }
 }
 
-/// No engine can take a request: retries the choice while there is time for a prompt rejection.
-fn wait_or_give_up(
-    table: &TargetTable,
-    request: &CallRequest,
-    targets: &[Arc<str>],
-    now: Instant,
-) -> Choice {
-    if let Some(choice) = wait_for_opening(table, request, targets, now) {
-        return choice;
-    }
-    let retry_at = now + CHOICE_RETRY_INTERVAL;
-    match is_prompt(request, retry_at) {
-        true => Choice::Wait {
-            until: retry_at,
-            expected: None,
-        },
-        false => Choice::NoTarget,
-    }
-}
-
-/// Returns what to do if all targets are closed, or `None` if one is not.
-///
-/// Waits if a target opens while there is time for a prompt rejection; otherwise rejects at once, and the caller
-/// retries when the first target opens.
-fn wait_for_opening(
-    table: &TargetTable,
-    request: &CallRequest,
-    targets: &[Arc<str>],
-    now: Instant,
-) -> Option<Choice> {
-    let opens = table.earliest_availability(targets.iter(), now)?;
-    if is_prompt(request, opens) {
-        return Some(Choice::Wait {
-            until: opens,
-            expected: None,
-        });
-    }
-    // Callers that are rejected together must not retry together.
-    let jitter = rand::rng().random_range(Duration::ZERO..RETRY_SPREAD);
-    let retry_after = opens.saturating_duration_since(now) + jitter;
-    Some(Choice::Reject(retry_after))
-}
-
-/// Returns true if a rejection at this time is still prompt.
-fn is_prompt(
-    request: &CallRequest,
-    at: Instant,
-) -> bool {
-    at.saturating_duration_since(request.arrived) < request.route.aim.mul_f64(PROMPT_REJECT_SHARE)
-}
-
-fn request_time(
-    request: &CallRequest,
-    now: Instant,
-) -> RequestTiming {
-    RequestTiming {
-        elapsed: now.saturating_duration_since(request.arrived),
-        aim: request.route.aim,
-        time_left: request.time_left(now),
-    }
-}
-
 /// Returns the cost of a new copy of an adapter for one request; requests that share the copy share its cost.
 fn copy_cost(
     table: &TargetTable,
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -12,6 +12,7 @@
         exchange::{CompleteAnswer, Destination, OpenAnswer, SendOutcome, send},
         request_trace::{TraceStep, millis},
         stream_relay::StreamRelay,
+        unplaced::{reason_of, record_rejection, retry_delay},
     },
     crate::{
         clock::{Instant, sleep_until, timeout_at},
@@ -20,7 +21,9 @@
         metrics::{KindLabels, OutcomeLabels, WaitLabels, metrics},
         note,
         request::{
-            direct::{AdapterCopyState, AttemptEnd, CallRequest, NextStep, next_step},
+            direct::{
+                AdapterCopyState, AttemptEnd, CallRequest, NextStep, RejectReason, next_step,
+            },
             places::SlotOutcome,
             poison::PoisonStatus,
             repeats::RepeatCharge,
@@ -32,9 +35,6 @@
     std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
 
-/// Default retry delay for callers that were rejected.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
-
 /// Backoff before a request is sent again to an engine that is still loading its adapter.
 const LOAD_BACKOFF: Duration = Duration::from_millis(25);
 
@@ -261,10 +261,13 @@
             let (choice, mut slot) = self.choose(request, attempts).await;
             let mut destination = match choice {
                 Choice::Send(destination) => destination,
-                Choice::Wait { until, expected } => {
-                    attempts
-                        .trace
-                        .add(TraceStep::Waiting { expected }, Instant::now());
+                Choice::Wait {
+                    until,
+                    expected,
+                    awaited,
+                } => {
+                    let step = TraceStep::Waiting { expected, awaited };
+                    attempts.trace.add(step, Instant::now());
                     self.wait_for_adapter(request, until).await;
                     continue;
                 }
@@ -272,10 +275,17 @@
                     self.wait_for_engine_reports(until).await;
                     continue;
                 }
-                Choice::Reject(retry_after) if attempts.history.runs == 0 => {
-                    return self.reject(request, unplaced_cause(request), retry_after);
+                Choice::Reject {
+                    retry_after,
+                    reason,
+                } if attempts.history.runs == 0 => {
+                    self.record_rejection(request, attempts, reason, Some(retry_after));
+                    let answer = LocalAnswer::after(unplaced_cause(request), retry_after);
+                    return Outcome::Final(self.answer(request, answer));
+                }
+                Choice::Reject { .. } | Choice::NoTarget => {
+                    return self.no_target(request, attempts);
                 }
-                Choice::Reject(_) | Choice::NoTarget => return self.no_target(request, attempts),
             };
             if !acquire_permit(&self.table, &destination.target).await {
                 let target = destination.target.clone();
@@ -293,11 +303,12 @@
                 false => None,
             };
             if repeats && repeat_charge.is_none() {
+                let retry_after = self.retry_delay(request);
                 return self.answer_unserved(
                     request,
                     attempts,
                     ErrorCause::RejectedByTargets,
-                    DEFAULT_RETRY_AFTER,
+                    retry_after,
                 );
             }
             let verified = self.is_suspected(request);
@@ -376,7 +387,14 @@
                 let choice = self.chooser.choose_slot(attempts, &slot.target, now);
                 (choice, Some(slot))
             }
-            SlotAcquisition::Full { retry_after } => (Choice::Reject(retry_after), None),
+            SlotAcquisition::Full { retry_after } => {
+                let reason = RejectReason::NoRoom;
+                let choice = Choice::Reject {
+                    retry_after,
+                    reason,
+                };
+                (choice, None)
+            }
             SlotAcquisition::Unavailable => (self.chooser.choose(request, attempts, now), None),
         }
     }
@@ -487,8 +505,8 @@
                 None
             }
             NextStep::Reject => {
-                let answer = LocalAnswer::after(ErrorCause::RejectedByTargets, DEFAULT_RETRY_AFTER);
-                Some(self.answer(request, answer))
+                let cause = ErrorCause::RejectedByTargets;
+                Some(self.reject(request, attempts, cause, self.retry_delay(request)))
             }
             NextStep::ForwardFailure => attempts.failure.take().map(relay),
             NextStep::OutcomeUnknown => Some(match attempts.failure.take() {
@@ -597,7 +615,8 @@
             sleep_until(until).await;
             return;
         };
-        let waiter = AdapterWaiter::start(&self.table, adapter, request.urgency);
+        let waiter =
+            AdapterWaiter::start(&self.table, &request.service.name, adapter, request.urgency);
         tokio::select! {
             _ = waiter.updated() => {}
             _ = sleep_until(until) => {}
@@ -609,12 +628,8 @@
         request: &CallRequest,
         attempts: &mut Attempts,
     ) -> Outcome {
-        self.answer_unserved(
-            request,
-            attempts,
-            unplaced_cause(request),
-            DEFAULT_RETRY_AFTER,
-        )
+        let retry_after = self.retry_delay(request);
+        self.answer_unserved(request, attempts, unplaced_cause(request), retry_after)
     }
 
     /// Returns the final answer to a request that is not sent, or not again.
@@ -632,7 +647,7 @@
             let answer = LocalAnswer::new(ErrorCause::AnswerLost);
             return Outcome::Final(self.answer(request, answer));
         }
-        self.reject(request, cause, retry_after)
+        Outcome::Final(self.reject(request, attempts, cause, retry_after))
     }
 
     fn answer_timeout(
@@ -647,16 +662,42 @@
             0 => ErrorCause::DeadlineExceededUnsent,
             _ => ErrorCause::DeadlineExceeded,
         };
+        if let Some(reason) = reason_of(cause) {
+            self.record_rejection(request, attempts, reason, None);
+        }
         self.answer(request, LocalAnswer::new(cause))
     }
 
+    /// Rejects a request that has not run.
     fn reject(
         &self,
         request: &CallRequest,
+        attempts: &mut Attempts,
         cause: ErrorCause,
         retry_after: Duration,
-    ) -> Outcome {
-        Outcome::Final(self.answer(request, LocalAnswer::after(cause, retry_after)))
+    ) -> Response<AnswerBody> {
+        if let Some(reason) = reason_of(cause) {
+            self.record_rejection(request, attempts, reason, Some(retry_after));
+        }
+        self.answer(request, LocalAnswer::after(cause, retry_after))
+    }
+
+    fn record_rejection(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+        reason: RejectReason,
+        retry_after: Option<Duration>,
+    ) {
+        let mut table = self.table.borrow_mut();
+        record_rejection(&mut table, request, attempts, reason, retry_after);
+    }
+
+    fn retry_delay(
+        &self,
+        request: &CallRequest,
+    ) -> Duration {
+        retry_delay(&mut self.table.borrow_mut(), request, Instant::now())
     }
 
     fn answer(
--- a/src/connection/front/engine_sample.rs
+++ b/src/connection/front/engine_sample.rs
@@ -76,10 +76,43 @@
     let ready = without_closed(ready, |at| is_closed(&order[*at]));
     let ready = ready.sample(&mut rand::rng(), MAX_READY).copied();
     let mut chosen: Vec<usize> = ready.chain(pending).chain(unloaded).collect();
+    let can_serve = |at: &usize| is_held(at) || has_holder(table, &order[*at]);
+    if table.bounds_waits() && !chosen.iter().any(can_serve) {
+        return sample_with_holder(table, service, adapter, now);
+    }
     chosen.sort_unstable();
     chosen.into_iter().map(|at| order[at].clone()).collect()
 }
 
+/// Returns the first engines in an adapter's order of preference that have a known holder, and that are not known to be
+/// full for the adapter.
+///
+/// Addresses a cut between hosts, or a restart of many: then the holders of all preferred engines may be unknown.
+fn sample_with_holder(
+    table: &TargetTable,
+    service: &str,
+    adapter: &str,
+    now: Instant,
+) -> Vec<Arc<str>> {
+    let order = table.placement_order(service, adapter, usize::MAX, now);
+    let can_load = |engine: &Arc<str>| {
+        let copy = table.adapters.get(adapter, engine);
+        has_holder(table, engine) && !copy.is_some_and(|copy| is_full(copy.state, now))
+    };
+    order
+        .into_iter()
+        .filter(can_load)
+        .take(MAX_OTHERS)
+        .collect()
+}
+
+fn has_holder(
+    table: &TargetTable,
+    engine: &str,
+) -> bool {
+    table.links[engine].view.holder.is_some()
+}
+
 /// Returns the engines to choose from.
 ///
 /// On a large site their holders are queried first, since earlier reports are too stale; `Err` holds the time until
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -18,6 +18,7 @@
 mod request_reader;
 mod request_trace;
 mod stream_relay;
+mod unplaced;
 mod waits;
 
 pub use {
--- a/src/connection/front/request_trace.rs
+++ b/src/connection/front/request_trace.rs
@@ -1,6 +1,11 @@
 use {
     super::{engine_exclusions::EngineExclusions, exchange::ExpectedVersion},
-    crate::{clock::Instant, note, timeline::Event},
+    crate::{
+        clock::Instant,
+        note,
+        request::direct::{Awaited, RejectReason},
+        timeline::Event,
+    },
     std::{sync::Arc, time::Duration},
 };
 
@@ -29,9 +34,17 @@
         target: Arc<str>,
         spare: bool,
     },
-    /// The request waits for an adapter that should be loaded after `expected`.
+    /// The request waits, and its first event is expected after `expected`.
     Waiting {
         expected: Option<Duration>,
+        awaited: Awaited,
+    },
+    /// The request was rejected without having run.
+    Deferred {
+        reason: RejectReason,
+        retry_after: Option<Duration>,
+        /// Other requests of the service that wait at this host or were rejected lately.
+        crowd: f64,
     },
     /// No engine could take the request, for these reasons.
     Unplaced(EngineExclusions),
@@ -78,6 +91,15 @@
         }
     }
 
+    /// Adds the step that ends a request, which is kept also if there are too many steps.
+    pub fn add_last(
+        &mut self,
+        step: TraceStep,
+        now: Instant,
+    ) {
+        self.steps.push((now, step));
+    }
+
     /// Returns the target that was chosen last, or `-` if there was none.
     pub fn last_target(&self) -> &str {
         let chosen = self.steps.iter().rev().find_map(|(_, step)| match step {
@@ -180,15 +202,30 @@
                 spare = spare
             );
         }
-        TraceStep::Waiting { expected } => {
+        TraceStep::Waiting { expected, awaited } => {
             let expected_ms = expected.map_or(-1.0, millis);
             note!(
                 Event::RequestWaits,
                 id = id,
                 ago_ms = ago_ms,
+                awaited = awaited.word(),
                 expected_ms = expected_ms
             );
         }
+        TraceStep::Deferred {
+            reason,
+            retry_after,
+            crowd,
+        } => {
+            note!(
+                Event::RequestDeferred,
+                id = id,
+                ago_ms = ago_ms,
+                reason = reason.word(),
+                retry_after_ms = retry_after.map_or(-1.0, millis),
+                crowd = format_args!("{crowd:.1}"),
+            );
+        }
         TraceStep::Unplaced(exclusions) => {
             note!(
                 Event::RequestUnplaced,
--- a/src/connection/targets/adapter_map.rs
+++ b/src/connection/targets/adapter_map.rs
@@ -66,6 +66,20 @@
         self.copies.get(adapter).map_or(0, HashMap::len)
     }
 
+    /// Returns when the first engine that is full for an adapter may be asked again, if there is one.
+    pub fn earliest_room(
+        &self,
+        adapter: &str,
+        now: Instant,
+    ) -> Option<Instant> {
+        let copies = self.copies.get(adapter)?.values();
+        let full_until = copies.filter_map(|copy| match copy.state {
+            AdapterCopyState::Full { until } if until > now => Some(until),
+            _ => None,
+        });
+        full_until.min()
+    }
+
     /// Records an adapter's state at an engine, as reported by the engine's holder.
     pub fn set(
         &mut self,
--- /dev/null
+++ b/src/connection/targets/decaying_count.rs
@@ -0,0 +1,37 @@
+use {crate::clock::Instant, std::time::Duration};
+
+/// A count that halves with each half-life, so that it tells of recent events.
+#[derive(Debug, Clone, Copy)]
+pub struct DecayingCount {
+    count: f64,
+    at: Instant,
+}
+
+impl DecayingCount {
+    pub fn new(
+        count: f64,
+        now: Instant,
+    ) -> Self {
+        Self { count, at: now }
+    }
+
+    /// Adds events.
+    pub fn add(
+        &mut self,
+        events: f64,
+        half_life: Duration,
+        now: Instant,
+    ) {
+        *self = Self::new(self.value(half_life, now) + events, now);
+    }
+
+    /// Returns what is left of the count.
+    pub fn value(
+        &self,
+        half_life: Duration,
+        now: Instant,
+    ) -> f64 {
+        let elapsed = now.saturating_duration_since(self.at);
+        self.count * 0.5f64.powf(elapsed.as_secs_f64() / half_life.as_secs_f64())
+    }
+}
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -4,6 +4,7 @@
 mod adapter_map;
 mod control_request;
 mod crash_tracker;
+mod decaying_count;
 mod fleet_view;
 mod key_status;
 mod notice_tracker;
@@ -17,9 +18,11 @@
 mod table_counting;
 mod table_notices;
 mod table_staleness;
+mod table_unplaced;
 mod target_health;
 mod target_link;
 mod target_table;
+mod unplaced_requests;
 mod version_deadline;
 mod version_history;
 
@@ -28,6 +31,7 @@
     adapter_map::{AdapterCopy, AdapterMap},
     control_request::{AdapterRequest, ControlRequest},
     crash_tracker::{CrashTracker, SuspectRequest, TargetIncarnation},
+    decaying_count::DecayingCount,
     fleet_view::{FleetView, TargetView},
     key_status::KeyStatus,
     notice_tracker::{NoticeTracker, Unavailability},
@@ -40,6 +44,7 @@
     target_health::TargetHealth,
     target_link::{IdleConnection, RequestTokens, TargetLink},
     target_table::{MAX_BROADCAST_HOSTS, ServiceTarget, TargetTable, TargetTableSettings},
+    unplaced_requests::UnplacedRequests,
     version_deadline::VersionDeadline,
     version_history::{VersionHistory, VersionStatus},
 };
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -2,7 +2,7 @@
     super::{
         AdapterDemand, AdapterMap, ControlRequest, CrashTracker, FleetView, NoticeTracker,
         PendingReplies, PrefillThroughput, QuotaTable, RepeatBudgets, ReplicaFreshness,
-        RequestTokens, StalenessBounds, StalenessMonitor, TargetLink, TargetView,
+        RequestTokens, StalenessBounds, StalenessMonitor, TargetLink, TargetView, UnplacedRequests,
     },
     crate::{
         clock::Instant,
@@ -46,6 +46,8 @@
     pub demand: AdapterDemand,
     pub(super) prefill_throughputs: HashMap<String, PrefillThroughput>,
     pub(super) budgets: RepeatBudgets,
+    /// By service.
+    pub(super) unplaced: HashMap<String, UnplacedRequests>,
     /// Requests that wait for an adapter.
     pub(super) adapter_waiters: HashMap<String, AdapterWaiters>,
     /// Wakes requests that wait for an engine's status.
@@ -94,6 +96,7 @@
             demand: AdapterDemand::default(),
             prefill_throughputs: HashMap::new(),
             budgets: RepeatBudgets::new(&settings, Instant::now()),
+            unplaced: HashMap::new(),
             adapter_waiters: HashMap::new(),
             engine_status_updates: Rc::default(),
             freshness: ReplicaFreshness::default(),
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -36,6 +36,7 @@
     pub waits: Family<WaitLabels, Histogram>,
     pub belief_age: Family<CopyLabels, Histogram>,
     pub resends: Family<WaitLabels, Counter>,
+    pub rejections: Family<WaitLabels, Counter>,
     pub repeats: Family<StateLabels, Counter>,
     pub repeat_allowance: Family<StateLabels, Amount>,
     pub repeat_loans: Family<StateLabels, Counter>,
@@ -87,6 +88,7 @@
             waits: Family::new_with_constructor(times),
             belief_age: Family::new_with_constructor(ages),
             resends: Family::default(),
+            rejections: Family::default(),
             repeats: Family::default(),
             repeat_allowance: Family::default(),
             repeat_loans: Family::default(),
@@ -275,6 +277,11 @@
             "Sends of requests beyond the first",
             self.resends.clone(),
         );
+        registry.register(
+            "rejections",
+            "Requests that were rejected without having run, as no target could be expected to serve them",
+            self.rejections.clone(),
+        );
         registry.register(
             "repeats",
             "Arrivals of requests beyond the first, paid or refused for want of allowance",
--- a/src/report/end_cause.rs
+++ b/src/report/end_cause.rs
@@ -166,7 +166,10 @@
         .iter()
         .filter(|line| line.event == Event::RequestWaits);
     let last_wait = waits.next_back();
-    let expected = last_wait.and_then(|line| line.number("expected_ms"));
+    // Only the time of a load that a holder has confirmed; older lines do not say what the request waited for.
+    let is_load = |line: &&&LogLine| matches!(line.text("awaited"), "load" | "");
+    let load = last_wait.filter(is_load);
+    let expected = load.and_then(|line| line.number("expected_ms"));
     if let Some(expected_ms) = expected.filter(|expected| *expected > 0.0) {
         return EndCause::AdapterTooLate { expected_ms };
     }
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -113,6 +113,7 @@
     RequestRejected = 627 "request_rejected" Info,
     RequestOverLimit = 628 "request_over_limit" Info,
     RequestNoPermit = 629 "request_no_permit" Info,
+    RequestDeferred = 635 "request_deferred" Info,
     TargetUnreachable = 701 "target_unreachable" Warn,
     TargetBack = 702 "target_back" Info,
     TargetRestarted = 703 "target_restarted" Warn,
