--- a/src/request/direct/bounded_wait.rs
+++ b/src/request/direct/bounded_wait.rs
@@ -25,10 +25,7 @@
 /// Time within which hosts usually learn the holder of an engine after a change of view.
 const HOLDER_NEWS_TIME: Duration = Duration::from_millis(1_500);
 
-/// Shortest time after which a holder can be expected to be known.
-const MIN_HOLDER_WAIT: Duration = Duration::from_millis(300);
-
-/// Longest such time: after a restart of many hosts, holders are known within a few seconds.
+/// Longest time until a holder is expected to be known: after a restart of many hosts, holders are known within a few seconds.
 const MAX_HOLDER_WAIT: Duration = Duration::from_secs(3);
 
 /// Why a request that has not run was rejected.
@@ -83,11 +80,10 @@
 /// Decides on a request that has not run and that no engine can take now.
 ///
 /// For load beyond the capacity of the engines: a request that waits without an expectation until its deadline learns
-/// too late that it won't be served. It waits while a lease holder has
-/// confirmed that it will be served before the deadline, or for a short time while holders are asked; otherwise it is
-/// rejected while its caller still has time for a retry. `unconfirmed_for` is the time since a load was last confirmed,
-/// or since the request was first found without an
-/// engine.
+/// too late that it won't be served. It waits while a lease holder has confirmed that it will be served before the
+/// deadline, or for a short time while holders are asked; otherwise it is rejected while its caller still has time for
+/// a retry. `unconfirmed_for` is the time since a load was last confirmed, or since the request was first found without
+/// an engine.
 pub fn bounded_wait(
     timing: &RequestTiming,
     outlook: EngineOutlook,
@@ -116,8 +112,13 @@
             expected: Some(expected),
             ..
         } if expected >= timing.time_left => reject(RejectReason::AfterDeadline, expected),
-        EngineOutlook::Unconfirmed { expected, .. } => {
-            match unconfirmed_for >= unconfirmed_limit(timing) {
+        EngineOutlook::Unconfirmed { expected, awaited } => {
+            // With no engine to wait for, a request that has waited before is not held any longer.
+            let unconfirmed_for = match awaited {
+                Awaited::AnyEngine => timing.elapsed,
+                _ => unconfirmed_for,
+            };
+            match unconfirmed_for >= unconfirmed_limit(timing, awaited, unconfirmed_for) {
                 true => reject(
                     RejectReason::NoRoom,
                     expected.unwrap_or(DEFAULT_RETRY_AFTER),
@@ -144,11 +145,8 @@
 
 /// Returns after which time a lease holder can be expected to be known, if none has been for `lasted`.
 ///
-/// Once the usual time has passed, the state is expected to last half as long again as it has.
+/// Once most of the usual time has passed, the state is expected to last half as long again as it has.
 fn holders_expected_after(lasted: Duration) -> Duration {
-    let wait = match HOLDER_NEWS_TIME.checked_sub(lasted) {
-        Some(rest) => rest,
-        None => lasted / 2,
-    };
-    wait.clamp(MIN_HOLDER_WAIT, MAX_HOLDER_WAIT)
+    let usual = HOLDER_NEWS_TIME.saturating_sub(lasted);
+    usual.max(lasted / 2).min(MAX_HOLDER_WAIT)
 }
