The dispatcher is split by concept

Change: PendingRequest, the line and metrics of a served request, the final answers and the poison checks have files of their own; the budget of repeats is a gate of admission. No change of behaviour.

Tests were not run on this commit alone.

--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -3,47 +3,38 @@
         AnswerBody, ErrorCause, LocalAnswer,
         adapter_waiter::AdapterWaiter,
         admission::{
-            FreshnessCheck, HeldSlot, QuotaCharge, STALE_RETRY_AFTER, SlotAcquisition,
-            acquire_permit, acquire_slot, charge, wait_until_fresh,
+            FreshnessCheck, HeldSlot, STALE_RETRY_AFTER, SlotAcquisition, acquire_permit,
+            acquire_slot, charge, charge_repeat, wait_for_budget, wait_until_fresh,
         },
         attempts::Attempts,
         chooser::{Choice, Chooser},
         crash_probe::{answers_health_check, clear_suspect, probe_after_loss},
-        exchange::{CompleteAnswer, Destination, OpenAnswer, SendOutcome, send},
-        request_trace::{TraceStep, millis},
+        exchange::{Destination, OpenAnswer, SendOutcome, send},
+        final_answers::{DEFAULT_RETRY_AFTER, FinalAnswers, relay, unplaced_cause},
+        pending_request::{PendingRequest, settle_charge},
+        poison_check::{has_crashed_targets, is_poison, is_suspected},
+        request_trace::TraceStep,
+        served_request::log_served,
         stream_relay::StreamRelay,
     },
     crate::{
         clock::{Instant, sleep_until, timeout_at},
         connection::targets::{KeyStatus, TargetIncarnation, TargetTable},
         formats::Formats,
-        metrics::{KindLabels, OutcomeLabels, WaitLabels, metrics},
-        note,
+        metrics::{WaitLabels, metrics},
         request::{
             direct::{AdapterCopyState, AttemptEnd, CallRequest, NextStep, next_step},
             places::SlotOutcome,
-            poison::PoisonStatus,
-            repeats::RepeatCharge,
         },
-        timeline::Event,
         version::routing::RouteKind,
     },
     http::Response,
     std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
 
-/// Default retry delay for callers that were rejected.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
-
 /// Backoff before a request is sent again to an engine that is still loading its adapter.
 const LOAD_BACKOFF: Duration = Duration::from_millis(25);
 
-/// Timeout of a repeat that waits for repeat budget borrowed from other hosts.
-const BORROW_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// Interval at which a waiting repeat checks whether budget was borrowed.
-const BORROW_POLL_INTERVAL: Duration = Duration::from_millis(10);
-
 /// A stream that breaks off within this time of its first event is suspected of having crashed its target; later on,
 /// any other request at the target is as likely the cause.
 const STREAM_START_WINDOW: Duration = Duration::from_secs(1);
@@ -63,6 +54,7 @@
 pub struct Dispatcher {
     table: Rc<RefCell<TargetTable>>,
     chooser: Chooser,
+    answers: FinalAnswers,
     formats: Arc<dyn Formats>,
 }
 
@@ -75,6 +67,7 @@
         Self {
             chooser: Chooser::new(table.clone(), hall),
             table,
+            answers: FinalAnswers::new(formats.clone()),
             formats,
         }
     }
@@ -84,15 +77,15 @@
         self: &Rc<Self>,
         request: CallRequest,
     ) -> Response<AnswerBody> {
-        if self.is_poison(&request) {
+        if is_poison(&self.table, &request) {
             let cause = ErrorCause::CrashesTargets;
             let status = cause.status().as_u16();
             log_served(&request, &Attempts::default(), status, Some(cause));
-            return self.reject_poison(&request);
+            return self.answers.reject_poison(&request);
         }
         let charged = match charge(&self.table, &request).await {
             Ok(charged) => charged,
-            Err(answer) => return self.reject_uncharged(&request, answer),
+            Err(answer) => return self.answers.reject_uncharged(&request, answer),
         };
         self.record_demand(&request);
         let mut pending = PendingRequest::new(&request, charged);
@@ -101,7 +94,7 @@
         let (mut attempts, charged) = pending.disarm();
         let response = match outcome {
             Ok(Outcome::Final(response)) => response,
-            Err(_) => self.answer_timeout(&request, &mut attempts),
+            Err(_) => self.answers.answer_timeout(&request, &mut attempts),
             Ok(Outcome::Open(answer)) => {
                 log_served(&request, &attempts, answer.status.as_u16(), None);
                 settle_charge(charged, true);
@@ -141,84 +134,6 @@
         }
     }
 
-    /// Rejects a request that is known to crash targets, with an error that callers do not retry.
-    fn reject_poison(
-        &self,
-        request: &CallRequest,
-    ) -> Response<AnswerBody> {
-        note!(
-            Event::RequestRefused,
-            id = request.id_text(),
-            fingerprint = request.fingerprint(),
-            route = request.route.name,
-        );
-        self.answer(request, LocalAnswer::new(ErrorCause::CrashesTargets))
-    }
-
-    /// Rejects a request that could not be charged to its customer's quota.
-    fn reject_uncharged(
-        &self,
-        request: &CallRequest,
-        answer: LocalAnswer,
-    ) -> Response<AnswerBody> {
-        let credential = request.credential.as_ref();
-        let limit = credential.and_then(|credential| credential.customer.limit);
-        note!(
-            Event::RequestOverLimit,
-            id = request.id_text(),
-            cause = answer.cause.word(),
-            route = request.route.name,
-            customer = credential.map_or("-", |credential| &credential.customer.name),
-            cost = limit.map_or(0.0, |limit| limit.cost(request.declared_tokens)),
-            rate = limit.map_or(0.0, |limit| limit.rate),
-            come_back_ms = answer.retry_after.map_or(-1.0, millis),
-            waited_ms = millis(request.arrived.elapsed()),
-        );
-        let kind = request.route.kind.word();
-        let outcome = answer.cause.word();
-        let labels = OutcomeLabels { kind, outcome };
-        metrics().requests.get_or_create(&labels).inc();
-        self.answer(request, answer)
-    }
-
-    /// Returns the verdict on a request that targets have crashed under, or `None` if there were no such crashes.
-    fn verdict(
-        &self,
-        request: &CallRequest,
-    ) -> Option<PoisonStatus> {
-        let table = self.table.borrow();
-        match table.crashes.is_empty() {
-            true => None,
-            false => table.crashes.status(&request.fingerprint()),
-        }
-    }
-
-    /// Returns true if the request is known to crash targets.
-    fn is_poison(
-        &self,
-        request: &CallRequest,
-    ) -> bool {
-        self.verdict(request) == Some(PoisonStatus::Rejected)
-    }
-
-    /// Returns true if targets have crashed under the request: only its caller may send it again.
-    fn has_crashed_targets(
-        &self,
-        request: &CallRequest,
-    ) -> bool {
-        self.verdict(request).is_some()
-    }
-
-    /// Returns true if targets have crashed under the request, or one may just have: it is sent only to targets that
-    /// answer a health check first.
-    fn is_suspected(
-        &self,
-        request: &CallRequest,
-    ) -> bool {
-        let table = self.table.borrow();
-        !table.crashes.is_empty() && table.crashes.is_suspected(&request.fingerprint())
-    }
-
     fn record_demand(
         &self,
         request: &CallRequest,
@@ -246,17 +161,22 @@
     ) -> Outcome {
         loop {
             if !self.wait_until_fresh(request).await {
-                return self.answer_unserved(
+                return Outcome::Final(self.answers.answer_unserved(
                     request,
                     attempts,
                     ErrorCause::StaleTables,
                     STALE_RETRY_AFTER,
-                );
+                ));
             }
             if resume_after.is_none()
                 && let Some(cause) = self.key_error(request)
             {
-                return self.answer_unserved(request, attempts, cause, STALE_RETRY_AFTER);
+                return Outcome::Final(self.answers.answer_unserved(
+                    request,
+                    attempts,
+                    cause,
+                    STALE_RETRY_AFTER,
+                ));
             }
             let (choice, mut slot) = self.choose(request, attempts).await;
             let mut destination = match choice {
@@ -273,9 +193,15 @@
                     continue;
                 }
                 Choice::Reject(retry_after) if attempts.history.runs == 0 => {
-                    return self.reject(request, unplaced_cause(request), retry_after);
+                    return Outcome::Final(self.answers.reject(
+                        request,
+                        unplaced_cause(request),
+                        retry_after,
+                    ));
+                }
+                Choice::Reject(_) | Choice::NoTarget => {
+                    return Outcome::Final(self.answers.no_target(request, attempts));
                 }
-                Choice::Reject(_) | Choice::NoTarget => return self.no_target(request, attempts),
             };
             if !acquire_permit(&self.table, &destination.target).await {
                 let target = destination.target.clone();
@@ -289,18 +215,18 @@
             // Charged right before the send: the request may have waited seconds for its adapter.
             let repeats = attempts.history.arrivals > 0;
             let repeat_charge = match repeats {
-                true => self.charge_repeat(request),
+                true => charge_repeat(&self.table, request),
                 false => None,
             };
             if repeats && repeat_charge.is_none() {
-                return self.answer_unserved(
+                return Outcome::Final(self.answers.answer_unserved(
                     request,
                     attempts,
                     ErrorCause::RejectedByTargets,
                     DEFAULT_RETRY_AFTER,
-                );
+                ));
             }
-            let verified = self.is_suspected(request);
+            let verified = is_suspected(&self.table, request);
             if verified
                 && !answers_health_check(&self.table, names, request, &destination.target).await
             {
@@ -309,8 +235,8 @@
                 continue;
             }
             // The request may have become known as poison while it waited seconds for its adapter.
-            if self.is_poison(request) {
-                return Outcome::Final(self.reject_poison(request));
+            if is_poison(&self.table, request) {
+                return Outcome::Final(self.answers.reject_poison(request));
             }
             let incarnation = self.incarnation_of(&destination.target);
             let sent_at = Instant::now();
@@ -466,11 +392,11 @@
         let now = Instant::now();
         let service = &request.service.name;
         let mut step = next_step(&request.route, &attempts.history, end, true);
-        if end == AttemptEnd::Lost && self.has_crashed_targets(request) {
+        if end == AttemptEnd::Lost && has_crashed_targets(&self.table, request) {
             step = next_step(&request.route, &attempts.history, end, false);
         }
         let repeats = step == NextStep::Resend { repeats: true };
-        if repeats && !self.wait_for_budget(request).await {
+        if repeats && !wait_for_budget(&self.table, request).await {
             self.table.borrow_mut().budget(service).on_rejected(now);
             step = next_step(&request.route, &attempts.history, end, false);
         }
@@ -488,57 +414,18 @@
             }
             NextStep::Reject => {
                 let answer = LocalAnswer::after(ErrorCause::RejectedByTargets, DEFAULT_RETRY_AFTER);
-                Some(self.answer(request, answer))
+                Some(self.answers.answer(request, answer))
             }
             NextStep::ForwardFailure => attempts.failure.take().map(relay),
             NextStep::OutcomeUnknown => Some(match attempts.failure.take() {
                 Some(failure) => relay(failure),
-                None => self.answer(request, LocalAnswer::new(ErrorCause::AnswerLost)),
+                None => self
+                    .answers
+                    .answer(request, LocalAnswer::new(ErrorCause::AnswerLost)),
             }),
         }
     }
 
-    /// Returns true if the budget allows a repeat, after waiting for budget borrowed from other hosts if needed.
-    async fn wait_for_budget(
-        &self,
-        request: &CallRequest,
-    ) -> bool {
-        let service = &request.service.name;
-        let started = Instant::now();
-        let until = request.deadline.min(started + BORROW_TIMEOUT);
-        loop {
-            let now = Instant::now();
-            {
-                let mut table = self.table.borrow_mut();
-                if table.budget(service).can_repeat(now) {
-                    return true;
-                }
-                if now == started {
-                    table.budget(service).on_waiting(now);
-                }
-                table.request_loans(service, now);
-                if now >= until || !table.budget(service).is_borrowing(now) {
-                    return false;
-                }
-            }
-            tokio::time::sleep(BORROW_POLL_INTERVAL).await;
-        }
-    }
-
-    fn charge_repeat(
-        &self,
-        request: &CallRequest,
-    ) -> Option<RepeatCharge> {
-        let now = Instant::now();
-        let mut table = self.table.borrow_mut();
-        let budget = table.budget(&request.service.name);
-        let repeat_charge = budget.charge(now);
-        if repeat_charge.is_none() {
-            budget.on_rejected(now);
-        }
-        repeat_charge
-    }
-
     /// Returns true if the engine rejected the request because it was still loading the adapter.
     fn is_loading(
         &self,
@@ -603,122 +490,6 @@
             _ = sleep_until(until) => {}
         }
     }
-
-    fn no_target(
-        &self,
-        request: &CallRequest,
-        attempts: &mut Attempts,
-    ) -> Outcome {
-        self.answer_unserved(
-            request,
-            attempts,
-            unplaced_cause(request),
-            DEFAULT_RETRY_AFTER,
-        )
-    }
-
-    /// Returns the final answer to a request that is not sent, or not again.
-    fn answer_unserved(
-        &self,
-        request: &CallRequest,
-        attempts: &mut Attempts,
-        cause: ErrorCause,
-        retry_after: Duration,
-    ) -> Outcome {
-        if let Some(failure) = attempts.failure.take() {
-            return Outcome::Final(relay(failure));
-        }
-        if attempts.history.runs > 0 {
-            let answer = LocalAnswer::new(ErrorCause::AnswerLost);
-            return Outcome::Final(self.answer(request, answer));
-        }
-        self.reject(request, cause, retry_after)
-    }
-
-    fn answer_timeout(
-        &self,
-        request: &CallRequest,
-        attempts: &mut Attempts,
-    ) -> Response<AnswerBody> {
-        if let Some(failure) = attempts.failure.take() {
-            return relay(failure);
-        }
-        let cause = match attempts.history.runs {
-            0 => ErrorCause::DeadlineExceededUnsent,
-            _ => ErrorCause::DeadlineExceeded,
-        };
-        self.answer(request, LocalAnswer::new(cause))
-    }
-
-    fn reject(
-        &self,
-        request: &CallRequest,
-        cause: ErrorCause,
-        retry_after: Duration,
-    ) -> Outcome {
-        Outcome::Final(self.answer(request, LocalAnswer::after(cause, retry_after)))
-    }
-
-    fn answer(
-        &self,
-        request: &CallRequest,
-        answer: LocalAnswer,
-    ) -> Response<AnswerBody> {
-        let names = self.formats.headers();
-        answer.into_response(&names.request_id, request.id.as_ref())
-    }
-}
-
-/// Logs that the caller has gone, if dropped before the final answer.
-struct PendingRequest {
-    id: String,
-    arrived: Instant,
-    served: bool,
-    attempts: Attempts,
-    charged: Option<QuotaCharge>,
-}
-
-impl PendingRequest {
-    fn new(
-        request: &CallRequest,
-        charged: Option<QuotaCharge>,
-    ) -> Self {
-        Self {
-            id: request.id_text().to_string(),
-            arrived: request.arrived,
-            served: false,
-            attempts: Attempts::default(),
-            charged,
-        }
-    }
-
-    fn disarm(mut self) -> (Attempts, Option<QuotaCharge>) {
-        self.served = true;
-        (std::mem::take(&mut self.attempts), self.charged.take())
-    }
-}
-
-impl Drop for PendingRequest {
-    fn drop(&mut self) {
-        if !self.served {
-            let history = &self.attempts.history;
-            let may_have_run = history.arrivals > 0 || history.runs > 0;
-            settle_charge(self.charged.take(), may_have_run);
-            self.attempts.trace.log(&self.id, Instant::now());
-            note!(
-                Event::RequestCallerGone,
-                id = self.id,
-                after_ms = millis(self.arrived.elapsed())
-            );
-        }
-    }
-}
-
-fn unplaced_cause(request: &CallRequest) -> ErrorCause {
-    match request.generation {
-        Some(_) => ErrorCause::NoAdapter,
-        None => ErrorCause::NoTarget,
-    }
 }
 
 /// Returns what a send shows of the load of its target.
@@ -732,86 +503,3 @@
         _ => SlotOutcome::Other,
     }
 }
-
-/// Makes the charge for a request final if the request may have run, and refunds it otherwise.
-fn settle_charge(
-    charged: Option<QuotaCharge>,
-    may_have_run: bool,
-) {
-    if let Some(mut charged) = charged.filter(|_| may_have_run) {
-        charged.commit();
-    }
-}
-
-/// Logs a served request: one line, preceded by its trace if it failed or was late.
-fn log_served(
-    request: &CallRequest,
-    attempts: &Attempts,
-    status: u16,
-    cause: Option<ErrorCause>,
-) {
-    let now = Instant::now();
-    let id = request.id_text();
-    let elapsed = now.saturating_duration_since(request.arrived);
-    let late = elapsed > request.route.aim;
-    if status >= 400 || late {
-        attempts.trace.log(id, now);
-    }
-    record_metrics(request, attempts, status, cause, elapsed);
-    let adapter = request.generation.as_ref().and_then(|g| g.adapter());
-    let sent = attempts.trace.last_version();
-    note!(
-        Event::RequestServed,
-        id = id,
-        route = request.route.name,
-        status = status,
-        cause = cause.map_or("-", |cause| cause.word()),
-        target = attempts.trace.last_target(),
-        adapter = adapter.unwrap_or("-"),
-        version = sent.map_or(0, |sent| sent.version),
-        newest = sent.map_or(0, |sent| sent.newest),
-        waited_ms = millis(attempts.trace.time_to_last_send(request.arrived)),
-        expected_ms = sent.map_or(-1.0, |sent| millis(sent.wait)),
-        first_ms = millis(elapsed),
-        aim_ms = millis(request.route.aim),
-        arrivals = attempts.history.arrivals,
-        late = late,
-    );
-}
-
-fn record_metrics(
-    request: &CallRequest,
-    attempts: &Attempts,
-    status: u16,
-    cause: Option<ErrorCause>,
-    elapsed: Duration,
-) {
-    let kind = request.route.kind.word();
-    let outcome = match (status, cause) {
-        (0..400, _) if elapsed > request.route.aim => "late",
-        (0..400, _) => "answered",
-        (_, None) => "failed_there",
-        (503, Some(_)) => "refused",
-        (_, Some(_)) => "failed",
-    };
-    let metrics = metrics();
-    let labels = OutcomeLabels { kind, outcome };
-    metrics.requests.get_or_create(&labels).inc();
-    if status < 400 {
-        let labels = KindLabels { kind };
-        let histogram = metrics.first_event.get_or_create(&labels);
-        histogram.observe(elapsed.as_secs_f64());
-    }
-    if let Some(waited) = attempts.trace.time_waited(request.arrived) {
-        let labels = WaitLabels { cause: "adapter" };
-        let histogram = metrics.waits.get_or_create(&labels);
-        histogram.observe(waited.as_secs_f64());
-    }
-}
-
-fn relay(answer: CompleteAnswer) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::complete(answer.body));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = answer.headers;
-    response
-}
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -13,10 +13,14 @@
 mod engine_sample;
 mod event_splitter;
 mod exchange;
+mod final_answers;
 mod front_listener;
 mod local_answer;
+mod pending_request;
+mod poison_check;
 mod request_reader;
 mod request_trace;
+mod served_request;
 mod stream_relay;
 mod waits;
 
