The line of a stream is written when it ends, with its pauses, and reports tell them apart

Cause: most late streams were late only by a pause between two events, which no line, report or metric showed.

Change: StreamTiming splits the gaps between events into waits for the target and time held back here; OpenRequest writes the line once, however the relay ends; EndCause gains paused_at_engine, paused_while_resumed and held_here; report gains tables by engine and customer; two metrics.

--- a/src/cli/report_command.rs
+++ b/src/cli/report_command.rs
@@ -6,7 +6,10 @@
     crate::{
         errors::RunError,
         process::engines::CACHED_ADAPTERS_PER_SLOT,
-        report::{AdapterLoads, BeliefReport, DayReport, KindCount},
+        report::{
+            AdapterLoads, BeliefReport, CustomerReport, DayReport, EngineReport, EngineRow,
+            KindCount,
+        },
     },
     clap::{Arg, ArgMatches, Command, value_parser},
     serde_json::json,
@@ -15,6 +18,9 @@
 /// Adapters that an engine keeps for each of its places: the one that it holds and those in its memory.
 const KEPT_PER_PLACE: usize = 1 + CACHED_ADAPTERS_PER_SLOT;
 
+/// Engines in the text, those with the longest pauses; `--json` has all.
+const SHOWN_ENGINES: usize = 40;
+
 /// Arguments of `coveproxy report`.
 pub fn report_command() -> Command {
     Command::new("report")
@@ -48,20 +54,34 @@
     let day = DayReport::of(&lines, span);
     let loads = AdapterLoads::of(&lines, places * KEPT_PER_PLACE);
     let beliefs = BeliefReport::of(&lines);
+    let engines = EngineReport::of(&lines);
+    let customers = CustomerReport::of(&lines);
     match arguments.get_flag("json") {
         true => print(&format!(
             "{}\n",
-            json!({"requests": day, "adapters": loads, "beliefs": beliefs})
+            json!({
+                "requests": day,
+                "engines": engines,
+                "customers": customers,
+                "adapters": loads,
+                "beliefs": beliefs,
+            })
         )),
-        false => print(&(as_text(&day, &loads) + &beliefs_text(&beliefs))),
+        false => print(
+            &[
+                day_text(&day),
+                engines_text(&engines),
+                customers_text(&customers),
+                loads_text(&loads),
+                beliefs_text(&beliefs),
+            ]
+            .concat(),
+        ),
     }
     Ok(())
 }
 
-fn as_text(
-    day: &DayReport,
-    loads: &AdapterLoads,
-) -> String {
+fn day_text(day: &DayReport) -> String {
     let mut text = String::from("route                 requests  in time  others by cause\n");
     for (route, count) in &day.by_route {
         text += &row(route, count);
@@ -70,7 +90,54 @@
     for (second, count) in &day.by_time {
         text += &row(&second.to_string(), count);
     }
-    text + &format!(
+    text
+}
+
+fn engines_text(engines: &EngineReport) -> String {
+    let mut text = String::from(
+        "\nengine                requests  late pauses  pause ms median, p90  first ms median, p90  prompt tokens\n",
+    );
+    let rows = engines.slowest_first();
+    for (target, row) in rows.iter().take(SHOWN_ENGINES) {
+        text += &engine_row(target, row);
+    }
+    if rows.len() > SHOWN_ENGINES {
+        text += &format!("{} more, with --json\n", rows.len() - SHOWN_ENGINES);
+    }
+    text
+}
+
+fn engine_row(
+    target: &str,
+    row: &EngineRow,
+) -> String {
+    format!(
+        "{target:<20}  {:>8}  {:>11}  {:>15.0}{:>6.0}  {:>15.0}{:>6.0}  {:>12.1}%\n",
+        row.requests,
+        row.late_pauses,
+        row.pause_ms.median,
+        row.pause_ms.p90,
+        row.first_ms.median,
+        row.first_ms.p90,
+        row.prompt_share * 100.0,
+    )
+}
+
+fn customers_text(customers: &CustomerReport) -> String {
+    let mut text = String::from("\ncustomer              requests  in time  rejected by cause\n");
+    for (customer, row) in &customers.by_customer {
+        text += &format!(
+            "{customer:<20}  {:>8}  {:>7}  {}\n",
+            row.requests,
+            row.in_time,
+            counts(row.rejected.iter())
+        );
+    }
+    text
+}
+
+fn loads_text(loads: &AdapterLoads) -> String {
+    format!(
         "\nadapters: {} asked for; {} loads from the weight store ({} at the least), onto {} pairs of\n\
          adapter and engine, {} of them again; one adapter on {} of {} engines at the most\n\
          loads by reason: {}\n",
--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -5,7 +5,10 @@
     },
     crate::{
         clock::Instant,
-        request::direct::{AttemptEnd, RequestHistory},
+        request::{
+            direct::{AttemptEnd, RequestHistory},
+            pace::PaceEstimate,
+        },
     },
     std::sync::Arc,
 };
@@ -24,6 +27,8 @@
     pub trace: RequestTrace,
     /// Last query of engines' status.
     pub query: Option<QueryRound>,
+    /// Estimate by which the target of the last send was chosen.
+    pub estimate: Option<PaceEstimate>,
     /// Discarded samples of engines.
     discarded_samples: u32,
 }
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -11,10 +11,11 @@
         crash_probe::{answers_health_check, clear_suspect, probe_after_loss},
         exchange::{Destination, OpenAnswer, SendOutcome, send},
         final_answers::{DEFAULT_RETRY_AFTER, FinalAnswers, relay, unplaced_cause},
+        open_request::OpenRequest,
         pending_request::{PendingRequest, settle_charge},
         poison_check::{has_crashed_targets, is_poison, is_suspected},
         request_trace::TraceStep,
-        served_request::log_served,
+        served_request::ServedRequest,
         stream_relay::StreamRelay,
     },
     crate::{
@@ -80,7 +81,9 @@
         if is_poison(&self.table, &request) {
             let cause = ErrorCause::CrashesTargets;
             let status = cause.status().as_u16();
-            log_served(&request, &Attempts::default(), status, Some(cause));
+            let attempts = Attempts::default();
+            let served = ServedRequest::new(&request, &attempts, status, Some(cause));
+            served.log_final(&request, &attempts);
             return self.answers.reject_poison(&request);
         }
         let charged = match charge(&self.table, &request).await {
@@ -96,14 +99,16 @@
             Ok(Outcome::Final(response)) => response,
             Err(_) => self.answers.answer_timeout(&request, &mut attempts),
             Ok(Outcome::Open(answer)) => {
-                log_served(&request, &attempts, answer.status.as_u16(), None);
                 settle_charge(charged, true);
-                return StreamRelay::start(self.clone(), *answer, request, attempts);
+                let open = OpenRequest::new(request, attempts, answer.status.as_u16());
+                return StreamRelay::start(self.clone(), *answer, open);
             }
         };
         let cause = response.extensions().get::<ErrorCause>().copied();
         settle_charge(charged, cause.is_none_or(ErrorCause::may_have_run));
-        log_served(&request, &attempts, response.status().as_u16(), cause);
+        let status = response.status().as_u16();
+        let served = ServedRequest::new(&request, &attempts, status, cause);
+        served.log_final(&request, &attempts);
         response
     }
 
@@ -242,6 +247,7 @@
             let sent_at = Instant::now();
             // A send counts as run until its end is known.
             attempts.history.runs += 1;
+            attempts.estimate = destination.estimate;
             let sent = send(&self.table, names, request, &destination, streams).await;
             attempts.history.runs -= 1;
             if let Some(slot) = &mut slot {
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -15,13 +15,16 @@
 mod exchange;
 mod final_answers;
 mod front_listener;
+mod lateness;
 mod local_answer;
+mod open_request;
 mod pending_request;
 mod poison_check;
 mod request_reader;
 mod request_trace;
 mod served_request;
 mod stream_relay;
+mod stream_timing;
 mod waits;
 
 pub use {
@@ -29,6 +32,8 @@
     dispatcher::Dispatcher,
     event_splitter::{BrokenStream, EventSplitter},
     front_listener::{FrontListener, StopStage},
+    lateness::{Lateness, TimedPart},
     local_answer::{ErrorCause, LocalAnswer},
     request_reader::{RequestReadError, RequestReader},
+    stream_timing::StreamTiming,
 };
--- /dev/null
+++ b/src/connection/front/open_request.rs
@@ -0,0 +1,51 @@
+use {
+    super::{StreamTiming, attempts::Attempts, served_request::ServedRequest},
+    crate::request::direct::CallRequest,
+};
+
+/// Word for an answer that this host was still relaying when it stopped.
+const HOST_STOPPED: &str = "host_stopped";
+
+/// A request whose answer is being relayed. Its line is written exactly once: when the answer ends, or when the relay is
+/// dropped before that.
+pub struct OpenRequest {
+    pub request: CallRequest,
+    pub attempts: Attempts,
+    pub timing: StreamTiming,
+    served: ServedRequest,
+    is_logged: bool,
+}
+
+impl OpenRequest {
+    pub fn new(
+        request: CallRequest,
+        attempts: Attempts,
+        status: u16,
+    ) -> Self {
+        Self {
+            served: ServedRequest::new(&request, &attempts, status, None),
+            request,
+            attempts,
+            timing: StreamTiming::default(),
+            is_logged: false,
+        }
+    }
+
+    /// Logs the end of the answer, and records its metrics.
+    pub fn end(
+        &mut self,
+        ended: &'static str,
+    ) {
+        if std::mem::replace(&mut self.is_logged, true) {
+            return;
+        }
+        self.served
+            .log_relayed(&self.request, &self.attempts, &self.timing, ended);
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.end(HOST_STOPPED);
+    }
+}
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -1,15 +1,15 @@
 use {
     super::{
         AnswerBody, BrokenAnswer, Dispatcher,
-        attempts::Attempts,
         event_splitter::EventSplitter,
         exchange::{AnswerSource, OpenAnswer},
+        open_request::OpenRequest,
         request_trace::millis,
+        served_request::{CALLER_GONE, WHOLE},
     },
     crate::{
         clock::{Instant, sleep_until, timeout_at},
         note,
-        request::direct::CallRequest,
         timeline::Event,
     },
     bytes::Bytes,
@@ -39,8 +39,8 @@
 impl RelayEnd {
     fn label(self) -> &'static str {
         match self {
-            Self::Complete => "whole",
-            Self::CallerGone => "caller_gone",
+            Self::Complete => WHOLE,
+            Self::CallerGone => CALLER_GONE,
             Self::DeadlineExceeded => "time_over",
             Self::Broken => "target_broke_off",
             Self::Silent => "target_silent",
@@ -51,8 +51,7 @@
 /// Relays an answer piece by piece; on resumable routes a broken stream continues at another target.
 pub struct StreamRelay {
     dispatcher: Rc<Dispatcher>,
-    request: CallRequest,
-    attempts: Attempts,
+    open: OpenRequest,
     caller: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
     events: EventSplitter,
 }
@@ -62,8 +61,7 @@
     pub fn start(
         dispatcher: Rc<Dispatcher>,
         answer: OpenAnswer,
-        request: CallRequest,
-        attempts: Attempts,
+        open: OpenRequest,
     ) -> Response<AnswerBody> {
         let (caller, pieces) = mpsc::channel(MAX_BUFFERED_PIECES);
         let mut response = Response::new(AnswerBody::Stream(pieces));
@@ -71,8 +69,7 @@
         *response.headers_mut() = answer.headers;
         let relay = Self {
             dispatcher,
-            request,
-            attempts,
+            open,
             caller,
             events: EventSplitter::default(),
         };
@@ -91,15 +88,19 @@
             if end == RelayEnd::Broken {
                 let incarnation = source.incarnation();
                 self.dispatcher
-                    .on_broken(&self.request, incarnation, first_event);
+                    .on_broken(&self.open.request, incarnation, first_event);
             }
             match end {
                 RelayEnd::Complete => {
-                    self.dispatcher.on_complete(&self.request);
+                    self.dispatcher.on_complete(&self.open.request);
+                    self.open.end(end.label());
                     return source.finish();
                 }
-                RelayEnd::CallerGone => return self.log(Event::RequestCallerGone, end, &source),
-                RelayEnd::Broken | RelayEnd::Silent if self.request.route.resumable => {
+                RelayEnd::CallerGone => {
+                    self.open.end(end.label());
+                    return self.log(Event::RequestCallerGone, end, &source);
+                }
+                RelayEnd::Broken | RelayEnd::Silent if self.open.request.route.resumable => {
                     let target = source.target().to_string();
                     // Closes the connection, so that the broken target cancels the request.
                     drop(source);
@@ -129,14 +130,14 @@
         if let Some(end) = self.send_to_caller(first).await {
             return end;
         }
-        let max_silence = self.request.route.gap_aim * SILENCE_GAP_FACTOR;
+        let max_silence = self.open.request.route.gap_aim * SILENCE_GAP_FACTOR;
         loop {
             let silence_deadline = Instant::now() + max_silence;
             let piece = tokio::select! {
                 piece = source.next() => piece,
                 _ = self.caller.closed() => return RelayEnd::CallerGone,
-                _ = sleep_until(self.request.deadline) => return RelayEnd::DeadlineExceeded,
-                _ = sleep_until(silence_deadline), if self.request.route.resumable => {
+                _ = sleep_until(self.open.request.deadline) => return RelayEnd::DeadlineExceeded,
+                _ = sleep_until(silence_deadline), if self.open.request.route.resumable => {
                     match source.target_is_silent(max_silence) {
                         true => return RelayEnd::Silent,
                         false => continue,
@@ -160,7 +161,7 @@
         &mut self,
         piece: Bytes,
     ) -> Option<RelayEnd> {
-        let piece = match self.request.route.resumable {
+        let piece = match self.open.request.route.resumable {
             true => match self.events.take(&piece) {
                 Ok(events) => events,
                 Err(_) => return Some(RelayEnd::Broken),
@@ -170,9 +171,18 @@
         if piece.is_empty() {
             return None;
         }
-        match self.caller.send(Ok(piece)).await {
-            Ok(()) => None,
-            Err(_) => Some(RelayEnd::CallerGone),
+        let arrived = Instant::now();
+        let sent = self.caller.send(Ok(piece)).await;
+        let now = Instant::now();
+        match sent {
+            Ok(()) => {
+                self.open.timing.on_event(arrived, now);
+                None
+            }
+            Err(_) => {
+                self.open.timing.on_held(arrived, now);
+                Some(RelayEnd::CallerGone)
+            }
         }
     }
 
@@ -184,11 +194,11 @@
         self.events.discard_partial();
         let after = self.events.last_id();
         let caller = self.caller.clone();
-        let resumed = self
-            .dispatcher
-            .resume(&self.request, &mut self.attempts, broken, after);
+        let resumed =
+            self.dispatcher
+                .resume(&self.open.request, &mut self.open.attempts, broken, after);
         tokio::select! {
-            resumed = timeout_at(self.request.deadline, resumed) => resumed.ok().flatten(),
+            resumed = timeout_at(self.open.request.deadline, resumed) => resumed.ok().flatten(),
             _ = caller.closed() => None,
         }
     }
@@ -201,29 +211,27 @@
     ) {
         note!(
             event,
-            id = self.request.id_text(),
+            id = self.open.request.id_text(),
             cause = end.label(),
             target = source.target(),
-            after_ms = millis(self.request.arrived.elapsed()),
+            after_ms = millis(self.open.request.arrived.elapsed()),
             last_event = self.events.last_id().unwrap_or_default(),
         );
     }
 
     /// Closes the connection early, so that the caller sees a truncated answer.
     async fn truncate(
-        &self,
+        &mut self,
         end: RelayEnd,
         target: &str,
     ) {
-        self.attempts
-            .trace
-            .log(self.request.id_text(), Instant::now());
+        self.open.end(end.label());
         note!(
             Event::RequestCut,
-            id = self.request.id_text(),
+            id = self.open.request.id_text(),
             cause = end.label(),
             target = target,
-            after_ms = millis(self.request.arrived.elapsed()),
+            after_ms = millis(self.open.request.arrived.elapsed()),
             last_event = self.events.last_id().unwrap_or_default(),
         );
         let _ = self.caller.send(Err(BrokenAnswer)).await;
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        CallLabels, CopyLabels, KindLabels, OrderLabels, OutcomeLabels, StateLabels,
-        TransferLabels, WaitLabels,
+        CallLabels, CopyLabels, KindLabels, LatenessLabels, OrderLabels, OutcomeLabels,
+        StateLabels, TransferLabels, WaitLabels,
     },
     prometheus_client::{
         encoding::text::encode,
@@ -32,7 +32,9 @@
 pub struct HostMetrics {
     registry: Registry,
     pub requests: Family<OutcomeLabels, Counter>,
+    pub answers: Family<LatenessLabels, Counter>,
     pub first_event: Family<KindLabels, Histogram>,
+    pub longest_pause: Family<KindLabels, Histogram>,
     pub waits: Family<WaitLabels, Histogram>,
     pub belief_age: Family<CopyLabels, Histogram>,
     pub resends: Family<WaitLabels, Counter>,
@@ -83,7 +85,9 @@
         let ages = || Histogram::new(AGES.iter().copied());
         let metrics = Self {
             requests: Family::default(),
+            answers: Family::default(),
             first_event: Family::new_with_constructor(times),
+            longest_pause: Family::new_with_constructor(times),
             waits: Family::new_with_constructor(times),
             belief_age: Family::new_with_constructor(ages),
             resends: Family::default(),
@@ -270,6 +274,11 @@
         registry: &mut Registry,
     ) {
         registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register(
+            "answers",
+            "Answers of targets, by the objectives that they missed",
+            self.answers.clone(),
+        );
         registry.register(
             "resends",
             "Sends of requests beyond the first",
@@ -335,6 +344,11 @@
             "Time to the answer, or to the first event of a stream",
             self.first_event.clone(),
         );
+        registry.register(
+            "longest_pause_seconds",
+            "Longest pause between two events of a stream, as its target caused it",
+            self.longest_pause.clone(),
+        );
         registry.register(
             "wait_seconds",
             "Time that answered requests waited before they were sent",
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -9,6 +9,13 @@
     pub outcome: &'static str,
 }
 
+/// Kind of an answer, and which objectives it missed.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct LatenessLabels {
+    pub kind: &'static str,
+    pub late: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct KindLabels {
     pub kind: &'static str,
--- a/src/report/end_cause.rs
+++ b/src/report/end_cause.rs
@@ -1,5 +1,5 @@
 use {
-    super::LogLine,
+    super::{LogLine, ServedLine},
     crate::timeline::Event,
     std::fmt::{self, Display, Formatter},
 };
@@ -34,6 +34,21 @@
         unread_tokens: f64,
         running: f64,
     },
+    /// The first event came in time, and then this engine paused for too long between two events.
+    PausedAtEngine {
+        target: String,
+        pause_ms: f64,
+        allowed_ms: f64,
+    },
+    /// A pause was too long while the stream was resumed at another target.
+    PausedWhileResumed {
+        pause_ms: f64,
+        allowed_ms: f64,
+    },
+    /// The engine was in time, and this host held events back: its caller, the link or the host itself was too slow.
+    HeldHere {
+        held_ms: f64,
+    },
     /// It was sent again after sends that brought no answer.
     SentAgain {
         sends: usize,
@@ -71,6 +86,9 @@
             Self::TurnedAway { .. } => "turned_away",
             Self::WaitedForAdapter { .. } => "waited_for_adapter",
             Self::SlowAtEngine { .. } => "slow_at_engine",
+            Self::PausedAtEngine { .. } => "paused_at_engine",
+            Self::PausedWhileResumed { .. } => "paused_while_resumed",
+            Self::HeldHere { .. } => "held_here",
             Self::SentAgain { .. } => "sent_again",
             Self::Cut { .. } => "cut",
             Self::CallerGone { .. } => "caller_gone",
@@ -95,24 +113,64 @@
                 after_ms: gone.number("after_ms").unwrap_or(0.0),
             };
         }
-        match last(Event::RequestServed) {
-            Some(served) if served.text("status").starts_with('2') => late_cause(lines, served),
-            Some(served) => failure_cause(lines, served),
-            None => Self::Unknown,
+        let Some(line) = last(Event::RequestServed) else {
+            return Self::Unknown;
+        };
+        match ServedLine::of(line) {
+            Some(served) if served.is_success() => late_cause(lines, &served),
+            _ => failure_cause(lines, line),
         }
     }
 }
 
+/// The first event comes before the pauses: what made it late usually makes the stream pause, too.
 fn late_cause(
     lines: &[&LogLine],
-    served: &LogLine,
+    served: &ServedLine,
+) -> EndCause {
+    if served.is_first_event_late() {
+        return first_event_cause(lines, served);
+    }
+    match served.is_pause_late() {
+        true => pause_cause(lines, served),
+        false => EndCause::InTime,
+    }
+}
+
+fn pause_cause(
+    lines: &[&LogLine],
+    served: &ServedLine,
 ) -> EndCause {
-    if served.text("late") != "true" {
-        return EndCause::InTime;
+    if !served.is_pause_of_engine() {
+        return EndCause::HeldHere {
+            held_ms: served.held_ms(),
+        };
+    }
+    let (pause_ms, allowed_ms) = (served.pause_ms(), served.allowed_pause_ms());
+    let is_resumed = |line: &&LogLine| line.event == Event::RequestResumed;
+    match lines.iter().any(is_resumed) {
+        true => EndCause::PausedWhileResumed {
+            pause_ms,
+            allowed_ms,
+        },
+        false => EndCause::PausedAtEngine {
+            target: served.name("target").to_string(),
+            pause_ms,
+            allowed_ms,
+        },
     }
+}
+
+fn first_event_cause(
+    lines: &[&LogLine],
+    served: &ServedLine,
+) -> EndCause {
+    // Steps are written at the end; sends after the first event are those of a resumed stream.
+    let to_end_ms = served.total_ms() - served.first_ms();
+    let ago_ms = |line: &LogLine| line.number("ago_ms").unwrap_or(0.0);
     let sends: Vec<&&LogLine> = lines
         .iter()
-        .filter(|line| line.event == Event::RequestChosen)
+        .filter(|line| line.event == Event::RequestChosen && ago_ms(line) >= to_end_ms)
         .collect();
     let Some(send) = sends.last() else {
         return EndCause::Unknown;
@@ -120,9 +178,8 @@
     if sends.len() > 1 {
         return EndCause::SentAgain { sends: sends.len() };
     }
-    let total_ms = served.number("first_ms").unwrap_or(0.0);
-    let after_send_ms = send.number("ago_ms").unwrap_or(0.0);
-    let waited_ms = total_ms - after_send_ms;
+    let after_send_ms = ago_ms(send) - to_end_ms;
+    let waited_ms = served.first_ms() - after_send_ms;
     if waited_ms > after_send_ms {
         return EndCause::WaitedForAdapter { waited_ms };
     }
@@ -211,6 +268,27 @@
                 "late: {target} took {after_send_ms:.0} ms to its first event, with {unread_tokens:.0} \
                  tokens of prompts unread before it and {running:.0} requests running"
             ),
+            Self::PausedAtEngine {
+                target,
+                pause_ms,
+                allowed_ms,
+            } => write!(
+                to,
+                "late: {target} paused for {pause_ms:.0} ms between two events, of {allowed_ms:.0} ms allowed"
+            ),
+            Self::PausedWhileResumed {
+                pause_ms,
+                allowed_ms,
+            } => write!(
+                to,
+                "late: a pause of {pause_ms:.0} ms, of {allowed_ms:.0} ms allowed; the stream was resumed at \
+                 another target"
+            ),
+            Self::HeldHere { held_ms } => write!(
+                to,
+                "late: this host held events back for {held_ms:.0} ms in all, as the caller or its link took \
+                 them too slowly; the engine's pauses were in time"
+            ),
             Self::SentAgain { sends } => {
                 write!(
                     to,
--- a/src/report/request_story.rs
+++ b/src/report/request_story.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ClockOffsets, EndCause, LogLine},
+    super::{ClockOffsets, EndCause, LogLine, ServedLine},
     crate::timeline::Event,
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -107,7 +107,8 @@
 /// When the request arrived and when its last line was written, on its host's clock.
 fn span(own: &[&LogLine]) -> (f64, f64) {
     let arrived = |line: &&LogLine| {
-        let passed = line.number("first_ms").or(line.number("after_ms"));
+        let served = ServedLine::of(line).map(|served| served.total_ms());
+        let passed = served.or(line.number("after_ms"));
         line.happened_ms() - passed.unwrap_or(0.0)
     };
     let begin = own.iter().map(arrived).fold(f64::INFINITY, f64::min);
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -4,8 +4,8 @@
     coveproxy::{
         errors::RequestError,
         metrics::{
-            CallLabels, CopyLabels, KindLabels, OrderLabels, OutcomeLabels, StateLabels,
-            TransferLabels, WaitLabels, metrics,
+            CallLabels, CopyLabels, KindLabels, LatenessLabels, OrderLabels, OutcomeLabels,
+            StateLabels, TransferLabels, WaitLabels, metrics,
         },
         process::node::ALL_METRICS,
         request::RefusalCode,
@@ -85,7 +85,13 @@
         reply: "test",
     };
     drop(metrics.requests.get_or_create(&outcome));
+    let lateness = LatenessLabels {
+        kind: "test",
+        late: "test",
+    };
+    drop(metrics.answers.get_or_create(&lateness));
     drop(metrics.first_event.get_or_create(&kind));
+    drop(metrics.longest_pause.get_or_create(&kind));
     drop(metrics.waits.get_or_create(&cause));
     drop(metrics.resends.get_or_create(&cause));
     drop(metrics.repeats.get_or_create(&state));
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -127,7 +127,7 @@
 ts=1000 up_us=1 host=h1 level=info event=610 name=request_asks id=r1 ago_ms=30 target=e1 spare=false\n\
 ts=1000 up_us=1 host=h1 level=info event=611 name=request_waits id=r1 ago_ms=29 expected_ms=-1\n\
 ts=1000 up_us=1 host=h1 level=info event=608 name=request_served id=r1 route=talk status=503 cause=no_adapter \
-target=- adapter=m/a1 first_ms=30 aim_ms=600 arrivals=0 late=false\n";
+target=- adapter=m/a1 first_ms=30 aim_ms=600 arrivals=0 late=no ended=no_adapter customer=c1\n";
 
 fn log_file(name: &str) -> String {
     let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -168,10 +168,12 @@
         json["requests"]["by_route"]["talk"]["by_cause"]["no_place"],
         1
     );
-    let text = coveproxy(&["report", &file]);
-    assert!(
-        String::from_utf8(text.stdout)
-            .unwrap()
-            .contains("no_place 1")
+    assert_eq!(
+        json["customers"]["by_customer"]["c1"]["rejected"]["no_adapter"],
+        1
     );
+    let text = coveproxy(&["report", &file]);
+    let text = String::from_utf8(text.stdout).unwrap();
+    assert!(text.contains("no_place 1"), "{text}");
+    assert!(text.contains("no_adapter 1"), "{text}");
 }
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -2,8 +2,8 @@
 
 use {
     coveproxy::report::{
-        AdapterLoads, BeliefReport, ClockOffsets, DayReport, EndCause, LogLine, RequestStory,
-        least_loads, read_lines,
+        AdapterLoads, BeliefReport, ClockOffsets, CustomerReport, DayReport, EndCause,
+        EngineReport, LogLine, RequestStory, Spread, least_loads, read_lines,
     },
     rstest::rstest,
 };
@@ -18,12 +18,23 @@
 }
 
 const REFUSED: &str = "name=request_served id=r1 route=talk status=503 cause=no_adapter target=- \
-    adapter=m/a1 first_ms=40 aim_ms=600 arrivals=0 late=false";
+    adapter=m/a1 first_ms=40 aim_ms=600 arrivals=0 late=no";
 const LATE: &str = "name=request_served id=r1 route=talk status=200 cause=- target=e1 adapter=m/a1 \
+    first_ms=900 aim_ms=600 arrivals=0 late=first_event";
+/// As hosts wrote it while only first events were measured.
+const LATE_IN_OLD_FORM: &str = "name=request_served id=r1 route=talk status=200 cause=- target=e1 adapter=m/a1 \
     first_ms=900 aim_ms=600 arrivals=0 late=true";
+/// A stream that ended two seconds after its first event.
+const LATE_STREAM: &str = "name=request_served id=r1 route=talk status=200 cause=- target=e1 adapter=m/a1 \
+    first_ms=900 aim_ms=600 arrivals=0 late=both ended=whole total_ms=2900 pause_ms=700 allowed_pause_ms=600 held_ms=0";
+const PAUSED: &str = "name=request_served id=r1 route=talk status=200 cause=- target=e1 first_ms=90 aim_ms=600 \
+    late=pause ended=whole total_ms=2900 pause_ms=724 allowed_pause_ms=600 held_ms=20";
+const HELD: &str = "name=request_served id=r1 route=talk status=200 cause=- target=e1 first_ms=90 aim_ms=600 \
+    late=pause ended=whole total_ms=2900 pause_ms=80 allowed_pause_ms=600 held_ms=1500";
 
 #[rstest]
-#[case::in_time(&["name=request_served id=r1 route=talk status=200 cause=- late=false"], "in_time")]
+#[case::in_time(&["name=request_served id=r1 route=talk status=200 cause=- late=no"], "in_time")]
+#[case::in_time_in_old_form(&["name=request_served id=r1 status=200 cause=- late=false"], "in_time")]
 #[case::no_place(&["name=request_asks id=r1 ago_ms=30 target=e1 spare=false",
     "name=request_waits id=r1 ago_ms=30 expected_ms=-1", REFUSED], "no_place")]
 #[case::no_engine(&[REFUSED], "no_engine")]
@@ -34,13 +45,22 @@
     "slow_at_engine")]
 #[case::sent_again(&["name=request_chosen id=r1 ago_ms=850 target=e1",
     "name=request_chosen id=r1 ago_ms=300 target=e2", LATE], "sent_again")]
-#[case::cut(&["name=request_served id=r1 status=200 cause=- late=false",
+#[case::slow_in_old_form(&["name=request_chosen id=r1 ago_ms=850 target=e1", LATE_IN_OLD_FORM], "slow_at_engine")]
+#[case::slow_stream(&["name=request_chosen id=r1 ago_ms=2850 target=e1", LATE_STREAM], "slow_at_engine")]
+#[case::stream_that_waited(&["name=request_chosen id=r1 ago_ms=2100 target=e1", LATE_STREAM], "waited_for_adapter")]
+#[case::resumed_after_the_first_event(&["name=request_chosen id=r1 ago_ms=2850 target=e1",
+    "name=request_chosen id=r1 ago_ms=700 target=e2", LATE_STREAM], "slow_at_engine")]
+#[case::paused(&["name=request_chosen id=r1 ago_ms=2850 target=e1", PAUSED], "paused_at_engine")]
+#[case::paused_while_resumed(&["name=request_resumed id=r1 target=e2", PAUSED], "paused_while_resumed")]
+#[case::held_here(&["name=request_chosen id=r1 ago_ms=2850 target=e1", HELD], "held_here")]
+#[case::cut_after_a_pause(&[PAUSED, "name=request_cut id=r1 cause=target_silent target=e1 after_ms=2900"], "cut")]
+#[case::cut(&["name=request_served id=r1 status=200 cause=- late=no",
     "name=request_cut id=r1 cause=target_broke_off target=e1 after_ms=400"], "cut")]
 #[case::gone(&["name=request_caller_gone id=r1 after_ms=5000"], "caller_gone")]
-#[case::there(&["name=request_served id=r1 status=500 cause=- target=e1 late=false"], "failed_there")]
-#[case::lost(&["name=request_served id=r1 status=502 cause=answer_lost target=e1 late=false"], "given_up")]
+#[case::there(&["name=request_served id=r1 status=500 cause=- target=e1 late=no"], "failed_there")]
+#[case::lost(&["name=request_served id=r1 status=502 cause=answer_lost target=e1 late=no"], "given_up")]
 #[case::turned_away(&["name=request_turned_away id=r1 ago_ms=3 target=e1 status=503",
-    "name=request_served id=r1 status=503 cause=turned_away late=false"], "turned_away")]
+    "name=request_served id=r1 status=503 cause=turned_away late=no"], "turned_away")]
 fn each_end_has_its_cause(
     #[case] texts: &[&str],
     #[case] cause: &str,
@@ -135,7 +155,7 @@
 fn requests_are_counted_by_route_and_span() {
     let mut all = lines(&["name=request_waits id=r1 ago_ms=1 expected_ms=700", REFUSED]);
     all.extend(lines(&[
-        "name=request_served id=r2 route=talk status=200 late=false",
+        "name=request_served id=r2 route=talk status=200 late=no",
     ]));
     let report = DayReport::of(&all, 2);
     let talk = &report.by_route["talk"];
@@ -178,3 +198,98 @@
     assert_eq!((loads.most_engines, loads.engines), (2, 2));
     assert_eq!(loads.by_reason["held_lately"], 1);
 }
+
+/// Guards against steps of streams that are shown too late: their line is written at the end, not at the first event.
+#[test]
+fn a_stream_begins_at_its_arrival() {
+    let own = lines(&["name=request_chosen id=r1 ago_ms=2850 target=e1", PAUSED]);
+    let story = RequestStory::of(&own, "r1").unwrap();
+    let times: Vec<f64> = story.steps.iter().map(|step| step.at_ms).collect();
+    assert_eq!(times, [50.0, 2_900.0]);
+    let told = story.cause.to_string();
+    assert!(told.contains("e1 paused for 724 ms"), "{told}");
+}
+
+/// Guards against pauses that are counted as in time.
+#[test]
+fn the_causes_of_late_streams_are_counted_apart() {
+    let all: Vec<LogLine> = [LATE_STREAM, PAUSED, HELD]
+        .iter()
+        .enumerate()
+        .flat_map(|(at, text)| lines(&[&text.replace("id=r1", &format!("id=r{at}"))]))
+        .collect();
+    let talk = &DayReport::of(&all, 2).by_route["talk"];
+    assert_eq!((talk.requests, talk.in_time), (3, 0));
+    assert_eq!(talk.by_cause["paused_at_engine"], 1);
+    assert_eq!(talk.by_cause["held_here"], 1);
+}
+
+fn stream(
+    id: usize,
+    target: &str,
+    pause_ms: u32,
+    tokens: u32,
+) -> String {
+    let late = if pause_ms > 600 { "pause" } else { "no" };
+    format!(
+        "name=request_served id=r{id} route=talk status=200 cause=- target={target} first_ms={} late={late} ended=whole \
+         total_ms=2900 pause_ms={pause_ms} allowed_pause_ms=600 held_ms=0 prompt_tokens={tokens} customer=c1",
+        100 + id
+    )
+}
+
+/// Guards against engines whose pauses hide among those of others, and against pauses of resumed streams and of other
+/// answers that count against an engine.
+#[test]
+fn engines_are_told_apart() {
+    let mut texts: Vec<String> = (0..10)
+        .map(|id| stream(id, "e1", 700 + id as u32, 300))
+        .collect();
+    texts.extend((10..20).map(|id| stream(id, "e2", 80, 100)));
+    texts.push(stream(20, "e2", 5_000, 0));
+    texts.push("name=request_resumed id=r20 target=e3".to_string());
+    texts.push(
+        "name=request_served id=r21 route=once status=200 cause=- target=p1 first_ms=9 late=no ended=whole pause_ms=-1"
+            .to_string(),
+    );
+    texts.push(
+        "name=request_served id=r22 status=503 cause=no_adapter target=- late=no".to_string(),
+    );
+    let texts: Vec<&str> = texts.iter().map(String::as_str).collect();
+    let report = EngineReport::of(&lines(&texts));
+    let (slow, quick) = (&report.by_engine["e1"], &report.by_engine["e2"]);
+    assert_eq!((slow.requests, slow.late_pauses), (10, 10));
+    assert_eq!((quick.requests, quick.late_pauses), (11, 0));
+    let spread = Spread {
+        median: 705.0,
+        p90: 709.0,
+    };
+    assert_eq!(slow.pause_ms, spread);
+    assert_eq!(quick.pause_ms.p90, 80.0);
+    assert_eq!(slow.first_ms.median, 105.0);
+    assert_eq!(slow.prompt_share, 0.75);
+    assert_eq!(report.by_engine["p1"].pause_ms, Spread::default());
+    assert_eq!(report.by_engine.len(), 3);
+    assert_eq!(report.slowest_first()[0].0, "e1");
+}
+
+/// Guards against a customer whose requests are rejected or late while the whole looks well.
+#[test]
+fn customers_are_told_apart() {
+    let texts = [
+        &stream(1, "e1", 80, 1),
+        &stream(2, "e1", 700, 1),
+        "name=request_served id=r3 status=503 cause=no_adapter target=- late=no ended=no_adapter customer=c1",
+        "name=request_served id=r4 status=503 cause=- target=e1 late=no ended=whole customer=c1",
+        "name=request_served id=r5 status=200 cause=- target=e1 late=no ended=caller_gone customer=c1",
+        "name=request_over_limit id=r6 cause=over_limit customer=c2",
+        "name=request_served id=r7 status=200 cause=- target=e1 late=no",
+    ];
+    let report = CustomerReport::of(&lines(&texts));
+    let row = &report.by_customer["c1"];
+    assert_eq!((row.requests, row.in_time), (5, 1));
+    assert_eq!(row.rejected["no_adapter"], 1);
+    assert_eq!(row.rejected.len(), 1);
+    assert_eq!(report.by_customer["c2"].rejected["over_limit"], 1);
+    assert_eq!(report.by_customer["-"].in_time, 1);
+}
