--- a/src/report/adapter_loads.rs
+++ b/src/report/adapter_loads.rs
@@ -1,5 +1,5 @@
 use {
-    super::{LogLine, least_loads},
+    super::{LogLine, ServedLine, least_loads},
     crate::timeline::Event,
     serde::Serialize,
     std::collections::{BTreeMap, BTreeSet},
@@ -69,9 +69,9 @@
 fn asked_in_order(lines: &[LogLine]) -> Vec<String> {
     let mut asked: Vec<(f64, &str)> = lines
         .iter()
-        .filter(|line| line.event == Event::RequestServed && line.text("status").starts_with('2'))
-        .filter(|line| line.text("adapter").len() > 1)
-        .map(|line| (line.ts_ms, line.text("adapter")))
+        .filter_map(|line| Some((line, ServedLine::of(line)?)))
+        .filter(|(line, served)| served.is_success() && line.text("adapter").len() > 1)
+        .map(|(line, served)| (served.answered_ms(), line.text("adapter")))
         .collect();
     asked.sort_by(|a, b| a.0.total_cmp(&b.0));
     asked
--- a/src/report/day_report.rs
+++ b/src/report/day_report.rs
@@ -1,6 +1,5 @@
 use {
-    super::{EndCause, LogLine},
-    crate::timeline::Event,
+    super::{EndCause, LogLine, ServedLine},
     serde::Serialize,
     std::collections::{BTreeMap, HashMap},
 };
@@ -48,13 +47,16 @@
         let mut report = Self::default();
         for mut own in by_id.into_values() {
             own.sort_by(|a, b| a.happened_ms().total_cmp(&b.happened_ms()));
-            let Some(served) = own.iter().find(|line| line.event == Event::RequestServed) else {
+            let Some((line, served)) = own
+                .iter()
+                .find_map(|line| Some((line, ServedLine::of(line)?)))
+            else {
                 continue;
             };
             let cause = EndCause::of(&own);
-            let second = ((served.ts_ms - first) / 1_000.0) as u64;
+            let second = ((served.answered_ms() - first) / 1_000.0) as u64;
             let span = second / span_s.max(1) * span_s.max(1);
-            let route = served.text("route").to_string();
+            let route = line.text("route").to_string();
             report.by_route.entry(route).or_default().add(&cause);
             report.by_time.entry(span).or_default().add(&cause);
         }
--- a/src/report/served_line.rs
+++ b/src/report/served_line.rs
@@ -72,6 +72,11 @@
             .unwrap_or_else(|| self.first_ms())
     }
 
+    /// When the answer or its first event was there, on the host's clock.
+    pub fn answered_ms(&self) -> f64 {
+        self.line.ts_ms - (self.total_ms() - self.first_ms())
+    }
+
     pub fn prompt_tokens(&self) -> u64 {
         self.line.number("prompt_tokens").unwrap_or(0.0) as u64
     }
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -293,3 +293,18 @@
     assert_eq!(report.by_customer["c2"].rejected["over_limit"], 1);
     assert_eq!(report.by_customer["-"].in_time, 1);
 }
+
+/// Guards against streams that are counted, and whose adapters are taken as asked for, when they end: a long stream would
+/// come after shorter ones that were asked for later.
+#[test]
+fn streams_count_from_their_first_event() {
+    let long = LATE_STREAM.replace("total_ms=2900", "total_ms=30900");
+    let mut all = read_lines(format!("ts=1030000 host=h1 {long}").as_bytes()).unwrap();
+    let short = "name=request_served id=r2 route=talk status=200 adapter=m/a2 first_ms=90 total_ms=190 late=no ended=whole";
+    all.extend(read_lines(format!("ts=1010000 host=h1 {short}").as_bytes()).unwrap());
+    let begin = "ts=1000000 host=h1 name=host_started";
+    all.extend(read_lines(begin.as_bytes()).unwrap());
+    let report = DayReport::of(&all, 2);
+    let spans: Vec<u64> = report.by_time.keys().copied().collect();
+    assert_eq!(spans, [0, 8]);
+}
