Prompt parts that engines keep count in the choice of an engine

Hosts report the prompts that they send, holders estimate what their engines keep, and hosts subtract that from what a request must read. On large sites samples contain the engines that rank first for a prompt's leading parts.

--- a/src/connection/datagram/engine_messages.rs
+++ b/src/connection/datagram/engine_messages.rs
@@ -29,6 +29,9 @@
 pub struct SentPrompt {
     #[prost(message, repeated, tag = "1")]
     pub segments: Vec<PromptSegment>,
+    /// Hash of the model and adapter, where the chain starts.
+    #[prost(fixed64, tag = "2")]
+    pub root: u64,
 }
 
 /// Pace of an engine as observed by one host since its last report, or as merged by the engine's holder.
--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -207,6 +207,9 @@
     /// Leading tokens of the queried prompt that the engine need not read again.
     #[prost(uint32, tag = "3")]
     pub cached_tokens: u32,
+    /// Chain of the queried prompt; 0 if the query named none.
+    #[prost(fixed64, tag = "4")]
+    pub chain: u64,
 }
 
 /// Asks a host for a part of its allowance of repeats.
--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -5,7 +5,7 @@
     },
     crate::{
         clock::Instant,
-        request::direct::{AttemptEnd, RequestHistory},
+        request::direct::{AttemptEnd, PromptChain, RequestHistory},
     },
     std::sync::Arc,
 };
@@ -32,6 +32,10 @@
 pub struct QueryRound {
     pub targets: Vec<Arc<str>>,
     pub since: Instant,
+    /// Prompt that the holders were asked about.
+    pub prompt: Option<PromptChain>,
+    /// Engines that rank first for the prompt's leading parts, the first one first.
+    pub first_by_prompt: Vec<Arc<str>>,
 }
 
 impl Attempts {
@@ -64,6 +68,21 @@
         true
     }
 
+    /// Returns the prompt that holders were asked about last.
+    pub fn queried_prompt(&self) -> Option<&PromptChain> {
+        self.query.as_ref()?.prompt.as_ref()
+    }
+
+    /// Returns the rank of an engine for the prompt's leading parts, 0 for the first one; `None` for engines that do
+    /// not rank among the first.
+    pub fn prompt_rank(
+        &self,
+        target: &str,
+    ) -> Option<usize> {
+        let first = &self.query.as_ref()?.first_by_prompt;
+        first.iter().position(|engine| **engine == *target)
+    }
+
     /// Returns true if this target is not to be tried again.
     pub fn has_tried(
         &self,
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -296,6 +296,7 @@
         ready: counts.1,
         running: link.running(),
         unread_tokens: link.backlog_tokens(),
+        cached_tokens: table.cached_tokens(target, attempts.queried_prompt(), now),
         load_age: link
             .others_reported_at
             .map(|reported| now.saturating_duration_since(reported)),
--- a/src/connection/front/engine_estimator.rs
+++ b/src/connection/front/engine_estimator.rs
@@ -16,6 +16,13 @@
 /// Priority of the requests that engines admit before all others.
 const HIGHEST_PRIORITY: u8 = 0;
 
+/// Share of the time to read a prompt's leading parts for which a request prefers the engine that ranks first for them.
+/// The parts are read there once for all hosts; a request that waits longer loses more than later ones gain.
+const PROMPT_AFFINITY_SHARE: f64 = 0.25;
+
+/// Maximum of that time: a small part of any latency objective.
+const MAX_PROMPT_AFFINITY: Duration = Duration::from_millis(50);
+
 /// Estimates wait and load of the candidates for one request.
 pub(super) struct EngineEstimator<'a> {
     speed: PrefillThroughput,
@@ -61,6 +68,8 @@
         let link = &table.links[target];
         let generation = request.generation.as_ref();
         let prompt = generation.map_or(0, |generation| u64::from(generation.tokens_in));
+        let cached = table.cached_tokens(target, attempts.queried_prompt(), self.now);
+        let unread = prompt.saturating_sub(cached);
         let answer = generation.map_or(0, |generation| u64::from(generation.tokens_out));
         let engine = request.service.engine.as_ref();
         let memory = engine.map_or(u64::MAX, |engine| engine.memory_tokens.max(1));
@@ -69,7 +78,7 @@
             copy_state,
             time_to_first_event: self
                 .speed
-                .prefill_time(self.backlog_before(link, request) + prompt),
+                .prefill_time(self.backlog_before(link, request) + unread),
             load_time: link.load_time(self.now).unwrap_or(DEFAULT_LOAD_TIME),
             memory_share: tokens as f64 / memory as f64,
             batch_share: f64::from(link.running() + 1) / f64::from(link.view.record.slots.max(1)),
@@ -80,9 +89,26 @@
             has_holder: link.view.holder.is_some(),
             tried: attempts.has_tried(target),
             availability: table.availability(target, self.now),
+            prompt_affinity: self.prompt_affinity(target, attempts),
         }
     }
 
+    /// Returns the extra time that a request accepts at an engine that ranks among the first for its prompt.
+    fn prompt_affinity(
+        &self,
+        target: &str,
+        attempts: &Attempts,
+    ) -> Duration {
+        let rank = attempts.prompt_rank(target);
+        let Some((prompt, rank)) = attempts.queried_prompt().zip(rank) else {
+            return Duration::ZERO;
+        };
+        let to_read = self.speed.prefill_time(prompt.leading_tokens());
+        let read_time = to_read.saturating_sub(self.speed.prefill_time(0));
+        let affinity = read_time.mul_f64(PROMPT_AFFINITY_SHARE);
+        affinity.min(MAX_PROMPT_AFFINITY) / (rank as u32 + 1)
+    }
+
     /// Returns true if the report of other hosts' load at an engine is stale.
     fn is_load_unknown(
         &self,
--- a/src/connection/front/engine_sample.rs
+++ b/src/connection/front/engine_sample.rs
@@ -4,9 +4,12 @@
     super::attempts::{Attempts, QueryRound},
     crate::{
         clock::Instant,
-        connection::{datagram::EngineQuery, targets::TargetTable},
+        connection::{
+            datagram::{EngineQuery, PromptSegment},
+            targets::TargetTable,
+        },
         request::{
-            direct::{AdapterCopyState, CallRequest},
+            direct::{AdapterCopyState, CallRequest, PromptChain, first_by_prompt},
             notices::Availability,
         },
     },
@@ -22,6 +25,10 @@
 /// Maximum number of engines in a sample that are ready for the request.
 const MAX_READY: usize = 6;
 
+/// Number of them that rank first for the prompt's leading parts. Two, so that a busy engine has an alternative that
+/// has read the same parts.
+const MAX_BY_PROMPT: usize = 2;
+
 /// Maximum number of engines in a sample that neither hold nor load the adapter.
 const MAX_OTHERS: usize = 4;
 
@@ -40,10 +47,9 @@
     }
     let is_closed = |engine: &Arc<str>| table.availability(engine, now) == Availability::Closed;
     let engines = without_closed(engines, is_closed);
-    engines
-        .sample(&mut rand::rng(), MAX_READY)
-        .cloned()
-        .collect()
+    let prompt = table.prompt_chain(request.generation.as_ref());
+    let chosen = draw_ready(engines.len(), |at| &engines[at], prompt.as_ref());
+    chosen.into_iter().map(|at| engines[at].clone()).collect()
 }
 
 /// Returns the engines that a request for an adapter may go to, in the adapter's order of preference.
@@ -74,12 +80,30 @@
     unloaded.truncate(MAX_OTHERS);
     let is_closed = |engine: &Arc<str>| table.availability(engine, now) == Availability::Closed;
     let ready = without_closed(ready, |at| is_closed(&order[*at]));
-    let ready = ready.sample(&mut rand::rng(), MAX_READY).copied();
-    let mut chosen: Vec<usize> = ready.chain(pending).chain(unloaded).collect();
+    let prompt = table.prompt_chain(request.generation.as_ref());
+    let drawn = draw_ready(ready.len(), |at| &order[ready[at]], prompt.as_ref());
+    let drawn = drawn.into_iter().map(|at| ready[at]);
+    let mut chosen: Vec<usize> = drawn.chain(pending).chain(unloaded).collect();
     chosen.sort_unstable();
     chosen.into_iter().map(|at| order[at].clone()).collect()
 }
 
+/// Draws up to `MAX_READY` of this many ready engines: those that rank first for the prompt, and others by chance.
+fn draw_ready<'a>(
+    count: usize,
+    engine: impl Fn(usize) -> &'a Arc<str>,
+    prompt: Option<&PromptChain>,
+) -> Vec<usize> {
+    let ids = (0..count).map(|at| &**engine(at));
+    let mut drawn = prompt.map_or(Vec::new(), |prompt| {
+        first_by_prompt(prompt.leading_id(), ids, MAX_BY_PROMPT)
+    });
+    let others: Vec<usize> = (0..count).filter(|at| !drawn.contains(at)).collect();
+    let others = others.sample(&mut rand::rng(), MAX_READY - drawn.len());
+    drawn.extend(others);
+    drawn
+}
+
 /// Returns the engines to choose from.
 ///
 /// On a large site their holders are queried first, since earlier reports are too stale; `Err` holds the time until
@@ -107,12 +131,15 @@
         };
     }
     let targets = draw(table);
-    if !query_all(table, request, &targets) {
+    let prompt = table.prompt_chain(request.generation.as_ref());
+    if !query_all(table, request, &targets, prompt.as_ref()) {
         return Ok(targets);
     }
     attempts.query = Some(QueryRound {
+        first_by_prompt: ranked_first(table, request, &targets, prompt.as_ref()),
         targets,
         since: now,
+        prompt,
     });
     Err(now + QUERY_TIMEOUT)
 }
@@ -122,16 +149,11 @@
     table: &TargetTable,
     request: &CallRequest,
     targets: &[Arc<str>],
+    prompt: Option<&PromptChain>,
 ) -> bool {
     let generation = request.generation.as_ref();
     let adapter = generation.and_then(|generation| generation.adapter());
-    let is_ready = |target: &Arc<str>| match adapter {
-        Some(adapter) => {
-            let copy = table.adapters.get(adapter, target);
-            copy.is_some_and(|copy| copy.held().is_some())
-        }
-        None => true,
-    };
+    let is_ready = |target: &Arc<str>| is_ready(table, request, target);
     let ready = targets.iter().filter(|target| is_ready(target)).count();
     let tokens = generation.map_or((0, 0), |generation| {
         (generation.tokens_in, generation.tokens_out)
@@ -148,12 +170,54 @@
             chance,
             tokens: tokens.0.saturating_add(tokens.1),
             prompt_tokens: tokens.0,
-            segments: Vec::new(),
+            segments: queried_segments(prompt, is_ready(target)),
         }));
     }
     queried > 0
 }
 
+/// Returns true if an engine is known to hold what the request needs.
+fn is_ready(
+    table: &TargetTable,
+    request: &CallRequest,
+    target: &str,
+) -> bool {
+    let generation = request.generation.as_ref();
+    let Some(adapter) = generation.and_then(|generation| generation.adapter()) else {
+        return true;
+    };
+    let copy = table.adapters.get(adapter, target);
+    copy.is_some_and(|copy| copy.held().is_some())
+}
+
+/// Returns the engines of a sample that rank first for the prompt's leading parts. They are the first of all ready
+/// engines, which are all in the sample.
+fn ranked_first(
+    table: &TargetTable,
+    request: &CallRequest,
+    targets: &[Arc<str>],
+    prompt: Option<&PromptChain>,
+) -> Vec<Arc<str>> {
+    let Some(prompt) = prompt else {
+        return Vec::new();
+    };
+    let ready = targets.iter().filter(|at| is_ready(table, request, at));
+    let ready: Vec<&Arc<str>> = ready.collect();
+    let ids = ready.iter().map(|target| &***target);
+    let first = first_by_prompt(prompt.leading_id(), ids, MAX_BY_PROMPT);
+    first.into_iter().map(|at| ready[at].clone()).collect()
+}
+
+/// Returns the segments that an engine's holder is asked about. An engine without the adapter keeps nothing of its
+/// prompts.
+fn queried_segments(
+    prompt: Option<&PromptChain>,
+    is_ready: bool,
+) -> Vec<PromptSegment> {
+    let prompt = prompt.filter(|_| is_ready);
+    prompt.map_or(Vec::new(), |prompt| prompt.segments().to_vec())
+}
+
 /// Removes closed engines unless all are closed: a sample of closed engines would get a request rejected that others
 /// could take.
 fn without_closed<T>(
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -84,11 +84,13 @@
     ) -> Self {
         let generation = request.generation.as_ref();
         let adapter = generation.and_then(|generation| generation.adapter());
+        let incarnation = table.borrow().incarnation(target);
         let tokens = generation.map_or(RequestTokens::default(), |generation| RequestTokens {
             all: u64::from(generation.tokens_in) + u64::from(generation.tokens_out),
-            prompt: u64::from(generation.tokens_in),
+            prompt: table
+                .borrow_mut()
+                .send_prompt(target, generation, Instant::now()),
         });
-        let incarnation = table.borrow().incarnation(target);
         table.borrow_mut().start_request(target, adapter, tokens);
         Self {
             table: table.clone(),
--- a/src/connection/front/request_trace.rs
+++ b/src/connection/front/request_trace.rs
@@ -18,6 +18,8 @@
         /// Requests and unread prompt tokens of all hosts at the target.
         running: u32,
         unread_tokens: u64,
+        /// Prompt tokens that the target is expected to keep from earlier prompts.
+        cached_tokens: u64,
         /// Age of the report on other hosts' requests.
         load_age: Option<Duration>,
         /// Version of the adapter, and age of the table of versions.
@@ -149,6 +151,7 @@
             ready,
             running,
             unread_tokens,
+            cached_tokens,
             load_age,
             version,
             declared_age,
@@ -164,6 +167,7 @@
                 ready = ready,
                 running = running,
                 unread_tokens = unread_tokens,
+                cached_tokens = cached_tokens,
                 load_age_ms = load_age_ms,
                 version = version.map_or(0, |sent| sent.version),
                 newest = version.map_or(0, |sent| sent.newest),
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapter_demand;
 mod adapter_map;
+mod cached_prompts;
 mod control_request;
 mod crash_tracker;
 mod fleet_view;
@@ -12,10 +13,12 @@
 mod quota_table;
 mod repeat_budgets;
 mod replica_freshness;
+mod sent_prompts;
 mod staleness_monitor;
 mod table_adapters;
 mod table_counting;
 mod table_notices;
+mod table_prompts;
 mod table_staleness;
 mod target_health;
 mod target_link;
@@ -26,6 +29,7 @@
 pub use {
     adapter_demand::AdapterDemand,
     adapter_map::{AdapterCopy, AdapterMap},
+    cached_prompts::CachedPrompts,
     control_request::{AdapterRequest, ControlRequest},
     crash_tracker::{CrashTracker, SuspectRequest, TargetIncarnation},
     fleet_view::{FleetView, TargetView},
@@ -36,6 +40,7 @@
     quota_table::{QuotaTable, count_charge_request},
     repeat_budgets::RepeatBudgets,
     replica_freshness::{ReplicaFreshness, SEND_MARGIN, TableFreshness},
+    sent_prompts::{MAX_REPORTED_PROMPTS, SentPrompts},
     staleness_monitor::{MaxStaleness, StalenessBounds, StalenessMonitor},
     target_health::TargetHealth,
     target_link::{IdleConnection, RequestTokens, TargetLink},
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -1,5 +1,5 @@
 use {
-    super::{TargetHealth, TargetView},
+    super::{CachedPrompts, SentPrompts, TargetHealth, TargetView},
     crate::{clock::Instant, connection::http1::HttpConnection},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
@@ -40,6 +40,7 @@
 pub struct RequestTokens {
     /// Prompt tokens and maximum answer tokens.
     pub all: u64,
+    /// Prompt tokens that the target has to read: those that it keeps from earlier prompts do not count.
     pub prompt: u64,
 }
 
@@ -78,6 +79,10 @@
     pub adapter_usage: HashMap<String, AdapterUseCount>,
     /// Reports of the last change that are still to be sent.
     pub due_reports: u8,
+    /// Prompts sent there that the holder has not been told of.
+    pub sent_prompts: SentPrompts,
+    /// What the engine keeps of prompts, by its holder's answers.
+    pub cached_prompts: CachedPrompts,
     /// When usage was last reported to a holder.
     reported_at: Option<Instant>,
     idle: Vec<IdleConnection>,
@@ -100,6 +105,8 @@
             busy_since: None,
             adapter_usage: HashMap::new(),
             due_reports: 0,
+            sent_prompts: SentPrompts::default(),
+            cached_prompts: CachedPrompts::default(),
             reported_at: None,
             idle: Vec::new(),
         }
@@ -212,8 +219,8 @@
         self.view = view;
     }
 
-    /// Takes a due report: returns true if usage must be reported to the holder now, which is after a change and
-    /// periodically while requests run, as a restarted holder has lost earlier reports.
+    /// Takes a due report: returns true if usage must be reported to the holder now, which is after a change, while
+    /// prompts are left to report, and periodically while requests run, as a restarted holder has lost earlier reports.
     pub fn take_due_report(
         &mut self,
         now: Instant,
@@ -222,7 +229,8 @@
         let is_overdue = self
             .reported_at
             .is_none_or(|reported_at| elapsed(reported_at) >= REPORT_INTERVAL);
-        if self.due_reports == 0 && !(is_overdue && self.in_flight > 0) {
+        let is_due = self.due_reports > 0 || !self.sent_prompts.is_empty();
+        if !is_due && !(is_overdue && self.in_flight > 0) {
             return false;
         }
         self.due_reports = self.due_reports.saturating_sub(1);
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -170,6 +170,7 @@
         now: Instant,
     ) {
         self.on_engine_load(&status.load, now);
+        self.on_cached_tokens(status, now);
         if let Some(placement) = &status.placement {
             self.on_placement(placement, now);
         }
@@ -391,7 +392,7 @@
         in_flight: link.in_flight,
         tokens: u32::try_from(link.tokens).unwrap_or(u32::MAX),
         unread_tokens: u32::try_from(link.unread_tokens).unwrap_or(u32::MAX),
-        prompts: Vec::new(),
+        prompts: link.sent_prompts.take_report(),
         pace: None,
     };
     let _ = control.send(ControlRequest::ReportUsage { holder, usage });
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -50,6 +50,8 @@
     pub orders: Family<OrderLabels, Counter>,
     pub load_time: Histogram,
     pub wants_turned_away: Family<WaitLabels, Counter>,
+    pub prompt_tokens: Counter,
+    pub prompt_tokens_cached: Counter,
     pub hosts: Family<StateLabels, Gauge>,
     pub targets: Family<StateLabels, Gauge>,
     pub poison: Family<StateLabels, Gauge>,
@@ -101,6 +103,8 @@
             orders: Family::default(),
             load_time: times(),
             wants_turned_away: Family::default(),
+            prompt_tokens: Counter::default(),
+            prompt_tokens_cached: Counter::default(),
             hosts: Family::default(),
             targets: Family::default(),
             poison: Family::default(),
@@ -275,6 +279,16 @@
             "Sends of requests beyond the first",
             self.resends.clone(),
         );
+        registry.register(
+            "prompt_tokens",
+            "Prompt tokens sent to engines",
+            self.prompt_tokens.clone(),
+        );
+        registry.register(
+            "prompt_tokens_cached",
+            "Those of them that the engine was expected to keep from earlier prompts",
+            self.prompt_tokens_cached.clone(),
+        );
         registry.register(
             "repeats",
             "Arrivals of requests beyond the first, paid or refused for want of allowance",
--- a/src/process/engines/engine_allocator.rs
+++ b/src/process/engines/engine_allocator.rs
@@ -1,15 +1,17 @@
 use {
     super::{
         AllocatorAction, EngineCacheEstimate, EngineLoads, EngineUsage, EngineUtilization,
-        LoadRejection, PendingLoadRank, PlannedOrder, Residency, ResidentAdapter,
+        LoadRejection, PendingLoadRank, PlannedOrder, PromptCache, Residency, ResidentAdapter,
         SharedBaseLoadLimiter, SharedEnginePool, SharedLoadLimiter, UnansweredOrders,
         pending_load::PendingLoad,
     },
     crate::{
         clock::Instant,
-        connection::datagram::{EngineQuery, Placement, PlacementState, Usage, Want},
+        connection::datagram::{
+            EngineQuery, Placement, PlacementState, PromptSegment, Usage, Want,
+        },
         formats::{OrderKind, TargetStart},
-        request::direct::Policy,
+        request::direct::{Policy, PromptChain},
         version::routing::EngineSpec,
     },
     std::{
@@ -80,6 +82,8 @@
     pub(super) adapter_capacity: usize,
     pub(super) pending_loads: HashMap<String, PendingLoad>,
     pub(super) cache: EngineCacheEstimate,
+    /// Prompt parts that the engine keeps.
+    pub(super) prompts: PromptCache,
     pub(super) shared: SharedAllocatorState,
     /// Base models that the engine has in its memory or on its disk.
     pub(super) local_models: Vec<String>,
@@ -122,6 +126,7 @@
             adapter_capacity: 0,
             pending_loads: HashMap::new(),
             cache,
+            prompts: PromptCache::default(),
             shared,
             local_models: Vec::new(),
             newest_versions: HashMap::new(),
@@ -222,7 +227,16 @@
         query: &EngineQuery,
         now: Instant,
     ) -> Option<Placement> {
-        self.usage.on_query(host, query, now);
+        match self.cached_tokens(&query.segments) {
+            0 => self.usage.on_query(host, query, now),
+            cached => {
+                let reduced = EngineQuery {
+                    prompt_tokens: query.prompt_tokens.saturating_sub(cached),
+                    ..query.clone()
+                };
+                self.usage.on_query(host, &reduced, now);
+            }
+        }
         let adapter = query.adapter.as_str();
         if adapter.is_empty() {
             return None;
@@ -246,6 +260,33 @@
         Some(placement)
     }
 
+    /// Returns the leading tokens of a prompt that the engine need not read again.
+    pub fn cached_tokens(
+        &self,
+        segments: &[PromptSegment],
+    ) -> u32 {
+        self.prompts.cached_tokens(segments)
+    }
+
+    /// Drops the prompt parts of an adapter.
+    pub(super) fn drop_prompts_of(
+        &mut self,
+        adapter: &str,
+    ) {
+        let dropped = PromptChain::root_of(adapter);
+        self.prompts.retain_roots(|root| root != dropped);
+    }
+
+    /// Drops the prompt parts of models and adapters that the engine no longer holds.
+    pub(super) fn drop_prompts_of_absent_adapters(&mut self) {
+        if self.prompts.is_empty() {
+            return;
+        }
+        let held = self.adapters.keys().chain(&self.model);
+        let held: Vec<u64> = held.map(|name| PromptChain::root_of(name)).collect();
+        self.prompts.retain_roots(|root| held.contains(&root));
+    }
+
     /// Schedules a report if an adapter that should be loaded is missing at the engine.
     pub fn on_missing_adapter(
         &mut self,
@@ -268,6 +309,12 @@
         now: Instant,
     ) {
         self.usage.on_usage(host, usage);
+        for prompt in &usage.prompts {
+            self.prompts.record(prompt);
+        }
+        let running = u64::from(self.usage.running_tokens());
+        let capacity = self.spec.memory_tokens.saturating_sub(running);
+        self.prompts.shrink_to(capacity);
         for (adapter, resident) in &mut self.adapters {
             match usage.adapters.iter().find(|used| used.adapter == *adapter) {
                 Some(used) => resident.on_usage(host, used.in_flight, used.started, now),
--- a/src/process/engines/engine_restart.rs
+++ b/src/process/engines/engine_restart.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         AllocatorAction, EngineAllocator, EngineCacheEstimate, EngineUsage, PlannedOrder,
-        UnansweredOrders, engine_allocator::CACHED_ADAPTERS_PER_SLOT,
+        PromptCache, UnansweredOrders, engine_allocator::CACHED_ADAPTERS_PER_SLOT,
     },
     crate::{
         clock::Instant,
@@ -80,6 +80,7 @@
         self.adapters.clear();
         self.usage = EngineUsage::default();
         self.cache = EngineCacheEstimate::new(self.spec.adapter_slots * CACHED_ADAPTERS_PER_SLOT);
+        self.prompts = PromptCache::default();
         self.local_models.clear();
         self.model = None;
         self.base_load_not_before = now;
--- a/src/process/engines/engine_usage.rs
+++ b/src/process/engines/engine_usage.rs
@@ -108,6 +108,12 @@
         self.by_host.values().map(|sum| sum.in_flight).sum()
     }
 
+    /// Returns the tokens of the requests in flight of all hosts.
+    pub fn running_tokens(&self) -> u32 {
+        let tokens = self.by_host.values().map(|sum| sum.tokens);
+        tokens.fold(0, u32::saturating_add)
+    }
+
     /// Returns the hosts that have reported usage.
     pub fn hosts(&self) -> impl Iterator<Item = SocketAddr> {
         self.by_host.keys().copied()
--- a/src/process/engines/mod.rs
+++ b/src/process/engines/mod.rs
@@ -12,6 +12,7 @@
 mod order_selection;
 mod pending_load;
 mod planned_order;
+mod prompt_cache;
 mod published_loads;
 mod resident_adapter;
 mod unanswered_orders;
@@ -26,6 +27,7 @@
     load_rejection::LoadRejection,
     pending_load::PendingLoadRank,
     planned_order::{AllocatorAction, OrderPurpose, PlannedOrder},
+    prompt_cache::PromptCache,
     published_loads::PublishedLoads,
     resident_adapter::{Residency, ResidentAdapter},
     unanswered_orders::UnansweredOrders,
--- a/src/process/engines/order_outcomes.rs
+++ b/src/process/engines/order_outcomes.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        AllocatorAction, EngineAllocator, OrderPurpose, PlannedOrder, Residency, ResidentAdapter,
+        AllocatorAction, EngineAllocator, OrderPurpose, PlannedOrder, PromptCache, Residency,
+        ResidentAdapter,
         engine_allocator::{MAX_REPORT_AGE, adapter_key},
         load_limiter::IDLE_STORE_LOAD_TIME,
     },
@@ -73,6 +74,7 @@
         self.model = report.models.first().map(|model| model.name.clone());
         let completed = self.apply_report(&report, now);
         self.update_adapter_capacity();
+        self.drop_prompts_of_absent_adapters();
         if !report.busy && !report.coming.is_empty() {
             self.report_due_at = Some(now + LOAD_TIMEOUT);
         }
@@ -245,9 +247,15 @@
         match (&order.adapter, order.kind) {
             (None, OrderKind::Load) => {
                 self.busy = reply == OrderReply::Accepted;
+                if self.busy {
+                    self.prompts = PromptCache::default();
+                }
                 self.report_due_at = Some(now + self.base_load_time(&order.model) + MAX_REPORT_AGE);
             }
-            (None, OrderKind::Unload) => self.discard_sequence(now),
+            (None, OrderKind::Unload) => {
+                self.prompts = PromptCache::default();
+                self.discard_sequence(now);
+            }
             (Some(adapter), OrderKind::Load) => {
                 let key = adapter_key(&order.model, adapter);
                 actions.extend(self.on_load_accepted(&key, order.version.unwrap_or(1), reply, now));
@@ -256,6 +264,7 @@
                 let key = adapter_key(&order.model, adapter);
                 if reply == OrderReply::Done {
                     self.adapters.remove(&key);
+                    self.drop_prompts_of(&key);
                 } else {
                     // The unload waits for requests that this host does not know of.
                     self.busy = true;
@@ -279,6 +288,10 @@
             false => IDLE_STORE_LOAD_TIME,
         };
         self.cache.record(adapter, version);
+        if reply == OrderReply::Accepted {
+            // What was read with another version of its weights is of no use.
+            self.drop_prompts_of(adapter);
+        }
         let Some(resident) = self.adapters.get_mut(adapter) else {
             return Vec::new();
         };
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -151,10 +151,12 @@
         self.assignment.held_engine(&query.target, now)?;
         let allocator = self.allocators.get_mut(&query.target)?;
         let placement = allocator.on_query(from, query, now);
+        let last_segment = query.segments.last();
         let answer = EngineStanding {
             load: load_excluding(&query.target, allocator, from),
             placement,
-            cached_tokens: 0,
+            cached_tokens: allocator.cached_tokens(&query.segments),
+            chain: last_segment.map_or(0, |segment| segment.chain),
         };
         Some(self.send(from, Message::EngineStanding(answer)))
     }
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -49,6 +49,8 @@
     pub tried: bool,
     /// Availability announced by the engine itself.
     pub availability: Availability,
+    /// Extra time accepted there because other hosts send the same prompt parts to it.
+    pub prompt_affinity: Duration,
 }
 
 /// What to do with a request for an engine. Indices refer to the candidates.
@@ -313,12 +315,17 @@
             candidate.load_time.as_secs_f64() + context.copy_price.as_secs_f64() * (1.0 + surcharge)
         }
     };
+    let affinity = match candidate.copy_state {
+        AdapterCopyState::Ready => candidate.prompt_affinity.as_secs_f64(),
+        _ => 0.0,
+    };
     wait.max(load_time)
         + 0.2 * wait.min(load_time)
         + hall_penalty
         + full_penalty
         + load_penalty
         + unknown_penalty
+        - affinity
 }
 
 /// Returns the surcharge for a load on the engine at this rank of the adapter's order of preference, as a
--- a/src/request/direct/mod.rs
+++ b/src/request/direct/mod.rs
@@ -7,6 +7,8 @@
 mod next_step;
 mod plain_choice;
 mod policy;
+mod prompt_chain;
+mod prompt_rank;
 mod wait_decision;
 
 pub use {
@@ -20,5 +22,7 @@
     next_step::{NextStep, RequestHistory, next_step},
     plain_choice::{PlainCandidate, choose_plain},
     policy::Policy,
+    prompt_chain::PromptChain,
+    prompt_rank::first_by_prompt,
     wait_decision::{RequestTiming, WaitDecision, wait_or_reject},
 };
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -209,6 +209,7 @@
         has_holder: true,
         tried: false,
         availability: Availability::Open,
+        prompt_affinity: Duration::ZERO,
     }
 }
 
