--- a/src/connection/front/engine_estimator.rs
+++ b/src/connection/front/engine_estimator.rs
@@ -5,6 +5,7 @@
         connection::targets::{PrefillThroughput, TargetLink, TargetTable},
         request::direct::{
             AdapterCopyState, CallRequest, DEFAULT_LOAD_TIME, EngineCandidate, Policy,
+            prompt_affinity,
         },
     },
     std::{sync::Arc, time::Duration},
@@ -16,13 +17,6 @@
 /// Priority of the requests that engines admit before all others.
 const HIGHEST_PRIORITY: u8 = 0;
 
-/// Share of the time to read a prompt's leading parts for which a request prefers the engine that ranks first for them.
-/// The parts are read there once for all hosts; a request that waits longer loses more than later ones gain.
-const PROMPT_AFFINITY_SHARE: f64 = 0.25;
-
-/// Maximum of that time: a small part of any latency objective.
-const MAX_PROMPT_AFFINITY: Duration = Duration::from_millis(50);
-
 /// Estimates wait and load of the candidates for one request.
 pub(super) struct EngineEstimator<'a> {
     speed: PrefillThroughput,
@@ -105,8 +99,7 @@
         };
         let to_read = self.speed.prefill_time(prompt.leading_tokens());
         let read_time = to_read.saturating_sub(self.speed.prefill_time(0));
-        let affinity = read_time.mul_f64(PROMPT_AFFINITY_SHARE);
-        affinity.min(MAX_PROMPT_AFFINITY) / (rank as u32 + 1)
+        prompt_affinity(read_time, rank)
     }
 
     /// Returns true if the report of other hosts' load at an engine is stale.
--- a/src/request/direct/mod.rs
+++ b/src/request/direct/mod.rs
@@ -23,6 +23,6 @@
     plain_choice::{PlainCandidate, choose_plain},
     policy::Policy,
     prompt_chain::PromptChain,
-    prompt_rank::first_by_prompt,
+    prompt_rank::{first_by_prompt, prompt_affinity},
     wait_decision::{RequestTiming, WaitDecision, wait_or_reject},
 };
