--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -22,8 +22,11 @@
 
 pub use {
     answer_body::{AnswerBody, BrokenAnswer},
+    attempts::Attempts,
+    chooser::{Choice, Chooser},
     dispatcher::Dispatcher,
     event_splitter::{BrokenStream, EventSplitter},
+    exchange::Destination,
     front_listener::{FrontListener, StopStage},
     local_answer::{ErrorCause, LocalAnswer},
     request_reader::{RequestReadError, RequestReader},
