--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -8,16 +8,18 @@
 use {
     coveproxy::{
         clock::Instant,
-        connection::targets::{
-            FleetView, StalenessBounds, TargetTable, TargetTableSettings, TargetView,
+        connection::{
+            datagram::SentPrompt,
+            targets::{FleetView, StalenessBounds, TargetTable, TargetTableSettings, TargetView},
         },
         formats::{TargetRecord, TargetState},
         process::{
+            engines::PromptCache,
             holding::{EngineAssignment, HostRow, LeaseTimings},
             ownership::assign,
         },
         request::{
-            direct::Policy,
+            direct::{Generation, Policy, PromptChain, PromptPart, first_by_prompt},
             engine_candidates,
             quotas::{Charge, QuotaLedger, QuotaPolicy},
         },
@@ -48,6 +50,12 @@
     for (targets, hosts) in [(12, 6), (820, 380), (3_000, 302)] {
         control_row(targets, hosts);
     }
+    println!(
+        "\none rank of engines for a prompt, one prompt recorded in an engine's cache, one look-up"
+    );
+    for engines in [60, 820, 3_000] {
+        prompts_row(engines);
+    }
     println!(
         "\ncustomers with ten keys each: taken in, memory, one look-up, one charge of a limit"
     );
@@ -107,6 +115,53 @@
     );
 }
 
+/// Time of a rank of engines, and of an update and a look-up of a cache that is full.
+fn prompts_row(engines: usize) {
+    let ids: Vec<String> = (0..engines).map(|at| format!("i-{at:010x}")).collect();
+    let prompts: Vec<PromptChain> = (0..1_000).map(prompt).collect();
+    let rank = timed(20, || {
+        for prompt in &prompts {
+            let ids = ids.iter().map(String::as_str);
+            black_box(first_by_prompt(prompt.leading_id(), ids, 2));
+        }
+    });
+    let sent: Vec<SentPrompt> = prompts.iter().map(PromptChain::sent).collect();
+    let mut cache = PromptCache::default();
+    let update = timed(20, || {
+        for prompt in &sent {
+            cache.record(prompt);
+            cache.shrink_to(300_000);
+        }
+    });
+    let lookup = timed(20, || {
+        for prompt in &prompts {
+            black_box(cache.cached_tokens(prompt.segments()));
+        }
+    });
+    let us = 1e6 / prompts.len() as f64;
+    println!(
+        "{engines:>6} engines: rank {:.2} us, update {:.3} us, look-up {:.3} us",
+        rank * us,
+        update * us,
+        lookup * us
+    );
+}
+
+/// A prompt of two shared parts and one of its own.
+fn prompt(at: u64) -> PromptChain {
+    let part = |id, tokens| PromptPart { id, tokens };
+    let generation = Generation {
+        model: format!("m0/a{}", at % 8),
+        parts: vec![
+            part(at % 10, 300),
+            part(at % 50, 1_000),
+            part(1_000 + at, 100),
+        ],
+        ..Generation::default()
+    };
+    PromptChain::of(&generation).expect("it has parts")
+}
+
 fn limited_customer(at: usize) -> Customer {
     Customer {
         name: format!("customer-{at:05}"),
