--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -229,8 +229,9 @@
         let is_overdue = self
             .reported_at
             .is_none_or(|reported_at| elapsed(reported_at) >= REPORT_INTERVAL);
-        let is_due = self.due_reports > 0 || !self.sent_prompts.is_empty();
-        if !is_due && !(is_overdue && self.in_flight > 0) {
+        let has_news = self.due_reports > 0 || !self.sent_prompts.is_empty();
+        let is_due = has_news || (is_overdue && self.in_flight > 0);
+        if !is_due {
             return false;
         }
         self.due_reports = self.due_reports.saturating_sub(1);
--- a/tests/prompt_caches.rs
+++ b/tests/prompt_caches.rs
@@ -635,10 +635,10 @@
     (0..count).map(|at| format!("i-{at:08x}")).collect()
 }
 
-fn first<'a>(
+fn first(
     id: u64,
-    engines: &'a [String],
-) -> Vec<&'a str> {
+    engines: &[String],
+) -> Vec<&str> {
     let first = first_by_prompt(id, engines.iter().map(String::as_str), 2);
     first.into_iter().map(|at| engines[at].as_str()).collect()
 }
