--- a/src/connection/front/engine_estimator.rs
+++ b/src/connection/front/engine_estimator.rs
@@ -5,6 +5,7 @@
         connection::targets::{PrefillThroughput, TargetLink, TargetTable},
         request::direct::{
             AdapterCopyState, CallRequest, DEFAULT_LOAD_TIME, EngineCandidate, Policy,
+            prompt_affinity,
         },
     },
     std::{sync::Arc, time::Duration},
@@ -61,6 +62,8 @@
         let link = &table.links[target];
         let generation = request.generation.as_ref();
         let prompt = generation.map_or(0, |generation| u64::from(generation.tokens_in));
+        let cached = table.cached_tokens(target, attempts.queried_prompt(), self.now);
+        let unread = prompt.saturating_sub(cached);
         let answer = generation.map_or(0, |generation| u64::from(generation.tokens_out));
         let engine = request.service.engine.as_ref();
         let memory = engine.map_or(u64::MAX, |engine| engine.memory_tokens.max(1));
@@ -69,7 +72,7 @@
             copy_state,
             time_to_first_event: self
                 .speed
-                .prefill_time(self.backlog_before(link, request) + prompt),
+                .prefill_time(self.backlog_before(link, request) + unread),
             load_time: link.load_time(self.now).unwrap_or(DEFAULT_LOAD_TIME),
             memory_share: tokens as f64 / memory as f64,
             batch_share: f64::from(link.running() + 1) / f64::from(link.view.record.slots.max(1)),
@@ -80,9 +83,25 @@
             has_holder: link.view.holder.is_some(),
             tried: attempts.has_tried(target),
             availability: table.availability(target, self.now),
+            prompt_affinity: self.prompt_affinity(target, attempts),
         }
     }
 
+    /// Returns the extra time that a request accepts at an engine that ranks among the first for its prompt.
+    fn prompt_affinity(
+        &self,
+        target: &str,
+        attempts: &Attempts,
+    ) -> Duration {
+        let rank = attempts.prompt_rank(target);
+        let Some((prompt, rank)) = attempts.queried_prompt().zip(rank) else {
+            return Duration::ZERO;
+        };
+        let to_read = self.speed.prefill_time(prompt.leading_tokens());
+        let read_time = to_read.saturating_sub(self.speed.prefill_time(0));
+        prompt_affinity(read_time, rank)
+    }
+
     /// Returns true if the report of other hosts' load at an engine is stale.
     fn is_load_unknown(
         &self,
