--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -5,7 +5,10 @@
     },
     crate::{
         clock::Instant,
-        request::direct::{AttemptEnd, EngineOutlook, RequestHistory},
+        request::{
+            direct::{AttemptEnd, EngineOutlook, PromptChain, RequestHistory},
+            pace::PaceEstimate,
+        },
     },
     std::sync::Arc,
 };
@@ -24,6 +27,8 @@
     pub trace: RequestTrace,
     /// Last query of engines' status.
     pub query: Option<QueryRound>,
+    /// Estimate by which the target of the last send was chosen.
+    pub estimate: Option<PaceEstimate>,
     /// Discarded samples of engines.
     discarded_samples: u32,
     /// Since when no holder has confirmed a load that the request waits for.
@@ -34,6 +39,10 @@
 pub struct QueryRound {
     pub targets: Vec<Arc<str>>,
     pub since: Instant,
+    /// Prompt that the holders were asked about.
+    pub prompt: Option<PromptChain>,
+    /// Engines that rank first for the prompt's leading parts, the first one first.
+    pub first_by_prompt: Vec<Arc<str>>,
 }
 
 impl Attempts {
@@ -82,6 +91,21 @@
         }
     }
 
+    /// Returns the prompt that holders were asked about last.
+    pub fn queried_prompt(&self) -> Option<&PromptChain> {
+        self.query.as_ref()?.prompt.as_ref()
+    }
+
+    /// Returns the rank of an engine for the prompt's leading parts, 0 for the first one; `None` for engines that do
+    /// not rank among the first.
+    pub fn prompt_rank(
+        &self,
+        target: &str,
+    ) -> Option<usize> {
+        let first = &self.query.as_ref()?.first_by_prompt;
+        first.iter().position(|engine| **engine == *target)
+    }
+
     /// Returns true if this target is not to be tried again.
     pub fn has_tried(
         &self,
--- /dev/null
+++ b/src/connection/front/final_answers.rs
@@ -0,0 +1,196 @@
+use {
+    super::{
+        AnswerBody, ErrorCause, LocalAnswer,
+        attempts::Attempts,
+        exchange::CompleteAnswer,
+        request_trace::millis,
+        unplaced::{reason_of, record_rejection, retry_delay},
+    },
+    crate::{
+        clock::Instant,
+        connection::targets::TargetTable,
+        formats::Formats,
+        metrics::{OutcomeLabels, metrics},
+        note,
+        request::direct::{CallRequest, RejectReason},
+        timeline::Event,
+    },
+    http::Response,
+    std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
+};
+
+/// Final answers to requests that no target has answered, or that are not sent again.
+pub struct FinalAnswers {
+    /// Counts the rejected requests.
+    table: Rc<RefCell<TargetTable>>,
+    formats: Arc<dyn Formats>,
+}
+
+impl FinalAnswers {
+    pub fn new(
+        table: Rc<RefCell<TargetTable>>,
+        formats: Arc<dyn Formats>,
+    ) -> Self {
+        Self { table, formats }
+    }
+
+    /// Rejects a request that is known to crash targets, with an error that callers do not retry.
+    pub fn reject_poison(
+        &self,
+        request: &CallRequest,
+    ) -> Response<AnswerBody> {
+        note!(
+            Event::RequestRefused,
+            id = request.id_text(),
+            fingerprint = request.fingerprint(),
+            route = request.route.name,
+        );
+        self.answer(request, LocalAnswer::new(ErrorCause::CrashesTargets))
+    }
+
+    /// Rejects a request that could not be charged to its customer's quota.
+    pub fn reject_uncharged(
+        &self,
+        request: &CallRequest,
+        answer: LocalAnswer,
+    ) -> Response<AnswerBody> {
+        let credential = request.credential.as_ref();
+        let limit = credential.and_then(|credential| credential.customer.limit);
+        note!(
+            Event::RequestOverLimit,
+            id = request.id_text(),
+            cause = answer.cause.word(),
+            route = request.route.name,
+            customer = credential.map_or("-", |credential| &credential.customer.name),
+            cost = limit.map_or(0.0, |limit| limit.cost(request.declared_tokens)),
+            rate = limit.map_or(0.0, |limit| limit.rate),
+            come_back_ms = answer.retry_after.map_or(-1.0, millis),
+            waited_ms = millis(request.arrived.elapsed()),
+        );
+        let kind = request.route.kind.word();
+        let outcome = answer.cause.word();
+        let labels = OutcomeLabels { kind, outcome };
+        metrics().requests.get_or_create(&labels).inc();
+        self.answer(request, answer)
+    }
+
+    /// Returns the final answer to a request that no target takes.
+    pub fn no_target(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+    ) -> Response<AnswerBody> {
+        let retry_after = self.retry_delay(request);
+        self.answer_unserved(request, attempts, unplaced_cause(request), retry_after)
+    }
+
+    /// Returns the final answer to a request that targets have rejected, and that is not sent again.
+    pub fn rejected_by_targets(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+    ) -> Response<AnswerBody> {
+        let retry_after = self.retry_delay(request);
+        let cause = ErrorCause::RejectedByTargets;
+        self.answer_unserved(request, attempts, cause, retry_after)
+    }
+
+    /// Returns the final answer to a request that is not sent, or not again.
+    pub fn answer_unserved(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+        cause: ErrorCause,
+        retry_after: Duration,
+    ) -> Response<AnswerBody> {
+        if let Some(failure) = attempts.failure.take() {
+            return relay(failure);
+        }
+        if attempts.history.runs > 0 {
+            let answer = LocalAnswer::new(ErrorCause::AnswerLost);
+            return self.answer(request, answer);
+        }
+        if let Some(reason) = reason_of(cause) {
+            self.record_rejection(request, attempts, reason, Some(retry_after));
+        }
+        self.answer(request, LocalAnswer::after(cause, retry_after))
+    }
+
+    /// Returns the final answer to a request whose deadline has passed.
+    pub fn answer_timeout(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+    ) -> Response<AnswerBody> {
+        if let Some(failure) = attempts.failure.take() {
+            return relay(failure);
+        }
+        let cause = match attempts.history.runs {
+            0 => ErrorCause::DeadlineExceededUnsent,
+            _ => ErrorCause::DeadlineExceeded,
+        };
+        if let Some(reason) = reason_of(cause) {
+            self.record_rejection(request, attempts, reason, None);
+        }
+        self.answer(request, LocalAnswer::new(cause))
+    }
+
+    /// Rejects a request that has not run, as no target can take it now, with a time after which to retry.
+    pub fn reject_unplaced(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+        reason: RejectReason,
+        retry_after: Duration,
+    ) -> Response<AnswerBody> {
+        self.record_rejection(request, attempts, reason, Some(retry_after));
+        self.answer(
+            request,
+            LocalAnswer::after(unplaced_cause(request), retry_after),
+        )
+    }
+
+    fn record_rejection(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+        reason: RejectReason,
+        retry_after: Option<Duration>,
+    ) {
+        let mut table = self.table.borrow_mut();
+        record_rejection(&mut table, request, attempts, reason, retry_after);
+    }
+
+    fn retry_delay(
+        &self,
+        request: &CallRequest,
+    ) -> Duration {
+        retry_delay(&mut self.table.borrow_mut(), request, Instant::now())
+    }
+
+    /// Returns an answer of this host.
+    pub fn answer(
+        &self,
+        request: &CallRequest,
+        answer: LocalAnswer,
+    ) -> Response<AnswerBody> {
+        let names = self.formats.headers();
+        answer.into_response(&names.request_id, request.id.as_ref())
+    }
+}
+
+/// Returns why no target takes a request.
+fn unplaced_cause(request: &CallRequest) -> ErrorCause {
+    match request.generation {
+        Some(_) => ErrorCause::NoAdapter,
+        None => ErrorCause::NoTarget,
+    }
+}
+
+/// Returns a target's complete answer as the answer to the caller.
+pub fn relay(answer: CompleteAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::complete(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -13,19 +13,31 @@
 mod engine_sample;
 mod event_splitter;
 mod exchange;
+mod final_answers;
 mod front_listener;
+mod lateness;
 mod local_answer;
+mod open_request;
+mod pending_request;
+mod poison_check;
 mod request_reader;
 mod request_trace;
+mod served_request;
 mod stream_relay;
+mod stream_timing;
 mod unplaced;
 mod waits;
 
 pub use {
     answer_body::{AnswerBody, BrokenAnswer},
+    attempts::Attempts,
+    chooser::{Choice, Chooser},
     dispatcher::Dispatcher,
     event_splitter::{BrokenStream, EventSplitter},
+    exchange::Destination,
     front_listener::{FrontListener, StopStage},
+    lateness::{Lateness, TimedPart},
     local_answer::{ErrorCause, LocalAnswer},
     request_reader::{RequestReadError, RequestReader},
+    stream_timing::StreamTiming,
 };
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapter_demand;
 mod adapter_map;
+mod cached_prompts;
 mod control_request;
 mod crash_tracker;
 mod decaying_count;
@@ -13,10 +14,12 @@
 mod quota_table;
 mod repeat_budgets;
 mod replica_freshness;
+mod sent_prompts;
 mod staleness_monitor;
 mod table_adapters;
 mod table_counting;
 mod table_notices;
+mod table_prompts;
 mod table_staleness;
 mod table_unplaced;
 mod target_health;
@@ -29,6 +32,7 @@
 pub use {
     adapter_demand::AdapterDemand,
     adapter_map::{AdapterCopy, AdapterMap},
+    cached_prompts::CachedPrompts,
     control_request::{AdapterRequest, ControlRequest},
     crash_tracker::{CrashTracker, SuspectRequest, TargetIncarnation},
     decaying_count::DecayingCount,
@@ -40,6 +44,7 @@
     quota_table::{QuotaTable, count_charge_request},
     repeat_budgets::RepeatBudgets,
     replica_freshness::{ReplicaFreshness, SEND_MARGIN, TableFreshness},
+    sent_prompts::{MAX_REPORTED_PROMPTS, SentPrompts},
     staleness_monitor::{MaxStaleness, StalenessBounds, StalenessMonitor},
     target_health::TargetHealth,
     target_link::{IdleConnection, RequestTokens, TargetLink},
--- a/src/request/direct/mod.rs
+++ b/src/request/direct/mod.rs
@@ -9,6 +9,8 @@
 mod next_step;
 mod plain_choice;
 mod policy;
+mod prompt_chain;
+mod prompt_rank;
 mod retry_spread;
 mod wait_decision;
 
@@ -27,6 +29,8 @@
     next_step::{NextStep, RequestHistory, next_step},
     plain_choice::{PlainCandidate, choose_plain},
     policy::Policy,
+    prompt_chain::PromptChain,
+    prompt_rank::{first_by_prompt, prompt_affinity},
     retry_spread::RetrySpread,
     wait_decision::{RequestTiming, WaitDecision, wait_or_reject},
 };
--- a/tests/wait_decisions.rs
+++ b/tests/wait_decisions.rs
@@ -194,6 +194,7 @@
         has_holder: true,
         tried: false,
         availability: Availability::Open,
+        prompt_affinity: Duration::ZERO,
     }
 }
 
