An earlier time without holders is not a part of the present one

Cause: the time since which no holder is known was only reset by a request that looked for holders while one was known. Change: the time begins anew if no request found it so for 3 s.

--- a/src/connection/targets/unplaced_requests.rs
+++ b/src/connection/targets/unplaced_requests.rs
@@ -3,12 +3,23 @@
 /// Half-life of a rejected request in the count: rejected callers return within a few seconds.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Longest time between two requests that find no holder for which holders count as unknown in between. Only requests
+/// without an engine look for holders, so that nothing else tells when one became known.
+const MAX_LOOK_GAP: Duration = Duration::from_secs(3);
+
+/// A time without a known holder, as far as requests have noticed.
+#[derive(Debug, Clone, Copy)]
+struct HolderGap {
+    since: Instant,
+    last_seen: Instant,
+}
+
 /// Requests of one service that no engine could take, as counted by this host.
 #[derive(Debug, Default)]
 pub struct UnplacedRequests {
     waiting: u32,
     rejected: Option<DecayingCount>,
-    holders_unknown_since: Option<Instant>,
+    holder_gap: Option<HolderGap>,
 }
 
 impl UnplacedRequests {
@@ -48,10 +59,15 @@
         now: Instant,
     ) -> Option<Duration> {
         if are_known {
-            self.holders_unknown_since = None;
+            self.holder_gap = None;
             return None;
         }
-        let since = *self.holders_unknown_since.get_or_insert(now);
+        let lasts = |gap: &HolderGap| now.saturating_duration_since(gap.last_seen) <= MAX_LOOK_GAP;
+        let since = self.holder_gap.filter(lasts).map_or(now, |gap| gap.since);
+        self.holder_gap = Some(HolderGap {
+            since,
+            last_seen: now,
+        });
         Some(now.saturating_duration_since(since))
     }
 }
--- a/tests/wait_decisions.rs
+++ b/tests/wait_decisions.rs
@@ -333,6 +333,18 @@
     assert_eq!(unplaced.on_holders(false, later), Some(Duration::ZERO));
 }
 
+/// Guards against an earlier time without holders that is taken for a part of the present one, as no request looked for
+/// holders while they were known: callers would be told to return too late.
+#[test]
+fn an_earlier_time_without_holders_is_forgotten() {
+    let now = Instant::now();
+    let mut unplaced = UnplacedRequests::default();
+    assert_eq!(unplaced.on_holders(false, now), Some(Duration::ZERO));
+    let later = now + Duration::from_secs(60);
+    assert_eq!(unplaced.on_holders(false, later), Some(Duration::ZERO));
+    assert_eq!(unplaced.on_holders(false, later + ms(200)), Some(ms(200)));
+}
+
 /// Requests of the burst.
 const REQUESTS: usize = 480;
 
