Reports tell rejections apart by the reason in event 635

Change: no_confirmation, no_holder, all_closed and after_deadline are causes of their own; a wait for any engine with nobody asked counts as no_engine.

--- a/src/report/end_cause.rs
+++ b/src/report/end_cause.rs
@@ -12,8 +12,18 @@
     NoPlace {
         asked: usize,
     },
+    /// Holders of engines were asked for the adapter, and none has confirmed a load in time.
+    NoConfirmation {
+        asked: usize,
+    },
+    /// No holder of any engine was known.
+    NoHolder,
+    /// All targets had announced that they take no requests.
+    AllClosed,
     /// No engine was there to be asked.
     NoEngine,
+    /// No engine was expected to answer before the deadline.
+    AfterDeadline,
     /// The adapter would have come too late.
     AdapterTooLate {
         expected_ms: f64,
@@ -81,7 +91,11 @@
         match self {
             Self::InTime => "in_time",
             Self::NoPlace { .. } => "no_place",
+            Self::NoConfirmation { .. } => "no_confirmation",
+            Self::NoHolder => "no_holder",
+            Self::AllClosed => "all_closed",
             Self::NoEngine => "no_engine",
+            Self::AfterDeadline => "after_deadline",
             Self::AdapterTooLate { .. } => "adapter_too_late",
             Self::TurnedAway { .. } => "turned_away",
             Self::WaitedForAdapter { .. } => "waited_for_adapter",
@@ -196,6 +210,9 @@
     served: &LogLine,
 ) -> EndCause {
     let cause = served.text("cause");
+    if let Some(cause) = deferred_cause(lines) {
+        return cause;
+    }
     match cause {
         "no_adapter" => no_adapter_cause(lines),
         "turned_away" => {
@@ -218,6 +235,30 @@
     }
 }
 
+/// Finds the cause in the line of a rejection; `None` if there is none, or if other lines say more.
+fn deferred_cause(lines: &[&LogLine]) -> Option<EndCause> {
+    let last = |event| lines.iter().rfind(|line| line.event == event);
+    let deferred = last(Event::RequestDeferred)?;
+    let awaited = last(Event::RequestWaits).map_or("", |line| line.text("awaited"));
+    match (deferred.text("reason"), awaited) {
+        ("no_holder", _) => Some(EndCause::NoHolder),
+        ("closed", _) => Some(EndCause::AllClosed),
+        ("after_deadline", _) => Some(EndCause::AfterDeadline),
+        ("no_room", "holder_reply") => Some(EndCause::NoConfirmation {
+            asked: asked_holders(lines),
+        }),
+        ("no_room", "room") => Some(EndCause::NoPlace {
+            asked: asked_holders(lines),
+        }),
+        _ => None,
+    }
+}
+
+fn asked_holders(lines: &[&LogLine]) -> usize {
+    let asks = lines.iter().filter(|line| line.event == Event::RequestAsks);
+    asks.count()
+}
+
 fn no_adapter_cause(lines: &[&LogLine]) -> EndCause {
     let mut waits = lines
         .iter()
@@ -230,9 +271,9 @@
     if let Some(expected_ms) = expected.filter(|expected| *expected > 0.0) {
         return EndCause::AdapterTooLate { expected_ms };
     }
-    let asks = lines.iter().filter(|line| line.event == Event::RequestAsks);
-    match (asks.count(), last_wait) {
+    match (asked_holders(lines), last_wait) {
         (0, None) => EndCause::NoEngine,
+        (0, Some(wait)) if wait.text("awaited") == "any_engine" => EndCause::NoEngine,
         (asked, _) => EndCause::NoPlace { asked },
     }
 }
@@ -249,7 +290,20 @@
                 "refused: no engine had a place for the adapter ({asked} holders asked; those \
                  that had said so a moment before were not asked again)"
             ),
+            Self::NoConfirmation { asked } => write!(
+                to,
+                "refused: no holder confirmed a load of the adapter in time ({asked} asked)"
+            ),
+            Self::NoHolder => write!(to, "refused: no holder of an engine was known"),
+            Self::AllClosed => write!(
+                to,
+                "refused: all targets had announced that they take no requests"
+            ),
             Self::NoEngine => write!(to, "refused: no target could be used"),
+            Self::AfterDeadline => write!(
+                to,
+                "refused: no engine was expected to answer before the deadline"
+            ),
             Self::AdapterTooLate { expected_ms } => write!(
                 to,
                 "refused: the adapter would have come after {expected_ms:.0} ms, past the aim"
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -38,6 +38,22 @@
 #[case::no_place(&["name=request_asks id=r1 ago_ms=30 target=e1 spare=false",
     "name=request_waits id=r1 ago_ms=30 expected_ms=-1", REFUSED], "no_place")]
 #[case::no_engine(&[REFUSED], "no_engine")]
+#[case::no_room(&["name=request_waits id=r1 ago_ms=30 awaited=room expected_ms=500",
+    "name=request_deferred id=r1 ago_ms=0 reason=no_room", REFUSED], "no_place")]
+#[case::load_overdue(&["name=request_waits id=r1 ago_ms=30 awaited=load expected_ms=500",
+    "name=request_deferred id=r1 ago_ms=0 reason=no_room", REFUSED], "adapter_too_late")]
+#[case::no_confirmation(&["name=request_asks id=r1 ago_ms=30 target=e1 spare=false",
+    "name=request_waits id=r1 ago_ms=30 awaited=holder_reply expected_ms=500",
+    "name=request_deferred id=r1 ago_ms=0 reason=no_room", REFUSED], "no_confirmation")]
+#[case::no_holder(&["name=request_deferred id=r1 ago_ms=0 reason=no_holder", REFUSED], "no_holder")]
+#[case::all_closed(&["name=request_waits id=r1 ago_ms=30 awaited=opening expected_ms=500",
+    "name=request_deferred id=r1 ago_ms=0 reason=closed", REFUSED], "all_closed")]
+#[case::after_deadline(&["name=request_waits id=r1 ago_ms=0 awaited=load expected_ms=9000",
+    "name=request_deferred id=r1 ago_ms=0 reason=after_deadline", REFUSED], "after_deadline")]
+#[case::past_the_aim(&["name=request_waits id=r1 ago_ms=0 awaited=load expected_ms=700",
+    "name=request_deferred id=r1 ago_ms=0 reason=late", REFUSED], "adapter_too_late")]
+#[case::no_engine_after_a_wait(&["name=request_waits id=r1 ago_ms=90 awaited=any_engine expected_ms=-1",
+    "name=request_deferred id=r1 ago_ms=0 reason=no_target", REFUSED], "no_engine")]
 #[case::too_late(&["name=request_waits id=r1 ago_ms=1 expected_ms=700", REFUSED], "adapter_too_late")]
 #[case::waited(&["name=request_chosen id=r1 ago_ms=100 target=e1 running=1 unread_tokens=0", LATE],
     "waited_for_adapter")]
