Only retries of requests to engines are spread; smaller functions

Cause: the spread goes by the time of adapter loads, which targets of plain services do not have; their rejected callers would have returned late. Change: plain services keep the fixed Retry-After. Unplaced::decide is split, and the timeout of a holder's reply is defined once among the decisions.

--- a/src/connection/front/unplaced.rs
+++ b/src/connection/front/unplaced.rs
@@ -56,7 +56,7 @@
     }
 
     /// Decides before a holder is asked for a load of the adapter: waits for its reply, unless holders have been asked
-    /// in vain for too long.
+    /// without success for too long.
     pub fn await_reply(
         &self,
         table: &mut TargetTable,
@@ -191,29 +191,25 @@
             &retry_spread(table, self.request, self.now),
             table.policy().refuses_early,
         );
-        let (until, awaited) = match outlook {
-            EngineOutlook::Unconfirmed { awaited, .. } => {
-                let limit =
-                    unconfirmed_since + unconfirmed_limit(&timing, awaited, unconfirmed_for);
-                (until.min(limit).max(self.now + MIN_WAIT), awaited)
-            }
-            _ => (until, Awaited::Load),
-        };
         match decision {
-            BoundedWait::Wait { expected } => Choice::Wait {
-                until,
-                expected,
-                awaited,
-            },
+            BoundedWait::Wait { expected } => {
+                let limit = unconfirmed_since
+                    + unconfirmed_limit(&timing, outlook.awaited(), unconfirmed_for);
+                let until = match outlook {
+                    EngineOutlook::Confirmed { .. } => until,
+                    _ => until.min(limit).max(self.now + MIN_WAIT),
+                };
+                Choice::Wait {
+                    until,
+                    expected,
+                    awaited: outlook.awaited(),
+                }
+            }
             BoundedWait::Reject {
                 retry_after,
                 reason,
             } => {
-                if let EngineOutlook::Confirmed { expected } = outlook {
-                    let expected = Some(expected);
-                    let step = TraceStep::Waiting { expected, awaited };
-                    attempts.trace.add(step, self.now);
-                }
+                self.trace_expectation(attempts, outlook);
                 Choice::Reject {
                     retry_after,
                     reason,
@@ -222,6 +218,21 @@
         }
     }
 
+    /// Adds to the trace what a holder has confirmed, for which a request is rejected without a wait.
+    fn trace_expectation(
+        &self,
+        attempts: &mut Attempts,
+        outlook: EngineOutlook,
+    ) {
+        if let EngineOutlook::Confirmed { expected } = outlook {
+            let step = TraceStep::Waiting {
+                expected: Some(expected),
+                awaited: outlook.awaited(),
+            };
+            attempts.trace.add(step, self.now);
+        }
+    }
+
     fn outlook(
         &self,
         table: &TargetTable,
@@ -296,12 +307,15 @@
 }
 
 /// Returns the retry delay of a request about which nothing is known of when a target can take it.
+///
+/// Only those to engines are spread: the spread goes by the time that loads of adapters take, of which targets of plain
+/// services have none.
 pub(super) fn retry_delay(
     table: &mut TargetTable,
     request: &CallRequest,
     now: Instant,
 ) -> Duration {
-    match table.bounds_waits() {
+    match table.bounds_waits() && request.generation.is_some() {
         true => {
             let spread = retry_spread(table, request, now);
             spread.retry_after(DEFAULT_RETRY_AFTER, request.time_left(now))
--- a/src/request/direct/bounded_wait.rs
+++ b/src/request/direct/bounded_wait.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Awaited, EngineOutlook, RequestTiming, RetrySpread, WaitDecision,
-        engine_outlook::HOLDER_REPLY_TIMEOUT, wait_or_reject,
+        engine_choice::HOLDER_REPLY_TIMEOUT, wait_or_reject,
     },
     std::time::Duration,
 };
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -136,7 +136,7 @@
 const ACCEPTED_AIM_SHARE: f64 = 0.6;
 
 /// Time allowed for the reply of a lease holder.
-const HOLDER_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+pub(super) const HOLDER_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Chooses an engine for a request; `candidates` are in the adapter's order of preference.
 ///
--- a/src/request/direct/engine_outlook.rs
+++ b/src/request/direct/engine_outlook.rs
@@ -1,12 +1,12 @@
 use {
-    super::{AdapterCopyState, EngineCandidate, engine_choice::CACHED_LOAD_S},
+    super::{
+        AdapterCopyState, EngineCandidate,
+        engine_choice::{CACHED_LOAD_S, HOLDER_REPLY_TIMEOUT},
+    },
     crate::{clock::Instant, request::notices::Availability},
     std::time::Duration,
 };
 
-/// Time allowed for the reply of a lease holder.
-pub(super) const HOLDER_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
-
 /// Share of the shorter one of load and queue that adds to the longer: they overlap, but not entirely.
 const OVERLAP_SHARE: f64 = 0.2;
 
@@ -54,6 +54,17 @@
     NoHolder { lasted: Duration },
 }
 
+impl EngineOutlook {
+    /// Returns what a request with this outlook waits for.
+    pub fn awaited(self) -> Awaited {
+        match self {
+            Self::Confirmed { .. } => Awaited::Load,
+            Self::Unconfirmed { awaited, .. } => awaited,
+            Self::NoHolder { .. } => Awaited::AnyEngine,
+        }
+    }
+}
+
 /// Summarises the candidates for a request as the earliest time at which one can be expected to answer.
 ///
 /// `room_at` is when the first engine outside the sample is no longer known to be full for the adapter.
