--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -6,7 +6,7 @@
     crate::{
         clock::Instant,
         request::{
-            direct::{AttemptEnd, PromptChain, RequestHistory},
+            direct::{AttemptEnd, EngineOutlook, PromptChain, RequestHistory},
             pace::PaceEstimate,
         },
     },
@@ -31,6 +31,8 @@
     pub estimate: Option<PaceEstimate>,
     /// Discarded samples of engines.
     discarded_samples: u32,
+    /// Since when no holder has confirmed a load that the request waits for.
+    unconfirmed_since: Option<Instant>,
 }
 
 /// Engines whose holders were queried, and the time of the query.
@@ -53,6 +55,7 @@
     ) {
         self.history.record(end);
         self.query = None;
+        self.unconfirmed_since = None;
         let target = destination.target.clone();
         let step = match end {
             AttemptEnd::NotSent => TraceStep::Unreachable { target },
@@ -73,6 +76,21 @@
         true
     }
 
+    /// Returns since when no holder has confirmed a load that the request waits for, given the present outlook.
+    pub fn unconfirmed_since(
+        &mut self,
+        outlook: &EngineOutlook,
+        now: Instant,
+    ) -> Instant {
+        match outlook {
+            EngineOutlook::Confirmed { .. } => {
+                self.unconfirmed_since = None;
+                now
+            }
+            _ => *self.unconfirmed_since.get_or_insert(now),
+        }
+    }
+
     /// Returns the prompt that holders were asked about last.
     pub fn queried_prompt(&self) -> Option<&PromptChain> {
         self.query.as_ref()?.prompt.as_ref()
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -10,7 +10,7 @@
         chooser::{Choice, Chooser},
         crash_probe::{answers_health_check, clear_suspect, probe_after_loss},
         exchange::{Destination, OpenAnswer, SendOutcome, send},
-        final_answers::{DEFAULT_RETRY_AFTER, FinalAnswers, relay, unplaced_cause},
+        final_answers::{FinalAnswers, relay},
         open_request::OpenRequest,
         pending_request::{PendingRequest, settle_charge},
         poison_check::{has_crashed_targets, is_poison, is_suspected},
@@ -24,7 +24,9 @@
         formats::Formats,
         metrics::{WaitLabels, metrics},
         request::{
-            direct::{AdapterCopyState, AttemptEnd, CallRequest, NextStep, next_step},
+            direct::{
+                AdapterCopyState, AttemptEnd, CallRequest, NextStep, RejectReason, next_step,
+            },
             places::SlotOutcome,
         },
         version::routing::RouteKind,
@@ -67,8 +69,8 @@
     ) -> Self {
         Self {
             chooser: Chooser::new(table.clone(), hall),
+            answers: FinalAnswers::new(table.clone(), formats.clone()),
             table,
-            answers: FinalAnswers::new(formats.clone()),
             formats,
         }
     }
@@ -186,10 +188,13 @@
             let (choice, mut slot) = self.choose(request, attempts).await;
             let mut destination = match choice {
                 Choice::Send(destination) => destination,
-                Choice::Wait { until, expected } => {
-                    attempts
-                        .trace
-                        .add(TraceStep::Waiting { expected }, Instant::now());
+                Choice::Wait {
+                    until,
+                    expected,
+                    awaited,
+                } => {
+                    let step = TraceStep::Waiting { expected, awaited };
+                    attempts.trace.add(step, Instant::now());
                     self.wait_for_adapter(request, until).await;
                     continue;
                 }
@@ -197,14 +202,18 @@
                     self.wait_for_engine_reports(until).await;
                     continue;
                 }
-                Choice::Reject(retry_after) if attempts.history.runs == 0 => {
-                    return Outcome::Final(self.answers.reject(
+                Choice::Reject {
+                    retry_after,
+                    reason,
+                } if attempts.history.runs == 0 => {
+                    return Outcome::Final(self.answers.reject_unplaced(
                         request,
-                        unplaced_cause(request),
+                        attempts,
+                        reason,
                         retry_after,
                     ));
                 }
-                Choice::Reject(_) | Choice::NoTarget => {
+                Choice::Reject { .. } | Choice::NoTarget => {
                     return Outcome::Final(self.answers.no_target(request, attempts));
                 }
             };
@@ -224,12 +233,7 @@
                 false => None,
             };
             if repeats && repeat_charge.is_none() {
-                return Outcome::Final(self.answers.answer_unserved(
-                    request,
-                    attempts,
-                    ErrorCause::RejectedByTargets,
-                    DEFAULT_RETRY_AFTER,
-                ));
+                return Outcome::Final(self.answers.rejected_by_targets(request, attempts));
             }
             let verified = is_suspected(&self.table, request);
             if verified
@@ -308,7 +312,14 @@
                 let choice = self.chooser.choose_slot(attempts, &slot.target, now);
                 (choice, Some(slot))
             }
-            SlotAcquisition::Full { retry_after } => (Choice::Reject(retry_after), None),
+            SlotAcquisition::Full { retry_after } => {
+                let reason = RejectReason::NoRoom;
+                let choice = Choice::Reject {
+                    retry_after,
+                    reason,
+                };
+                (choice, None)
+            }
             SlotAcquisition::Unavailable => (self.chooser.choose(request, attempts, now), None),
         }
     }
@@ -418,10 +429,7 @@
                 }
                 None
             }
-            NextStep::Reject => {
-                let answer = LocalAnswer::after(ErrorCause::RejectedByTargets, DEFAULT_RETRY_AFTER);
-                Some(self.answers.answer(request, answer))
-            }
+            NextStep::Reject => Some(self.answers.rejected_by_targets(request, attempts)),
             NextStep::ForwardFailure => attempts.failure.take().map(relay),
             NextStep::OutcomeUnknown => Some(match attempts.failure.take() {
                 Some(failure) => relay(failure),
@@ -490,7 +498,8 @@
             sleep_until(until).await;
             return;
         };
-        let waiter = AdapterWaiter::start(&self.table, adapter, request.urgency);
+        let waiter =
+            AdapterWaiter::start(&self.table, &request.service.name, adapter, request.urgency);
         tokio::select! {
             _ = waiter.updated() => {}
             _ = sleep_until(until) => {}
--- a/src/connection/front/final_answers.rs
+++ b/src/connection/front/final_answers.rs
@@ -1,30 +1,37 @@
 use {
     super::{
-        AnswerBody, ErrorCause, LocalAnswer, attempts::Attempts, exchange::CompleteAnswer,
+        AnswerBody, ErrorCause, LocalAnswer,
+        attempts::Attempts,
+        exchange::CompleteAnswer,
         request_trace::millis,
+        unplaced::{reason_of, record_rejection, retry_delay},
     },
     crate::{
+        clock::Instant,
+        connection::targets::TargetTable,
         formats::Formats,
         metrics::{OutcomeLabels, metrics},
         note,
-        request::direct::CallRequest,
+        request::direct::{CallRequest, RejectReason},
         timeline::Event,
     },
     http::Response,
-    std::{sync::Arc, time::Duration},
+    std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
 
-/// Default retry delay for callers that were rejected.
-pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
-
 /// Final answers to requests that no target has answered, or that are not sent again.
 pub struct FinalAnswers {
+    /// Counts the rejected requests.
+    table: Rc<RefCell<TargetTable>>,
     formats: Arc<dyn Formats>,
 }
 
 impl FinalAnswers {
-    pub fn new(formats: Arc<dyn Formats>) -> Self {
-        Self { formats }
+    pub fn new(
+        table: Rc<RefCell<TargetTable>>,
+        formats: Arc<dyn Formats>,
+    ) -> Self {
+        Self { table, formats }
     }
 
     /// Rejects a request that is known to crash targets, with an error that callers do not retry.
@@ -73,12 +80,19 @@
         request: &CallRequest,
         attempts: &mut Attempts,
     ) -> Response<AnswerBody> {
-        self.answer_unserved(
-            request,
-            attempts,
-            unplaced_cause(request),
-            DEFAULT_RETRY_AFTER,
-        )
+        let retry_after = self.retry_delay(request);
+        self.answer_unserved(request, attempts, unplaced_cause(request), retry_after)
+    }
+
+    /// Returns the final answer to a request that targets have rejected, and that is not sent again.
+    pub fn rejected_by_targets(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+    ) -> Response<AnswerBody> {
+        let retry_after = self.retry_delay(request);
+        let cause = ErrorCause::RejectedByTargets;
+        self.answer_unserved(request, attempts, cause, retry_after)
     }
 
     /// Returns the final answer to a request that is not sent, or not again.
@@ -96,7 +110,10 @@
             let answer = LocalAnswer::new(ErrorCause::AnswerLost);
             return self.answer(request, answer);
         }
-        self.reject(request, cause, retry_after)
+        if let Some(reason) = reason_of(cause) {
+            self.record_rejection(request, attempts, reason, Some(retry_after));
+        }
+        self.answer(request, LocalAnswer::after(cause, retry_after))
     }
 
     /// Returns the final answer to a request whose deadline has passed.
@@ -112,17 +129,43 @@
             0 => ErrorCause::DeadlineExceededUnsent,
             _ => ErrorCause::DeadlineExceeded,
         };
+        if let Some(reason) = reason_of(cause) {
+            self.record_rejection(request, attempts, reason, None);
+        }
         self.answer(request, LocalAnswer::new(cause))
     }
 
-    /// Rejects a request that has not run, with a time after which to retry.
-    pub fn reject(
+    /// Rejects a request that has not run, as no target can take it now, with a time after which to retry.
+    pub fn reject_unplaced(
         &self,
         request: &CallRequest,
-        cause: ErrorCause,
+        attempts: &mut Attempts,
+        reason: RejectReason,
         retry_after: Duration,
     ) -> Response<AnswerBody> {
-        self.answer(request, LocalAnswer::after(cause, retry_after))
+        self.record_rejection(request, attempts, reason, Some(retry_after));
+        self.answer(
+            request,
+            LocalAnswer::after(unplaced_cause(request), retry_after),
+        )
+    }
+
+    fn record_rejection(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+        reason: RejectReason,
+        retry_after: Option<Duration>,
+    ) {
+        let mut table = self.table.borrow_mut();
+        record_rejection(&mut table, request, attempts, reason, retry_after);
+    }
+
+    fn retry_delay(
+        &self,
+        request: &CallRequest,
+    ) -> Duration {
+        retry_delay(&mut self.table.borrow_mut(), request, Instant::now())
     }
 
     /// Returns an answer of this host.
@@ -137,7 +180,7 @@
 }
 
 /// Returns why no target takes a request.
-pub fn unplaced_cause(request: &CallRequest) -> ErrorCause {
+fn unplaced_cause(request: &CallRequest) -> ErrorCause {
     match request.generation {
         Some(_) => ErrorCause::NoAdapter,
         None => ErrorCause::NoTarget,
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -25,6 +25,7 @@
 mod served_request;
 mod stream_relay;
 mod stream_timing;
+mod unplaced;
 mod waits;
 
 pub use {
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -90,7 +90,7 @@
 pub const DEFAULT_LOAD_TIME: Duration = Duration::from_millis(270);
 
 /// Expected time to reload weights that the engine has cached.
-const CACHED_LOAD_S: f64 = 0.03;
+pub(super) const CACHED_LOAD_S: f64 = 0.03;
 
 /// Surcharge for loading on an engine other than the adapter's first one, as a multiple of the copy cost.
 /// Keeps an adapter on one engine, whose cached weights reload much faster than from the weight store.
@@ -136,7 +136,7 @@
 const ACCEPTED_AIM_SHARE: f64 = 0.6;
 
 /// Time allowed for the reply of a lease holder.
-const HOLDER_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+pub(super) const HOLDER_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Chooses an engine for a request; `candidates` are in the adapter's order of preference.
 ///
