--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -8,6 +8,7 @@
         formats::{HeaderNames, TargetStart},
         request::{
             direct::{AttemptEnd, CallRequest},
+            memory::MemoryUse,
             notices::NoticeHeaders,
             pace::PaceEstimate,
         },
@@ -279,10 +280,11 @@
         return SendOutcome::Withheld;
     }
     table.borrow_mut().record_send_staleness(now);
-    let bytes = request_bytes(names, request, destination, now);
+    let sent_head = request_head(names, request, destination, now);
     let is_own_answer =
         |head: &ResponseHead| head.headers.get(&names.request_id) == request.id.as_ref();
-    let exchange = connection.exchange(&bytes, &request.method, is_own_answer);
+    let exchange =
+        connection.exchange_parts(&sent_head, &request.body, &request.method, is_own_answer);
     let (head, sent_completely) = match exchange.await {
         Ok(answer) => answer,
         Err(_) => return lost_answer(&in_flight),
@@ -303,14 +305,23 @@
     } else {
         MAX_BUFFERED_BODY
     };
+    let failed = head.status.is_server_error();
+    let mut held = request.memory.reservation(match failed {
+        true => MemoryUse::Failure,
+        false => MemoryUse::Answer,
+    });
     let mut body = BytesMut::new();
-    while body.len() < min_bytes {
+    let mut has_room = true;
+    // An answer for which there is no room is relayed piece by piece; a failure is needed whole, to try again after it.
+    while body.len() < min_bytes && (has_room || failed) {
         match source.next().await {
-            Ok(Some(piece)) => body.extend_from_slice(&piece),
+            Ok(Some(piece)) => {
+                body.extend_from_slice(&piece);
+                has_room = held.cover(body.capacity() as u64);
+            }
             Ok(None) => {
                 record_success(&source.in_flight);
-                let failed = head.status.is_server_error();
-                let answer = complete(head, body.freeze(), source);
+                let answer = complete(head, held.keep(body.freeze()), source);
                 return match failed {
                     true => SendOutcome::Failed(answer),
                     false => SendOutcome::Complete(answer),
@@ -452,14 +463,14 @@
     headers
 }
 
-/// Encodes the request for the target.
-fn request_bytes(
+/// Encodes the head of the request for the target.
+fn request_head(
     names: &HeaderNames,
     request: &CallRequest,
     destination: &Destination,
     now: Instant,
 ) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(1024 + request.body.len());
+    let mut bytes = Vec::with_capacity(1024);
     let mut line = |parts: &[&[u8]]| {
         for part in parts {
             bytes.extend_from_slice(part);
@@ -525,6 +536,5 @@
     let length = request.body.len().to_string();
     line(&[b"content-length: ", length.as_bytes()]);
     line(&[]);
-    bytes.extend_from_slice(&request.body);
     bytes
 }
--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -2,6 +2,7 @@
     super::{
         AnswerBody, Dispatcher, ErrorCause, LocalAnswer, RequestReadError, RequestReader,
         admission::{FreshnessCheck, STALE_RETRY_AFTER, wait_until_fresh},
+        memory_sweeper::MemorySweeper,
         request_trace::millis,
     },
     crate::{
@@ -10,15 +11,19 @@
         formats::Formats,
         metrics::{StateLabels, metrics},
         note,
+        request::memory::{CallerMemory, CallerStage, CutKind, HostMemory, Pressure},
         timeline::Event,
+        version::routing::RouteKind,
     },
     http::{Request, Response},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     rand::RngExt,
+    socket2::SockRef,
     std::{
         cell::RefCell,
         io,
+        pin::Pin,
         rc::Rc,
         sync::{
             Arc,
@@ -42,6 +47,18 @@
 /// Retry delay for callers while no configuration is known.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Retry delay for callers for whose requests there is no memory: other hosts may have some, and this one has some again
+/// within 2 s.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Size of the send and the receive buffer that the system keeps for a connection, in bytes, if memory is limited: enough
+/// for 200 Mbit/s over 5 ms. By itself the system lets each grow to some megabytes for a caller that does not read or is
+/// not read from. A slow caller must free a third of it within the time in which it has to show progress.
+const SOCKET_BUFFER_BYTES: usize = 128 * 1024;
+
+/// Smallest read buffer of a connection, in bytes.
+const MIN_READ_BUFFER: usize = 8 * 1024;
+
 /// Metric label of callers' connections.
 const CALLER_CONNECTIONS: StateLabels = StateLabels { state: "callers" };
 
@@ -63,6 +80,7 @@
     formats: Arc<dyn Formats>,
     stop: watch::Receiver<StopStage>,
     open_connections: Arc<AtomicUsize>,
+    memory: HostMemory,
 }
 
 impl FrontListener {
@@ -72,6 +90,7 @@
         hall: &str,
         stop: watch::Receiver<StopStage>,
         open_connections: Arc<AtomicUsize>,
+        memory: HostMemory,
     ) -> Self {
         Self {
             dispatcher: Rc::new(Dispatcher::new(table.clone(), formats.clone(), hall)),
@@ -80,6 +99,7 @@
             formats,
             stop,
             open_connections,
+            memory,
         }
     }
 
@@ -88,6 +108,7 @@
         self: Rc<Self>,
         listener: TcpListener,
     ) {
+        spawn_local(MemorySweeper::new(self.memory.clone()).run());
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -104,27 +125,77 @@
     ) {
         let _ = stream.set_nodelay(true);
         let _open = OpenConnection::start(&self.open_connections);
+        let Some(memory) = self.memory.connect() else {
+            return report_no_memory(Event::CallerNoMemory, "connection", "-");
+        };
+        if memory.is_limited() {
+            limit_socket_buffers(&stream);
+        }
         let limits = self.table.borrow().routing().limits;
         let front = self.clone();
-        let service = service_fn(move |request| front.clone().answer(request));
-        let connection = Builder::new()
+        let request_memory = memory.clone();
+        let service =
+            service_fn(move |request| front.clone().answer(request, request_memory.clone()));
+        let mut connection = Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout)
-            .max_buf_size(limits.header_bytes.max(8 * 1024) * 2)
+            .max_buf_size(self.read_buffer_size(limits.header_bytes))
             .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
         let mut stop = self.stop.clone();
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            _ = stop.wait_for(|stop| *stop >= StopStage::Draining) => {}
+        let mut is_closing = false;
+        loop {
+            let least_cut = match is_closing {
+                true => CutKind::Reset,
+                false => CutKind::Close,
+            };
+            tokio::select! {
+                _ = &mut connection => return,
+                _ = stop.wait_for(|stop| *stop >= StopStage::Draining), if !is_closing => {}
+                cut = memory.cut(least_cut) => match cut {
+                    // The request is answered by whoever reads its body.
+                    CutKind::Reject | CutKind::Close => {}
+                    CutKind::Reset => {
+                        let stream = connection.into_parts().io.into_inner();
+                        let _ = stream.set_zero_linger();
+                        return;
+                    }
+                },
+            }
+            is_closing = true;
+            Pin::new(&mut connection).graceful_shutdown();
+        }
+    }
+
+    /// Returns the largest size of a connection's read buffer: under pressure only what the largest head needs.
+    fn read_buffer_size(
+        &self,
+        header_bytes: usize,
+    ) -> usize {
+        let size = header_bytes.max(MIN_READ_BUFFER);
+        match self.memory.levels() {
+            Some((Pressure::Pressed | Pressure::Full, ..)) => size,
+            _ => size * 2,
         }
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
     }
 
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
+        memory: CallerMemory,
+    ) -> Result<Response<AnswerBody>, io::Error> {
+        memory.set_stage(CallerStage::AwaitsAnswer);
+        let mut answered = CallerStage::Idle;
+        let response = self.serve_request(request, &memory, &mut answered).await;
+        memory.set_stage(answered);
+        response
+    }
+
+    /// Serves a request; sets what is waited for on the connection once it has an answer.
+    async fn serve_request(
+        &self,
+        request: Request<Incoming>,
+        memory: &CallerMemory,
+        answered: &mut CallerStage,
     ) -> Result<Response<AnswerBody>, io::Error> {
         let arrived = Instant::now();
         let id = self.reader.id(request.headers());
@@ -149,8 +220,26 @@
             .record_routing_staleness(Instant::now());
         let routing = self.table.borrow().routing().clone();
         let draw = rand::rng().random::<f64>();
-        match self.reader.read(request, &routing, arrived, draw).await {
-            Ok(request) => Ok(self.dispatcher.serve(request).await),
+        let read = self
+            .reader
+            .read(request, &routing, arrived, draw, memory)
+            .await;
+        match read {
+            Ok(request) => {
+                memory.set_stage(CallerStage::AwaitsAnswer);
+                *answered = CallerStage::Answered {
+                    repeatable: request.route.repeatable(),
+                    streams: request.route.kind == RouteKind::Stream,
+                };
+                Ok(self.dispatcher.serve(request).await)
+            }
+            Err(RequestReadError::Rejected(ErrorCause::NoMemory)) => {
+                report_no_memory(Event::RequestNoMemory, "request", id_text);
+                Ok(error_response(LocalAnswer::after(
+                    ErrorCause::NoMemory,
+                    NO_MEMORY_RETRY_AFTER,
+                )))
+            }
             Err(RequestReadError::Rejected(ErrorCause::NotReady)) => Ok(error_response(
                 LocalAnswer::after(ErrorCause::NotReady, NOT_READY_RETRY_AFTER),
             )),
@@ -193,6 +282,23 @@
     }
 }
 
+/// Counts and logs that there was no memory for a request or a connection.
+fn report_no_memory(
+    event: Event,
+    state: &'static str,
+    id: &str,
+) {
+    let labels = StateLabels { state };
+    metrics().memory_rejected.get_or_create(&labels).inc();
+    note!(event, id = id);
+}
+
+fn limit_socket_buffers(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let _ = socket.set_send_buffer_size(SOCKET_BUFFER_BYTES);
+    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES);
+}
+
 /// An open connection; counted until dropped.
 struct OpenConnection {
     count: Arc<AtomicUsize>,
--- a/src/connection/front/local_answer.rs
+++ b/src/connection/front/local_answer.rs
@@ -18,6 +18,8 @@
     QuotaUnavailable,
     BodyTooLarge,
     BodyTooSlow,
+    /// There is no room for the request's body.
+    NoMemory,
     /// The host is shutting down.
     Stopping,
     /// A table that is needed to serve the request is too stale on this host.
@@ -49,6 +51,7 @@
             Self::QuotaUnavailable => "uncounted",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
+            Self::NoMemory => "no_memory",
             Self::Stopping => "host_stopping",
             Self::StaleTables => "unconfirmed",
             Self::NoTarget => "no_target",
@@ -75,6 +78,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NotReady
+            | Self::NoMemory
             | Self::Stopping
             | Self::StaleTables
             | Self::QuotaUnavailable
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod front_listener;
 mod local_answer;
+mod memory_sweeper;
 mod request_reader;
 mod request_trace;
 mod stream_relay;
--- a/src/connection/front/request_reader.rs
+++ b/src/connection/front/request_reader.rs
@@ -3,14 +3,18 @@
     crate::{
         clock::{Instant, timeout_at},
         formats::{Formats, HeaderNames},
-        request::direct::{CallRequest, Credential, Generation, token_counts},
+        request::{
+            direct::{CallRequest, Credential, Generation, token_counts},
+            memory::{CallerMemory, CallerStage, CutKind, NoRoom},
+        },
         version::routing::{Route, RoutingTable, TargetService},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{HeaderMap, HeaderName, HeaderValue, Request, header, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
-    std::{sync::Arc, time::Duration},
+    std::{pin::pin, sync::Arc, time::Duration},
+    tokio::task::spawn_local,
 };
 
 /// Hop-by-hop headers, which are not forwarded.
@@ -29,6 +33,10 @@
 
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// Time for which the body of a rejected request is read and discarded: a caller that still sends may not see the
+/// answer if the connection is closed.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Why a request could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestReadError {
@@ -63,6 +71,7 @@
         routing: &RoutingTable,
         arrived: Instant,
         draw: f64,
+        memory: &CallerMemory,
     ) -> Result<CallRequest, RequestReadError> {
         if routing.version == 0 {
             return Err(RequestReadError::Rejected(ErrorCause::NotReady));
@@ -76,7 +85,13 @@
         let names = self.formats.headers();
         let deadline = arrived + effective_timeout(&parts.headers, names, &route);
         let generation = generation(&parts.headers, names, &service);
-        let body = read_body(body, routing.limits.body_bytes, deadline).await?;
+        let expects_continue = parts.headers.contains_key(header::EXPECT);
+        let limits = BodyLimits {
+            bytes: routing.limits.body_bytes,
+            deadline,
+            discards: !expects_continue,
+        };
+        let body = read_body(body, limits, memory).await?;
         Ok(CallRequest {
             id: parts.headers.get(&names.request_id).cloned(),
             path_and_query: parts
@@ -95,6 +110,7 @@
             service,
             generation,
             credential,
+            memory: memory.clone(),
         })
     }
 }
@@ -205,34 +221,71 @@
         .collect()
 }
 
+/// Limits on the body of a request.
+struct BodyLimits {
+    bytes: usize,
+    deadline: Instant,
+    /// What the caller still sends is read and discarded if there is no room for the body.
+    discards: bool,
+}
+
 async fn read_body(
     mut body: Incoming,
-    limit: usize,
-    deadline: Instant,
+    limits: BodyLimits,
+    memory: &CallerMemory,
 ) -> Result<Bytes, RequestReadError> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    if body.size_hint().lower() > limit as u64 {
+    if body.size_hint().lower() > limits.bytes as u64 {
         return Err(RequestReadError::Rejected(ErrorCause::BodyTooLarge));
     }
-    let mut buffer = BytesMut::new();
+    memory.set_stage(CallerStage::SendsBody);
+    let declared = body.size_hint().exact();
+    let mut buffer = match memory.reserve_body(declared, limits.deadline).await {
+        Ok(buffer) => buffer,
+        Err(NoRoom) => return Err(reject_unread(body, &limits)),
+    };
+    let mut cut = pin!(memory.cut(CutKind::Reject));
     loop {
-        let frame = timeout_at(deadline, body.frame()).await;
+        let frame = tokio::select! {
+            frame = timeout_at(limits.deadline, body.frame()) => frame,
+            _ = cut.as_mut() => return Err(RequestReadError::Rejected(ErrorCause::NoMemory)),
+        };
         let frame = frame.map_err(|_| RequestReadError::Rejected(ErrorCause::BodyTooSlow))?;
         let Some(frame) = frame else {
-            return Ok(buffer.freeze());
+            return Ok(buffer.finish());
         };
         let frame = frame.map_err(|_| RequestReadError::CallerGone)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if buffer.len() + data.len() > limit {
+        if buffer.len() + data.len() > limits.bytes {
             return Err(RequestReadError::Rejected(ErrorCause::BodyTooLarge));
         }
-        if buffer.is_empty() && body.is_end_stream() {
+        // A body in one piece needs no copy, but holds the read buffer that it arrived in.
+        if buffer.is_empty() && body.is_end_stream() && !memory.is_limited() {
             return Ok(data);
         }
-        buffer.extend_from_slice(&data);
+        memory.on_received(data.len());
+        if buffer.append(&data).await.is_err() {
+            return Err(reject_unread(body, &limits));
+        }
     }
 }
+
+/// Rejects a request for want of memory, without its body.
+fn reject_unread(
+    body: Incoming,
+    limits: &BodyLimits,
+) -> RequestReadError {
+    if limits.discards {
+        let until = limits.deadline.min(Instant::now() + DISCARD_TIME);
+        spawn_local(timeout_at(until, discard(body)));
+    }
+    RequestReadError::Rejected(ErrorCause::NoMemory)
+}
+
+async fn discard(mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
+}
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -170,6 +170,10 @@
         if piece.is_empty() {
             return None;
         }
+        let piece = tokio::select! {
+            piece = self.request.memory.hold_piece(piece) => piece,
+            _ = self.caller.closed() => return Some(RelayEnd::CallerGone),
+        };
         match self.caller.send(Ok(piece)).await {
             Ok(()) => None,
             Err(_) => Some(RelayEnd::CallerGone),
--- a/src/connection/http1/connection.rs
+++ b/src/connection/http1/connection.rs
@@ -2,7 +2,10 @@
     super::{BodyDecoder, Decoded, ResponseHead},
     bytes::{Bytes, BytesMut},
     http::Method,
-    std::{io, net::SocketAddr},
+    std::{
+        io::{self, IoSlice},
+        net::SocketAddr,
+    },
     thiserror::Error,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -76,6 +79,18 @@
         method: &Method,
         is_ours: impl Fn(&ResponseHead) -> bool,
     ) -> Result<(ResponseHead, bool), ExchangeError> {
+        self.exchange_parts(request, &[], method, is_ours).await
+    }
+
+    /// Exchanges a request whose head and body lie apart, so that the body need not be copied.
+    pub async fn exchange_parts(
+        &mut self,
+        head: &[u8],
+        body: &[u8],
+        method: &Method,
+        is_ours: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<(ResponseHead, bool), ExchangeError> {
+        let size = head.len() + body.len();
         let mut sent = 0;
         loop {
             while let Some(head) = ResponseHead::take(&mut self.buffer, method)? {
@@ -83,12 +98,16 @@
                     continue;
                 }
                 if is_ours(&head) {
-                    return Ok((head, sent == request.len()));
+                    return Ok((head, sent == size));
                 }
                 self.skip_body(&head).await?;
             }
-            if sent < request.len() {
-                sent += self.write_or_read(&request[sent..]).await?;
+            if sent < size {
+                let rest = [
+                    IoSlice::new(&head[sent.min(head.len())..]),
+                    IoSlice::new(&body[sent.saturating_sub(head.len())..]),
+                ];
+                sent += self.write_or_read(&rest).await?;
             } else {
                 self.read().await?;
             }
@@ -123,16 +142,16 @@
         Ok(())
     }
 
-    /// Writes some of `bytes`, or reads if the other side has sent something; gives bytes written.
+    /// Writes some of `parts`, or reads if the other side has sent something; gives bytes written.
     async fn write_or_read(
         &mut self,
-        bytes: &[u8],
+        parts: &[IoSlice<'_>],
     ) -> Result<usize, ExchangeError> {
         let (mut reader, mut writer) = self.stream.split();
         self.buffer.reserve(READ_SIZE);
         tokio::select! {
             biased;
-            written = writer.write(bytes) => written.map_err(failed),
+            written = writer.write_vectored(parts) => written.map_err(failed),
             read = reader.read_buf(&mut self.buffer) => match read.map_err(failed)? {
                 0 => Err(ExchangeError::Closed),
                 _ => Ok(0),
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -43,6 +43,10 @@
     pub quota_charges: Family<StateLabels, Counter>,
     pub places: Family<StateLabels, Counter>,
     pub target_notices: Family<StateLabels, Counter>,
+    pub memory_capacity: Gauge,
+    pub memory_held: Family<StateLabels, Gauge>,
+    pub memory_rejected: Family<StateLabels, Counter>,
+    pub memory_cut: Family<StateLabels, Counter>,
     pub permit_asks: Family<StateLabels, Counter>,
     pub permits: Family<StateLabels, Counter>,
     pub known_hosts: Gauge,
@@ -94,6 +98,10 @@
             quota_charges: Family::default(),
             places: Family::default(),
             target_notices: Family::default(),
+            memory_capacity: Gauge::default(),
+            memory_held: Family::default(),
+            memory_rejected: Family::default(),
+            memory_cut: Family::default(),
             permit_asks: Family::default(),
             permits: Family::default(),
             known_hosts: Gauge::default(),
@@ -310,6 +318,26 @@
             "What targets newly say of themselves in their answers",
             self.target_notices.clone(),
         );
+        registry.register(
+            "memory_capacity_bytes",
+            "Memory for callers and targets; 0 without a limit",
+            self.memory_capacity.clone(),
+        );
+        registry.register(
+            "memory_held_bytes",
+            "Memory held for callers and targets, by use, if it is limited",
+            self.memory_held.clone(),
+        );
+        registry.register(
+            "memory_rejected",
+            "Requests and connections that were rejected for want of memory",
+            self.memory_rejected.clone(),
+        );
+        registry.register(
+            "memory_cut",
+            "Callers that were cut to free memory or a target, by what they did not do",
+            self.memory_cut.clone(),
+        );
         registry.register(
             "permit_asks",
             "Asks for leave to send to targets that take only so many requests, by outcome",
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -19,6 +19,7 @@
         note,
         process::settings::{Bounds, NodeSettings},
         request::{
+            memory::HostMemory,
             notices::TargetNotices,
             poison::{Fingerprint, PoisonStatus},
         },
@@ -124,6 +125,7 @@
         &parts.settings.hall,
         parts.stop,
         parts.open_connections,
+        HostMemory::new(parts.settings.memory_limit),
     );
     spawn_local(Rc::new(front).serve(listener));
     let mut usage = tokio::time::interval(USAGE_PERIOD);
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -11,6 +11,11 @@
     },
 };
 
+/// Largest limit of memory, in MB.
+const MAX_MEMORY_MB: f64 = 1e9;
+
+const BYTES_PER_MB: f64 = 1e6;
+
 /// Where one host listens.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ListenSettings {
@@ -76,6 +81,8 @@
     pub bounds: Bounds,
     /// What this host's link carries, in Mbit/s; not known if absent.
     pub link_mbps: Option<f64>,
+    /// Bytes of memory that the process may use; no limit if absent.
+    pub memory_limit: Option<u64>,
     pub lease: OrderLeaseSettings,
     pub policy: Policy,
     /// No process of this host ran before: the whole site starts for the first time.
@@ -106,6 +113,7 @@
         let link_mbps = ini
             .optional("limits", "link_mbps")
             .filter(|mbps| *mbps > 0.0);
+        let memory_limit = memory_limit(ini);
         let lease = lease(ini);
         let policy = policy(ini);
         let first_start = ini.optional("host", "first_start").unwrap_or(false);
@@ -117,6 +125,7 @@
             seeds,
             bounds,
             link_mbps,
+            memory_limit,
             lease,
             policy,
             first_start,
@@ -157,6 +166,24 @@
         .collect()
 }
 
+/// The limit in bytes; a platform that sets none leaves the setting out, empty or 0.
+fn memory_limit(ini: &mut IniReader) -> Option<u64> {
+    const SECTION: &str = "limits";
+    const KEY: &str = "memory_mb";
+    let text: Option<String> = ini.optional(SECTION, KEY);
+    let text = text.filter(|text| !text.is_empty())?;
+    match text.parse::<f64>() {
+        Ok(mb) if (0.0..=MAX_MEMORY_MB).contains(&mb) => {
+            Some((mb * BYTES_PER_MB) as u64).filter(|bytes| *bytes > 0)
+        }
+        _ => {
+            let problem = format!("{text} is not a number of megabytes");
+            ini.contradiction(SECTION, KEY, &problem);
+            None
+        }
+    }
+}
+
 fn bounds(ini: &mut IniReader) -> Bounds {
     const SECTION: &str = "bounds";
     Bounds {
--- a/src/request/direct/call_request.rs
+++ b/src/request/direct/call_request.rs
@@ -2,7 +2,7 @@
     super::Generation,
     crate::{
         clock::Instant,
-        request::poison::Fingerprint,
+        request::{memory::CallerMemory, poison::Fingerprint},
         version::routing::{Customer, KeyDigest, Route, TargetService},
     },
     bytes::Bytes,
@@ -40,6 +40,8 @@
     pub declared_tokens: Option<u64>,
     /// 0 is the most urgent.
     pub urgency: u8,
+    /// What is held for the request is counted here.
+    pub memory: CallerMemory,
 }
 
 impl CallRequest {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod entry_progress;
 mod entry_service;
 mod forwarder;
+pub mod memory;
 pub mod notices;
 mod owner_service;
 pub mod pace;
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -95,6 +95,9 @@
     drop(metrics.quota_charges.get_or_create(&state));
     drop(metrics.places.get_or_create(&state));
     drop(metrics.target_notices.get_or_create(&state));
+    drop(metrics.memory_held.get_or_create(&state));
+    drop(metrics.memory_rejected.get_or_create(&state));
+    drop(metrics.memory_cut.get_or_create(&state));
     drop(metrics.permit_asks.get_or_create(&state));
     drop(metrics.permits.get_or_create(&state));
     drop(metrics.wants_turned_away.get_or_create(&cause));
