--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -15,7 +15,7 @@
         timeline::Event,
         version::routing::RouteKind,
     },
-    http::{Request, Response},
+    http::{HeaderValue, Request, Response},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     rand::RngExt,
@@ -126,7 +126,7 @@
         let _ = stream.set_nodelay(true);
         let _open = OpenConnection::start(&self.open_connections);
         let Some(memory) = self.memory.connect() else {
-            return report_no_memory(Event::CallerNoMemory, "connection", "-");
+            return self.report_no_memory(Event::CallerNoMemory, "connection", "-");
         };
         if memory.is_limited() {
             limit_socket_buffers(&stream);
@@ -183,7 +183,7 @@
         request: Request<Incoming>,
         memory: CallerMemory,
     ) -> Result<Response<AnswerBody>, io::Error> {
-        memory.set_stage(CallerStage::AwaitsAnswer);
+        memory.begin_request(id_text(self.reader.id(request.headers()).as_ref()));
         let mut answered = CallerStage::Idle;
         let response = self.serve_request(request, &memory, &mut answered).await;
         memory.set_stage(answered);
@@ -208,7 +208,7 @@
                 STOPPING_RETRY_AFTER,
             )));
         }
-        let id_text = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+        let id_text = id_text(id.as_ref());
         if !wait_until_fresh(&self.table, FreshnessCheck::Declared, id_text).await {
             return Ok(error_response(LocalAnswer::after(
                 ErrorCause::StaleTables,
@@ -234,7 +234,7 @@
                 Ok(self.dispatcher.serve(request).await)
             }
             Err(RequestReadError::Rejected(ErrorCause::NoMemory)) => {
-                report_no_memory(Event::RequestNoMemory, "request", id_text);
+                self.report_no_memory(Event::RequestNoMemory, "request", id_text);
                 Ok(error_response(LocalAnswer::after(
                     ErrorCause::NoMemory,
                     NO_MEMORY_RETRY_AFTER,
@@ -252,6 +252,25 @@
 }
 
 impl FrontListener {
+    /// Counts and logs that there was no memory for a request or a connection.
+    fn report_no_memory(
+        &self,
+        event: Event,
+        state: &'static str,
+        id: &str,
+    ) {
+        let labels = StateLabels { state };
+        metrics().memory_rejected.get_or_create(&labels).inc();
+        let (pressure, held, capacity) = self.memory.levels().unwrap_or((Pressure::None, 0, 0));
+        note!(
+            event,
+            id = id,
+            pressure = pressure.word(),
+            held_bytes = held,
+            capacity_bytes = capacity,
+        );
+    }
+
     /// Returns the answer to a request that is not routed, and logs the configuration that this depends on.
     ///
     /// While the configuration is stale, an unknown key gets a retryable answer, since it may have been added
@@ -282,15 +301,9 @@
     }
 }
 
-/// Counts and logs that there was no memory for a request or a connection.
-fn report_no_memory(
-    event: Event,
-    state: &'static str,
-    id: &str,
-) {
-    let labels = StateLabels { state };
-    metrics().memory_rejected.get_or_create(&labels).inc();
-    note!(event, id = id);
+/// Returns the id of a request for logs.
+fn id_text(id: Option<&HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
 }
 
 fn limit_socket_buffers(stream: &TcpStream) {
--- a/src/connection/front/memory_sweeper.rs
+++ b/src/connection/front/memory_sweeper.rs
@@ -31,8 +31,8 @@
         metrics().memory_capacity.set(capacity as i64);
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
-            for cut in self.memory.sweep(Instant::now()) {
-                self.report_cut(&cut);
+            for (cut, id) in self.memory.sweep(Instant::now()) {
+                self.report_cut(&cut, &id);
             }
             self.report_levels();
         }
@@ -41,6 +41,7 @@
     fn report_cut(
         &self,
         cut: &MemoryCut,
+        id: &str,
     ) {
         let state = cut.kind.word();
         let labels = StateLabels { state };
@@ -48,6 +49,7 @@
         let (pressure, held, capacity) = self.memory.levels().unwrap_or((Pressure::None, 0, 0));
         note!(
             Event::CallerCut,
+            id = id,
             cause = state,
             held_bytes = cut.held,
             stalled_ms = millis(cut.stalled),
--- a/src/connection/front/request_reader.rs
+++ b/src/connection/front/request_reader.rs
@@ -244,7 +244,7 @@
     let declared = body.size_hint().exact();
     let mut buffer = match memory.reserve_body(declared, limits.deadline).await {
         Ok(buffer) => buffer,
-        Err(NoRoom) => return Err(reject_unread(body, &limits)),
+        Err(NoRoom) => return Err(reject_unread(body, &limits, memory)),
     };
     let mut cut = pin!(memory.cut(CutKind::Reject));
     loop {
@@ -269,7 +269,8 @@
         }
         memory.on_received(data.len());
         if buffer.append(&data).await.is_err() {
-            return Err(reject_unread(body, &limits));
+            drop(buffer);
+            return Err(reject_unread(body, &limits, memory));
         }
     }
 }
@@ -278,10 +279,15 @@
 fn reject_unread(
     body: Incoming,
     limits: &BodyLimits,
+    memory: &CallerMemory,
 ) -> RequestReadError {
-    if limits.discards {
+    let held = memory.reserve_discard().filter(|_| limits.discards);
+    if let Some(held) = held {
         let until = limits.deadline.min(Instant::now() + DISCARD_TIME);
-        spawn_local(timeout_at(until, discard(body)));
+        spawn_local(async move {
+            let _ = timeout_at(until, discard(body)).await;
+            drop(held);
+        });
     }
     RequestReadError::Rejected(ErrorCause::NoMemory)
 }
--- a/src/request/memory/body_memory.rs
+++ b/src/request/memory/body_memory.rs
@@ -11,8 +11,9 @@
 /// Smallest buffer of a body without a declared length, in bytes.
 const MIN_BUFFER: usize = 8 * 1024;
 
-/// Estimate of what the connection's read buffer and the piece being handed over hold beyond a small body's.
-const LARGE_READ_BYTES: u64 = 64 * 1024;
+/// Most that the connection's read buffer and the piece on its way from there hold besides the body. The read buffer
+/// keeps its size afterwards.
+const MAX_READ_BYTES: u64 = 64 * 1024;
 
 /// There is no room for a body; the request has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,11 +88,9 @@
         size: usize,
     ) -> bool {
         let purpose = MemoryUse::of_body(size);
-        let extra = match purpose {
-            MemoryUse::LargeBody => LARGE_READ_BYTES,
-            _ => 0,
-        };
-        self.held.try_cover(purpose, size as u64 + extra)
+        let size = size as u64;
+        self.held
+            .try_cover(purpose, size + size.min(MAX_READ_BYTES))
     }
 
     async fn wait_for_room(
--- a/src/request/memory/caller_memory.rs
+++ b/src/request/memory/caller_memory.rs
@@ -19,6 +19,9 @@
 /// Estimate of what a buffered piece holds besides its bytes.
 const PIECE_OVERHEAD: u64 = 256;
 
+/// Buffers of a connection whose body is read and discarded.
+const DISCARD_BYTES: u64 = 64 * 1024;
+
 /// One caller's access to the memory of this host; the default has no limit.
 #[derive(Debug, Clone, Default)]
 pub struct CallerMemory {
@@ -73,6 +76,20 @@
         self.holder.as_ref().map(|holder| holder.shared.clone())
     }
 
+    /// Records that a request has arrived, with its id for logs.
+    pub fn begin_request(
+        &self,
+        id: &str,
+    ) {
+        self.set_stage(CallerStage::AwaitsAnswer);
+        if let Some(holder) = &self.holder {
+            let mut state = holder.shared.lock();
+            if let Some(connection) = state.connections.get_mut(&holder.id) {
+                connection.request = id.to_string();
+            }
+        }
+    }
+
     /// Records what is waited for on the connection from now on.
     pub fn set_stage(
         &self,
@@ -83,8 +100,8 @@
         };
         let mut state = holder.shared.lock();
         state.budget.set_stage(holder.id, stage, Instant::now());
-        if let Some(signal) = state.signals.get(&holder.id) {
-            signal.send_if_modified(|cut| cut.take().is_some());
+        if let Some(connection) = state.connections.get(&holder.id) {
+            connection.cut.send_if_modified(|cut| cut.take().is_some());
         }
     }
 
@@ -108,6 +125,13 @@
         BodyMemory::reserve(self, declared, deadline).await
     }
 
+    /// Reserves what it takes to read and discard a body, if there is room for that.
+    pub fn reserve_discard(&self) -> Option<Reservation> {
+        let mut reservation = self.reservation(MemoryUse::SmallBody);
+        let has_room = reservation.try_cover(MemoryUse::SmallBody, DISCARD_BYTES);
+        has_room.then_some(reservation)
+    }
+
     /// Returns an empty reservation.
     pub fn reservation(
         &self,
@@ -198,7 +222,7 @@
         self.release(MemoryUse::Connection, buffers);
         let mut state = self.shared.lock();
         state.budget.remove_holder(self.id);
-        state.signals.remove(&self.id);
+        state.connections.remove(&self.id);
     }
 }
 
--- a/src/request/memory/host_memory.rs
+++ b/src/request/memory/host_memory.rs
@@ -40,10 +40,18 @@
 #[derive(Debug)]
 pub(super) struct MemoryState {
     pub budget: MemoryBudget,
-    pub signals: HashMap<HolderId, watch::Sender<Option<CutKind>>>,
+    pub connections: HashMap<HolderId, ConnectionEntry>,
     swept_at: Instant,
 }
 
+/// How to reach whoever serves a connection.
+#[derive(Debug)]
+pub(super) struct ConnectionEntry {
+    pub cut: watch::Sender<Option<CutKind>>,
+    /// Id of the last request, for logs.
+    pub request: String,
+}
+
 impl SharedMemory {
     pub fn lock(&self) -> MutexGuard<'_, MemoryState> {
         self.state.lock().expect("no holder panics")
@@ -56,7 +64,7 @@
         let shared = limit.map(|limit| {
             let state = MemoryState {
                 budget: MemoryBudget::new(MemoryLimits::of_process(limit)),
-                signals: HashMap::new(),
+                connections: HashMap::new(),
                 swept_at: Instant::now(),
             };
             Arc::new(SharedMemory {
@@ -77,7 +85,7 @@
             return Some(CallerMemory::default());
         };
         let now = Instant::now();
-        let (signal, cut) = watch::channel(None);
+        let (sender, cut) = watch::channel(None);
         let id = {
             let mut state = shared.lock();
             if !state
@@ -87,7 +95,11 @@
                 return None;
             }
             let id = state.budget.add_holder(now);
-            state.signals.insert(id, signal);
+            let connection = ConnectionEntry {
+                cut: sender,
+                request: "-".to_string(),
+            };
+            state.connections.insert(id, connection);
             id
         };
         let memory = CallerMemory::of_holder(shared.clone(), id, cut);
@@ -110,11 +122,11 @@
         shared.map_or(0, |shared| shared.lock().budget.held_for(purpose))
     }
 
-    /// Cuts callers as the budget decides.
+    /// Cuts callers as the budget decides; returns the cuts, each with the id of the caller's last request.
     pub fn sweep(
         &self,
         now: Instant,
-    ) -> Vec<MemoryCut> {
+    ) -> Vec<(MemoryCut, String)> {
         let Some(shared) = &self.shared else {
             return Vec::new();
         };
@@ -125,11 +137,11 @@
             state.budget.on_pause(since_last - SWEEP_INTERVAL);
         }
         let cuts = state.budget.choose_cuts(now);
-        for cut in &cuts {
-            if let Some(signal) = state.signals.get(&cut.holder) {
-                signal.send_replace(Some(cut.kind));
-            }
-        }
-        cuts
+        let signalled = cuts.into_iter().filter_map(|cut| {
+            let connection = state.connections.get(&cut.holder)?;
+            connection.cut.send_replace(Some(cut.kind));
+            Some((cut, connection.request.clone()))
+        });
+        signalled.collect()
     }
 }
