--- a/src/request/memory/host_memory.rs
+++ b/src/request/memory/host_memory.rs
@@ -13,7 +13,7 @@
 
 /// Estimate of what an open connection holds, in bytes: the read buffer, which starts with 8 KiB, the head of a
 /// request, and the state of its tasks and of the connection to a target.
-const CONNECTION_BYTES: u64 = 16 * 1024;
+const CONNECTION_BYTES: u64 = 24 * 1024;
 
 /// Time between looks for callers to cut.
 pub const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -50,3 +50,25 @@
         (parsed, _) => panic!("{parsed:?}"),
     }
 }
+
+/// Guards against a limit that is read wrongly: a platform that sets none leaves the setting out, empty or 0, and a wrong one
+/// must be named and not pass for none.
+#[rstest]
+#[case::absent("", Ok(None))]
+#[case::empty("memory_mb =", Ok(None))]
+#[case::zero("memory_mb = 0", Ok(None))]
+#[case::whole("memory_mb = 120", Ok(Some(120_000_000)))]
+#[case::fraction("memory_mb = 260.5", Ok(Some(260_500_000)))]
+#[case::negative("memory_mb = -1", Err("memory_mb"))]
+#[case::no_number("memory_mb = plenty", Err("memory_mb"))]
+fn the_limit_of_memory_may_be_left_out(
+    #[case] line: &str,
+    #[case] expected: Result<Option<u64>, &str>,
+) {
+    let parsed = parse(&format!("[limits]\n{line}"));
+    match (parsed, expected) {
+        (Ok(settings), Ok(limit)) => assert_eq!(settings.memory_limit, limit),
+        (Err(problems), Err(name)) => assert!(problems.iter().any(|text| text.contains(name))),
+        (parsed, _) => panic!("{parsed:?}"),
+    }
+}
