--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -17,6 +17,7 @@
 mod front_listener;
 mod lateness;
 mod local_answer;
+mod memory_sweeper;
 mod open_request;
 mod pending_request;
 mod poison_check;
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -172,14 +172,21 @@
             return None;
         }
         let arrived = Instant::now();
-        let sent = self.caller.send(Ok(piece)).await;
+        let held = tokio::select! {
+            piece = self.open.request.memory.hold_piece(piece) => Some(piece),
+            _ = self.caller.closed() => None,
+        };
+        let sent = match held {
+            Some(piece) => self.caller.send(Ok(piece)).await.is_ok(),
+            None => false,
+        };
         let now = Instant::now();
         match sent {
-            Ok(()) => {
+            true => {
                 self.open.timing.on_event(arrived, now);
                 None
             }
-            Err(_) => {
+            false => {
                 self.open.timing.on_held(arrived, now);
                 Some(RelayEnd::CallerGone)
             }
--- a/tests/prompt_choice.rs
+++ b/tests/prompt_choice.rs
@@ -13,8 +13,9 @@
             },
         },
         formats::{HeldAdapter, HeldModel, TargetRecord, TargetState},
-        request::direct::{
-            CallRequest, Generation, Policy, PromptChain, PromptPart, first_by_prompt,
+        request::{
+            direct::{CallRequest, Generation, Policy, PromptChain, PromptPart, first_by_prompt},
+            memory::CallerMemory,
         },
         version::routing::{BaseModel, EngineSpec, Route, RouteKind, TargetService},
     },
@@ -214,6 +215,7 @@
         credential: None,
         declared_tokens: None,
         urgency: 1,
+        memory: CallerMemory::default(),
     }
 }
 
