--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -1,7 +1,10 @@
 //! The messages. Fields are numbered as in any protobuf schema, and numbers are never used again.
 
 use {
-    super::{Address, EngineLoad, EngineQuery, PermitAnswer, PermitAsk, TargetNews, Usage},
+    super::{
+        Address, EngineLoad, EngineQuery, Holdings, HoldingsKnown, PermitAnswer, PermitAsk,
+        TargetNews, Usage,
+    },
     crate::request::places::SlotOutcome,
     prost::Message as _,
     std::time::Duration,
@@ -53,6 +56,9 @@
     /// Hosts that it has itself counted over a long time, told only by itself; 0 if that is not known.
     #[prost(uint32, tag = "12")]
     pub counted: u32,
+    /// Version of the list `holds`, which is left out then; 0 if `holds` is complete.
+    #[prost(uint32, tag = "13")]
+    pub holds_version: u32,
 }
 
 /// How a host's copy of one table of the store stands.
@@ -452,6 +458,10 @@
     PermitAsk(PermitAsk),
     #[prost(message, tag = "22")]
     PermitAnswer(PermitAnswer),
+    #[prost(message, tag = "23")]
+    Holdings(Holdings),
+    #[prost(message, tag = "24")]
+    HoldingsKnown(HoldingsKnown),
 }
 
 impl Message {
@@ -480,6 +490,8 @@
             Self::TargetNews(_) => "target_news",
             Self::PermitAsk(_) => "permit_ask",
             Self::PermitAnswer(_) => "permit_answer",
+            Self::Holdings(_) => "holdings",
+            Self::HoldingsKnown(_) => "holdings_known",
         }
     }
 }
@@ -488,7 +500,7 @@
 struct Envelope {
     #[prost(
         oneof = "Message",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     message: Option<Message>,
 }
--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -2,6 +2,7 @@
 
 mod address;
 mod engine_messages;
+mod holdings;
 mod message;
 mod socket;
 mod target_news;
@@ -11,6 +12,7 @@
     engine_messages::{
         AdapterUsage, EngineLoad, EngineQuery, PaceReport, PromptSegment, SentPrompt, Usage,
     },
+    holdings::{Holdings, HoldingsKnown},
     message::{
         Ack, ChargeAnswer, ChargeAsk, ChargeRefund, CopyState, EngineStanding, Freshness,
         HostRumor, Loan, LoanAsk, Message, Ping, PingEcho, PingRequest, PlaceEnded, PlaceGiven,
--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -39,12 +39,15 @@
 const STARTUP_WINDOW: Duration = Duration::from_secs(3);
 
 impl HostControl {
-    /// Sends the engines held here to all hosts when they change, since rumors take seconds on a large site and
-    /// requests wait for the holder.
+    /// Sends the engines held here to all hosts when they change, since rumors take seconds and requests wait for the
+    /// holder.
     pub(super) fn publish_holdings(
         &mut self,
         now: Instant,
     ) -> Vec<ControlAction> {
+        if !self.hosts.lists_holdings() {
+            return self.spread_holdings(now);
+        }
         let slots = self.held_shards(now).into_iter().map(shard_lease);
         let holdings: Vec<String> = self.allocators.keys().cloned().chain(slots).collect();
         if self.published_holdings == holdings || now < self.next_holdings_publish {
@@ -156,8 +159,7 @@
         &self,
         now: Instant,
     ) -> HashMap<&str, SocketAddr> {
-        let up = self.hosts.hosts().filter(|host| host.state.is_up());
-        let claimed = up.flat_map(|host| {
+        let claimed = self.hosts.claimants().flat_map(|host| {
             let peer = host.identity.peer;
             host.holds.iter().map(move |held| (held.as_str(), peer))
         });
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -11,7 +11,7 @@
             targets::ControlRequest,
         },
         note,
-        process::hosts::{HostAction, HostEvent, HostState, KnownHost, PingExchange},
+        process::hosts::{HostAction, HostEvent, HostState, PingExchange},
         timeline::Event,
     },
     rand::RngExt,
@@ -45,7 +45,9 @@
         self.completed_seed_queries += 1;
         let me = self.hosts.me().peer;
         let seeds = self.settings.seed_peers().filter(|peer| *peer != me);
-        let mut actions: Vec<ControlAction> = seeds
+        // All hosts of a large site would load the seeds' links with the complete list; rumors bring the rest.
+        let pulls_from = seeds.filter(|_| self.hosts.lists_holdings());
+        let mut actions: Vec<ControlAction> = pulls_from
             .map(|from| ControlAction::PullHosts { from })
             .collect();
         actions.extend(self.ping_seeds(now));
@@ -92,8 +94,9 @@
         &self,
         now: Instant,
     ) -> Vec<HostRumor> {
-        let known = self.hosts.hosts().map(KnownHost::to_rumor);
-        known.chain([self.local_rumor(now)]).collect()
+        let mut rumors = self.hosts.all_rumors();
+        rumors.push(self.local_rumor(now));
+        rumors
     }
 
     fn ping_seeds(
@@ -172,6 +175,11 @@
             Message::TargetNews(update) => self.on_target_notices(&update, now),
             Message::PermitAsk(request) => self.on_permit_request(from, &request, now),
             Message::PermitAnswer(answer) => vec![ControlAction::DeliverPermitAnswer(answer)],
+            Message::Holdings(holdings) => self.on_holdings(from, &holdings).into_iter().collect(),
+            Message::HoldingsKnown(known) => {
+                self.on_holdings_known(from, known, now);
+                Vec::new()
+            }
             Message::PlaceEnded(release) => {
                 self.on_slot_release(&release);
                 Vec::new()
@@ -380,7 +388,7 @@
             _ => true,
         };
         self.changed |= is_relevant;
-        let mut actions = Vec::new();
+        let mut actions: Vec<ControlAction> = self.request_holdings(sender).into_iter().collect();
         for rumor in rumors {
             let requested = self.hosts.on_rumor(rumor, now);
             actions.extend(self.host_actions(requested, now));
@@ -420,10 +428,14 @@
         requested
             .into_iter()
             .map(|action| match action {
-                HostAction::Ping { peer } => ControlAction::Send {
-                    to: peer,
-                    message: Message::Ping(self.ping_message(false, now)),
-                },
+                HostAction::Ping { peer } => {
+                    let mut ping = self.ping_message(false, now);
+                    ping.rumors.extend(self.hosts.accusation_of(peer));
+                    ControlAction::Send {
+                        to: peer,
+                        message: Message::Ping(ping),
+                    }
+                }
                 HostAction::PingRequest { via, peer } => ControlAction::Send {
                     to: via,
                     message: Message::PingRequest(PingRequest { peer: peer.into() }),
@@ -444,7 +456,9 @@
             match event {
                 HostEvent::StateChanged { peer, name, state } => {
                     note!(state_event(state), peer = name, address = peer);
-                    if state == HostState::Alive && !self.published_holdings.is_empty() {
+                    let lists_holdings = self.hosts.lists_holdings();
+                    let announces = lists_holdings && !self.published_holdings.is_empty();
+                    if state == HostState::Alive && announces {
                         newly_alive.push(peer);
                     }
                     if state == HostState::Dead {
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -98,10 +98,25 @@
             before,
         };
         let mut actions = self.apply_rows(table, &row_changes, now);
-        actions.extend(self.notify_all_hosts(now));
+        // Reads of both tables mostly end at the same time; on a large site one message tells of both.
+        self.unannounced_read = rows.is_empty() && !self.hosts.lists_holdings();
+        if !self.unannounced_read {
+            actions.extend(self.notify_all_hosts(now));
+        }
         actions
     }
 
+    /// Announces reads that brought no change.
+    pub(super) fn announce_read(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        match std::mem::take(&mut self.unannounced_read) {
+            true => self.notify_all_hosts(now),
+            false => Vec::new(),
+        }
+    }
+
     pub(super) fn on_table_read(
         &mut self,
         table: TableName,
@@ -286,7 +301,7 @@
             .into_iter()
             .map(|to| ControlAction::Send {
                 to,
-                message: Message::Ping(self.ping_message(true, now)),
+                message: Message::Ping(self.notification(now)),
             })
             .collect()
     }
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -19,7 +19,10 @@
         process::{
             engines::{EngineAllocator, PublishedLoads, SharedAllocatorState, UnansweredOrders},
             holding::{EngineAssignment, HostRow, LeaseTimings},
-            hosts::{FailureDetectionTimings, HostIdentity, HostState, HostTable, PeerClocks},
+            hosts::{
+                FailureDetectionTimings, HoldingsSpread, HostIdentity, HostState, HostTable,
+                PeerClocks,
+            },
             ownership::SessionLease,
             settings::NodeSettings,
             tables::{ReadSchedule, ReadTimings, TableReplica},
@@ -112,6 +115,10 @@
     pub(super) seeds_without_ready_hosts: BTreeSet<SocketAddr>,
     /// Engines held here, as last published to all hosts.
     pub(super) published_holdings: Vec<String>,
+    /// Spreads the list of the engines held here on a large site.
+    pub(super) holdings: HoldingsSpread,
+    /// A read of the store has confirmed a replica, and the other hosts have not been notified.
+    pub(super) unannounced_read: bool,
     /// Earliest time at which the held engines are published again.
     pub(super) next_holdings_publish: Instant,
     next_load_publish: Instant,
@@ -159,6 +166,7 @@
             front: identity.front,
             process,
         };
+        let holdings = HoldingsSpread::new(identity.peer, identity.link_mbps, now);
         let mut hosts = HostTable::new(identity, FailureDetectionTimings::default(), now);
         hosts.expect(settings.seed_peers());
         let lease = &settings.lease;
@@ -192,6 +200,8 @@
             published: Arc::default(),
             seeds_without_ready_hosts: BTreeSet::new(),
             published_holdings: Vec::new(),
+            holdings,
+            unannounced_read: false,
             next_holdings_publish: now,
             next_load_publish: now,
             published_loads: PublishedLoads::default(),
@@ -330,6 +340,7 @@
         actions.extend(self.start_table_reads(now));
         self.remove_vanished(now);
         actions.extend(self.take_freshness_update());
+        actions.extend(self.announce_read(now));
         actions.extend(self.tick_engines(now));
         actions.extend(self.tick_poison(now));
         actions.extend(self.tick_notices(now));
@@ -373,12 +384,22 @@
         &self,
         now: Instant,
     ) -> HostRumor {
-        let holds = self.assignment.held(now).map(|(target, _)| target.clone());
-        self.hosts.local_rumor(
-            holds.collect(),
+        let is_complete = self.hosts.lists_holdings();
+        let rumor = self.hosts.local_rumor(
+            match is_complete {
+                true => self.held_engines(now),
+                false => Vec::new(),
+            },
             self.assignment.lease_version(),
             self.is_ready(),
-        )
+        );
+        HostRumor {
+            holds_version: match is_complete {
+                true => 0,
+                false => self.holdings.version(),
+            },
+            ..rumor
+        }
     }
 
     /// Returns the versions and ages of this host's replicas.
@@ -424,6 +445,23 @@
         }
     }
 
+    /// Builds a one-way ping from this host. On a large site it bears no rumors: it goes to hundreds of hosts, and
+    /// the regular pings spread rumors fast enough.
+    pub(super) fn notification(
+        &mut self,
+        now: Instant,
+    ) -> Ping {
+        match self.hosts.lists_holdings() {
+            true => self.ping_message(true, now),
+            false => Ping {
+                sender: self.local_rumor(now),
+                freshness: self.freshness(now),
+                rumors: Vec::new(),
+                one_way: true,
+            },
+        }
+    }
+
     pub(super) fn table_mut(
         &mut self,
         table: TableName,
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -11,6 +11,7 @@
 mod control_poison;
 mod control_quotas;
 mod control_runner;
+mod control_spread;
 mod control_tables;
 mod control_targets;
 mod copy_reader;
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -1,8 +1,10 @@
 use {
-    super::{HostIdentity, HostState, KnownHost, SiteSize},
+    super::{
+        HostIdentity, HostState, INITIAL_HOLDINGS_VERSION, KnownHost, MAX_LISTING_HOSTS, SiteSize,
+    },
     crate::{
         clock::Instant,
-        connection::datagram::{HostRumor, RumorState},
+        connection::datagram::{Holdings, HostRumor, RumorState},
     },
     rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
     std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -16,6 +18,18 @@
 /// Transmissions of a rumor, as a multiple of the base-2 logarithm of the number of hosts.
 const RETRANSMIT_FACTOR: u32 = 3;
 
+/// On a large site, an unanswered ping is repeated at this interval for `RESEND_TIME`.
+///
+/// Each host is pinged by somebody several times a second, and one suspicion is spread to all: with a tenth of the
+/// datagrams lost and two pings, a hundred suspicions would arise each second among 300 hosts.
+const RESEND_INTERVAL: Duration = Duration::from_millis(100);
+
+const RESEND_TIME: Duration = Duration::from_millis(250);
+
+/// Added to the time for a refutation on a large site: a suspicion has to reach the host and its refutation all others,
+/// by rumors that go one hop further each 50 to 100 ms.
+const RUMOR_SPREAD_TIME: Duration = Duration::from_millis(1_200);
+
 /// Intervals and timeouts of failure detection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FailureDetectionTimings {
@@ -78,6 +92,8 @@
 struct PendingPing {
     since: Instant,
     indirect_pings_sent: bool,
+    /// Direct pings sent after the indirect ones.
+    resends: u32,
 }
 
 /// Membership and state of the hosts of the site, maintained with SWIM-style pings and rumors.
@@ -218,6 +234,50 @@
         peers
     }
 
+    /// Returns true if the lists of held engines are sent with each rumor; on a large site, only their versions are.
+    pub fn lists_holdings(&self) -> bool {
+        self.hosts.len() <= MAX_LISTING_HOSTS
+    }
+
+    /// Returns the hosts whose held engines are used by requests.
+    ///
+    /// On a large site these include suspects, as most of them refute: a query to a host that is gone costs less than a
+    /// request that is rejected because no holder is known.
+    pub fn claimants(&self) -> impl Iterator<Item = &KnownHost> {
+        let uses_suspects = !self.lists_holdings();
+        let is_suspect =
+            |host: &KnownHost| host.state == HostState::Suspect && host.heard.is_some();
+        self.hosts()
+            .filter(move |host| host.state.is_up() || uses_suspects && is_suspect(host))
+    }
+
+    /// Returns the reachable other hosts with their processes.
+    pub fn reachable_processes(&self) -> BTreeMap<SocketAddr, u64> {
+        let up = self.hosts().filter(|host| host.state.is_up());
+        up.map(|host| (host.identity.peer, host.identity.process))
+            .collect()
+    }
+
+    /// Returns the rumors of all other hosts.
+    pub fn all_rumors(&self) -> Vec<HostRumor> {
+        self.hosts().map(|host| self.rumor_of(host)).collect()
+    }
+
+    fn rumor_of(
+        &self,
+        host: &KnownHost,
+    ) -> HostRumor {
+        let rumor = host.to_rumor();
+        match self.lists_holdings() {
+            true => rumor,
+            false => HostRumor {
+                holds: Vec::new(),
+                holds_version: host.holds_version.max(INITIAL_HOLDINGS_VERSION),
+                ..rumor
+            },
+        }
+    }
+
     /// Returns the rumor that this host sends about itself.
     pub fn local_rumor(
         &self,
@@ -242,6 +302,7 @@
             ready,
             link_mbps: self.me.link_mbps,
             counted: u32::try_from(self.size.host_count()).unwrap_or(u32::MAX),
+            holds_version: 0,
         }
     }
 
@@ -264,7 +325,7 @@
         let mut rumors = Vec::new();
         for (sends, peer) in least_sent {
             if let Some(host) = self.hosts.get(&peer) {
-                rumors.push(host.to_rumor());
+                rumors.push(self.rumor_of(host));
             }
             match sends + 1 >= limit {
                 true => self.pending_rumors.remove(&peer),
@@ -274,6 +335,19 @@
         rumors
     }
 
+    /// Returns the rumor that a host is suspect or dead, to be sent to that host on a large site.
+    ///
+    /// The host refutes it, and the rumor of its higher incarnation reaches all others within seconds. Without that,
+    /// each host learns that another one is back only by its own next ping, which takes 30 s among 300 hosts.
+    pub fn accusation_of(
+        &self,
+        peer: SocketAddr,
+    ) -> Option<HostRumor> {
+        let host = self.hosts.get(&peer)?;
+        let is_accused = !host.state.is_up() && host.heard.is_some() && !self.lists_holdings();
+        is_accused.then(|| self.rumor_of(host))
+    }
+
     /// Marks this host as leaving, for a planned stop.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -338,14 +412,13 @@
             return;
         }
         let lease_changed = known.lease_version < rumor.lease_version;
-        let held = std::mem::take(&mut known.holds);
         known.identity.process = rumor.process;
         known.identity.name.clone_from(&rumor.name);
         known.identity.hall.clone_from(&rumor.hall);
         known.identity.front = rumor.front.into();
         known.identity.link_mbps = rumor.link_mbps;
         known.incarnation = rumor.incarnation;
-        known.holds.clone_from(&rumor.holds);
+        let holds_changed = apply_sent_holds(known, rumor, restarted);
         known.heard = Some(now);
         known.counted = rumor.counted;
         match rumor.state() {
@@ -356,7 +429,6 @@
             known.lease_version = rumor.lease_version;
             known.lease_known_since = now;
         }
-        let holds_changed = held != rumor.holds;
         self.holders_epoch += u64::from(holds_changed);
         let changed = restarted || known.ready != rumor.ready || holds_changed;
         known.ready = rumor.ready;
@@ -408,8 +480,11 @@
         }
         known.incarnation = rumor.incarnation;
         if newer {
-            self.holders_epoch += u64::from(known.holds != rumor.holds);
-            known.holds.clone_from(&rumor.holds);
+            if rumor.holds_version == 0 {
+                self.holders_epoch += u64::from(known.holds != rumor.holds);
+                known.holds.clone_from(&rumor.holds);
+                known.holds_version = 0;
+            }
             known.ready = rumor.ready;
         }
         if known.lease_version < rumor.lease_version {
@@ -420,6 +495,36 @@
         Vec::new()
     }
 
+    /// Applies the list of engines that a host sends of itself; returns true if it changes what is known.
+    pub fn on_holdings(
+        &mut self,
+        peer: SocketAddr,
+        holdings: &Holdings,
+    ) -> bool {
+        let Some(known) = self.hosts.get_mut(&peer) else {
+            return false;
+        };
+        let is_current =
+            known.identity.process == holdings.process && known.holds_version < holdings.version;
+        if !is_current {
+            return false;
+        }
+        known.holds_version = holdings.version;
+        let has_changed = known.holds != holdings.holds;
+        known.holds.clone_from(&holdings.holds);
+        self.holders_epoch += u64::from(has_changed);
+        has_changed
+    }
+
+    /// Returns the process of a host and the version of its list that is known; `None` for an unknown host.
+    pub fn known_holdings(
+        &self,
+        peer: SocketAddr,
+    ) -> Option<(u64, u32)> {
+        let known = self.hosts.get(&peer)?;
+        Some((known.identity.process, known.holds_version))
+    }
+
     fn refute(
         &mut self,
         rumor: &HostRumor,
@@ -444,6 +549,7 @@
         self.pending_pings.entry(peer).or_insert(PendingPing {
             since: now,
             indirect_pings_sent: false,
+            resends: 0,
         });
         HostAction::Ping { peer }
     }
@@ -461,13 +567,14 @@
             .collect();
         for (peer, ping) in pending {
             let silent = now.saturating_duration_since(ping.since);
-            if ping.indirect_pings_sent
-                && silent >= self.timings.ping_timeout + self.timings.indirect_ping_timeout
-            {
+            if ping.indirect_pings_sent && silent >= self.answer_timeout() {
                 self.pending_pings.remove(&peer);
                 match self.is_starting(peer, now) {
                     true => actions.push(self.ping(peer, now)),
-                    false => self.suspect(peer, now),
+                    false => {
+                        self.suspect(peer, now);
+                        actions.extend(self.ping_suspect(peer, now));
+                    }
                 }
             } else if !ping.indirect_pings_sent && silent >= self.timings.ping_timeout {
                 let sent = PendingPing {
@@ -480,11 +587,46 @@
                 actions.extend(helpers.into_iter().map(request));
                 // The first ping may have been lost.
                 actions.push(HostAction::Ping { peer });
+            } else if !self.lists_holdings() && silent >= resend_time(&self.timings, ping.resends) {
+                let sent = PendingPing {
+                    resends: ping.resends + 1,
+                    ..ping
+                };
+                self.pending_pings.insert(peer, sent);
+                actions.push(HostAction::Ping { peer });
             }
         }
         actions
     }
 
+    /// Pings a suspect again on a large site, so that it learns of the suspicion from this host itself: rumors may
+    /// reach it too late to refute, and this host would take it for dead until the next round.
+    fn ping_suspect(
+        &mut self,
+        peer: SocketAddr,
+        now: Instant,
+    ) -> Option<HostAction> {
+        let is_suspect = self.hosts.get(&peer)?.state == HostState::Suspect;
+        (is_suspect && !self.lists_holdings()).then(|| self.ping(peer, now))
+    }
+
+    /// Returns the time without an answer to a ping after which a host is suspected.
+    fn answer_timeout(&self) -> Duration {
+        let timeout = self.timings.ping_timeout + self.timings.indirect_ping_timeout;
+        match self.lists_holdings() {
+            true => timeout,
+            false => timeout + RESEND_TIME,
+        }
+    }
+
+    /// Returns the time that a suspect has to refute.
+    fn suspicion_timeout(&self) -> Duration {
+        match self.lists_holdings() {
+            true => self.timings.suspicion_timeout,
+            false => self.timings.suspicion_timeout + RUMOR_SPREAD_TIME,
+        }
+    }
+
     /// Returns true for a host that was never heard and may still be starting.
     fn is_starting(
         &self,
@@ -515,11 +657,12 @@
         now: Instant,
     ) {
         let time_in_state = |host: &KnownHost| now.saturating_duration_since(host.since);
+        let suspicion_timeout = self.suspicion_timeout();
         let overdue: Vec<SocketAddr> = self
             .hosts()
             .filter(|host| host.state == HostState::Suspect)
             .filter(|host| match host.heard {
-                Some(_) => time_in_state(host) >= self.timings.suspicion_timeout,
+                Some(_) => time_in_state(host) >= suspicion_timeout,
                 None => time_in_state(host) >= self.timings.startup_timeout,
             })
             .map(|host| host.identity.peer)
@@ -584,3 +727,39 @@
         });
     }
 }
+
+/// Applies the held engines that a host sends with its own rumor; returns true if the list changes.
+///
+/// A rumor of a large site bears only the version of the list. The list that is known stays until the host has sent
+/// the newer one, unless its process has ended.
+fn apply_sent_holds(
+    known: &mut KnownHost,
+    rumor: &HostRumor,
+    restarted: bool,
+) -> bool {
+    if rumor.holds_version == 0 {
+        let has_changed = known.holds != rumor.holds;
+        known.holds.clone_from(&rumor.holds);
+        known.holds_version = 0;
+        return has_changed;
+    }
+    let is_empty = rumor.holds_version == INITIAL_HOLDINGS_VERSION;
+    let knows_list = known.holds_version > INITIAL_HOLDINGS_VERSION || !known.holds.is_empty();
+    // A rumor that was overtaken by the first list must not empty it.
+    if !restarted && (!is_empty || knows_list) {
+        return false;
+    }
+    known.holds_version = match is_empty {
+        true => INITIAL_HOLDINGS_VERSION,
+        false => 0,
+    };
+    !std::mem::take(&mut known.holds).is_empty()
+}
+
+/// Returns when the next direct ping after the indirect ones is due.
+fn resend_time(
+    timings: &FailureDetectionTimings,
+    resends: u32,
+) -> Duration {
+    timings.ping_timeout + RESEND_INTERVAL * (resends + 1)
+}
--- a/src/process/hosts/known_host.rs
+++ b/src/process/hosts/known_host.rs
@@ -79,6 +79,8 @@
     pub heard: Option<Instant>,
     /// Names of the engines that the host controls.
     pub holds: Vec<String>,
+    /// Version of `holds` in the host's process; 0 if the host sends its list without a version, or no list is known.
+    pub holds_version: u32,
     /// Version of the host's lease row.
     pub lease_version: u64,
     /// When this host first learned of `lease_version`.
@@ -113,6 +115,7 @@
             link_mbps: self.identity.link_mbps,
             // Sent only by the host itself: a count relayed by others would never expire.
             counted: 0,
+            holds_version: 0,
         }
     }
 
@@ -136,6 +139,7 @@
             since: now,
             heard: None,
             holds: rumor.holds.clone(),
+            holds_version: 0,
             lease_version: rumor.lease_version,
             lease_known_since: now,
             ready: rumor.ready,
