Hosts of a large site resume their engines with one read and one transaction

After all hosts of a site were killed, each read the table of holders, renewed its lease and read the table again before it gave orders: at 300 hosts and 3,000 engines two tables of about half a MB for each. The first renewal of a process now expects the rows of its engines to be as they were read, when the table names more than 100 hosts, and confirms them. engine_assignment.rs is split by concept.

tests/holding.rs passes, with two safety cases for the new way.

--- /dev/null
+++ b/src/process/holding/assignment_action.rs
@@ -0,0 +1,23 @@
+use {super::TakenEngine, crate::formats::Transaction};
+
+/// An engine that this host controls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldEngine {
+    pub fence: u64,
+    /// Term of the lease in which the assignment was last confirmed.
+    pub term: u64,
+}
+
+/// A store operation that is required.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AssignmentAction {
+    /// Commits a renewal of this host's lease.
+    Renew { transaction: Transaction },
+    /// Reads the complete table.
+    ReadTable,
+    /// Commits changes of engines' holders, all or none.
+    Take {
+        engines: Vec<TakenEngine>,
+        transaction: Transaction,
+    },
+}
--- a/src/process/holding/engine_assignment.rs
+++ b/src/process/holding/engine_assignment.rs
@@ -1,6 +1,10 @@
 use {
     super::{
-        HOLDING_TABLE, HolderRow, HostRow, TakenEngine, host_key,
+        AssignmentAction, HOLDING_TABLE, HeldEngine, HolderRow, HostRow, KnownLease, LeaseTimings,
+        TakenEngine,
+        assignment_rows::AssignmentRows,
+        host_key,
+        resumption::Resumption,
         takeover_batches::{LapsedLease, MAX_BATCH_ENGINES, TakeoverBatches, VacantEngine},
         takeover_turns::TakeoverTurns,
     },
@@ -23,92 +27,6 @@
 /// Many hosts lose replies at the same moment, and their reads would load the store and the links together.
 const REREAD_SPREAD_PER_ROW: Duration = Duration::from_millis(1);
 
-/// Timings of leases and takeovers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LeaseTimings {
-    /// Validity of a lease, from when its renewal was sent.
-    pub ttl: Duration,
-    pub renewal_interval: Duration,
-    /// Mean backoff after a failed call, with jitter of half of it.
-    pub retry_backoff: Duration,
-    /// Minimum time between the orders of two holders of an engine.
-    pub min_order_gap: Duration,
-    /// Maximum time between the lease check of an order and its arrival.
-    pub max_order_delay: Duration,
-    /// Time that each preferred host has to take a vacant engine before the next one may.
-    pub takeover_interval: Duration,
-    /// Time after which a transaction without a reply is tried again.
-    pub outcome_timeout: Duration,
-}
-
-impl LeaseTimings {
-    /// Creates the timings for a platform that requires `min_order_gap` between the orders of two holders.
-    pub fn new(
-        ttl: Duration,
-        renewal_interval: Duration,
-        min_order_gap: Duration,
-    ) -> Self {
-        Self {
-            ttl,
-            renewal_interval,
-            retry_backoff: Duration::from_millis(600),
-            min_order_gap,
-            max_order_delay: Duration::from_millis(400),
-            takeover_interval: Duration::from_millis(1500),
-            outcome_timeout: Duration::from_secs(2),
-        }
-    }
-
-    /// Returns the age of a lease version at which its holder can't have sent an order for `min_order_gap`.
-    fn takeover_delay(&self) -> Duration {
-        self.ttl + self.min_order_gap + self.max_order_delay
-    }
-}
-
-/// Another host's lease as known to membership.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct KnownLease {
-    pub version: u64,
-    /// When this host learnt of the version.
-    pub known_since: Instant,
-}
-
-/// An engine that this host controls.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HeldEngine {
-    pub fence: u64,
-    /// Term of the lease in which the assignment was last confirmed.
-    pub term: u64,
-}
-
-/// A store operation that is required.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AssignmentAction {
-    /// Commits a renewal of this host's lease.
-    Renew { transaction: Transaction },
-    /// Reads the complete table.
-    ReadTable,
-    /// Commits changes of engines' holders, all or none.
-    Take {
-        engines: Vec<TakenEngine>,
-        transaction: Transaction,
-    },
-}
-
-/// A holder row as last read.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct StoredHolder {
-    version: u64,
-    row: HolderRow,
-}
-
-/// Another host's lease as last read from the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct StoredLease {
-    version: u64,
-    known_since: Instant,
-}
-
 /// Decides which engines this host takes, and whether it may send orders to them.
 ///
 /// A lease is valid from when its renewal was sent, on this host's monotonic clock. A lost host's engine is taken in
@@ -122,13 +40,14 @@
     row_version: Option<u64>,
     renewed_version: u64,
     is_renewing: bool,
+    /// Confirms the engines that an earlier process of this host held, with the first renewal.
+    resumption: Resumption,
     next_renewal: Instant,
     is_reading: bool,
     next_read: Instant,
     /// Term of the lease in which the table was last read.
     read_term: u64,
-    holders: BTreeMap<String, StoredHolder>,
-    leases: BTreeMap<SocketAddr, StoredLease>,
+    rows: AssignmentRows,
     held: BTreeMap<String, HeldEngine>,
     /// Engines that are not tried before the given time.
     blocked_until: BTreeMap<String, Instant>,
@@ -157,12 +76,12 @@
             row_version: None,
             renewed_version: 0,
             is_renewing: false,
+            resumption: Resumption::default(),
             next_renewal: now,
             is_reading: false,
             next_read: now,
             read_term: 0,
-            holders: BTreeMap::new(),
-            leases: BTreeMap::new(),
+            rows: AssignmentRows::default(),
             held: BTreeMap::new(),
             blocked_until: BTreeMap::new(),
             vacant_since: BTreeMap::new(),
@@ -283,6 +202,7 @@
                 self.row_version = Some(version);
                 self.renewed_version = version;
                 self.lease.record_renewal(sent, now);
+                self.resume();
                 self.next_renewal = sent + self.timings.renewal_interval;
             }
             // If the row was written all the same, the next attempt fails with a conflict that names its version.
@@ -297,6 +217,7 @@
         now: Instant,
     ) {
         self.is_renewing = false;
+        self.resumption.abandon();
         self.next_renewal = now;
         let key = host_key(self.local_host.peer);
         let found = rows.iter().find(|row| *row.key == key);
@@ -325,7 +246,7 @@
             self.row_version = Some(local_row.map_or(0, |row| row.version));
         }
         for row in rows {
-            self.apply_row(row, now);
+            self.rows.apply(row, now);
         }
         if term == self.lease.term() {
             self.read_term = term;
@@ -347,8 +268,7 @@
                 holder: self.local_host.peer,
                 fence: *fence,
             };
-            let stored = StoredHolder { version, row };
-            self.holders.insert(target.clone(), stored);
+            self.rows.record_written(target, version, row);
             let held = HeldEngine {
                 fence: *fence,
                 term,
@@ -371,7 +291,7 @@
     ) {
         let mut has_new_rows = false;
         for row in rows {
-            has_new_rows |= self.apply_row(row, now);
+            has_new_rows |= self.rows.apply(row, now);
         }
         match engines {
             [one] if !has_new_rows => {
@@ -402,7 +322,7 @@
         &mut self,
         now: Instant,
     ) {
-        let rows = u32::try_from(self.holders.len()).unwrap_or(u32::MAX);
+        let rows = u32::try_from(self.rows.holder_count()).unwrap_or(u32::MAX);
         let spread = REREAD_SPREAD_PER_ROW * rows;
         let at = now + self.rng.random_range(Duration::ZERO..=spread);
         self.reread_at.get_or_insert(at);
@@ -425,7 +345,7 @@
         &self,
         target: &str,
     ) -> Option<SocketAddr> {
-        self.holders.get(target).map(|stored| stored.row.holder)
+        self.rows.holder(target).map(|stored| stored.row.holder)
     }
 
     /// Returns true if the last rows read name this host as the holder of one of the engines.
@@ -433,9 +353,8 @@
         &self,
         engines: &BTreeMap<String, String>,
     ) -> bool {
-        self.holders.iter().any(|(target, stored)| {
-            stored.row.holder == self.local_host.peer && engines.contains_key(target)
-        })
+        let mut assigned = self.rows.assigned_to(self.local_host.peer);
+        assigned.any(|(target, _)| engines.contains_key(target))
     }
 
     /// Returns a renewal of the lease if it is due and this host needs one.
@@ -451,14 +370,21 @@
             return self.read_table(now);
         };
         self.is_renewing = true;
+        let is_large = self.rows.host_count() > self.timings.max_rereading_hosts;
+        // Later terms follow transactions whose replies may still arrive, and must not be taken for news of the new term.
+        if is_large && self.lease.term() == 0 {
+            self.resumption.begin(&self.rows, self.local_host.peer);
+        }
         let row = RowKey::new(HOLDING_TABLE, &host_key(self.local_host.peer));
         let value = serde_json::to_vec(&self.local_host).expect("host row serializes");
+        let mut expected = vec![Expectation {
+            row: row.clone(),
+            version,
+        }];
+        expected.extend(self.resumption.expectations());
         Some(AssignmentAction::Renew {
             transaction: Transaction {
-                expected: vec![Expectation {
-                    row: row.clone(),
-                    version,
-                }],
+                expected,
                 writes: vec![RowWrite {
                     row,
                     value: Some(value),
@@ -467,6 +393,18 @@
         })
     }
 
+    /// Holds the engines that the first renewal has confirmed.
+    fn resume(&mut self) {
+        let term = self.lease.term();
+        if let Some(engines) = self.resumption.finish() {
+            self.read_term = term;
+            self.held = engines
+                .into_iter()
+                .map(|(target, fence)| (target, HeldEngine { fence, term }))
+                .collect();
+        }
+    }
+
     fn read_table(
         &mut self,
         now: Instant,
@@ -484,69 +422,10 @@
         self.rng.random_range(backoff / 2..=backoff + backoff / 2)
     }
 
-    /// Applies a row. Returns true if it was not known.
-    fn apply_row(
-        &mut self,
-        row: &Row,
-        now: Instant,
-    ) -> bool {
-        let Some(value) = &row.value else {
-            return false;
-        };
-        if let Some(peer) = HostRow::peer_of(&row.key) {
-            let known_version = self.leases.get(&peer).map(|lease| lease.version);
-            if known_version == Some(row.version) {
-                return false;
-            }
-            let lease = StoredLease {
-                version: row.version,
-                known_since: now,
-            };
-            self.leases.insert(peer, lease);
-            return true;
-        }
-        let Some(target) = HolderRow::target_of(&row.key) else {
-            return false;
-        };
-        let previous_version = self.holders.get(target).map_or(0, |stored| stored.version);
-        if row.version < previous_version {
-            return false;
-        }
-        let Ok(holder) = serde_json::from_slice::<HolderRow>(value) else {
-            return self.on_malformed_row(target, row.version);
-        };
-        let stored = StoredHolder {
-            version: row.version,
-            row: holder,
-        };
-        self.holders.insert(target.to_string(), stored);
-        row.version > previous_version
-    }
-
-    /// Handles a malformed engine row.
-    ///
-    /// Keeps the holder named before, so that the engine is taken once that host's lease has lapsed. Without one, it is
-    /// unknown whose lease to wait for.
-    fn on_malformed_row(
-        &mut self,
-        target: &str,
-        version: u64,
-    ) -> bool {
-        let Some(stored) = self.holders.get_mut(target) else {
-            return false;
-        };
-        let is_newer = version > stored.version;
-        stored.version = version;
-        is_newer
-    }
-
     /// Sets the held engines to those that the rows assign to this host.
     fn confirm_held(&mut self) {
         let term = self.lease.term();
-        let assigned = self
-            .holders
-            .iter()
-            .filter(|(_, stored)| stored.row.holder == self.local_host.peer);
+        let assigned = self.rows.assigned_to(self.local_host.peer);
         self.held = assigned
             .map(|(target, stored)| {
                 let fence = stored.row.fence;
@@ -564,7 +443,7 @@
         lease_of: &impl Fn(SocketAddr) -> Option<KnownLease>,
         now: Instant,
     ) -> Option<VacantEngine> {
-        let stored = self.holders.get(target);
+        let stored = self.rows.holder(target);
         let holder = stored.map(|stored| stored.row.holder);
         if holder == Some(self.local_host.peer) {
             if !self.held.contains_key(target) {
@@ -588,7 +467,12 @@
         let lapsed = match holder {
             Some(host) => Some(LapsedLease {
                 host,
-                version: self.lapsed_lease(host, lease_of(host), now)?,
+                version: self.rows.lapsed_lease(
+                    host,
+                    lease_of(host),
+                    self.timings.takeover_delay(),
+                    now,
+                )?,
             }),
             None => None,
         };
@@ -599,34 +483,4 @@
             lapsed,
         })
     }
-
-    /// Returns the version of a host's lease that has been known for long enough to have lapsed.
-    fn lapsed_lease(
-        &self,
-        host: SocketAddr,
-        membership: Option<KnownLease>,
-        now: Instant,
-    ) -> Option<u64> {
-        let from_membership = membership
-            .filter(|lease| lease.version > 0)
-            .map(|lease| (lease.version, lease.known_since));
-        let from_store = self
-            .leases
-            .get(&host)
-            .map(|lease| (lease.version, lease.known_since));
-        // The earliest time at which the newest version was known.
-        let newest_version = from_membership
-            .into_iter()
-            .chain(from_store)
-            .map(|(version, _)| version)
-            .max()?;
-        let since = from_membership
-            .into_iter()
-            .chain(from_store)
-            .filter(|(version, _)| *version == newest_version)
-            .map(|(_, since)| since)
-            .min()?;
-        let has_lapsed = now.saturating_duration_since(since) >= self.timings.takeover_delay();
-        has_lapsed.then_some(newest_version)
-    }
 }
--- a/src/process/holding/takeover_batches.rs
+++ b/src/process/holding/takeover_batches.rs
@@ -5,7 +5,7 @@
 };
 
 /// Limit of the store for the entries of one transaction.
-const MAX_TRANSACTION_ENTRIES: usize = 100;
+pub(super) const MAX_TRANSACTION_ENTRIES: usize = 100;
 
 /// One expectation and one write.
 const ENTRIES_PER_ENGINE: usize = 2;
--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -4,7 +4,7 @@
 use {
     coveproxy::{
         clock::Instant,
-        formats::{Commit, Row, RowKey, Transaction},
+        formats::{Commit, Row, RowKey, RowWrite, Transaction},
         process::holding::{
             AssignmentAction, EngineAssignment, HOLDING_TABLE, HeldEngine, HolderRow, HostRow,
             KnownLease, LeaseTimings, TakenEngine, engine_key, host_key,
@@ -27,6 +27,9 @@
 /// More than fit into one transaction at each of three hosts.
 const MANY_ENGINES: usize = 180;
 
+/// More than `MAX_REREADING_HOSTS`.
+const MANY_HOSTS: usize = 110;
+
 /// Limit of the store.
 const MAX_TRANSACTION_ENTRIES: usize = 100;
 
@@ -141,6 +144,10 @@
     lost: u32,
     /// The hosts have agreed on which of them take engines.
     agreed: bool,
+    /// Up to this number of hosts, the table is read again after the first renewal.
+    max_rereading_hosts: usize,
+    /// Reads of the table and all transactions.
+    calls: (usize, usize),
 }
 
 impl World {
@@ -164,6 +171,8 @@
             takes: 0,
             lost,
             agreed: true,
+            max_rereading_hosts: 100,
+            calls: (0, 0),
         };
         world.set_engines(ENGINES);
         for at in 0..hosts {
@@ -197,7 +206,10 @@
             front: address(host),
             process: self.rng.random(),
         };
-        let timings = LeaseTimings::new(ms(9_000), ms(2_500), GAP);
+        let timings = LeaseTimings {
+            max_rereading_hosts: self.max_rereading_hosts,
+            ..LeaseTimings::new(ms(9_000), ms(2_500), GAP)
+        };
         self.hosts[host].holding = Some(EngineAssignment::new(row, timings, self.now));
         self.hosts[host].generation += 100;
     }
@@ -320,6 +332,10 @@
         term: u64,
     ) {
         self.takes += usize::from(matches!(action, AssignmentAction::Take { .. }));
+        match action {
+            AssignmentAction::ReadTable => self.calls.0 += 1,
+            _ => self.calls.1 += 1,
+        }
         let generation = self.hosts[host].generation;
         let (now, sent) = (self.now, self.now);
         if self.hosts[host].partitioned_until > now {
@@ -498,18 +514,22 @@
 }
 
 #[rstest]
-#[case::replies_arrive(0, ENGINES, 150)]
-#[case::replies_are_lost(30, ENGINES, 150)]
-#[case::many_engines_are_taken_together(30, MANY_ENGINES, 6)]
+#[case::replies_arrive(0, ENGINES, 150, 100)]
+#[case::replies_are_lost(30, ENGINES, 150, 100)]
+#[case::many_engines_are_taken_together(30, MANY_ENGINES, 6, 100)]
+#[case::first_renewals_confirm_engines(0, ENGINES, 150, 0)]
+#[case::first_renewals_confirm_engines_and_replies_are_lost(30, ENGINES, 150, 0)]
 fn orders_of_two_holders_never_come_close(
     #[case] lost: u32,
     #[case] engines: usize,
     #[case] seeds: u64,
+    #[case] max_rereading_hosts: usize,
 ) {
     let (mut orders, mut takeovers) = (0, 0);
     for seed in 0..seeds {
         let mut world = World::new(seed, 3, lost);
         world.set_engines(engines);
+        world.max_rereading_hosts = max_rereading_hosts;
         for step in 0..2_400 {
             world.step();
             if step > 200 && world.rng.random_range(0..120) == 0 {
@@ -580,6 +600,98 @@
     assert_eq!(world.takes, takes);
 }
 
+/// After all hosts of a large site were killed, each read the whole table twice before it gave orders again: the links
+/// were full, and the store sent two tables a host.
+#[test]
+fn hosts_of_a_large_site_resume_with_one_read_and_one_transaction() {
+    let mut world = World::new(8, MANY_HOSTS, 0);
+    world.set_engines(5 * MANY_HOSTS);
+    while world.last_order.len() < 5 * MANY_HOSTS {
+        world.step();
+    }
+    let before = world.last_order.clone();
+    let takes = world.takes;
+    world.agreed = false;
+    world.calls = (0, 0);
+    for host in &mut world.hosts {
+        host.holding = None;
+        host.starts_at = world.now + ms(700);
+    }
+    world.last_order.clear();
+    for _ in 0..24 {
+        world.step();
+    }
+    for (engine, (host, _, fence)) in before {
+        let (now, _, now_fence) = world.last_order[&engine];
+        assert_eq!((now, now_fence), (host, fence), "{engine}");
+    }
+    assert_eq!(world.takes, takes);
+    assert_eq!(world.calls, (MANY_HOSTS, MANY_HOSTS));
+}
+
+/// An engine that another host takes between the read and the first renewal must not be resumed.
+#[test]
+fn a_first_renewal_that_finds_another_holder_confirms_nothing() {
+    let now = Instant::now();
+    let row = HostRow {
+        peer: address(0),
+        name: "host-0".to_string(),
+        hall: "a".to_string(),
+        front: address(0),
+        process: 1,
+    };
+    let timings = LeaseTimings {
+        max_rereading_hosts: 0,
+        ..LeaseTimings::new(ms(9_000), ms(2_500), GAP)
+    };
+    let mut store = Store::default();
+    let write = |key: String, value: Vec<u8>| Transaction {
+        expected: Vec::new(),
+        writes: vec![RowWrite {
+            row: RowKey::new(HOLDING_TABLE, &key),
+            value: Some(value),
+        }],
+    };
+    let holder = |host| {
+        let row = HolderRow {
+            holder: address(host),
+            fence: 4,
+        };
+        serde_json::to_vec(&row).unwrap()
+    };
+    store.commit(&write(
+        host_key(address(0)),
+        serde_json::to_vec(&row).unwrap(),
+    ));
+    store.commit(&write(engine_key("engine-0"), holder(0)));
+    let mut holding = EngineAssignment::new(row, timings, now);
+    let engines = BTreeMap::from([("engine-0".to_string(), "key".to_string())]);
+    let mut decide = |holding: &mut EngineAssignment| {
+        let unclaimed = || Arc::new(BTreeMap::new());
+        holding.decide(&engines, &[address(0)], true, unclaimed, |_| None, now)
+    };
+    assert_eq!(decide(&mut holding), [AssignmentAction::ReadTable]);
+    holding.on_table_read(Some(&store.all()), 0, now);
+    let [AssignmentAction::Renew { transaction }] = &decide(&mut holding)[..] else {
+        panic!("no renewal");
+    };
+    store.commit(&write(engine_key("engine-0"), holder(1)));
+    let Commit::Conflict { rows } = store.commit(transaction) else {
+        panic!("the renewal confirms an engine of another host");
+    };
+    holding.on_renewal_conflict(&rows, now);
+    let [AssignmentAction::Renew { transaction }] = &decide(&mut holding)[..] else {
+        panic!("no second renewal");
+    };
+    let Commit::Done { version } = store.commit(transaction) else {
+        panic!("the second renewal fails");
+    };
+    holding.on_renewed(now, Some(version), now);
+    assert_eq!(decide(&mut holding), [AssignmentAction::ReadTable]);
+    holding.on_table_read(Some(&store.all()), 1, now);
+    assert_eq!(holding.held_engine("engine-0", now), None);
+}
+
 #[test]
 fn a_short_outage_of_the_store_stops_no_orders() {
     let mut world = World::new(3, 3, 0);
