--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -436,6 +436,10 @@
                         message: Message::Ping(ping),
                     }
                 }
+                HostAction::Notify { peer } => ControlAction::Send {
+                    to: peer,
+                    message: Message::Ping(self.notification(now)),
+                },
                 HostAction::PingRequest { via, peer } => ControlAction::Send {
                     to: via,
                     message: Message::PingRequest(PingRequest { peer: peer.into() }),
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -15,6 +15,21 @@
 
 const MAX_RUMORS_PER_MESSAGE: usize = 4;
 
+/// The same on a large site, where rumors bear no lists and have 70 bytes each: the message fits into one packet. After
+/// a partition hundreds of rumors are pending at once.
+const MAX_RUMORS_PER_LARGE_SITE_MESSAGE: usize = 14;
+
+/// Messages that bear rumors between two ticks on a large site. While a site starts, each host exchanges pings with all
+/// others within a second, which would fill its link if all of them bore rumors.
+const RUMOR_MESSAGES_PER_TICK: u32 = 2;
+
+/// A host of a large site that others took for dead sends this number of messages to each host. Rumors alone take ten
+/// seconds after a partition of 300 hosts, as hundreds are pending at once.
+const RETURN_ANNOUNCEMENTS: u32 = 3;
+
+/// Time between these messages, as each may be lost.
+const RETURN_ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Transmissions of a rumor, as a multiple of the base-2 logarithm of the number of hosts.
 const RETRANSMIT_FACTOR: u32 = 3;
 
@@ -68,6 +83,10 @@
     Ping {
         peer: SocketAddr,
     },
+    /// Send `peer` a message that needs no answer.
+    Notify {
+        peer: SocketAddr,
+    },
     /// Ask `via` to ping `peer`.
     PingRequest {
         via: SocketAddr,
@@ -108,6 +127,11 @@
     pending_pings: BTreeMap<SocketAddr, PendingPing>,
     /// Hosts whose rumors are to be sent, with the number of times each was sent.
     pending_rumors: BTreeMap<SocketAddr, u32>,
+    /// Messages since the last tick that bore rumors.
+    rumor_messages: u32,
+    /// Messages still to be sent to each host, as others took this one for dead.
+    return_announcements: u32,
+    next_return_announcement: Option<Instant>,
     events: Vec<HostEvent>,
     /// When a host was last added; initially the start of this host.
     last_added: Instant,
@@ -132,6 +156,9 @@
             next_ping: None,
             pending_pings: BTreeMap::new(),
             pending_rumors: BTreeMap::new(),
+            rumor_messages: 0,
+            return_announcements: 0,
+            next_return_announcement: None,
             events: Vec::new(),
             last_added: now,
             holders_epoch: 0,
@@ -313,6 +340,12 @@
 
     /// Returns the rumors for one message, those sent least often first.
     pub fn take_rumors(&mut self) -> Vec<HostRumor> {
+        if !self.lists_holdings() {
+            if self.rumor_messages >= RUMOR_MESSAGES_PER_TICK {
+                return Vec::new();
+            }
+            self.rumor_messages += 1;
+        }
         let hosts = self.hosts.len() + 1;
         let limit = RETRANSMIT_FACTOR * (usize::BITS - hosts.leading_zeros());
         let mut least_sent: Vec<(u32, SocketAddr)> = self
@@ -321,7 +354,10 @@
             .map(|(peer, sends)| (*sends, *peer))
             .collect();
         least_sent.sort_unstable();
-        least_sent.truncate(MAX_RUMORS_PER_MESSAGE);
+        least_sent.truncate(match self.lists_holdings() {
+            true => MAX_RUMORS_PER_MESSAGE,
+            false => MAX_RUMORS_PER_LARGE_SITE_MESSAGE,
+        });
         let mut rumors = Vec::new();
         for (sends, peer) in least_sent {
             if let Some(host) = self.hosts.get(&peer) {
@@ -359,7 +395,10 @@
         &mut self,
         now: Instant,
     ) -> Vec<HostAction> {
+        self.rumor_messages = 0;
         let mut actions = self.check_pending_pings(now);
+        actions.extend(self.ping_unrefuted_suspects(now));
+        actions.extend(self.announce_return(now));
         self.expire_suspects(now);
         self.size.update(self.hosts.keys(), now);
         if self.next_ping.is_none_or(|at| now >= at) {
@@ -530,6 +569,11 @@
         rumor: &HostRumor,
         state: HostState,
     ) {
+        let is_dead = state == HostState::Dead && rumor.process == self.me.process;
+        if is_dead && !self.lists_holdings() {
+            // Also if a higher incarnation has refuted that: the sender does not know of it.
+            self.return_announcements = RETURN_ANNOUNCEMENTS;
+        }
         let is_refutable = state >= HostState::Suspect
             && rumor.process == self.me.process
             && rumor.incarnation >= self.incarnation;
@@ -610,6 +654,50 @@
         (is_suspect && !self.lists_holdings()).then(|| self.ping(peer, now))
     }
 
+    /// Notifies all hosts, also those that seem dead, that this one is back after a partition.
+    fn announce_return(
+        &mut self,
+        now: Instant,
+    ) -> Vec<HostAction> {
+        let is_due = self.next_return_announcement.is_none_or(|at| now >= at);
+        if self.return_announcements == 0 || !is_due {
+            return Vec::new();
+        }
+        self.return_announcements -= 1;
+        self.next_return_announcement = Some(now + RETURN_ANNOUNCEMENT_INTERVAL);
+        let peers = self.hosts.keys().copied();
+        peers.map(|peer| HostAction::Notify { peer }).collect()
+    }
+
+    /// Pings the suspects of a large site that have not refuted yet, shortly before they are declared dead.
+    ///
+    /// Most hosts know a suspicion only from rumors, and the refutation may reach some of them too late. A host that is
+    /// wrongly taken for dead would be so until the next round.
+    fn ping_unrefuted_suspects(
+        &mut self,
+        now: Instant,
+    ) -> Vec<HostAction> {
+        if self.lists_holdings() {
+            return Vec::new();
+        }
+        let ping_after = self.suspicion_timeout() - self.answer_timeout();
+        let is_unrefuted = |host: &&KnownHost| {
+            host.state == HostState::Suspect
+                && host.heard.is_some()
+                && now.saturating_duration_since(host.since) >= ping_after
+        };
+        let unrefuted: Vec<SocketAddr> = self
+            .hosts()
+            .filter(is_unrefuted)
+            .map(|host| host.identity.peer)
+            .filter(|peer| !self.pending_pings.contains_key(peer))
+            .collect();
+        unrefuted
+            .into_iter()
+            .map(|peer| self.ping(peer, now))
+            .collect()
+    }
+
     /// Returns the time without an answer to a ping after which a host is suspected.
     fn answer_timeout(&self) -> Duration {
         let timeout = self.timings.ping_timeout + self.timings.indirect_ping_timeout;
--- a/src/process/tables/table_replica.rs
+++ b/src/process/tables/table_replica.rs
@@ -4,7 +4,11 @@
         clock::Instant,
         formats::{Row, RowBatch},
     },
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, HashSet},
+        sync::Arc,
+        time::Duration,
+    },
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
@@ -129,7 +133,8 @@
         fingerprint: &impl Fn(&Row) -> u64,
     ) -> Vec<Row> {
         let version = batch.version;
-        let is_missing = |old: &&Row| !batch.rows.iter().any(|row| row.key == old.key);
+        let keys: HashSet<&str> = batch.rows.iter().map(|row| &*row.key).collect();
+        let is_missing = |old: &&Row| !keys.contains(&*old.key);
         let missing: Vec<Row> = self
             .rows()
             .filter(is_missing)
