--- a/src/process/hosts/mod.rs
+++ b/src/process/hosts/mod.rs
@@ -3,6 +3,7 @@
 mod holdings_spread;
 mod host_table;
 mod known_host;
+mod large_site;
 mod peer_clocks;
 mod site_size;
 
