--- a/tests/host_table.rs
+++ b/tests/host_table.rs
@@ -121,3 +121,52 @@
     let rumors = table.take_rumors();
     assert_eq!(rumors[0].state(), RumorState::Dead);
 }
+
+/// Returns the number of messages to all hosts that a host sends within three seconds after it was told that it is dead.
+fn return_announcements(others: u8) -> usize {
+    let mut now = Instant::now();
+    let mut hosts = table(now);
+    for host in 2..2 + others {
+        hosts.on_heard(&rumor(host, RumorState::Alive), now);
+    }
+    hosts.on_rumor(&rumor(1, RumorState::Dead), now);
+    let mut notified = 0;
+    for _ in 0..60 {
+        now += STEP;
+        let is_notification = |action: &&HostAction| matches!(action, HostAction::Notify { .. });
+        notified += hosts.on_tick(now).iter().filter(is_notification).count();
+    }
+    notified / usize::from(others)
+}
+
+/// Guards against engines without a known holder for half a minute after a partition of a large site: each host learnt
+/// of the others' return only by its own pings. Smaller sites ping all hosts within seconds.
+#[test]
+fn a_host_of_a_large_site_that_was_taken_for_dead_tells_all_hosts() {
+    assert_eq!(return_announcements(101), 3);
+    assert_eq!(return_announcements(100), 0);
+}
+
+/// Guards against lists of engines in rumors of large sites, whose bytes grow with hosts and with engines, and against
+/// rumors without a list that make a known list vanish.
+#[test]
+fn rumors_of_a_large_site_bear_no_lists() {
+    let now = Instant::now();
+    let mut hosts = table(now);
+    for host in 2..=110 {
+        let holder = HostRumor {
+            holds: vec![format!("engine-{host}")],
+            ..rumor(host, RumorState::Alive)
+        };
+        hosts.on_heard(&holder, now);
+    }
+    let rumors = hosts.all_rumors();
+    assert_eq!(rumors.len(), 109);
+    assert!(rumors.iter().all(|rumor| rumor.holds.is_empty()));
+    let newer = HostRumor {
+        incarnation: 1,
+        ..rumors[0].clone()
+    };
+    hosts.on_rumor(&newer, now);
+    assert_eq!(hosts.get(address(2)).unwrap().holds, ["engine-2"]);
+}
