--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -666,7 +666,7 @@
     store.commit(&write(engine_key("engine-0"), holder(0)));
     let mut holding = EngineAssignment::new(row, timings, now);
     let engines = BTreeMap::from([("engine-0".to_string(), "key".to_string())]);
-    let mut decide = |holding: &mut EngineAssignment| {
+    let decide = |holding: &mut EngineAssignment| {
         let unclaimed = || Arc::new(BTreeMap::new());
         holding.decide(&engines, &[address(0)], true, unclaimed, |_| None, now)
     };
