--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -1,5 +1,11 @@
 use {
-    super::{HostIdentity, HostState, KnownHost, SiteSize},
+    super::{
+        HostIdentity, HostState, KnownHost, SiteSize,
+        large_site::{
+            MAX_RUMORS_PER_LARGE_SITE_MESSAGE, RETURN_ANNOUNCEMENTS, RUMOR_MESSAGES_PER_TICK,
+            apply_sent_holds, resend_time,
+        },
+    },
     crate::{
         clock::Instant,
         connection::datagram::{HostRumor, RumorState},
@@ -54,6 +60,10 @@
     Ping {
         peer: SocketAddr,
     },
+    /// Send `peer` a message that needs no answer.
+    Notify {
+        peer: SocketAddr,
+    },
     /// Ask `via` to ping `peer`.
     PingRequest {
         via: SocketAddr,
@@ -75,9 +85,11 @@
 
 /// A ping that has not been answered yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct PendingPing {
+pub(super) struct PendingPing {
     since: Instant,
     indirect_pings_sent: bool,
+    /// Direct pings sent after the indirect ones.
+    resends: u32,
 }
 
 /// Membership and state of the hosts of the site, maintained with SWIM-style pings and rumors.
@@ -85,18 +97,23 @@
     me: HostIdentity,
     incarnation: u32,
     leaving: bool,
-    timings: FailureDetectionTimings,
-    hosts: BTreeMap<SocketAddr, KnownHost>,
+    pub(super) timings: FailureDetectionTimings,
+    pub(super) hosts: BTreeMap<SocketAddr, KnownHost>,
     ping_queue: Vec<SocketAddr>,
     next_ping: Option<Instant>,
-    pending_pings: BTreeMap<SocketAddr, PendingPing>,
+    pub(super) pending_pings: BTreeMap<SocketAddr, PendingPing>,
     /// Hosts whose rumors are to be sent, with the number of times each was sent.
     pending_rumors: BTreeMap<SocketAddr, u32>,
+    /// Messages since the last tick that bore rumors.
+    rumor_messages: u32,
+    /// Messages still to be sent to each host, as others took this one for dead.
+    pub(super) return_announcements: u32,
+    pub(super) next_return_announcement: Option<Instant>,
     events: Vec<HostEvent>,
     /// When a host was last added; initially the start of this host.
     last_added: Instant,
     /// Incremented when the set of reachable hosts or the engines they control may have changed.
-    holders_epoch: u64,
+    pub(super) holders_epoch: u64,
     rng: StdRng,
     size: SiteSize,
 }
@@ -116,6 +133,9 @@
             next_ping: None,
             pending_pings: BTreeMap::new(),
             pending_rumors: BTreeMap::new(),
+            rumor_messages: 0,
+            return_announcements: 0,
+            next_return_announcement: None,
             events: Vec::new(),
             last_added: now,
             holders_epoch: 0,
@@ -242,6 +262,7 @@
             ready,
             link_mbps: self.me.link_mbps,
             counted: u32::try_from(self.size.host_count()).unwrap_or(u32::MAX),
+            holds_version: 0,
         }
     }
 
@@ -252,6 +273,12 @@
 
     /// Returns the rumors for one message, those sent least often first.
     pub fn take_rumors(&mut self) -> Vec<HostRumor> {
+        if !self.lists_holdings() {
+            if self.rumor_messages >= RUMOR_MESSAGES_PER_TICK {
+                return Vec::new();
+            }
+            self.rumor_messages += 1;
+        }
         let hosts = self.hosts.len() + 1;
         let limit = RETRANSMIT_FACTOR * (usize::BITS - hosts.leading_zeros());
         let mut least_sent: Vec<(u32, SocketAddr)> = self
@@ -260,11 +287,14 @@
             .map(|(peer, sends)| (*sends, *peer))
             .collect();
         least_sent.sort_unstable();
-        least_sent.truncate(MAX_RUMORS_PER_MESSAGE);
+        least_sent.truncate(match self.lists_holdings() {
+            true => MAX_RUMORS_PER_MESSAGE,
+            false => MAX_RUMORS_PER_LARGE_SITE_MESSAGE,
+        });
         let mut rumors = Vec::new();
         for (sends, peer) in least_sent {
             if let Some(host) = self.hosts.get(&peer) {
-                rumors.push(host.to_rumor());
+                rumors.push(self.rumor_of(host));
             }
             match sends + 1 >= limit {
                 true => self.pending_rumors.remove(&peer),
@@ -285,7 +315,10 @@
         &mut self,
         now: Instant,
     ) -> Vec<HostAction> {
+        self.rumor_messages = 0;
         let mut actions = self.check_pending_pings(now);
+        actions.extend(self.ping_unrefuted_suspects(now));
+        actions.extend(self.announce_return(now));
         self.expire_suspects(now);
         self.size.update(self.hosts.keys(), now);
         if self.next_ping.is_none_or(|at| now >= at) {
@@ -338,14 +371,13 @@
             return;
         }
         let lease_changed = known.lease_version < rumor.lease_version;
-        let held = std::mem::take(&mut known.holds);
         known.identity.process = rumor.process;
         known.identity.name.clone_from(&rumor.name);
         known.identity.hall.clone_from(&rumor.hall);
         known.identity.front = rumor.front.into();
         known.identity.link_mbps = rumor.link_mbps;
         known.incarnation = rumor.incarnation;
-        known.holds.clone_from(&rumor.holds);
+        let holds_changed = apply_sent_holds(known, rumor, restarted);
         known.heard = Some(now);
         known.counted = rumor.counted;
         match rumor.state() {
@@ -356,7 +388,6 @@
             known.lease_version = rumor.lease_version;
             known.lease_known_since = now;
         }
-        let holds_changed = held != rumor.holds;
         self.holders_epoch += u64::from(holds_changed);
         let changed = restarted || known.ready != rumor.ready || holds_changed;
         known.ready = rumor.ready;
@@ -408,8 +439,11 @@
         }
         known.incarnation = rumor.incarnation;
         if newer {
-            self.holders_epoch += u64::from(known.holds != rumor.holds);
-            known.holds.clone_from(&rumor.holds);
+            if rumor.holds_version == 0 {
+                self.holders_epoch += u64::from(known.holds != rumor.holds);
+                known.holds.clone_from(&rumor.holds);
+                known.holds_version = 0;
+            }
             known.ready = rumor.ready;
         }
         if known.lease_version < rumor.lease_version {
@@ -425,6 +459,11 @@
         rumor: &HostRumor,
         state: HostState,
     ) {
+        let is_dead = state == HostState::Dead && rumor.process == self.me.process;
+        if is_dead && !self.lists_holdings() {
+            // Also if a higher incarnation has refuted that: the sender does not know of it.
+            self.return_announcements = RETURN_ANNOUNCEMENTS;
+        }
         let is_refutable = state >= HostState::Suspect
             && rumor.process == self.me.process
             && rumor.incarnation >= self.incarnation;
@@ -436,7 +475,7 @@
         }
     }
 
-    fn ping(
+    pub(super) fn ping(
         &mut self,
         peer: SocketAddr,
         now: Instant,
@@ -444,6 +483,7 @@
         self.pending_pings.entry(peer).or_insert(PendingPing {
             since: now,
             indirect_pings_sent: false,
+            resends: 0,
         });
         HostAction::Ping { peer }
     }
@@ -461,13 +501,14 @@
             .collect();
         for (peer, ping) in pending {
             let silent = now.saturating_duration_since(ping.since);
-            if ping.indirect_pings_sent
-                && silent >= self.timings.ping_timeout + self.timings.indirect_ping_timeout
-            {
+            if ping.indirect_pings_sent && silent >= self.answer_timeout() {
                 self.pending_pings.remove(&peer);
                 match self.is_starting(peer, now) {
                     true => actions.push(self.ping(peer, now)),
-                    false => self.suspect(peer, now),
+                    false => {
+                        self.suspect(peer, now);
+                        actions.extend(self.ping_suspect(peer, now));
+                    }
                 }
             } else if !ping.indirect_pings_sent && silent >= self.timings.ping_timeout {
                 let sent = PendingPing {
@@ -480,6 +521,13 @@
                 actions.extend(helpers.into_iter().map(request));
                 // The first ping may have been lost.
                 actions.push(HostAction::Ping { peer });
+            } else if !self.lists_holdings() && silent >= resend_time(&self.timings, ping.resends) {
+                let sent = PendingPing {
+                    resends: ping.resends + 1,
+                    ..ping
+                };
+                self.pending_pings.insert(peer, sent);
+                actions.push(HostAction::Ping { peer });
             }
         }
         actions
@@ -515,11 +563,12 @@
         now: Instant,
     ) {
         let time_in_state = |host: &KnownHost| now.saturating_duration_since(host.since);
+        let suspicion_timeout = self.suspicion_timeout();
         let overdue: Vec<SocketAddr> = self
             .hosts()
             .filter(|host| host.state == HostState::Suspect)
             .filter(|host| match host.heard {
-                Some(_) => time_in_state(host) >= self.timings.suspicion_timeout,
+                Some(_) => time_in_state(host) >= suspicion_timeout,
                 None => time_in_state(host) >= self.timings.startup_timeout,
             })
             .map(|host| host.identity.peer)
