Engines are learnt by pace: samples of hosts, profiles at holders, and requests held while pauses make streams late

Cause: engines of unequal speed counted as equal, and no decision knew the pauses that a queue of prompts makes in running streams.

Change: hosts sample the wait for first events against the prompt tokens before it and report the mean to the engine's holder (Usage, field 7); the holder merges all hosts' samples into a profile and answers queries with it and with the time for which the engine has been reading without a break (EngineLoad, fields 5 and 6). Estimates and the order of adapters' engines go by that speed, where it differs by more than a factor of 1.4. Where streams of a service are often late by a pause, the choice counts the answers that a prompt would make late, and a request that can wait without being late itself is held instead. The end of a prefill is reported to the holder at once. On sites of up to 24 hosts nothing changes. Switches: learns_pace, holds_requests.

--- a/src/connection/datagram/engine_messages.rs
+++ b/src/connection/datagram/engine_messages.rs
@@ -40,14 +40,9 @@
     /// Prefill time of 1,000 prompt tokens, in microseconds.
     #[prost(uint32, tag = "1")]
     pub prefill_us: u32,
-    /// Time between two events while the engine reads no prompt, in microseconds.
+    /// Number of samples behind it.
     #[prost(uint32, tag = "2")]
-    pub gap_us: u32,
-    /// Number of samples behind each of the two.
-    #[prost(uint32, tag = "3")]
-    pub prefill_samples: u32,
-    #[prost(uint32, tag = "4")]
-    pub gap_samples: u32,
+    pub samples: u32,
 }
 
 /// Reports a host's requests at an engine to the engine's holder.
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -12,9 +12,12 @@
     crate::{
         clock::Instant,
         connection::targets::{AdapterRequest, TargetTable},
-        request::direct::{
-            AdapterCopyState, Awaited, CallRequest, ChoiceContext, EngineCandidate, EngineChoice,
-            PlainCandidate, RejectReason, choose_engine, choose_plain,
+        request::{
+            direct::{
+                AdapterCopyState, Awaited, CallRequest, ChoiceContext, EngineCandidate,
+                EngineChoice, PlainCandidate, RejectReason, choose_engine, choose_plain,
+            },
+            pace::PaceEstimate,
         },
     },
     rand::RngExt,
@@ -151,19 +154,19 @@
         let context = ChoiceContext {
             copy_price: Duration::ZERO,
             time_to_goal: request.aim().saturating_duration_since(now),
+            allowed_pause: allowed_pause(table, request),
+            may_hold: table.policy().holds_requests,
             priority: request.urgency,
             policy: table.policy(),
             now,
         };
         match choose_engine(&candidates, &context) {
-            EngineChoice::Send { to, .. } => send_to(
-                table,
-                attempts,
-                &targets[to],
-                None,
-                (targets.len(), targets.len()),
-                now,
-            ),
+            EngineChoice::Send { to, .. } => {
+                let counts = (targets.len(), targets.len());
+                let choice = send_to(table, attempts, &targets[to], None, counts, now);
+                with_estimate(choice, &candidates[to])
+            }
+            EngineChoice::Hold { until } => hold(until, now),
             _ => Unplaced::of(request, &targets, &candidates, now).wait_or_give_up(table, attempts),
         }
     }
@@ -194,6 +197,8 @@
         let context = ChoiceContext {
             copy_price: copy_cost(table, adapter, now),
             time_to_goal: request.aim().saturating_duration_since(now),
+            allowed_pause: allowed_pause(table, request),
+            may_hold: table.policy().holds_requests,
             priority: request.urgency,
             policy: table.policy(),
             now,
@@ -229,14 +234,9 @@
                     newest: availability.newest,
                     wait,
                 });
-                send_to(
-                    table,
-                    attempts,
-                    &targets[to],
-                    version,
-                    (targets.len(), ready),
-                    now,
-                )
+                let counts = (targets.len(), ready);
+                let choice = send_to(table, attempts, &targets[to], version, counts, now);
+                with_estimate(choice, &candidates[to])
             }
             EngineChoice::RequestLoad(at) => {
                 let choice = unplaced.await_reply(table, attempts);
@@ -254,6 +254,7 @@
                 }
                 unplaced.await_load(table, attempts, until, expected)
             }
+            EngineChoice::Hold { until } => hold(until, now),
             EngineChoice::NoEngine => {
                 let exclusions = EngineExclusions::of(&candidates, now);
                 attempts.trace.add(TraceStep::Unplaced(exclusions), now);
@@ -299,6 +300,23 @@
     })
 }
 
+/// Adds the estimate by which an engine was chosen.
+fn with_estimate(
+    choice: Choice,
+    engine: &EngineCandidate,
+) -> Choice {
+    match choice {
+        Choice::Send(destination) => Choice::Send(Destination {
+            estimate: Some(PaceEstimate {
+                first_event: engine.time_to_first_event,
+                pause: engine.reading.after,
+            }),
+            ..destination
+        }),
+        choice => choice,
+    }
+}
+
 fn request_adapter(
     table: &mut TargetTable,
     attempts: &mut Attempts,
@@ -314,6 +332,30 @@
     }
 }
 
+/// Keeps a request back until a time.
+fn hold(
+    until: Instant,
+    now: Instant,
+) -> Choice {
+    Choice::Wait {
+        until,
+        expected: Some(until.saturating_duration_since(now)),
+        awaited: Awaited::Capacity,
+    }
+}
+
+/// Returns the longest pause that keeps the request's stream in time, if pauses can be foreseen and often make streams
+/// late.
+fn allowed_pause(
+    table: &TargetTable,
+    request: &CallRequest,
+) -> Option<Duration> {
+    let service = &request.service.name;
+    let foresees = table.policy().learns_pace && table.is_large_site();
+    let foresees = foresees && table.has_frequent_pauses(service);
+    foresees.then_some(request.route.gap_aim)
+}
+
 /// Returns the cost of a new copy of an adapter for one request; requests that share the copy share its cost.
 fn copy_cost(
     table: &TargetTable,
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        AnswerBody, ErrorCause, LocalAnswer,
+        AnswerBody, ErrorCause, LocalAnswer, StreamTiming,
         adapter_waiter::AdapterWaiter,
         admission::{
             FreshnessCheck, HeldSlot, STALE_RETRY_AFTER, SlotAcquisition, acquire_permit,
@@ -356,8 +356,12 @@
     pub fn on_complete(
         &self,
         request: &CallRequest,
+        timing: &StreamTiming,
     ) {
         clear_suspect(&self.table, request);
+        let paused_too_long = timing.longest_pause() > request.route.gap_aim;
+        let mut table = self.table.borrow_mut();
+        table.record_stream(&request.service.name, paused_too_long);
     }
 
     /// Waits until all tables that a send depends on are fresh; returns false on timeout.
--- a/src/connection/front/engine_estimator.rs
+++ b/src/connection/front/engine_estimator.rs
@@ -1,11 +1,14 @@
 use {
-    super::attempts::Attempts,
+    super::{attempts::Attempts, exchange::HIGHEST_PRIORITY},
     crate::{
         clock::Instant,
         connection::targets::{PrefillThroughput, TargetLink, TargetTable},
-        request::direct::{
-            AdapterCopyState, CallRequest, DEFAULT_LOAD_TIME, EngineCandidate, Policy,
-            prompt_affinity,
+        request::{
+            direct::{
+                AdapterCopyState, CallRequest, DEFAULT_LOAD_TIME, EngineCandidate, Policy,
+                prompt_affinity,
+            },
+            pace::Reading,
         },
     },
     std::{sync::Arc, time::Duration},
@@ -14,9 +17,6 @@
 /// Maximum age of a report of other hosts' load at an engine; past it that load counts as unknown.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(400);
 
-/// Priority of the requests that engines admit before all others.
-const HIGHEST_PRIORITY: u8 = 0;
-
 /// Estimates wait and load of the candidates for one request.
 pub(super) struct EngineEstimator<'a> {
     speed: PrefillThroughput,
@@ -68,11 +68,13 @@
         let engine = request.service.engine.as_ref();
         let memory = engine.map_or(u64::MAX, |engine| engine.memory_tokens.max(1));
         let tokens = link.running_tokens() + prompt + answer;
+        let speed = self.speed_of(link);
         EngineCandidate {
             copy_state,
-            time_to_first_event: self
-                .speed
-                .prefill_time(self.backlog_before(link, request) + unread),
+            time_to_first_event: speed.prefill_time(self.backlog_before(link, request) + unread),
+            prefill_time: speed.prefill_time(unread),
+            reading: self.reading(link, unread, &speed),
+            streams: link.running(),
             load_time: link.load_time(self.now).unwrap_or(DEFAULT_LOAD_TIME),
             memory_share: tokens as f64 / memory as f64,
             batch_share: f64::from(link.running() + 1) / f64::from(link.view.record.slots.max(1)),
@@ -87,6 +89,34 @@
         }
     }
 
+    /// Returns the prefill throughput of an engine, or that of its service while little is known of the engine.
+    fn speed_of(
+        &self,
+        link: &TargetLink,
+    ) -> PrefillThroughput {
+        match link.pace.filter(|_| self.policy.learns_pace) {
+            Some(pace) => self
+                .speed
+                .with_speed(pace.speed(self.speed.tokens_per_ms())),
+            None => self.speed,
+        }
+    }
+
+    /// Returns for how long an engine reads without a break, with and without another prompt.
+    fn reading(
+        &self,
+        link: &TargetLink,
+        prompt: u64,
+        speed: &PrefillThroughput,
+    ) -> Reading {
+        let read_so_far = link.reading_time(self.now);
+        let backlog = link.backlog_tokens();
+        Reading {
+            before: read_so_far + speed.read_time(backlog),
+            after: read_so_far + speed.read_time(backlog + prompt),
+        }
+    }
+
     /// Returns the extra time that a request accepts at an engine that ranks among the first for its prompt.
     fn prompt_affinity(
         &self,
--- a/src/connection/front/engine_sample.rs
+++ b/src/connection/front/engine_sample.rs
@@ -121,7 +121,8 @@
     table.links[engine].view.holder.is_some()
 }
 
-/// Draws up to `MAX_READY` of this many ready engines: those that rank first for the prompt, and others by chance.
+/// Draws up to `MAX_READY` of this many ready engines by chance, besides those that rank first for the prompt: these are often
+/// busy with the same prompts, and a request needs as many others to choose from as without them.
 fn draw_ready<'a>(
     count: usize,
     engine: impl Fn(usize) -> &'a Arc<str>,
@@ -132,7 +133,7 @@
         first_by_prompt(prompt.leading_id(), ids, MAX_BY_PROMPT)
     });
     let others: Vec<usize> = (0..count).filter(|at| !drawn.contains(at)).collect();
-    let others = others.sample(&mut rand::rng(), MAX_READY - drawn.len());
+    let others = others.sample(&mut rand::rng(), MAX_READY);
     drawn.extend(others);
     drawn
 }
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -10,7 +10,7 @@
             direct::{AttemptEnd, CallRequest},
             memory::MemoryUse,
             notices::NoticeHeaders,
-            pace::PaceEstimate,
+            pace::{PaceEstimate, PrefillSample},
         },
     },
     bytes::{Bytes, BytesMut},
@@ -29,6 +29,9 @@
 /// Bodies up to this size in bytes are read completely before they are relayed.
 const MAX_BUFFERED_BODY: usize = 256 * 1024;
 
+/// Priority of the requests that engines admit before all others.
+pub(super) const HIGHEST_PRIORITY: u8 = 0;
+
 /// Lowest priority that engines know.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -152,6 +155,41 @@
             return;
         }
         self.with_link(|link| link.on_prefill_done(self.tokens));
+        if self.tokens.prompt > 0 {
+            self.table.borrow_mut().report_prefill_done(&self.target);
+        }
+    }
+
+    /// Samples the engine's pace; `backlog` is the number of prompt tokens that were queued when the request was sent.
+    fn sample_prefill(
+        &self,
+        request: &CallRequest,
+        backlog: u64,
+        time: Duration,
+    ) {
+        let mut table = self.table.borrow_mut();
+        let prompt = self.tokens.prompt;
+        let policy = table.policy();
+        let service = &request.service.name;
+        if !policy.learns_pace || !table.is_large_site() {
+            if backlog == 0 {
+                table
+                    .prefill_throughput(service)
+                    .on_first_event(prompt, time);
+            }
+            return;
+        }
+        // An urgent request overtakes the backlog, so that its wait tells little of the time that the backlog takes.
+        if backlog > 0 && policy.ranks_backlog && request.urgency == HIGHEST_PRIORITY {
+            return;
+        }
+        let sample = PrefillSample {
+            tokens: backlog + prompt,
+            time,
+        };
+        table.prefill_throughput(service).on_sample(&sample);
+        drop(table);
+        self.with_link(|link| link.pace_samples.add(&sample));
     }
 
     /// Returns the connection of a finished exchange to the pool of idle ones.
@@ -267,7 +305,7 @@
     streams: bool,
 ) -> SendOutcome {
     let started_at = Instant::now();
-    let no_backlog = backlog(table, &destination.target) == 0;
+    let backlog = backlog(table, &destination.target);
     let in_flight = InFlightRequest::start(table, request, &destination.target);
     let Some(mut connection) = connect(&in_flight).await else {
         return SendOutcome::Ended(AttemptEnd::NotSent);
@@ -334,14 +372,9 @@
     }
     record_success(&source.in_flight);
     source.in_flight.on_prefill_done();
-    if no_backlog {
-        let time = started_at.elapsed();
-        let tokens = source.in_flight.tokens.prompt;
-        let mut table = table.borrow_mut();
-        table
-            .prefill_throughput(&request.service.name)
-            .on_first_event(tokens, time);
-    }
+    source
+        .in_flight
+        .sample_prefill(request, backlog, started_at.elapsed());
     SendOutcome::Open(Box::new(OpenAnswer {
         status: head.status,
         headers: relayed_headers(head.headers),
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -92,7 +92,8 @@
             }
             match end {
                 RelayEnd::Complete => {
-                    self.dispatcher.on_complete(&self.open.request);
+                    self.dispatcher
+                        .on_complete(&self.open.request, &self.open.timing);
                     self.open.end(end.label());
                     return source.finish();
                 }
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -19,6 +19,7 @@
 mod table_adapters;
 mod table_counting;
 mod table_notices;
+mod table_pace;
 mod table_prompts;
 mod table_staleness;
 mod table_unplaced;
--- a/src/connection/targets/prefill_throughput.rs
+++ b/src/connection/targets/prefill_throughput.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {crate::request::pace::PrefillSample, std::time::Duration};
 
 /// Initial estimate, in tokens per millisecond.
 const INITIAL_TOKENS_PER_MS: f64 = 15.0;
@@ -8,6 +8,9 @@
 /// Weight of a new sample in the moving average.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
+/// Largest factor by which one sample may differ from the estimate; beyond it, a sample counts as this factor.
+const MAX_SAMPLE_FACTOR: f64 = 4.0;
+
 /// Fixed time to the first event besides the prefill, in milliseconds.
 const FIXED_MS: f64 = 15.0;
 
@@ -51,6 +54,24 @@
         self.tokens_per_ms += (speed - self.tokens_per_ms) * SAMPLE_WEIGHT;
     }
 
+    /// Samples a request that may have found a backlog.
+    pub fn on_sample(
+        &mut self,
+        sample: &PrefillSample,
+    ) {
+        let Some(prefill_us) = sample.prefill_us() else {
+            return;
+        };
+        let speed = (1_000_000.0 / prefill_us).max(MIN_TOKENS_PER_MS);
+        let ratio = (speed / self.tokens_per_ms).clamp(1.0 / MAX_SAMPLE_FACTOR, MAX_SAMPLE_FACTOR);
+        self.tokens_per_ms *= ratio.powf(SAMPLE_WEIGHT);
+    }
+
+    /// Returns the estimate in tokens per millisecond.
+    pub fn tokens_per_ms(&self) -> f64 {
+        self.tokens_per_ms
+    }
+
     /// Records the size of a request's prompt, in tokens.
     pub fn on_prompt(
         &mut self,
@@ -75,6 +96,25 @@
         }
     }
 
+    /// Returns the estimates of an engine with another speed, in tokens per millisecond.
+    pub fn with_speed(
+        &self,
+        tokens_per_ms: f64,
+    ) -> Self {
+        Self {
+            tokens_per_ms,
+            ..*self
+        }
+    }
+
+    /// Returns the time in which this many tokens are read.
+    pub fn read_time(
+        &self,
+        tokens: u64,
+    ) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / self.tokens_per_ms / 1000.0)
+    }
+
     /// Returns the expected time to the first event of a prompt of this many tokens.
     pub fn prefill_time(
         &self,
--- a/src/connection/targets/table_adapters.rs
+++ b/src/connection/targets/table_adapters.rs
@@ -7,11 +7,11 @@
     crate::{
         clock::Instant,
         connection::datagram::{Placement, PlacementState, Want},
-        request::{direct::AdapterCopyState, notices::Availability},
+        request::{direct::AdapterCopyState, notices::Availability, pace::PlacementRank},
     },
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::sync::Notify,
-    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Unloaded adapters that an engine is assumed to remember, per adapter slot.
@@ -34,12 +34,17 @@
         now: Instant,
     ) -> Vec<Arc<str>> {
         let seed = xxh3_64(adapter.as_bytes());
-        let mut ranked: Vec<(u64, &ServiceTarget)> = self
+        let speed = self.service_speed(service);
+        let mut ranked: Vec<(PlacementRank, &ServiceTarget)> = self
             .targets_of(service)
             .iter()
-            .map(|target| (xxh3_64_with_seed(&target.hash.to_le_bytes(), seed), target))
+            .map(|target| {
+                let relative_speed = self.relative_speed(&target.id, speed);
+                let rank = PlacementRank::of(target.hash, seed, relative_speed);
+                (rank, target)
+            })
             .collect();
-        ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+        ranked.sort_unstable_by(|a, b| a.0.compare(&b.0));
         let can_load = |target: &ServiceTarget| {
             let view = &self.links[&target.id].view;
             // A large site broadcasts no adapter states, so that engines without a holder are candidates too.
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -1,6 +1,10 @@
 use {
     super::{CachedPrompts, SentPrompts, TargetHealth, TargetView},
-    crate::{clock::Instant, connection::http1::HttpConnection},
+    crate::{
+        clock::Instant,
+        connection::{datagram::EngineLoad, http1::HttpConnection},
+        request::pace::{EnginePace, PaceSamples},
+    },
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
@@ -69,6 +73,12 @@
     pub others_unread_tokens: u64,
     /// When the holder last reported.
     pub others_reported_at: Option<Instant>,
+    /// Pace of the engine, as last reported by the holder.
+    pub pace: Option<EnginePace>,
+    /// Time for which the engine had been reading prompts without a break at the holder's last report.
+    reading_time: Duration,
+    /// Samples that are still to be reported to the holder.
+    pub pace_samples: PaceSamples,
     /// Time that an adapter load takes, and when the holder reported it.
     reported_load_time: Option<(Duration, Instant)>,
     /// When data last came from the target.
@@ -100,6 +110,9 @@
             others_tokens: 0,
             others_unread_tokens: 0,
             others_reported_at: None,
+            pace: None,
+            reading_time: Duration::ZERO,
+            pace_samples: PaceSamples::default(),
             reported_load_time: None,
             last_received: None,
             busy_since: None,
@@ -246,6 +259,36 @@
         self.reported_at = Some(now);
     }
 
+    /// Records the load that the holder reported.
+    pub fn on_load(
+        &mut self,
+        load: &EngineLoad,
+        now: Instant,
+    ) {
+        self.others_in_flight = load.in_flight;
+        self.others_tokens = u64::from(load.tokens);
+        self.others_unread_tokens = u64::from(load.unread_tokens);
+        self.others_reported_at = Some(now);
+        self.reading_time = Duration::from_millis(u64::from(load.reading_ms));
+        if let Some(pace) = load.pace.as_ref().and_then(EnginePace::of) {
+            self.pace = Some(pace);
+        }
+    }
+
+    /// Returns the time for which the engine has been reading prompts without a break, zero if it has none to read.
+    pub fn reading_time(
+        &self,
+        now: Instant,
+    ) -> Duration {
+        if self.backlog_tokens() == 0 {
+            return Duration::ZERO;
+        }
+        let since_report = self
+            .others_reported_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.reading_time + since_report
+    }
+
     /// Records the load time that the holder reported.
     pub fn on_load_time(
         &mut self,
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -10,7 +10,7 @@
             AdapterUsage, EngineLoad, EngineQuery, EngineStanding, PermitAnswer, PlaceGiven, Usage,
         },
         formats::TargetStart,
-        request::{direct::Policy, poison::PoisonReport},
+        request::{direct::Policy, pace::PauseRecord, poison::PoisonReport},
         version::routing::RoutingTable,
     },
     std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration},
@@ -45,6 +45,8 @@
     pub adapters: AdapterMap,
     pub demand: AdapterDemand,
     pub(super) prefill_throughputs: HashMap<String, PrefillThroughput>,
+    /// Pauses of streams, by service.
+    pub(super) pause_records: HashMap<String, PauseRecord>,
     pub(super) budgets: RepeatBudgets,
     /// By service.
     pub(super) unplaced: HashMap<String, UnplacedRequests>,
@@ -95,6 +97,7 @@
             adapters: AdapterMap::default(),
             demand: AdapterDemand::default(),
             prefill_throughputs: HashMap::new(),
+            pause_records: HashMap::new(),
             budgets: RepeatBudgets::new(&settings, Instant::now()),
             unplaced: HashMap::new(),
             adapter_waiters: HashMap::new(),
@@ -313,10 +316,7 @@
         now: Instant,
     ) {
         if let Some(link) = self.links.get_mut(load.target.as_str()) {
-            link.others_in_flight = load.in_flight;
-            link.others_tokens = u64::from(load.tokens);
-            link.others_unread_tokens = u64::from(load.unread_tokens);
-            link.others_reported_at = Some(now);
+            link.on_load(load, now);
         }
     }
 
@@ -346,6 +346,19 @@
         }
     }
 
+    /// Reports to the holder at once that an engine has read a prompt, where other hosts foresee pauses from it.
+    pub fn report_prefill_done(
+        &mut self,
+        target: &str,
+    ) {
+        if !self.policy().learns_pace || !self.is_large_site() {
+            return;
+        }
+        if let Some(link) = self.links.get_mut(target) {
+            report_usage_to_holder(&self.control, target, link, Instant::now());
+        }
+    }
+
     /// Counts a request that is sent to a target.
     ///
     /// If set by the policy, and on large sites, usage is reported to the holder at once, so that other hosts do not
@@ -396,7 +409,7 @@
         tokens: u32::try_from(link.tokens).unwrap_or(u32::MAX),
         unread_tokens: u32::try_from(link.unread_tokens).unwrap_or(u32::MAX),
         prompts: link.sent_prompts.take_report(),
-        pace: None,
+        pace: link.pace_samples.take(),
     };
     let _ = control.send(ControlRequest::ReportUsage { holder, usage });
 }
--- a/src/process/engines/engine_allocator.rs
+++ b/src/process/engines/engine_allocator.rs
@@ -308,7 +308,7 @@
         usage: &Usage,
         now: Instant,
     ) {
-        self.usage.on_usage(host, usage);
+        self.usage.on_usage(host, usage, now);
         for prompt in &usage.prompts {
             self.prompts.record(prompt);
         }
--- a/src/process/engines/engine_usage.rs
+++ b/src/process/engines/engine_usage.rs
@@ -1,7 +1,8 @@
 use {
     crate::{
         clock::Instant,
-        connection::datagram::{EngineQuery, Usage},
+        connection::datagram::{EngineQuery, PaceReport, Usage},
+        request::pace::EnginePace,
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
@@ -34,6 +35,9 @@
 pub struct EngineUsage {
     by_host: BTreeMap<SocketAddr, UsageTotals>,
     expected: Vec<ExpectedSend>,
+    pace: Option<EnginePace>,
+    /// Since when the engine has had prompts to read.
+    reading_since: Option<Instant>,
 }
 
 impl EngineUsage {
@@ -42,6 +46,7 @@
         &mut self,
         host: SocketAddr,
         usage: &Usage,
+        now: Instant,
     ) {
         let totals = UsageTotals {
             in_flight: usage.in_flight,
@@ -51,6 +56,48 @@
         self.by_host.insert(host, totals);
         // The requests of its earlier queries have been sent by now, here or elsewhere.
         self.expected.retain(|send| send.host != host);
+        if let Some(report) = &usage.pace {
+            self.merge_pace(report);
+        }
+        self.update_reading(now);
+    }
+
+    fn merge_pace(
+        &mut self,
+        report: &PaceReport,
+    ) {
+        match &mut self.pace {
+            Some(pace) => pace.merge(report),
+            None => self.pace = EnginePace::of(report),
+        }
+    }
+
+    fn update_reading(
+        &mut self,
+        now: Instant,
+    ) {
+        self.reading_since = match self.is_reading() {
+            true => self.reading_since.or(Some(now)),
+            false => None,
+        };
+    }
+
+    fn is_reading(&self) -> bool {
+        self.by_host.values().any(|host| host.unread_tokens > 0)
+    }
+
+    /// Returns the pace of the engine, if any samples were reported.
+    pub fn pace(&self) -> Option<PaceReport> {
+        self.pace.map(|pace| pace.report())
+    }
+
+    /// Returns the time for which the engine has been reading prompts without a break.
+    pub fn reading_time(
+        &self,
+        now: Instant,
+    ) -> Duration {
+        let since = self.reading_since;
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
     /// Records a query of a host, which may send a request soon.
@@ -101,6 +148,9 @@
     ) {
         self.by_host.remove(&host);
         self.expected.retain(|send| send.host != host);
+        if !self.is_reading() {
+            self.reading_since = None;
+        }
     }
 
     /// Returns the requests in flight of all hosts.
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -153,7 +153,7 @@
         let placement = allocator.on_query(from, query, now);
         let last_segment = query.segments.last();
         let answer = EngineStanding {
-            load: load_excluding(&query.target, allocator, from),
+            load: load_excluding(&query.target, allocator, from, now),
             placement,
             cached_tokens: allocator.cached_tokens(&query.segments),
             chain: last_segment.map_or(0, |segment| segment.chain),
@@ -192,7 +192,13 @@
         let mut loads = Vec::new();
         for (target, allocator) in &self.allocators {
             for host in allocator.usage().hosts() {
-                loads.push((host, load_excluding(target, allocator, host)));
+                // Pace changes with each answer: sent to all hosts, it would multiply the messages of a small site.
+                let load = EngineLoad {
+                    pace: None,
+                    reading_ms: 0,
+                    ..load_excluding(target, allocator, host, now)
+                };
+                loads.push((host, load));
             }
         }
         loads.retain(|(host, load)| self.published_loads.should_publish(*host, load, now));
@@ -320,15 +326,17 @@
     target: &str,
     allocator: &EngineAllocator,
     host: SocketAddr,
+    now: Instant,
 ) -> EngineLoad {
-    let others = allocator.usage().excluding(host);
+    let usage = allocator.usage();
+    let others = usage.excluding(host);
     EngineLoad {
         target: target.to_string(),
         in_flight: others.in_flight,
         tokens: others.tokens,
         unread_tokens: others.unread_tokens,
-        pace: None,
-        reading_ms: 0,
+        pace: usage.pace(),
+        reading_ms: usage.reading_time(now).as_millis() as u32,
     }
 }
 
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -236,6 +236,7 @@
         limits_loads: on("limits_loads"),
         uses_engine_memory: on("uses_engine_memory"),
         learns_pace: on("learns_pace"),
+        holds_requests: on("holds_requests"),
         prefers_cached_prompts: on("prefers_cached_prompts"),
         bounds_waits: on("bounds_waits"),
     }
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -1,6 +1,12 @@
 use {
     super::Policy,
-    crate::{clock::Instant, request::notices::Availability},
+    crate::{
+        clock::Instant,
+        request::{
+            notices::Availability,
+            pace::{Reading, StreamLateness},
+        },
+    },
     std::time::Duration,
 };
 
@@ -29,6 +35,12 @@
     pub copy_state: AdapterCopyState,
     /// Expected time to the first event once the adapter is loaded.
     pub time_to_first_event: Duration,
+    /// Expected time to read the request's prompt alone.
+    pub prefill_time: Duration,
+    /// Expected time for which it reads prompts without a break.
+    pub reading: Reading,
+    /// Requests that run there.
+    pub streams: u32,
     /// Expected time to load the adapter from the weight store, if the load is requested now.
     pub load_time: Duration,
     /// Share of its KV memory in use with this request; 1 is full.
@@ -66,6 +78,8 @@
         until: Instant,
         expected: Option<Duration>,
     },
+    /// Keep the request until `until`, and choose again: every engine is so busy that answers would become late.
+    Hold { until: Instant },
     /// No engine can take the request.
     NoEngine,
 }
@@ -77,6 +91,10 @@
     pub copy_price: Duration,
     /// Time until the latency objective is missed.
     pub time_to_goal: Duration,
+    /// Longest pause that keeps a stream in time; `None` if pauses do not count.
+    pub allowed_pause: Option<Duration>,
+    /// Requests that would make answers late may be sent later.
+    pub may_hold: bool,
     /// 0 is the most urgent.
     pub priority: u8,
     pub policy: Policy,
@@ -135,6 +153,21 @@
 /// A busy engine is also accepted if its cost is at most this share of the time left for the latency objective.
 const ACCEPTED_AIM_SHARE: f64 = 0.6;
 
+/// Cost of an answer that becomes late: about what a caller of an interactive route accepts to wait.
+const LATE_ANSWER_COST_S: f64 = 1.0;
+
+/// The same for an engine that has to load the adapter first: what it reads now is partly over by then.
+const LATE_ANSWER_AFTER_LOAD_COST_S: f64 = 0.1;
+
+/// A request is held back if it makes more answers late than this.
+const MAX_LATE_ANSWERS: f64 = 0.3;
+
+/// Time after which a request that is held back looks at the engines again: they read a long prompt in it.
+const HOLD_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Factor on the expected time to the first event that a held request keeps in reserve: estimates may be this far off.
+const FIRST_EVENT_MARGIN: f64 = 1.5;
+
 /// Time allowed for the reply of a lease holder.
 pub(super) const HOLDER_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -148,6 +181,12 @@
 ) -> EngineChoice {
     let is_open = |candidate: &EngineCandidate| candidate.availability == Availability::Open;
     let choice = choose_among(candidates, context, &is_open);
+    if let EngineChoice::Send { to, .. } = choice
+        && should_hold(&candidates[to], context)
+    {
+        let until = context.now + HOLD_INTERVAL;
+        return EngineChoice::Hold { until };
+    }
     if matches!(choice, EngineChoice::Send { .. }) || candidates.iter().all(is_open) {
         return choice;
     }
@@ -180,18 +219,32 @@
         true => NON_HOME_SURCHARGE,
         false => NON_HOME_SURCHARGE_IF_UNLOADED,
     };
-    let best = |accept: &dyn Fn(&EngineCandidate) -> bool| {
+    let best = |accept: &dyn Fn(&EngineCandidate) -> bool, late_cost_s: f64| {
         let costs = candidates
             .iter()
             .enumerate()
             .filter(|(_, candidate)| !candidate.tried && !candidate.avoided)
             .filter(|(_, candidate)| accepts(candidate) && accept(candidate))
-            .map(|(at, candidate)| (at, cost(at, candidate, non_home_surcharge, context)));
-        costs.min_by(|a, b| a.1.total_cmp(&b.1))
+            .map(|(at, candidate)| {
+                let lateness = late_answers(candidate, context) * late_cost_s;
+                (
+                    at,
+                    cost(at, candidate, non_home_surcharge, context),
+                    lateness,
+                )
+            });
+        let best = costs.min_by(|a, b| (a.1 + a.2).total_cmp(&(b.1 + b.2)));
+        best.map(|(at, cost, _)| (at, cost))
     };
-    let ready = best(&|candidate| candidate.copy_state == AdapterCopyState::Ready);
-    let loading = best(&|candidate| is_loading(candidate.copy_state));
-    let loadable = best(&|candidate| can_load(candidate, context.now));
+    let ready = best(
+        &|candidate| candidate.copy_state == AdapterCopyState::Ready,
+        LATE_ANSWER_COST_S,
+    );
+    let loading = best(&|candidate| is_loading(candidate.copy_state), 0.0);
+    let loadable = best(
+        &|candidate| can_load(candidate, context.now),
+        LATE_ANSWER_AFTER_LOAD_COST_S,
+    );
     // While one engine loads the adapter, no second load is requested: a slow load means that all loads are slow.
     let loadable = loadable.filter(|_| loading.is_none());
     let load_cost = loading.or(loadable).map_or(f64::INFINITY, |(_, cost)| cost);
@@ -216,6 +269,30 @@
     }
 }
 
+/// Returns true if a request is better sent later: now it would make answers late, and it can wait without being late itself.
+fn should_hold(
+    candidate: &EngineCandidate,
+    context: &ChoiceContext,
+) -> bool {
+    let needed = candidate.time_to_first_event.mul_f64(FIRST_EVENT_MARGIN) + HOLD_INTERVAL;
+    context.may_hold
+        && late_answers(candidate, context) > MAX_LATE_ANSWERS
+        && needed < context.time_to_goal
+}
+
+/// Returns the number of answers that become late if the request is sent to an engine.
+fn late_answers(
+    candidate: &EngineCandidate,
+    context: &ChoiceContext,
+) -> f64 {
+    let Some(allowed) = context.allowed_pause else {
+        return 0.0;
+    };
+    let by_pause = StreamLateness::of(candidate.reading, candidate.streams, allowed).total();
+    let is_late = candidate.time_to_first_event > context.time_to_goal;
+    by_pause + f64::from(u8::from(is_late))
+}
+
 /// Returns true if a ready engine with this cost is preferable to waiting for a load.
 fn is_good_enough(
     cost: f64,
--- a/src/request/direct/engine_outlook.rs
+++ b/src/request/direct/engine_outlook.rs
@@ -19,6 +19,8 @@
     HolderReply,
     /// Room at engines that are full for the adapter.
     Room,
+    /// Engines that read less: now the request would make answers late.
+    Capacity,
     /// The end of an engine's announced unavailability.
     Opening,
     /// Nothing in particular: no engine is known that could take the request later.
@@ -32,6 +34,7 @@
             Self::Load => "load",
             Self::HolderReply => "holder_reply",
             Self::Room => "room",
+            Self::Capacity => "capacity",
             Self::Opening => "opening",
             Self::AnyEngine => "any_engine",
         }
--- a/src/request/direct/policy.rs
+++ b/src/request/direct/policy.rs
@@ -26,6 +26,8 @@
     pub uses_engine_memory: bool,
     /// Each engine's pace is learnt, and requests are placed by it.
     pub learns_pace: bool,
+    /// Requests that would make answers late now are sent a little later.
+    pub holds_requests: bool,
     /// Requests prefer engines that have read parts of their prompts.
     pub prefers_cached_prompts: bool,
     /// Requests wait only while an engine can be expected to serve them.
@@ -47,6 +49,7 @@
             limits_loads: true,
             uses_engine_memory: true,
             learns_pace: true,
+            holds_requests: true,
             prefers_cached_prompts: true,
             bounds_waits: true,
         }
--- a/tests/engine_standing.rs
+++ b/tests/engine_standing.rs
@@ -58,7 +58,7 @@
     let now = Instant::now();
     let mut engine = EngineUsage::default();
     engine.on_query(host(1), &query(100), now);
-    engine.on_usage(host(1), &usage(1));
+    engine.on_usage(host(1), &usage(1), now);
     assert_eq!(engine.excluding(host(2)).in_flight, 1);
     assert_eq!(engine.excluding(host(2)).tokens, 1_000);
 }
@@ -94,7 +94,7 @@
     let now = Instant::now();
     let mut engine = EngineUsage::default();
     engine.on_query(host(1), &query(100), now);
-    engine.on_usage(host(2), &usage(3));
+    engine.on_usage(host(2), &usage(3), now);
     engine.on_host_gone(host(1));
     engine.on_host_gone(host(2));
     assert_eq!(engine.excluding(host(3)).in_flight, 0);
--- a/tests/prompt_caches.rs
+++ b/tests/prompt_caches.rs
@@ -23,6 +23,7 @@
                 prompt_affinity,
             },
             notices::Availability,
+            pace::Reading,
         },
         version::routing::{BaseModel, EngineSpec},
     },
@@ -718,6 +719,9 @@
     EngineCandidate {
         load_time: DEFAULT_LOAD_TIME,
         copy_state: AdapterCopyState::Ready,
+        prefill_time: Duration::ZERO,
+        reading: Reading::default(),
+        streams: 0,
         time_to_first_event: Duration::from_secs_f64(wait_ms / 1_000.0),
         memory_share: 0.3,
         batch_share: 0.3,
@@ -780,6 +784,8 @@
             })
             .collect();
         let context = ChoiceContext {
+            allowed_pause: None,
+            may_hold: false,
             copy_price: Duration::ZERO,
             time_to_goal: ms(800),
             priority: 2,
@@ -848,6 +854,8 @@
         candidate(100.0, Duration::ZERO),
     ];
     let context = ChoiceContext {
+        allowed_pause: None,
+        may_hold: false,
         copy_price: Duration::ZERO,
         time_to_goal: ms(800),
         priority: 2,
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -12,6 +12,7 @@
                 next_step, wait_or_reject,
             },
             notices::Availability,
+            pace::Reading,
         },
         version::routing::{
             BaseModel, EngineSpec, FrontLimits, Route, RouteKind, RoutingTable, TargetService,
@@ -200,6 +201,9 @@
         load_time: DEFAULT_LOAD_TIME,
         copy_state,
         time_to_first_event: ms(wait_ms),
+        prefill_time: ms(wait_ms),
+        reading: Reading::default(),
+        streams: 0,
         memory_share: 0.3,
         batch_share: 0.3,
         relative_load: 1.0,
@@ -220,6 +224,8 @@
     ChoiceContext {
         copy_price: ms(price_ms),
         time_to_goal: ms(800),
+        allowed_pause: None,
+        may_hold: false,
         priority: 2,
         policy: Policy::default(),
         now,
--- a/tests/wait_decisions.rs
+++ b/tests/wait_decisions.rs
@@ -11,6 +11,7 @@
                 unconfirmed_limit,
             },
             notices::Availability,
+            pace::Reading,
         },
     },
     proptest::prelude::*,
@@ -183,6 +184,9 @@
 fn candidate(copy_state: AdapterCopyState) -> EngineCandidate {
     EngineCandidate {
         copy_state,
+        prefill_time: Duration::ZERO,
+        reading: Reading::default(),
+        streams: 0,
         time_to_first_event: ms(100),
         load_time: ms(300),
         memory_share: 0.1,
