Estimates of first events keep the speed of idle engines, times the engine's relative speed

Change: the throughput without backlog is estimated as before and scaled by an engine's relative speed; the loaded throughput serves the profiles and the time for which an engine reads.

--- a/src/connection/front/engine_estimator.rs
+++ b/src/connection/front/engine_estimator.rs
@@ -94,12 +94,10 @@
         &self,
         link: &TargetLink,
     ) -> PrefillThroughput {
-        match link.pace.filter(|_| self.policy.learns_pace) {
-            Some(pace) => self
-                .speed
-                .with_speed(pace.speed(self.speed.tokens_per_ms())),
-            None => self.speed,
-        }
+        let pace = link.pace.filter(|_| self.policy.learns_pace);
+        let service_speed = self.speed.loaded_tokens_per_ms();
+        let relative_speed = pace.map_or(1.0, |pace| pace.relative_speed(service_speed));
+        self.speed.scaled(relative_speed)
     }
 
     /// Returns for how long an engine reads without a break, with and without another prompt.
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -171,12 +171,11 @@
         let prompt = self.tokens.prompt;
         let policy = table.policy();
         let service = &request.service.name;
+        if backlog == 0 {
+            let throughput = table.prefill_throughput(service);
+            throughput.on_first_event(prompt, time);
+        }
         if !policy.learns_pace || !table.is_large_site() {
-            if backlog == 0 {
-                table
-                    .prefill_throughput(service)
-                    .on_first_event(prompt, time);
-            }
             return;
         }
         // An urgent request overtakes the backlog, so that its wait tells little of the time that the backlog takes.
--- a/src/connection/targets/prefill_throughput.rs
+++ b/src/connection/targets/prefill_throughput.rs
@@ -24,6 +24,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PrefillThroughput {
     tokens_per_ms: f64,
+    /// The same from all requests, those that found a backlog included: lower, as queues take time of their own.
+    loaded_tokens_per_ms: f64,
     /// Moving averages of prompt sizes and of their squares, in tokens.
     mean_tokens: f64,
     mean_square: f64,
@@ -33,6 +35,7 @@
     fn default() -> Self {
         Self {
             tokens_per_ms: INITIAL_TOKENS_PER_MS,
+            loaded_tokens_per_ms: INITIAL_TOKENS_PER_MS,
             mean_tokens: 0.0,
             mean_square: 0.0,
         }
@@ -63,13 +66,14 @@
             return;
         };
         let speed = (1_000_000.0 / prefill_us).max(MIN_TOKENS_PER_MS);
-        let ratio = (speed / self.tokens_per_ms).clamp(1.0 / MAX_SAMPLE_FACTOR, MAX_SAMPLE_FACTOR);
-        self.tokens_per_ms *= ratio.powf(SAMPLE_WEIGHT);
+        let ratio = speed / self.loaded_tokens_per_ms;
+        let ratio = ratio.clamp(1.0 / MAX_SAMPLE_FACTOR, MAX_SAMPLE_FACTOR);
+        self.loaded_tokens_per_ms *= ratio.powf(SAMPLE_WEIGHT);
     }
 
-    /// Returns the estimate in tokens per millisecond.
-    pub fn tokens_per_ms(&self) -> f64 {
-        self.tokens_per_ms
+    /// Returns the throughput of engines with a backlog, in tokens per millisecond.
+    pub fn loaded_tokens_per_ms(&self) -> f64 {
+        self.loaded_tokens_per_ms
     }
 
     /// Records the size of a request's prompt, in tokens.
@@ -96,23 +100,24 @@
         }
     }
 
-    /// Returns the estimates of an engine with another speed, in tokens per millisecond.
-    pub fn with_speed(
+    /// Returns the estimates of an engine whose speed is this multiple of the service's.
+    pub fn scaled(
         &self,
-        tokens_per_ms: f64,
+        relative_speed: f64,
     ) -> Self {
         Self {
-            tokens_per_ms,
+            tokens_per_ms: self.tokens_per_ms * relative_speed,
+            loaded_tokens_per_ms: self.loaded_tokens_per_ms * relative_speed,
             ..*self
         }
     }
 
-    /// Returns the time in which this many tokens are read.
+    /// Returns the time in which an engine with a backlog reads this many tokens.
     pub fn read_time(
         &self,
         tokens: u64,
     ) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.tokens_per_ms / 1000.0)
+        Duration::from_secs_f64(tokens as f64 / self.loaded_tokens_per_ms / 1000.0)
     }
 
     /// Returns the expected time to the first event of a prompt of this many tokens.
--- a/src/connection/targets/table_pace.rs
+++ b/src/connection/targets/table_pace.rs
@@ -35,7 +35,10 @@
         service: &str,
     ) -> f64 {
         let throughput = self.prefill_throughputs.get(service);
-        throughput.copied().unwrap_or_default().tokens_per_ms()
+        throughput
+            .copied()
+            .unwrap_or_default()
+            .loaded_tokens_per_ms()
     }
 
     /// Returns the speed of an engine as a multiple of its service's; 1 if engines count as equally fast.
@@ -48,6 +51,6 @@
             return 1.0;
         }
         let pace = self.links.get(engine).and_then(|link| link.pace);
-        pace.map_or(1.0, |pace| pace.speed(service_speed) / service_speed)
+        pace.map_or(1.0, |pace| pace.relative_speed(service_speed))
     }
 }
--- a/src/request/pace/engine_pace.rs
+++ b/src/request/pace/engine_pace.rs
@@ -61,10 +61,11 @@
         }
     }
 
-    /// Returns the prefill speed in tokens per millisecond, given the speed of the service's engines in general.
+    /// Returns the prefill speed as a multiple of `service_speed`, that of the service's engines in general in tokens per
+    /// millisecond.
     ///
     /// A profile of few samples counts little beside the speed of the service, and small differences do not count.
-    pub fn speed(
+    pub fn relative_speed(
         &self,
         service_speed: f64,
     ) -> f64 {
@@ -72,8 +73,8 @@
         let confidence = self.samples / (self.samples + EVEN_SAMPLES);
         let ratio = (own_speed / service_speed).powf(confidence);
         match (1.0 / EQUAL_FACTOR..=EQUAL_FACTOR).contains(&ratio) {
-            true => service_speed,
-            false => service_speed * ratio,
+            true => 1.0,
+            false => ratio,
         }
     }
 }
