Readings of old reports and extreme profiles no longer decide on requests

Cause: found in review. The reading time went on from the holder's last report however old it was, so that requests were held for as long as their time allowed once the holder of an engine was gone; and a first report could make an engine any number of times as fast as its service.

--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -26,6 +26,9 @@
 /// How long a reported load time is used: the queue at the weight store changes quickly.
 const LOAD_TIME_TTL: Duration = Duration::from_millis(400);
 
+/// Age at which the holder's report tells nothing more about what the engine reads: it may have paused since.
+const READING_TTL: Duration = Duration::from_millis(400);
+
 /// Number of reports sent to the holder after a change of usage, as reports may be lost.
 const REPORTS_PER_CHANGE: u8 = 2;
 
@@ -275,18 +278,20 @@
         }
     }
 
-    /// Returns the time for which the engine has been reading prompts without a break, zero if it has none to read.
+    /// Returns the time for which the engine has been reading prompts without a break: zero if it has none to read, or if the
+    /// last report is too old to tell.
     pub fn reading_time(
         &self,
         now: Instant,
     ) -> Duration {
-        if self.backlog_tokens() == 0 {
-            return Duration::ZERO;
-        }
-        let since_report = self
+        let age = self
             .others_reported_at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.reading_time + since_report
+            .map(|at| now.saturating_duration_since(at))
+            .filter(|age| *age < READING_TTL);
+        match age {
+            Some(age) if self.backlog_tokens() > 0 => self.reading_time + age,
+            _ => Duration::ZERO,
+        }
     }
 
     /// Records the load time that the holder reported.
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -270,12 +270,15 @@
 }
 
 /// Returns true if a request is better sent later: now it would make answers late, and it can wait without being late itself.
+///
+/// A request is not held for an engine whose load is unknown: without a holder, none would be sent in time.
 fn should_hold(
     candidate: &EngineCandidate,
     context: &ChoiceContext,
 ) -> bool {
     let needed = candidate.time_to_first_event.mul_f64(FIRST_EVENT_MARGIN) + HOLD_INTERVAL;
     context.may_hold
+        && !candidate.load_unknown
         && late_answers(candidate, context) > MAX_LATE_ANSWERS
         && needed < context.time_to_goal
 }
--- a/src/request/pace/engine_pace.rs
+++ b/src/request/pace/engine_pace.rs
@@ -4,7 +4,8 @@
 /// a few long prompts a second.
 const MEMORY_SAMPLES: f64 = 8.0;
 
-/// Largest factor by which one report may differ from the profile; beyond it, a report counts as this factor.
+/// Largest factor by which one report may differ from the profile, and a profile from the speed of its service; beyond it,
+/// this factor counts, so that one extreme answer does not decide.
 const MAX_FACTOR: f64 = 4.0;
 
 /// Number of samples at which an engine's own profile counts as much as that of its service.
@@ -71,7 +72,8 @@
     ) -> f64 {
         let own_speed = TOKENS_PER_UNIT * 1_000.0 / self.prefill_us;
         let confidence = self.samples / (self.samples + EVEN_SAMPLES);
-        let ratio = (own_speed / service_speed).powf(confidence);
+        let ratio = (own_speed / service_speed).clamp(1.0 / MAX_FACTOR, MAX_FACTOR);
+        let ratio = ratio.powf(confidence);
         match (1.0 / EQUAL_FACTOR..=EQUAL_FACTOR).contains(&ratio) {
             true => 1.0,
             false => ratio,
