--- a/src/request/pace/mod.rs
+++ b/src/request/pace/mod.rs
@@ -1,4 +1,4 @@
-//! Pace of an engine: how long it takes to the first event of a request, and between the events of a stream.
+//! Speed at which an engine reads prompts, the pauses that this makes in streams, and the placement of adapters by it.
 
 mod engine_pace;
 mod lateness;
