--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -351,8 +351,7 @@
     request: &CallRequest,
 ) -> Option<Duration> {
     let service = &request.service.name;
-    let foresees = table.policy().learns_pace && table.is_large_site();
-    let foresees = foresees && table.has_frequent_pauses(service);
+    let foresees = table.has_unequal_engines(service) && table.has_frequent_pauses(service);
     foresees.then_some(request.route.gap_aim)
 }
 
--- a/src/connection/front/engine_estimator.rs
+++ b/src/connection/front/engine_estimator.rs
@@ -68,7 +68,7 @@
         let engine = request.service.engine.as_ref();
         let memory = engine.map_or(u64::MAX, |engine| engine.memory_tokens.max(1));
         let tokens = link.running_tokens() + prompt + answer;
-        let speed = self.speed_of(link);
+        let speed = self.speed_of(table, &request.service.name, target);
         EngineCandidate {
             copy_state,
             time_to_first_event: speed.prefill_time(self.backlog_before(link, request) + unread),
@@ -92,12 +92,11 @@
     /// Returns the prefill throughput of an engine, or that of its service while little is known of the engine.
     fn speed_of(
         &self,
-        link: &TargetLink,
+        table: &TargetTable,
+        service: &str,
+        target: &str,
     ) -> PrefillThroughput {
-        let pace = link.pace.filter(|_| self.policy.learns_pace);
-        let service_speed = self.speed.loaded_tokens_per_ms();
-        let relative_speed = pace.map_or(1.0, |pace| pace.relative_speed(service_speed));
-        self.speed.scaled(relative_speed)
+        self.speed.scaled(table.relative_speed(service, target))
     }
 
     /// Returns for how long an engine reads without a break, with and without another prompt.
--- a/src/connection/targets/table_adapters.rs
+++ b/src/connection/targets/table_adapters.rs
@@ -34,12 +34,11 @@
         now: Instant,
     ) -> Vec<Arc<str>> {
         let seed = xxh3_64(adapter.as_bytes());
-        let speed = self.service_speed(service);
         let mut ranked: Vec<(PlacementRank, &ServiceTarget)> = self
             .targets_of(service)
             .iter()
             .map(|target| {
-                let relative_speed = self.relative_speed(&target.id, speed);
+                let relative_speed = self.relative_speed(service, &target.id);
                 let rank = PlacementRank::of(target.hash, seed, relative_speed);
                 (rank, target)
             })
--- a/src/connection/targets/table_pace.rs
+++ b/src/connection/targets/table_pace.rs
@@ -2,7 +2,45 @@
 
 use {super::TargetTable, crate::request::pace::PauseRecord};
 
+/// Share of fast engines from which on a service's engines count as of unequal speed: a few may only seem fast.
+const MIN_FAST_SHARE: f64 = 0.1;
+
 impl TargetTable {
+    /// Finds the services whose engines are of unequal speed.
+    ///
+    /// Only there does pace decide anything: where engines are alike, so are their backlogs, and requests that are held back only
+    /// wait at the host and not at an engine.
+    pub fn update_unequal_services(&mut self) {
+        if !self.policy().learns_pace || !self.is_large_site() {
+            return;
+        }
+        let services = self.by_service.keys();
+        let unequal = services.filter(|service| self.fast_share(service) >= MIN_FAST_SHARE);
+        self.unequal_services = unequal.cloned().collect();
+    }
+
+    /// Returns the share of a service's engines that are known to be faster than the others.
+    fn fast_share(
+        &self,
+        service: &str,
+    ) -> f64 {
+        let service_speed = self.service_speed(service);
+        let engines = self.targets_of(service);
+        let paces = engines
+            .iter()
+            .filter_map(|engine| self.links.get(&engine.id)?.pace);
+        let fast = paces.filter(|pace| pace.relative_speed(service_speed) > 1.0);
+        fast.count() as f64 / engines.len().max(1) as f64
+    }
+
+    /// Returns true if the engines of a service are of unequal speed.
+    pub fn has_unequal_engines(
+        &self,
+        service: &str,
+    ) -> bool {
+        self.unequal_services.contains(service)
+    }
+
     /// Records a whole stream of a service.
     pub fn record_stream(
         &mut self,
@@ -30,7 +68,7 @@
     }
 
     /// Returns the prefill speed of a service's engines in general, in tokens per millisecond.
-    pub(super) fn service_speed(
+    fn service_speed(
         &self,
         service: &str,
     ) -> f64 {
@@ -42,15 +80,15 @@
     }
 
     /// Returns the speed of an engine as a multiple of its service's; 1 if engines count as equally fast.
-    pub(super) fn relative_speed(
+    pub fn relative_speed(
         &self,
+        service: &str,
         engine: &str,
-        service_speed: f64,
     ) -> f64 {
-        if !self.policy().learns_pace || !self.is_large_site() {
+        if !self.has_unequal_engines(service) {
             return 1.0;
         }
         let pace = self.links.get(engine).and_then(|link| link.pace);
-        pace.map_or(1.0, |pace| pace.relative_speed(service_speed))
+        pace.map_or(1.0, |pace| pace.relative_speed(self.service_speed(service)))
     }
 }
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -13,7 +13,12 @@
         request::{direct::Policy, pace::PauseRecord, poison::PoisonReport},
         version::routing::RoutingTable,
     },
-    std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::sync::Notify,
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -47,6 +52,8 @@
     pub(super) prefill_throughputs: HashMap<String, PrefillThroughput>,
     /// Pauses of streams, by service.
     pub(super) pause_records: HashMap<String, PauseRecord>,
+    /// Services whose engines are of unequal speed.
+    pub(super) unequal_services: HashSet<String>,
     pub(super) budgets: RepeatBudgets,
     /// By service.
     pub(super) unplaced: HashMap<String, UnplacedRequests>,
@@ -98,6 +105,7 @@
             demand: AdapterDemand::default(),
             prefill_throughputs: HashMap::new(),
             pause_records: HashMap::new(),
+            unequal_services: HashSet::new(),
             budgets: RepeatBudgets::new(&settings, Instant::now()),
             unplaced: HashMap::new(),
             adapter_waiters: HashMap::new(),
@@ -351,10 +359,10 @@
         &mut self,
         target: &str,
     ) {
-        if !self.policy().learns_pace || !self.is_large_site() {
+        let Some(link) = self.links.get_mut(target) else {
             return;
-        }
-        if let Some(link) = self.links.get_mut(target) {
+        };
+        if self.unequal_services.contains(&link.view.record.service) {
             report_usage_to_holder(&self.control, target, link, Instant::now());
         }
     }
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -46,6 +46,9 @@
 /// The same on a large site, whose hosts ask holders before they send.
 const LARGE_SITE_PERIODS: u32 = 3;
 
+/// Periods between two looks at whether engines are of unequal speed: profiles follow a change within seconds.
+const PACE_PERIODS: u32 = 20;
+
 /// What the control thread tells the traffic thread.
 #[derive(Debug, Clone)]
 pub enum TrafficInput {
@@ -143,6 +146,9 @@
                 if !board.is_large_site() || period.is_multiple_of(LARGE_SITE_PERIODS) {
                     board.report_usage(Instant::now());
                 }
+                if period.is_multiple_of(PACE_PERIODS) {
+                    board.update_unequal_services();
+                }
                 tell_ages(&mut board, bounds);
                 board.maintain_budgets(Instant::now());
             }
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -220,25 +220,26 @@
     settings
 }
 
-/// Mechanisms that are switched off with `false`.
+/// Mechanisms that are switched off with `false`, or on with `true` where they are off by default.
 fn policy(ini: &mut IniReader) -> Policy {
-    let mut on = |key| ini.optional("policy", key).unwrap_or(true);
+    let default = Policy::default();
+    let mut switch = |key, default| ini.optional("policy", key).unwrap_or(default);
     Policy {
-        prefers_home: on("prefers_home"),
-        shares_copy_price: on("shares_copy_price"),
-        adds_copies: on("adds_copies"),
-        avoids_crowds: on("avoids_crowds"),
-        avoids_full_engines: on("avoids_full_engines"),
-        ranks_backlog: on("ranks_backlog"),
-        refuses_early: on("refuses_early"),
-        tells_sends_at_once: on("tells_sends_at_once"),
-        ranks_wishes: on("ranks_wishes"),
-        limits_loads: on("limits_loads"),
-        uses_engine_memory: on("uses_engine_memory"),
-        learns_pace: on("learns_pace"),
-        holds_requests: on("holds_requests"),
-        prefers_cached_prompts: on("prefers_cached_prompts"),
-        bounds_waits: on("bounds_waits"),
+        prefers_home: switch("prefers_home", default.prefers_home),
+        shares_copy_price: switch("shares_copy_price", default.shares_copy_price),
+        adds_copies: switch("adds_copies", default.adds_copies),
+        avoids_crowds: switch("avoids_crowds", default.avoids_crowds),
+        avoids_full_engines: switch("avoids_full_engines", default.avoids_full_engines),
+        ranks_backlog: switch("ranks_backlog", default.ranks_backlog),
+        refuses_early: switch("refuses_early", default.refuses_early),
+        tells_sends_at_once: switch("tells_sends_at_once", default.tells_sends_at_once),
+        ranks_wishes: switch("ranks_wishes", default.ranks_wishes),
+        limits_loads: switch("limits_loads", default.limits_loads),
+        uses_engine_memory: switch("uses_engine_memory", default.uses_engine_memory),
+        learns_pace: switch("learns_pace", default.learns_pace),
+        holds_requests: switch("holds_requests", default.holds_requests),
+        prefers_cached_prompts: switch("prefers_cached_prompts", default.prefers_cached_prompts),
+        bounds_waits: switch("bounds_waits", default.bounds_waits),
     }
 }
 
--- a/src/request/direct/policy.rs
+++ b/src/request/direct/policy.rs
@@ -1,5 +1,5 @@
-/// Switches of the scheduling policy. All are on by default; each can be turned off in the settings to
-/// measure its effect.
+/// Switches of the scheduling policy. Those that help every deployment are on by default and can be turned off in the
+/// settings to measure their effect; the others are turned on where they fit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
     /// Loading an adapter away from its first engine costs more.
@@ -28,9 +28,9 @@
     pub learns_pace: bool,
     /// Requests that would make answers late now are sent a little later.
     pub holds_requests: bool,
-    /// Requests prefer engines that have read parts of their prompts.
+    /// Requests prefer engines that have read parts of their prompts. Off by default.
     pub prefers_cached_prompts: bool,
-    /// Requests wait only while an engine can be expected to serve them.
+    /// Requests wait only while an engine can be expected to serve them. Off by default.
     pub bounds_waits: bool,
 }
 
@@ -50,8 +50,8 @@
             uses_engine_memory: true,
             learns_pace: true,
             holds_requests: true,
-            prefers_cached_prompts: true,
-            bounds_waits: true,
+            prefers_cached_prompts: false,
+            bounds_waits: false,
         }
     }
 }
--- a/tests/prompt_caches.rs
+++ b/tests/prompt_caches.rs
@@ -569,6 +569,13 @@
     }
 }
 
+fn caching_policy() -> Policy {
+    Policy {
+        prefers_cached_prompts: true,
+        ..Policy::default()
+    }
+}
+
 /// Guards against prompts that are reported twice, and against a change on small sites or with the switch off.
 #[rstest]
 #[case::large_site(MANY_HOSTS, true, 1)]
@@ -596,7 +603,7 @@
 /// Guards against requests that count tokens as kept after the engine, its holder or the answer is gone.
 #[test]
 fn nothing_counts_as_kept_without_a_recent_answer() {
-    let mut site = Site::new(MANY_HOSTS, Policy::default());
+    let mut site = Site::new(MANY_HOSTS, caching_policy());
     site.on_answer(6_300);
     assert_eq!(site.send(), 2_890);
     site.now += ms(400);
@@ -610,7 +617,7 @@
 /// on.
 #[test]
 fn a_new_holder_learns_from_the_prompts_that_follow() {
-    let mut site = Site::new(MANY_HOSTS, Policy::default());
+    let mut site = Site::new(MANY_HOSTS, caching_policy());
     site.send();
     site.reported_prompts();
     site.set_view(MANY_HOSTS, None, 1);
