--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -29,7 +29,9 @@
 
 /// Decision on the next send of a request.
 pub enum Choice {
+    /// Send the request to this destination.
     Send(Destination),
+    /// Choose again at `until` or when the adapter's state changes; the first event is expected after `expected`.
     Wait {
         until: Instant,
         expected: Option<Duration>,
@@ -40,11 +42,10 @@
         retry_after: Duration,
         reason: RejectReason,
     },
+    /// Answer that no target can take the request.
     NoTarget,
     /// Wait until the queried holders have reported the status of their engines, at most until this time.
-    AwaitReports {
-        until: Instant,
-    },
+    AwaitReports { until: Instant },
 }
 
 /// Chooses the target of each send.
@@ -332,7 +333,7 @@
     }
 }
 
-/// Keeps a request back until a time.
+/// Holds a request back until a time.
 fn hold(
     until: Instant,
     now: Instant,
@@ -351,8 +352,8 @@
     request: &CallRequest,
 ) -> Option<Duration> {
     let service = &request.service.name;
-    let foresees = table.has_unequal_engines(service) && table.has_frequent_pauses(service);
-    foresees.then_some(request.route.gap_aim)
+    let counts_pauses = table.has_unequal_engines(service) && table.has_frequent_pauses(service);
+    counts_pauses.then_some(request.route.gap_aim)
 }
 
 /// Returns the cost of a new copy of an adapter for one request; requests that share the copy share its cost.
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -160,6 +160,7 @@
         }
     }
 
+    /// Sends the request to one target after the other until there is an answer or it is not sent again.
     async fn try_targets(
         &self,
         request: &CallRequest,
@@ -167,55 +168,10 @@
         resume_after: Option<u64>,
     ) -> Outcome {
         loop {
-            if !self.wait_until_fresh(request).await {
-                return Outcome::Final(self.answers.answer_unserved(
-                    request,
-                    attempts,
-                    ErrorCause::StaleTables,
-                    STALE_RETRY_AFTER,
-                ));
-            }
-            if resume_after.is_none()
-                && let Some(cause) = self.key_error(request)
-            {
-                return Outcome::Final(self.answers.answer_unserved(
-                    request,
-                    attempts,
-                    cause,
-                    STALE_RETRY_AFTER,
-                ));
-            }
-            let (choice, mut slot) = self.choose(request, attempts).await;
-            let mut destination = match choice {
-                Choice::Send(destination) => destination,
-                Choice::Wait {
-                    until,
-                    expected,
-                    awaited,
-                } => {
-                    let step = TraceStep::Waiting { expected, awaited };
-                    attempts.trace.add(step, Instant::now());
-                    self.wait_for_adapter(request, until).await;
-                    continue;
-                }
-                Choice::AwaitReports { until } => {
-                    self.wait_for_engine_reports(until).await;
-                    continue;
-                }
-                Choice::Reject {
-                    retry_after,
-                    reason,
-                } if attempts.history.runs == 0 => {
-                    return Outcome::Final(self.answers.reject_unplaced(
-                        request,
-                        attempts,
-                        reason,
-                        retry_after,
-                    ));
-                }
-                Choice::Reject { .. } | Choice::NoTarget => {
-                    return Outcome::Final(self.answers.no_target(request, attempts));
-                }
+            let next = self.next_destination(request, attempts, resume_after.is_some());
+            let (mut destination, mut slot) = match next.await {
+                Ok(next) => next,
+                Err(response) => return Outcome::Final(response),
             };
             if !acquire_permit(&self.table, &destination.target).await {
                 let target = destination.target.clone();
@@ -296,6 +252,64 @@
         }
     }
 
+    /// Returns the destination of the next send, with a concurrency slot there if it needs one; waits until there
+    /// is one. `Err` is the final answer to a request that is not sent, or not again.
+    async fn next_destination(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+        resumes: bool,
+    ) -> Result<(Destination, Option<HeldSlot>), Response<AnswerBody>> {
+        loop {
+            if !self.wait_until_fresh(request).await {
+                return Err(self.answers.answer_unserved(
+                    request,
+                    attempts,
+                    ErrorCause::StaleTables,
+                    STALE_RETRY_AFTER,
+                ));
+            }
+            if !resumes && let Some(cause) = self.key_error(request) {
+                return Err(self.answers.answer_unserved(
+                    request,
+                    attempts,
+                    cause,
+                    STALE_RETRY_AFTER,
+                ));
+            }
+            let (choice, slot) = self.choose(request, attempts).await;
+            match choice {
+                Choice::Send(destination) => return Ok((destination, slot)),
+                Choice::Wait {
+                    until,
+                    expected,
+                    awaited,
+                } => {
+                    let step = TraceStep::Waiting { expected, awaited };
+                    attempts.trace.add(step, Instant::now());
+                    self.wait_for_adapter(request, until).await;
+                }
+                Choice::AwaitReports { until } => {
+                    self.wait_for_engine_reports(until).await;
+                }
+                Choice::Reject {
+                    retry_after,
+                    reason,
+                } if attempts.history.runs == 0 => {
+                    return Err(self.answers.reject_unplaced(
+                        request,
+                        attempts,
+                        reason,
+                        retry_after,
+                    ));
+                }
+                Choice::Reject { .. } | Choice::NoTarget => {
+                    return Err(self.answers.no_target(request, attempts));
+                }
+            }
+        }
+    }
+
     /// Chooses the target of the next send, and acquires a concurrency slot there if it needs one.
     async fn choose(
         &self,
--- a/src/connection/front/engine_sample.rs
+++ b/src/connection/front/engine_sample.rs
@@ -22,10 +22,11 @@
 /// Validity of a holder's report on its engine.
 const QUERY_TTL: Duration = Duration::from_millis(60);
 
-/// Maximum number of engines in a sample that are ready for the request.
+/// Maximum number of engines that are ready for the request and drawn at random for a sample.
 const MAX_READY: usize = 6;
 
-/// Number of them that rank first for the prompt's leading parts. Two, so that a busy engine has an alternative that
+/// Maximum number of ready engines in a sample that rank first for the prompt's leading parts, besides those drawn at
+/// random. Two, so that a busy engine has an alternative that
 /// has read the same parts.
 const MAX_BY_PROMPT: usize = 2;
 
@@ -121,8 +122,9 @@
     table.links[engine].view.holder.is_some()
 }
 
-/// Draws up to `MAX_READY` of this many ready engines by chance, besides those that rank first for the prompt: these are often
-/// busy with the same prompts, and a request needs as many others to choose from as without them.
+/// Returns the indices of ready engines for a sample, out of `count`: those that rank first for the prompt, and up to
+/// `MAX_READY` others at random. The first ones are often busy with the same prompts, so that a request needs as many
+/// others to choose from as without them.
 fn draw_ready<'a>(
     count: usize,
     engine: impl Fn(usize) -> &'a Arc<str>,
@@ -224,8 +226,8 @@
     copy.is_some_and(|copy| copy.held().is_some())
 }
 
-/// Returns the engines of a sample that rank first for the prompt's leading parts. They are the first of all ready
-/// engines, which are all in the sample.
+/// Returns the engines of a sample that rank first for the prompt's leading parts. They rank first among all ready
+/// engines too, since `draw_ready` puts the first ones into each sample.
 fn ranked_first(
     table: &TargetTable,
     request: &CallRequest,
--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -47,13 +47,13 @@
 /// Retry delay for callers while no configuration is known.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Retry delay for callers for whose requests there is no memory: other hosts may have some, and this one has some again
-/// within 2 s.
+/// Retry delay for callers for whose requests there is no memory: other hosts may have some, and this one has some
+/// again within 2 s.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Size of the send and the receive buffer that the system keeps for a connection, in bytes, if memory is limited: enough
-/// for 200 Mbit/s over 5 ms. By itself the system lets each grow to some megabytes for a caller that does not read or is
-/// not read from. A slow caller must free a third of it within the time in which it has to show progress.
+/// Size of the send and the receive buffer that the system keeps for a connection, in bytes, if memory is limited:
+/// enough for 200 Mbit/s over 5 ms. By default the system lets each grow to some megabytes for a caller that does not
+/// read or is not read from. A slow caller must free a third of it within the time in which it has to show progress.
 const SOCKET_BUFFER_BYTES: usize = 128 * 1024;
 
 /// Smallest read buffer of a connection, in bytes.
@@ -190,7 +190,7 @@
         response
     }
 
-    /// Serves a request; sets what is waited for on the connection once it has an answer.
+    /// Serves a request; sets `answered` to the stage of the connection once the request has an answer.
     async fn serve_request(
         &self,
         request: Request<Incoming>,
--- a/src/connection/front/memory_sweeper.rs
+++ b/src/connection/front/memory_sweeper.rs
@@ -9,7 +9,7 @@
     },
 };
 
-/// Looks for callers to cut, and reports what is held.
+/// Cuts callers at regular intervals as the budget decides, and reports what is held.
 pub struct MemorySweeper {
     memory: HostMemory,
     pressure: Pressure,
@@ -23,7 +23,7 @@
         }
     }
 
-    /// Runs for as long as the process; at once over without a limit.
+    /// Runs as long as the process; returns at once without a limit.
     pub async fn run(mut self) {
         let Some((_, _, capacity)) = self.memory.levels() else {
             return;
--- a/src/connection/front/served_request.rs
+++ b/src/connection/front/served_request.rs
@@ -20,9 +20,9 @@
 /// Word for a stream that the caller left.
 pub const CALLER_GONE: &str = "caller_gone";
 
-/// What the log line says of a request, taken when its answer, or the first event of a stream, is there.
+/// Content of a request's log line that is known once there is its answer, or the first event of a stream.
 ///
-/// A stream that is resumed later keeps what was known at its first event; other lines tell of the resumption.
+/// A stream that is resumed later keeps what was known at its first event; other log lines record the resumption.
 pub struct ServedRequest {
     status: u16,
     cause: Option<ErrorCause>,
--- a/src/connection/front/unplaced.rs
+++ b/src/connection/front/unplaced.rs
@@ -1,4 +1,4 @@
-//! Requests that no target can take now: whether they wait or are rejected, and when their callers should return.
+//! Requests that no target can take now: whether they wait or are rejected, and when their callers should retry.
 
 use {
     super::{
@@ -115,7 +115,7 @@
         }
     }
 
-    /// Decides if no engine can be asked either: looks again while there is time for a prompt rejection.
+    /// Decides if no engine can be asked for a load either: chooses again while there is time for a prompt rejection.
     pub fn wait_or_give_up(
         &self,
         table: &mut TargetTable,
@@ -308,8 +308,8 @@
 
 /// Returns the retry delay of a request about which nothing is known of when a target can take it.
 ///
-/// Only those to engines are spread: the spread goes by the time that loads of adapters take, of which targets of plain
-/// services have none.
+/// Only retries of requests for engines are spread: the spread follows from the time that loads of adapters take, and
+/// plain services have none.
 pub(super) fn retry_delay(
     table: &mut TargetTable,
     request: &CallRequest,
@@ -329,8 +329,8 @@
 pub(super) fn reason_of(cause: ErrorCause) -> Option<RejectReason> {
     match cause {
         ErrorCause::NoAdapter | ErrorCause::NoTarget => Some(RejectReason::NoTarget),
-        ErrorCause::RejectedByTargets => Some(RejectReason::TurnedAway),
-        ErrorCause::DeadlineExceededUnsent => Some(RejectReason::TimeOver),
+        ErrorCause::RejectedByTargets => Some(RejectReason::RejectedByTargets),
+        ErrorCause::DeadlineExceededUnsent => Some(RejectReason::DeadlineExceeded),
         _ => None,
     }
 }
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -11,7 +11,7 @@
     },
 };
 
-/// Largest limit of memory, in MB.
+/// Largest accepted limit of memory, in MB: its bytes are still exact in an `f64`.
 const MAX_MEMORY_MB: f64 = 1e9;
 
 const BYTES_PER_MB: f64 = 1e6;
@@ -166,7 +166,7 @@
         .collect()
 }
 
-/// The limit in bytes; a platform that sets none leaves the setting out, empty or 0.
+/// Returns the limit in bytes; a platform that sets none leaves the setting out, empty or 0.
 fn memory_limit(ini: &mut IniReader) -> Option<u64> {
     const SECTION: &str = "limits";
     const KEY: &str = "memory_mb";
--- a/src/request/direct/bounded_wait.rs
+++ b/src/request/direct/bounded_wait.rs
@@ -9,8 +9,8 @@
 /// Share of the latency objective for which a request waits although no lease holder can be asked for a load.
 const UNCONFIRMED_SHARE: f64 = 0.17;
 
-/// Share of the latency objective for which a request waits while holders are asked. A rejection within a quarter of the
-/// objective leaves the retried request half or more of its worth, a later one does not.
+/// Share of the latency objective for which a request waits while holders are asked. A rejection within a quarter of
+/// the objective leaves the retried request half or more of its worth, a later one does not.
 const ASKING_SHARE: f64 = 0.22;
 
 /// Minimum of both times: a lost message to a holder is sent again after the first timeout.
@@ -22,10 +22,11 @@
 /// Retry delay, before the spread, if nothing is known of when there will be room.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// Time within which hosts usually learn the holder of an engine after a change of view.
-const HOLDER_NEWS_TIME: Duration = Duration::from_millis(1_500);
+/// Time within which hosts usually learn the holder of an engine after a change of membership.
+const HOLDER_DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 
-/// Longest time until a holder is expected to be known: after a restart of many hosts, holders are known within a few seconds.
+/// Longest time until a holder is expected to be known: after a restart of many hosts, holders are known within a few
+/// seconds.
 const MAX_HOLDER_WAIT: Duration = Duration::from_secs(3);
 
 /// Why a request that has not run was rejected.
@@ -44,9 +45,9 @@
     /// There is no target that could take it.
     NoTarget,
     /// Targets rejected it, and it may not be sent again.
-    TurnedAway,
+    RejectedByTargets,
     /// Its deadline passed before it ran.
-    TimeOver,
+    DeadlineExceeded,
 }
 
 impl RejectReason {
@@ -59,8 +60,8 @@
             Self::NoHolder => "no_holder",
             Self::Closed => "closed",
             Self::NoTarget => "no_target",
-            Self::TurnedAway => "turned_away",
-            Self::TimeOver => "time_over",
+            Self::RejectedByTargets => "turned_away",
+            Self::DeadlineExceeded => "time_over",
         }
     }
 }
@@ -79,8 +80,8 @@
 
 /// Decides on a request that has not run and that no engine can take now.
 ///
-/// For load beyond the capacity of the engines: a request that waits without an expectation until its deadline learns
-/// too late that it won't be served. It waits while a lease holder has confirmed that it will be served before the
+/// Addresses load beyond the capacity of the engines: a request that waits without an expectation until its deadline is
+/// rejected too late for a retry. It waits while a lease holder has confirmed that it will be served before the
 /// deadline, or for a short time while holders are asked; otherwise it is rejected while its caller still has time for
 /// a retry. `unconfirmed_for` is the time since a load was last confirmed, or since the request was first found without
 /// an engine.
@@ -147,6 +148,6 @@
 ///
 /// Once most of the usual time has passed, the state is expected to last half as long again as it has.
 fn holders_expected_after(lasted: Duration) -> Duration {
-    let usual = HOLDER_NEWS_TIME.saturating_sub(lasted);
+    let usual = HOLDER_DISCOVERY_TIME.saturating_sub(lasted);
     usual.max(lasted / 2).min(MAX_HOLDER_WAIT)
 }
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -37,7 +37,7 @@
     pub time_to_first_event: Duration,
     /// Expected time to read the request's prompt alone.
     pub prefill_time: Duration,
-    /// Expected time for which it reads prompts without a break.
+    /// Expected time for which it reads prompts without a break, without and with the request.
     pub reading: Reading,
     /// Requests that run there.
     pub streams: u32,
@@ -153,6 +153,9 @@
 /// A busy engine is also accepted if its cost is at most this share of the time left for the latency objective.
 const ACCEPTED_AIM_SHARE: f64 = 0.6;
 
+/// Share of the shorter one of load and queue that adds to the longer: they overlap, but not entirely.
+pub(super) const OVERLAP_SHARE: f64 = 0.2;
+
 /// Cost of an answer that becomes late: about what a caller of an interactive route accepts to wait.
 const LATE_ANSWER_COST_S: f64 = 1.0;
 
@@ -162,10 +165,11 @@
 /// A request is held back if it makes more answers late than this.
 const MAX_LATE_ANSWERS: f64 = 0.3;
 
-/// Time after which a request that is held back looks at the engines again: they read a long prompt in it.
+/// Time after which an engine is chosen again for a request that is held back: about that of reading a long prompt.
 const HOLD_INTERVAL: Duration = Duration::from_millis(60);
 
-/// Factor on the expected time to the first event that a held request keeps in reserve: estimates may be this far off.
+/// A request is held back only while this multiple of its expected time to the first event is left: estimates may be
+/// this far off.
 const FIRST_EVENT_MARGIN: f64 = 1.5;
 
 /// Time allowed for the reply of a lease holder.
@@ -269,7 +273,8 @@
     }
 }
 
-/// Returns true if a request is better sent later: now it would make answers late, and it can wait without being late itself.
+/// Returns true if a request is better sent later: now it would make answers late, and it can wait without being late
+/// itself.
 ///
 /// A request is not held for an engine whose load is unknown: without a holder, none would be sent in time.
 fn should_hold(
@@ -400,7 +405,7 @@
         _ => 0.0,
     };
     wait.max(load_time)
-        + 0.2 * wait.min(load_time)
+        + OVERLAP_SHARE * wait.min(load_time)
         + hall_penalty
         + full_penalty
         + load_penalty
--- a/src/request/direct/engine_outlook.rs
+++ b/src/request/direct/engine_outlook.rs
@@ -1,15 +1,12 @@
 use {
     super::{
         AdapterCopyState, EngineCandidate,
-        engine_choice::{CACHED_LOAD_S, HOLDER_REPLY_TIMEOUT},
+        engine_choice::{CACHED_LOAD_S, HOLDER_REPLY_TIMEOUT, OVERLAP_SHARE},
     },
     crate::{clock::Instant, request::notices::Availability},
     std::time::Duration,
 };
 
-/// Share of the shorter one of load and queue that adds to the longer: they overlap, but not entirely.
-const OVERLAP_SHARE: f64 = 0.2;
-
 /// What an unplaced request waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Awaited {
@@ -19,7 +16,7 @@
     HolderReply,
     /// Room at engines that are full for the adapter.
     Room,
-    /// Engines that read less: now the request would make answers late.
+    /// Engines with fewer prompts to read: now the request would make answers late.
     Capacity,
     /// The end of an engine's announced unavailability.
     Opening,
--- a/src/request/direct/prompt_chain.rs
+++ b/src/request/direct/prompt_chain.rs
@@ -49,6 +49,7 @@
         xxh3_64(model.as_bytes())
     }
 
+    /// Returns the parts in the order of the prompt.
     pub fn segments(&self) -> &[PromptSegment] {
         &self.segments
     }
--- a/src/request/direct/retry_spread.rs
+++ b/src/request/direct/retry_spread.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 /// Added to the time at which room is expected, so that a caller does not return just before it.
-const RETRY_MARGIN: Duration = Duration::from_millis(40);
+pub(super) const RETRY_MARGIN: Duration = Duration::from_millis(40);
 
 /// Longest retry delay, as a share of the time until the deadline. Callers honour up to a third.
 pub(super) const MAX_RETRY_SHARE: f64 = 0.3;
@@ -47,7 +47,7 @@
         first + width.mul_f64(part.clamp(0.0, 1.0))
     }
 
-    /// Returns the time that it takes until there was room for the whole crowd.
+    /// Returns the time after which there has been room for all requests of the crowd.
     fn width(&self) -> Duration {
         let seconds = self.room_interval.as_secs_f64() * self.crowd.max(0.0);
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
--- a/src/request/direct/wait_decision.rs
+++ b/src/request/direct/wait_decision.rs
@@ -1,11 +1,11 @@
-use {super::retry_spread::MAX_RETRY_SHARE, std::time::Duration};
+use {
+    super::retry_spread::{MAX_RETRY_SHARE, RETRY_MARGIN},
+    std::time::Duration,
+};
 
 /// Share of the latency objective within which a request may still be rejected.
 const EARLY_SHARE: f64 = 0.2;
 
-/// Added to the expected time to get the retry delay of a rejected request.
-const RETRY_MARGIN: Duration = Duration::from_millis(40);
-
 /// Elapsed and remaining time of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestTiming {
--- a/src/request/memory/body_memory.rs
+++ b/src/request/memory/body_memory.rs
@@ -11,7 +11,7 @@
 /// Smallest buffer of a body without a declared length, in bytes.
 const MIN_BUFFER: usize = 8 * 1024;
 
-/// Most that the connection's read buffer and the piece on its way from there hold besides the body. The read buffer
+/// Most bytes that the connection's read buffer and the piece taken from it hold besides the body. The read buffer
 /// keeps its size afterwards.
 const MAX_READ_BYTES: u64 = 64 * 1024;
 
@@ -50,11 +50,12 @@
             MemoryUse::LargeBody => {}
             _ => body.wait_for_room(declared).await?,
         }
-        // Pages that no byte has reached yet take no memory.
+        // Pages of the buffer that have not been written to take no memory.
         body.buffer.reserve(declared);
         Ok(body)
     }
 
+    /// Returns the number of bytes that have been appended.
     pub fn len(&self) -> usize {
         self.buffer.len()
     }
--- a/src/request/memory/caller_memory.rs
+++ b/src/request/memory/caller_memory.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        BodyMemory, CallerStage, CutKind, HolderId, MemoryUse, NoRoom, Reservation,
+        BodyMemory, CallerStage, ConnectionId, CutKind, MemoryUse, NoRoom, Reservation,
         host_memory::SharedMemory,
     },
     crate::clock::Instant,
@@ -12,46 +12,46 @@
     tokio::sync::watch,
 };
 
-/// A piece that is shorter than this is copied: it is a part of a larger block that was read at once, and would hold
-/// all of it.
+/// A piece that is shorter than this, in bytes, is copied: it is a part of a larger block that was read at once,
+/// and would hold all of it.
 const MIN_SHARED_PIECE: usize = 4096;
 
-/// Estimate of what a buffered piece holds besides its bytes.
+/// Estimate of the bytes that a buffered piece holds besides its content.
 const PIECE_OVERHEAD: u64 = 256;
 
-/// Buffers of a connection whose body is read and discarded.
+/// Estimate of the buffers of a connection whose body is read and discarded, in bytes.
 const DISCARD_BYTES: u64 = 64 * 1024;
 
 /// One caller's access to the memory of this host; the default has no limit.
 #[derive(Debug, Clone, Default)]
 pub struct CallerMemory {
-    holder: Option<Arc<MemoryHolder>>,
+    connection: Option<Arc<ConnectionMemory>>,
 }
 
 /// A caller's connection in the budget; removed once it is closed and nothing is held for it any more.
 #[derive(Debug)]
-pub(super) struct MemoryHolder {
+pub(super) struct ConnectionMemory {
     pub shared: Arc<SharedMemory>,
-    pub id: HolderId,
+    pub id: ConnectionId,
     cut: watch::Receiver<Option<CutKind>>,
     /// Bytes of the connection's buffers.
     buffers: OnceLock<u64>,
 }
 
 impl CallerMemory {
-    pub(super) fn of_holder(
+    pub(super) fn of_connection(
         shared: Arc<SharedMemory>,
-        id: HolderId,
+        id: ConnectionId,
         cut: watch::Receiver<Option<CutKind>>,
     ) -> Self {
-        let holder = MemoryHolder {
+        let connection = ConnectionMemory {
             shared,
             id,
             cut,
             buffers: OnceLock::new(),
         };
         Self {
-            holder: Some(Arc::new(holder)),
+            connection: Some(Arc::new(connection)),
         }
     }
 
@@ -60,20 +60,23 @@
         self,
         bytes: u64,
     ) -> Self {
-        if let Some(holder) = &self.holder
-            && holder.buffers.set(bytes).is_ok()
+        if let Some(connection) = &self.connection
+            && connection.buffers.set(bytes).is_ok()
         {
-            holder.count(MemoryUse::Connection, bytes);
+            connection.count(MemoryUse::Connection, bytes);
         }
         self
     }
 
+    /// Returns true if memory is counted against a limit.
     pub fn is_limited(&self) -> bool {
-        self.holder.is_some()
+        self.connection.is_some()
     }
 
     pub(super) fn shared(&self) -> Option<Arc<SharedMemory>> {
-        self.holder.as_ref().map(|holder| holder.shared.clone())
+        self.connection
+            .as_ref()
+            .map(|connection| connection.shared.clone())
     }
 
     /// Records that a request has arrived, with its id for logs.
@@ -82,10 +85,10 @@
         id: &str,
     ) {
         self.set_stage(CallerStage::AwaitsAnswer);
-        if let Some(holder) = &self.holder {
-            let mut state = holder.shared.lock();
-            if let Some(connection) = state.connections.get_mut(&holder.id) {
-                connection.request = id.to_string();
+        if let Some(connection) = &self.connection {
+            let mut state = connection.shared.lock();
+            if let Some(entry) = state.connections.get_mut(&connection.id) {
+                entry.request = id.to_string();
             }
         }
     }
@@ -95,13 +98,13 @@
         &self,
         stage: CallerStage,
     ) {
-        let Some(holder) = &self.holder else {
+        let Some(connection) = &self.connection else {
             return;
         };
-        let mut state = holder.shared.lock();
-        state.budget.set_stage(holder.id, stage, Instant::now());
-        if let Some(connection) = state.connections.get(&holder.id) {
-            connection.cut.send_if_modified(|cut| cut.take().is_some());
+        let mut state = connection.shared.lock();
+        state.budget.set_stage(connection.id, stage, Instant::now());
+        if let Some(entry) = state.connections.get(&connection.id) {
+            entry.cut.send_if_modified(|cut| cut.take().is_some());
         }
     }
 
@@ -110,9 +113,11 @@
         &self,
         bytes: usize,
     ) {
-        if let Some(holder) = &self.holder {
-            let mut state = holder.shared.lock();
-            state.budget.on_received(holder.id, bytes, Instant::now());
+        if let Some(connection) = &self.connection {
+            let mut state = connection.shared.lock();
+            state
+                .budget
+                .on_received(connection.id, bytes, Instant::now());
         }
     }
 
@@ -137,7 +142,7 @@
         &self,
         purpose: MemoryUse,
     ) -> Reservation {
-        Reservation::new(self.holder.clone(), purpose)
+        Reservation::new(self.connection.clone(), purpose)
     }
 
     /// Counts a piece of an answer until the caller has taken it; waits while there is no room and earlier pieces are
@@ -146,20 +151,20 @@
         &self,
         piece: Bytes,
     ) -> Bytes {
-        let Some(holder) = self.holder.as_ref().filter(|_| !piece.is_empty()) else {
+        let Some(connection) = self.connection.as_ref().filter(|_| !piece.is_empty()) else {
             return piece;
         };
         let size = piece.len() as u64 + PIECE_OVERHEAD;
         loop {
-            let room = holder.shared.room.notified();
+            let room = connection.shared.room.notified();
             let now = Instant::now();
             let reserved = {
-                let mut state = holder.shared.lock();
-                state.budget.try_reserve_piece(holder.id, size, now)
+                let mut state = connection.shared.lock();
+                state.budget.try_reserve_piece(connection.id, size, now)
             };
             if reserved {
                 let purpose = MemoryUse::Piece;
-                let reservation = Reservation::counted(holder.clone(), purpose, size);
+                let reservation = Reservation::counted(connection.clone(), purpose, size);
                 return reservation.keep(owned(piece));
             }
             room.await;
@@ -171,10 +176,10 @@
         &self,
         at_least: CutKind,
     ) -> CutKind {
-        let Some(holder) = &self.holder else {
+        let Some(connection) = &self.connection else {
             return pending().await;
         };
-        let mut cut = holder.cut.clone();
+        let mut cut = connection.cut.clone();
         let kind = cut
             .wait_for(|cut| *cut >= Some(at_least))
             .await
@@ -187,7 +192,7 @@
     }
 }
 
-impl MemoryHolder {
+impl ConnectionMemory {
     pub fn count(
         &self,
         purpose: MemoryUse,
@@ -216,12 +221,12 @@
     }
 }
 
-impl Drop for MemoryHolder {
+impl Drop for ConnectionMemory {
     fn drop(&mut self) {
         let buffers = self.buffers.get().copied().unwrap_or_default();
         self.release(MemoryUse::Connection, buffers);
         let mut state = self.shared.lock();
-        state.budget.remove_holder(self.id);
+        state.budget.remove_connection(self.id);
         state.connections.remove(&self.id);
     }
 }
--- a/src/request/memory/host_memory.rs
+++ b/src/request/memory/host_memory.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        CallerMemory, CutKind, HolderId, MemoryBudget, MemoryCut, MemoryLimits, MemoryUse, Pressure,
+        CallerMemory, ConnectionId, CutKind, MemoryBudget, MemoryCut, MemoryLimits, MemoryUse,
+        Pressure,
     },
     crate::clock::Instant,
     std::{
@@ -15,11 +16,12 @@
 /// request, and the state of its tasks and of the connection to a target.
 const CONNECTION_BYTES: u64 = 24 * 1024;
 
-/// Time between looks for callers to cut.
+/// Interval at which callers to cut are looked for.
 pub const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
-/// A look that comes later than this shows that the process itself stood still.
-const MAX_SWEEP_DELAY: Duration = Duration::from_millis(500);
+/// A longer time between two sweeps shows that the process itself was suspended, so that callers could make no
+/// progress.
+const MAX_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The memory of this host for callers and targets; shared by all connections.
 #[derive(Debug, Clone, Default)]
@@ -28,25 +30,26 @@
     shared: Option<Arc<SharedMemory>>,
 }
 
-/// The budget, and whoever waits for it.
+/// The budget, and the notification of those that wait for room in it.
 #[derive(Debug)]
 pub(super) struct SharedMemory {
     // All traffic runs on one thread, so that the lock is never contended; counted bytes must be `Send`.
     state: Mutex<MemoryState>,
-    /// Told when memory is released.
+    /// Notified when memory is released.
     pub room: Notify,
 }
 
 #[derive(Debug)]
 pub(super) struct MemoryState {
     pub budget: MemoryBudget,
-    pub connections: HashMap<HolderId, ConnectionEntry>,
+    pub connections: HashMap<ConnectionId, ConnectionEntry>,
     swept_at: Instant,
 }
 
-/// How to reach whoever serves a connection.
+/// Channel to the task that serves a connection.
 #[derive(Debug)]
 pub(super) struct ConnectionEntry {
+    /// Tells the task how the caller is cut.
     pub cut: watch::Sender<Option<CutKind>>,
     /// Id of the last request, for logs.
     pub request: String,
@@ -54,12 +57,12 @@
 
 impl SharedMemory {
     pub fn lock(&self) -> MutexGuard<'_, MemoryState> {
-        self.state.lock().expect("no holder panics")
+        self.state.lock().expect("no lock owner panics")
     }
 }
 
 impl HostMemory {
-    /// Returns the memory of a process that may use so many bytes, or has no limit.
+    /// Returns the memory of a process that may use `limit` bytes; `None` is no limit.
     pub fn new(limit: Option<u64>) -> Self {
         let shared = limit.map(|limit| {
             let state = MemoryState {
@@ -75,6 +78,7 @@
         Self { shared }
     }
 
+    /// Returns true if memory is counted against a limit.
     pub fn is_limited(&self) -> bool {
         self.shared.is_some()
     }
@@ -94,7 +98,7 @@
             {
                 return None;
             }
-            let id = state.budget.add_holder(now);
+            let id = state.budget.add_connection(now);
             let connection = ConnectionEntry {
                 cut: sender,
                 request: "-".to_string(),
@@ -102,7 +106,7 @@
             state.connections.insert(id, connection);
             id
         };
-        let memory = CallerMemory::of_holder(shared.clone(), id, cut);
+        let memory = CallerMemory::of_connection(shared.clone(), id, cut);
         Some(memory.with_buffers(CONNECTION_BYTES))
     }
 
@@ -133,12 +137,12 @@
         let mut state = shared.lock();
         let since_last = now.saturating_duration_since(state.swept_at);
         state.swept_at = now;
-        if since_last > MAX_SWEEP_DELAY {
+        if since_last > MAX_SWEEP_INTERVAL {
             state.budget.on_pause(since_last - SWEEP_INTERVAL);
         }
         let cuts = state.budget.choose_cuts(now);
         let signalled = cuts.into_iter().filter_map(|cut| {
-            let connection = state.connections.get(&cut.holder)?;
+            let connection = state.connections.get(&cut.connection)?;
             connection.cut.send_replace(Some(cut.kind));
             Some((cut, connection.request.clone()))
         });
--- a/src/request/memory/memory_budget.rs
+++ b/src/request/memory/memory_budget.rs
@@ -12,12 +12,12 @@
 /// left unread for some seconds, and callers give up a silent stream after 2 s.
 const STREAM_STALL_LIMIT: Duration = Duration::from_secs(2);
 
-/// Names a caller's connection.
-pub type HolderId = u64;
+/// Identifies a caller's connection.
+pub type ConnectionId = u64;
 
 /// What is held for one caller's connection, and since when the caller has made no progress.
 #[derive(Debug)]
-struct Holder {
+struct HeldConnection {
     stage: CallerStage,
     /// Bytes of all uses.
     bytes: u64,
@@ -29,7 +29,7 @@
     cut: Option<CutKind>,
 }
 
-impl Holder {
+impl HeldConnection {
     /// Returns how the caller can be cut, or `None` if the caller is not the one who is waited for.
     fn cut_kind(&self) -> Option<CutKind> {
         match self.stage {
@@ -64,21 +64,23 @@
     limits: MemoryLimits,
     held: u64,
     by_use: [u64; MemoryUse::ALL.len()],
-    holders: BTreeMap<HolderId, Holder>,
-    next_id: HolderId,
+    connections: BTreeMap<ConnectionId, HeldConnection>,
+    next_id: ConnectionId,
 }
 
 impl MemoryBudget {
+    /// Creates a budget of which nothing is held.
     pub fn new(limits: MemoryLimits) -> Self {
         Self {
             limits,
             held: 0,
             by_use: [0; MemoryUse::ALL.len()],
-            holders: BTreeMap::new(),
+            connections: BTreeMap::new(),
             next_id: 0,
         }
     }
 
+    /// Returns the limits that decide on room and pressure.
     pub fn limits(&self) -> MemoryLimits {
         self.limits
     }
@@ -96,18 +98,19 @@
         self.by_use[purpose as usize]
     }
 
+    /// Returns the pressure at what is held now.
     pub fn pressure(&self) -> Pressure {
         self.limits.pressure(self.held)
     }
 
     /// Adds a caller's connection.
-    pub fn add_holder(
+    pub fn add_connection(
         &mut self,
         now: Instant,
-    ) -> HolderId {
+    ) -> ConnectionId {
         let id = self.next_id;
         self.next_id += 1;
-        let holder = Holder {
+        let connection = HeldConnection {
             stage: CallerStage::Idle,
             bytes: 0,
             unread: 0,
@@ -115,53 +118,53 @@
             received: 0,
             cut: None,
         };
-        self.holders.insert(id, holder);
+        self.connections.insert(id, connection);
         id
     }
 
     /// Removes a connection for which nothing is held any more.
-    pub fn remove_holder(
+    pub fn remove_connection(
         &mut self,
-        id: HolderId,
+        id: ConnectionId,
     ) {
-        let holder = self.holders.remove(&id);
-        debug_assert!(holder.is_none_or(|holder| holder.bytes == 0));
+        let connection = self.connections.remove(&id);
+        debug_assert!(connection.is_none_or(|connection| connection.bytes == 0));
     }
 
     /// Records what is waited for on a connection from now on. A cut that has not taken effect yet is void.
     pub fn set_stage(
         &mut self,
-        id: HolderId,
+        id: ConnectionId,
         stage: CallerStage,
         now: Instant,
     ) {
-        let Some(holder) = self.holders.get_mut(&id) else {
+        let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        holder.stage = stage;
-        holder.progress_at = now;
-        holder.received = 0;
-        holder.cut = None;
+        connection.stage = stage;
+        connection.progress_at = now;
+        connection.received = 0;
+        connection.cut = None;
     }
 
     /// Records that bytes of a request's body have arrived.
     pub fn on_received(
         &mut self,
-        id: HolderId,
+        id: ConnectionId,
         bytes: usize,
         now: Instant,
     ) {
-        let Some(holder) = self.holders.get_mut(&id) else {
+        let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        holder.received += bytes;
-        if holder.received >= MIN_PROGRESS_BYTES {
-            holder.received = 0;
-            holder.progress_at = now;
+        connection.received += bytes;
+        if connection.received >= MIN_PROGRESS_BYTES {
+            connection.received = 0;
+            connection.progress_at = now;
         }
     }
 
-    /// Returns true if so many bytes more may be held for this use.
+    /// Returns true if `bytes` more may be held for this use.
     pub fn has_room(
         &self,
         purpose: MemoryUse,
@@ -173,7 +176,7 @@
     /// Reserves memory if there is room for it.
     pub fn try_reserve(
         &mut self,
-        id: HolderId,
+        id: ConnectionId,
         purpose: MemoryUse,
         bytes: u64,
         now: Instant,
@@ -188,14 +191,14 @@
     /// Reserves memory for a piece of an answer. A caller that has taken all earlier pieces always gets the next one.
     pub fn try_reserve_piece(
         &mut self,
-        id: HolderId,
+        id: ConnectionId,
         bytes: u64,
         now: Instant,
     ) -> bool {
         let has_read_all = self
-            .holders
+            .connections
             .get(&id)
-            .is_none_or(|holder| holder.unread == 0);
+            .is_none_or(|connection| connection.unread == 0);
         if has_read_all {
             self.reserve(id, MemoryUse::Piece, bytes, now);
             return true;
@@ -206,53 +209,53 @@
     /// Counts memory that is held already, also beyond the bound.
     pub fn reserve(
         &mut self,
-        id: HolderId,
+        id: ConnectionId,
         purpose: MemoryUse,
         bytes: u64,
         now: Instant,
     ) {
         self.held += bytes;
         self.by_use[purpose as usize] += bytes;
-        let Some(holder) = self.holders.get_mut(&id) else {
+        let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        holder.bytes += bytes;
+        connection.bytes += bytes;
         if purpose.is_read_by_caller() {
-            if holder.unread == 0 {
+            if connection.unread == 0 {
                 // Until now the caller had nothing to read.
-                holder.progress_at = now;
+                connection.progress_at = now;
             }
-            holder.unread += bytes;
+            connection.unread += bytes;
         }
     }
 
     /// Returns memory. For what the caller reads, that is its progress.
     pub fn release(
         &mut self,
-        id: HolderId,
+        id: ConnectionId,
         purpose: MemoryUse,
         bytes: u64,
         now: Instant,
     ) {
         self.held -= bytes;
         self.by_use[purpose as usize] -= bytes;
-        let Some(holder) = self.holders.get_mut(&id) else {
+        let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        holder.bytes -= bytes;
+        connection.bytes -= bytes;
         if purpose.is_read_by_caller() {
-            holder.unread -= bytes;
-            holder.progress_at = now;
+            connection.unread -= bytes;
+            connection.progress_at = now;
         }
     }
 
-    /// Records that this process itself stood still: callers could make no progress meanwhile.
+    /// Records that this process itself was suspended: callers could make no progress meanwhile.
     pub fn on_pause(
         &mut self,
         pause: Duration,
     ) {
-        for holder in self.holders.values_mut() {
-            holder.progress_at += pause;
+        for connection in self.connections.values_mut() {
+            connection.progress_at += pause;
         }
     }
 
@@ -265,8 +268,8 @@
         &mut self,
         now: Instant,
     ) -> Vec<MemoryCut> {
-        let mut candidates = self.stalled_holders(now);
-        candidates.sort_by_key(|(_, cut)| (cut.is_last_resort, Reverse(cut.held), cut.holder));
+        let mut candidates = self.stalled_connections(now);
+        candidates.sort_by_key(|(_, cut)| (cut.is_last_resort, Reverse(cut.held), cut.connection));
         let has_other = candidates
             .iter()
             .any(|(is_due, cut)| !is_due && !cut.is_last_resort);
@@ -281,32 +284,34 @@
             cuts.push(cut);
         }
         for cut in &cuts {
-            if let Some(holder) = self.holders.get_mut(&cut.holder) {
-                holder.cut = Some(cut.kind);
+            if let Some(connection) = self.connections.get_mut(&cut.connection) {
+                connection.cut = Some(cut.kind);
             }
         }
         cuts
     }
 
     /// Returns the callers that may be cut, each with whether it is cut whatever the pressure.
-    fn stalled_holders(
+    fn stalled_connections(
         &self,
         now: Instant,
     ) -> Vec<(bool, MemoryCut)> {
         let pressure = self.pressure();
-        let stalled = self.holders.iter().filter_map(|(id, holder)| {
-            let kind = holder.cut_kind().filter(|kind| holder.cut < Some(*kind))?;
-            let stalled = now.saturating_duration_since(holder.progress_at);
-            let is_due = holder.is_unread_stream() && stalled >= STREAM_STALL_LIMIT;
+        let stalled = self.connections.iter().filter_map(|(id, connection)| {
+            let kind = connection
+                .cut_kind()
+                .filter(|kind| connection.cut < Some(*kind))?;
+            let stalled = now.saturating_duration_since(connection.progress_at);
+            let is_due = connection.is_unread_stream() && stalled >= STREAM_STALL_LIMIT;
             let is_too_long = pressure.stall_limit().is_some_and(|limit| stalled >= limit);
             // An idle connection holds little; it goes only when new requests find no room.
             let may_relieve = kind != CutKind::Close || pressure == Pressure::Full;
             let cut = MemoryCut {
-                holder: *id,
+                connection: *id,
                 kind,
-                held: holder.bytes,
+                held: connection.bytes,
                 stalled,
-                is_last_resort: holder.is_last_resort(),
+                is_last_resort: connection.is_last_resort(),
             };
             (is_due || (is_too_long && may_relieve)).then_some((is_due, cut))
         });
--- a/src/request/memory/memory_cut.rs
+++ b/src/request/memory/memory_cut.rs
@@ -1,4 +1,4 @@
-use {super::HolderId, std::time::Duration};
+use {super::ConnectionId, std::time::Duration};
 
 /// How a caller is cut.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -25,7 +25,9 @@
 /// A caller that is cut.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemoryCut {
-    pub holder: HolderId,
+    /// Connection of the caller.
+    pub connection: ConnectionId,
+    /// How the caller is cut.
     pub kind: CutKind,
     /// Bytes that are held for the caller.
     pub held: u64,
--- a/src/request/memory/memory_limits.rs
+++ b/src/request/memory/memory_limits.rs
@@ -7,7 +7,7 @@
 /// Smallest part of the limit that is left for callers, as a divisor.
 const MIN_CALLER_DIVISOR: u64 = 4;
 
-/// Part of the rest that is counted out; the allocator keeps freed blocks between those in use.
+/// Part of the rest that may be held; the remainder is for freed blocks that the allocator keeps between those in use.
 const COUNTED_NUMERATOR: u64 = 3;
 const COUNTED_DENOMINATOR: u64 = 4;
 
@@ -20,6 +20,7 @@
 /// How scarce memory is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Pressure {
+    /// Below the level from which callers without progress are cut.
     None,
     /// Large bodies are, or will soon be, rejected.
     Pressed,
@@ -53,11 +54,12 @@
 /// body can go to another host at once, an answer can't.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemoryLimits {
+    /// Largest number of bytes that may be held for all uses together.
     pub capacity: u64,
 }
 
 impl MemoryLimits {
-    /// Returns the limits in a process that may use so many bytes.
+    /// Returns the limits in a process that may use `limit` bytes.
     pub fn of_process(limit: u64) -> Self {
         let rest = limit.saturating_sub(PROCESS_BYTES);
         let counted = rest / COUNTED_DENOMINATOR * COUNTED_NUMERATOR;
@@ -79,7 +81,7 @@
         }
     }
 
-    /// Returns the pressure when so many bytes are held.
+    /// Returns the pressure when `held` bytes are held.
     pub fn pressure(
         self,
         held: u64,
--- a/src/request/memory/memory_use.rs
+++ b/src/request/memory/memory_use.rs
@@ -5,6 +5,7 @@
     Connection,
     /// A request body of at most [`MemoryUse::MAX_SMALL_BODY`].
     SmallBody,
+    /// A longer request body.
     LargeBody,
     /// An answer of a target that is, or was, read completely.
     Answer,
@@ -18,7 +19,7 @@
     /// Largest small body, in bytes: prompts of some ten thousand tokens are below it.
     pub const MAX_SMALL_BODY: usize = 64 * 1024;
 
-    /// Every use there is.
+    /// All uses.
     pub const ALL: [Self; 6] = [
         Self::Connection,
         Self::SmallBody,
--- a/src/request/memory/mod.rs
+++ b/src/request/memory/mod.rs
@@ -20,7 +20,7 @@
     caller_memory::CallerMemory,
     caller_stage::CallerStage,
     host_memory::{HostMemory, SWEEP_INTERVAL},
-    memory_budget::{HolderId, MemoryBudget},
+    memory_budget::{ConnectionId, MemoryBudget},
     memory_cut::{CutKind, MemoryCut},
     memory_limits::{MemoryLimits, Pressure},
     memory_use::MemoryUse,
--- a/src/request/memory/reservation.rs
+++ b/src/request/memory/reservation.rs
@@ -1,5 +1,5 @@
 use {
-    super::{MemoryUse, caller_memory::MemoryHolder},
+    super::{MemoryUse, caller_memory::ConnectionMemory},
     crate::clock::Instant,
     bytes::Bytes,
     std::sync::Arc,
@@ -8,18 +8,18 @@
 /// Memory that is counted until dropped.
 #[derive(Debug)]
 pub struct Reservation {
-    holder: Option<Arc<MemoryHolder>>,
+    connection: Option<Arc<ConnectionMemory>>,
     purpose: MemoryUse,
     bytes: u64,
 }
 
 impl Reservation {
     pub(super) fn new(
-        holder: Option<Arc<MemoryHolder>>,
+        connection: Option<Arc<ConnectionMemory>>,
         purpose: MemoryUse,
     ) -> Self {
         Self {
-            holder,
+            connection,
             purpose,
             bytes: 0,
         }
@@ -27,43 +27,45 @@
 
     /// Returns a reservation of memory that has been counted already.
     pub(super) fn counted(
-        holder: Arc<MemoryHolder>,
+        connection: Arc<ConnectionMemory>,
         purpose: MemoryUse,
         bytes: u64,
     ) -> Self {
         Self {
-            holder: Some(holder),
+            connection: Some(connection),
             purpose,
             bytes,
         }
     }
 
-    /// Grows to so many bytes of a use, if there is room; memory reserved for another use moves to this one.
+    /// Grows to `bytes` bytes of a use, if there is room; memory reserved for another use moves to this one.
     pub fn try_cover(
         &mut self,
         purpose: MemoryUse,
         bytes: u64,
     ) -> bool {
-        let Some(holder) = &self.holder else {
+        let Some(connection) = &self.connection else {
             return true;
         };
         let now = Instant::now();
-        let mut state = holder.shared.lock();
+        let mut state = connection.shared.lock();
         let more = bytes.saturating_sub(self.bytes);
-        if !state.budget.try_reserve(holder.id, purpose, more, now) {
+        if !state.budget.try_reserve(connection.id, purpose, more, now) {
             return false;
         }
         if purpose != self.purpose {
             let moved = self.bytes;
-            state.budget.release(holder.id, self.purpose, moved, now);
-            state.budget.reserve(holder.id, purpose, moved, now);
+            state
+                .budget
+                .release(connection.id, self.purpose, moved, now);
+            state.budget.reserve(connection.id, purpose, moved, now);
             self.purpose = purpose;
         }
         self.bytes += more;
         true
     }
 
-    /// Grows to so many bytes that are held already; returns false if there was no room for them.
+    /// Grows to `bytes` bytes that are held already; returns false if there was no room for them.
     pub fn cover(
         &mut self,
         bytes: u64,
@@ -72,8 +74,8 @@
             return true;
         }
         let more = bytes.saturating_sub(self.bytes);
-        if let Some(holder) = &self.holder {
-            holder.count(self.purpose, more);
+        if let Some(connection) = &self.connection {
+            connection.count(self.purpose, more);
         }
         self.bytes += more;
         false
@@ -84,7 +86,7 @@
         self,
         bytes: Bytes,
     ) -> Bytes {
-        if self.holder.is_none() || bytes.is_empty() {
+        if self.connection.is_none() || bytes.is_empty() {
             return bytes;
         }
         Bytes::from_owner(HeldBytes {
@@ -96,8 +98,8 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        if let Some(holder) = &self.holder {
-            holder.release(self.purpose, self.bytes);
+        if let Some(connection) = &self.connection {
+            connection.release(self.purpose, self.bytes);
         }
     }
 }
--- a/src/request/pace/engine_pace.rs
+++ b/src/request/pace/engine_pace.rs
@@ -1,11 +1,14 @@
-use crate::connection::datagram::PaceReport;
+use {
+    super::pace_samples::{TOKENS_PER_UNIT, US_PER_MS},
+    crate::connection::datagram::PaceReport,
+};
 
-/// Number of recent samples that a profile averages over: a change of speed shows within seconds, while an engine answers
-/// a few long prompts a second.
+/// Number of recent samples that a profile averages over: an engine answers a few long prompts a second, so that a
+/// change of speed shows within seconds.
 const MEMORY_SAMPLES: f64 = 8.0;
 
-/// Largest factor by which one report may differ from the profile, and a profile from the speed of its service; beyond it,
-/// this factor counts, so that one extreme answer does not decide.
+/// Largest factor by which one report may differ from the profile, and a profile from the speed of its service; beyond
+/// it, this factor counts, so that one extreme answer does not decide.
 const MAX_FACTOR: f64 = 4.0;
 
 /// Number of samples at which an engine's own profile counts as much as that of its service.
@@ -15,8 +18,6 @@
 /// requests that follow such differences crowd the engines that looked fast a moment ago.
 const EQUAL_FACTOR: f64 = 1.4;
 
-const TOKENS_PER_UNIT: f64 = 1_000.0;
-
 /// Prefill pace of one incarnation of an engine, from the samples of all hosts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EnginePace {
@@ -62,15 +63,15 @@
         }
     }
 
-    /// Returns the prefill speed as a multiple of `service_speed`, that of the service's engines in general in tokens per
-    /// millisecond.
+    /// Returns the prefill speed as a multiple of `service_speed`, that of the service's engines in general in tokens
+    /// per millisecond.
     ///
     /// A profile of few samples counts little beside the speed of the service, and small differences do not count.
     pub fn relative_speed(
         &self,
         service_speed: f64,
     ) -> f64 {
-        let own_speed = TOKENS_PER_UNIT * 1_000.0 / self.prefill_us;
+        let own_speed = TOKENS_PER_UNIT * US_PER_MS / self.prefill_us;
         let confidence = self.samples / (self.samples + EVEN_SAMPLES);
         let ratio = (own_speed / service_speed).clamp(1.0 / MAX_FACTOR, MAX_FACTOR);
         let ratio = ratio.powf(confidence);
--- a/src/request/pace/mod.rs
+++ b/src/request/pace/mod.rs
@@ -1,17 +1,18 @@
-//! Speed at which an engine reads prompts, the pauses that this makes in streams, and the placement of adapters by it.
+//! Speed at which an engine reads (prefills) prompts, the pauses that this causes in streams, and the placement of
+//! adapters by it.
 
 mod engine_pace;
-mod lateness;
 mod pace_estimate;
 mod pace_samples;
 mod pause_record;
 mod placement_rank;
+mod stream_lateness;
 
 pub use {
     engine_pace::EnginePace,
-    lateness::{Reading, StreamLateness},
     pace_estimate::PaceEstimate,
     pace_samples::{PaceSamples, PrefillSample},
     pause_record::PauseRecord,
     placement_rank::PlacementRank,
+    stream_lateness::{Reading, StreamLateness},
 };
--- a/src/request/pace/pace_samples.rs
+++ b/src/request/pace/pace_samples.rs
@@ -1,12 +1,15 @@
 use {crate::connection::datagram::PaceReport, std::time::Duration};
 
-/// Samples with fewer tokens are dropped: fixed times would dominate them.
+/// Samples with fewer tokens are dropped, as the fixed time dominates them.
 const MIN_SAMPLE_TOKENS: u64 = 400;
 
-/// Time to the first event besides the prefill, in milliseconds.
+/// Fixed time to the first event besides the prefill, in milliseconds.
 const FIXED_MS: f64 = 15.0;
 
-const TOKENS_PER_UNIT: f64 = 1_000.0;
+/// Number of tokens to which prefill times in reports and profiles refer.
+pub(super) const TOKENS_PER_UNIT: f64 = 1_000.0;
+
+pub(super) const US_PER_MS: f64 = 1_000.0;
 
 /// The wait of one request for its first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,7 +27,7 @@
             return None;
         }
         let prefill_ms = (self.time.as_secs_f64() * 1_000.0 - FIXED_MS).max(1.0);
-        Some(prefill_ms * 1_000.0 * TOKENS_PER_UNIT / self.tokens as f64)
+        Some(prefill_ms * US_PER_MS * TOKENS_PER_UNIT / self.tokens as f64)
     }
 }
 
@@ -38,6 +41,7 @@
 }
 
 impl PaceSamples {
+    /// Adds a sample, unless it is too small.
     pub fn add(
         &mut self,
         sample: &PrefillSample,
--- a/src/request/pace/pause_record.rs
+++ b/src/request/pace/pause_record.rs
@@ -1,4 +1,4 @@
-/// Weight of one stream in the share: the record follows a change within the streams of some seconds.
+/// Weight of one stream in the moving average: the record follows a change within the streams of some seconds.
 const STREAM_WEIGHT: f64 = 0.05;
 
 /// Share of late streams from which on pauses count as frequent.
@@ -6,10 +6,11 @@
 
 /// How often the streams of a service were late by a pause, as seen by this host.
 ///
-/// Holding requests back costs each of them time. That pays only while pauses do make streams late: an engine that reads for longer than
-/// a stream may pause can still send events often enough.
+/// Holding requests back costs each of them time. That pays only while pauses do make streams late: an engine that
+/// reads for longer than a stream may pause can still send events often enough.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct PauseRecord {
+    /// Moving average of the share of late streams.
     late_share: f64,
 }
 
--- a/src/request/pace/placement_rank.rs
+++ b/src/request/pace/placement_rank.rs
@@ -1,14 +1,15 @@
 //! Rank of an engine in the placement of an adapter: rendezvous hashing, weighted by the engine's speed.
 //!
-//! Answers load: engines of unequal speed, each with the same number of adapter slots. A fast engine ends its requests early and
-//! frees its slots for others, so that it is the home of more adapters.
+//! Addresses engines of unequal speed, each with the same number of adapter slots. A fast engine ends its requests
+//! early and frees its slots for others, so that it is the preferred engine of more adapters.
 
 use {std::cmp::Ordering, xxhash_rust::xxh3::xxh3_64_with_seed};
 
 /// Speeds are rounded to steps of this many to a factor of two, so that hosts with slightly different estimates agree.
 const STEPS_PER_DOUBLING: f64 = 2.0;
 
-/// Largest weight of an engine, and inverse of the smallest: an extreme estimate must not gather all adapters on one engine.
+/// Largest weight of an engine, and inverse of the smallest: an extreme estimate must not gather all adapters on one
+/// engine.
 const MAX_WEIGHT: f64 = 4.0;
 
 /// Rank of an engine for one adapter; the smallest comes first.
@@ -16,8 +17,8 @@
 pub struct PlacementRank(f64);
 
 impl PlacementRank {
-    /// Ranks an engine by the hash of its address and its speed as a multiple of the service's; the share of adapters that it is
-    /// first for is in proportion to its speed.
+    /// Ranks an engine by the hash of its address and its speed as a multiple of the service's; the share of adapters
+    /// that it is first for is in proportion to its speed.
     pub fn of(
         engine_hash: u64,
         adapter_hash: u64,
@@ -29,6 +30,7 @@
         Self(-draw.ln() / weight(relative_speed))
     }
 
+    /// Orders ranks, the preferred one first.
     pub fn compare(
         &self,
         other: &Self,
@@ -37,6 +39,7 @@
     }
 }
 
+/// Returns the weight of an engine: its relative speed, bounded and rounded.
 fn weight(relative_speed: f64) -> f64 {
     let speed = relative_speed.clamp(1.0 / MAX_WEIGHT, MAX_WEIGHT);
     let steps = (speed.log2() * STEPS_PER_DOUBLING).round();
--- a/src/request/pace/lateness.rs
+++ b/src/request/pace/stream_lateness.rs
@@ -1,8 +1,8 @@
 //! Lateness that a prompt causes to the streams of an engine.
 //!
-//! Answers load: prompts that arrive faster than an engine reads them without a break. An engine reads a piece of a prompt
-//! in each decode step, so that streams pause for as long as it reads on. A stream is late once one of its pauses is
-//! longer than its route allows, and stays late: what reads on after that costs it nothing more.
+//! Addresses prompts that arrive faster than an engine prefills them, so that it reads prompts without a break. An
+//! engine reads a piece of a prompt in each decode step, so that streams pause for as long as it reads. A stream is
+//! late once one of its pauses is longer than its route allows, and stays late: further reading costs it nothing more.
 
 use std::time::Duration;
 
@@ -12,10 +12,12 @@
 /// Share of the allowed pause at which it is exceeded for certain.
 const CERTAIN_SHARE: f64 = 1.15;
 
-/// Time for which an engine reads prompts without a break, before and after a request is sent to it.
+/// Time for which an engine reads prompts without a break, without and with the prompt of one more request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Reading {
+    /// Without the request.
     pub before: Duration,
+    /// With the request.
     pub after: Duration,
 }
 
@@ -24,12 +26,13 @@
 pub struct StreamLateness {
     /// Probability that the request's own stream becomes late.
     pub own: f64,
-    /// Number of running streams that become late, in the mean.
+    /// Number of running streams that become late, on average.
     pub others: f64,
 }
 
 impl StreamLateness {
-    /// Estimates the lateness at an engine that runs `streams` streams; `allowed` is the longest pause that keeps them in time.
+    /// Estimates the lateness at an engine that runs `streams` streams; `allowed` is the longest pause that keeps them
+    /// in time.
     pub fn of(
         reading: Reading,
         streams: u32,
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -5,8 +5,8 @@
     coveproxy::{
         clock::Instant,
         request::memory::{
-            CallerMemory, CallerStage, CutKind, HolderId, HostMemory, MemoryBudget, MemoryLimits,
-            MemoryUse, Pressure,
+            CallerMemory, CallerStage, ConnectionId, CutKind, HostMemory, MemoryBudget,
+            MemoryLimits, MemoryUse, Pressure,
         },
     },
     rstest::rstest,
@@ -44,8 +44,8 @@
     budget: &mut MemoryBudget,
     bytes: u64,
     last_sent_ms: u64,
-) -> HolderId {
-    let id = budget.add_holder(at(last_sent_ms));
+) -> ConnectionId {
+    let id = budget.add_connection(at(last_sent_ms));
     budget.set_stage(id, CallerStage::SendsBody, at(last_sent_ms));
     budget.reserve(id, MemoryUse::LargeBody, bytes, at(last_sent_ms));
     id
@@ -57,8 +57,8 @@
     stage: CallerStage,
     bytes: u64,
     last_read_ms: u64,
-) -> HolderId {
-    let id = budget.add_holder(at(last_read_ms));
+) -> ConnectionId {
+    let id = budget.add_connection(at(last_read_ms));
     budget.set_stage(id, stage, at(last_read_ms));
     budget.reserve(id, MemoryUse::Piece, bytes, at(last_read_ms));
     id
@@ -67,9 +67,9 @@
 fn cut_holders(
     budget: &mut MemoryBudget,
     now_ms: u64,
-) -> Vec<HolderId> {
+) -> Vec<ConnectionId> {
     let cuts = budget.choose_cuts(at(now_ms));
-    cuts.iter().map(|cut| cut.holder).collect()
+    cuts.iter().map(|cut| cut.connection).collect()
 }
 
 /// Guards against a host that counts its whole memory out to callers and has none left for its tables, and against a
@@ -90,7 +90,7 @@
 #[test]
 fn uses_that_can_go_elsewhere_find_no_room_first() {
     let mut budget = budget();
-    let id = budget.add_holder(at(0));
+    let id = budget.add_connection(at(0));
     let mut found = |held: u64| {
         let more = held - budget.held();
         budget.reserve(id, MemoryUse::Connection, more, at(0));
@@ -114,7 +114,7 @@
 #[test]
 fn what_is_released_is_free_again() {
     let mut budget = budget();
-    let id = budget.add_holder(at(0));
+    let id = budget.add_connection(at(0));
     assert!(budget.try_reserve(id, MemoryUse::LargeBody, 50_000, at(0)));
     assert!(!budget.try_reserve(id, MemoryUse::LargeBody, 1, at(0)));
     assert_eq!(budget.held_for(MemoryUse::LargeBody), 50_000);
@@ -127,9 +127,9 @@
 #[test]
 fn a_caller_that_has_read_all_gets_the_next_piece_whatever_is_held() {
     let mut budget = budget();
-    let hog = budget.add_holder(at(0));
+    let hog = budget.add_connection(at(0));
     budget.reserve(hog, MemoryUse::Answer, CAPACITY, at(0));
-    let id = budget.add_holder(at(0));
+    let id = budget.add_connection(at(0));
     assert!(budget.try_reserve_piece(id, 500, at(1)));
     assert!(!budget.try_reserve_piece(id, 500, at(2)));
     budget.release(id, MemoryUse::Piece, 500, at(3));
@@ -142,7 +142,7 @@
     let mut budget = budget();
     sender(&mut budget, 20_000, 0);
     reader(&mut budget, SAFE_ANSWER, 15_000, 0);
-    budget.add_holder(at(0));
+    budget.add_connection(at(0));
     assert_eq!(budget.pressure(), Pressure::None);
     assert!(cut_holders(&mut budget, 60_000).is_empty());
 }
@@ -162,7 +162,7 @@
     let cuts = budget.choose_cuts(at(2_000));
     assert_eq!(cuts.len(), 1);
     assert_eq!(
-        (cuts[0].holder, cuts[0].kind, cuts[0].held),
+        (cuts[0].connection, cuts[0].kind, cuts[0].held),
         (largest, CutKind::Reject, 30_000)
     );
     assert!(
@@ -196,7 +196,7 @@
     let not_run = sender(&mut budget, 2_000, 0);
     assert_eq!(cut_holders(&mut budget, 2_500), [not_run, repeatable]);
     let cuts = budget.choose_cuts(at(2_600));
-    assert_eq!((cuts[0].holder, cuts[0].is_last_resort), (once, true));
+    assert_eq!((cuts[0].connection, cuts[0].is_last_resort), (once, true));
 }
 
 /// Guards against cutting callers for what this host or a target has not done yet.
@@ -224,7 +224,7 @@
     assert!(cut_holders(&mut budget, 1_900).is_empty());
     let cuts = budget.choose_cuts(at(2_000));
     assert_eq!(cuts.len(), 1);
-    assert_eq!((cuts[0].holder, cuts[0].kind), (unread, CutKind::Reset));
+    assert_eq!((cuts[0].connection, cuts[0].kind), (unread, CutKind::Reset));
     budget.reserve(pauses, MemoryUse::Piece, 100, at(9_000));
     assert!(
         !cut_holders(&mut budget, 9_100).contains(&pauses),
@@ -237,14 +237,14 @@
 #[test]
 fn idle_connections_are_closed_only_when_there_is_no_room() {
     let mut budget = budget();
-    let idle = budget.add_holder(at(0));
+    let idle = budget.add_connection(at(0));
     budget.reserve(idle, MemoryUse::Connection, 50_000, at(0));
     assert!(cut_holders(&mut budget, 60_000).is_empty());
-    let other = budget.add_holder(at(60_000));
+    let other = budget.add_connection(at(60_000));
     budget.reserve(other, MemoryUse::Connection, 30_000, at(60_000));
     let cuts = budget.choose_cuts(at(60_500));
     assert_eq!(cuts.len(), 1);
-    assert_eq!((cuts[0].holder, cuts[0].kind), (idle, CutKind::Close));
+    assert_eq!((cuts[0].connection, cuts[0].kind), (idle, CutKind::Close));
 }
 
 /// Guards against a host that was suspended, or had no processor, and blames its callers for that time.
