Plainer comments and names in targets, datagrams, holding, hosts and reports

Change: comments are reworded, and doc comments are added. ServedLine::name is text_or_dash, HostControl::held_engines is local_holdings, as it includes quota shards. Registration of metrics is split into three functions in the same order; the allowance of lists is refilled in a function of its own. No behaviour changes.

--- a/src/cli/report_command.rs
+++ b/src/cli/report_command.rs
@@ -18,7 +18,7 @@
 /// Adapters that an engine keeps for each of its places: the one that it holds and those in its memory.
 const KEPT_PER_PLACE: usize = 1 + CACHED_ADAPTERS_PER_SLOT;
 
-/// Engines in the text, those with the longest pauses; `--json` has all.
+/// Maximum number of engines in the text, those with the longest median pauses first; `--json` has all.
 const SHOWN_ENGINES: usize = 40;
 
 /// Arguments of `coveproxy report`.
--- a/src/connection/datagram/engine_messages.rs
+++ b/src/connection/datagram/engine_messages.rs
@@ -1,4 +1,4 @@
-//! Messages between a host and the holder of an engine: what is sent there, how busy and how fast the engine is.
+//! Messages between a host and the holder of an engine: requests sent there, and the load and pace of the engine.
 
 /// Usage of one adapter through one host.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -13,7 +13,7 @@
     pub started: u32,
 }
 
-/// One part of a prompt, together with all that precedes it.
+/// One part of a prompt, identified together with all parts before it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct PromptSegment {
     /// Hash of the model, the adapter and all parts up to this one.
--- a/src/connection/datagram/holdings.rs
+++ b/src/connection/datagram/holdings.rs
@@ -1,4 +1,4 @@
-//! Messages by which a host of a large site tells the others which engines it holds.
+//! Messages by which hosts of a large site exchange the lists of engines that they hold.
 
 /// The complete list of the engines that the sender gives orders to.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -9,14 +9,15 @@
     /// Grows with each change of the list.
     #[prost(uint32, tag = "2")]
     pub version: u32,
+    /// Ids of the engines.
     #[prost(string, repeated, tag = "3")]
     pub holds: Vec<String>,
 }
 
-/// The list of the receiver that the sender knows: confirms a list, or asks for a newer one.
+/// Version of the receiver's list that the sender knows: confirms a list, or requests a newer one.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct HoldingsKnown {
-    /// Process of the receiver whose list it is.
+    /// Process of the receiver to which the version belongs.
     #[prost(fixed64, tag = "1")]
     pub process: u64,
     /// 0 if no list of that process is known.
--- a/src/connection/targets/cached_prompts.rs
+++ b/src/connection/targets/cached_prompts.rs
@@ -1,4 +1,4 @@
-//! Holders' answers on what engines keep of prompts.
+//! Holders' answers about the prompt tokens that engines keep.
 
 use {crate::clock::Instant, std::time::Duration};
 
@@ -20,8 +20,8 @@
 
 /// Tokens of prompts that one engine need not read, by the chain of the prompt.
 ///
-/// The chain names model, adapter and all parts, so that an answer to one request holds for each request with the same
-/// prompt, and requests that are in flight at once are not confused.
+/// The chain names model, adapter and all parts, so that an answer to one request applies to all requests with the same
+/// prompt, and answers to concurrent requests are kept apart.
 #[derive(Debug, Default)]
 pub struct CachedPrompts {
     /// Oldest first.
--- a/src/connection/targets/decaying_count.rs
+++ b/src/connection/targets/decaying_count.rs
@@ -1,6 +1,6 @@
 use {crate::clock::Instant, std::time::Duration};
 
-/// A count that halves with each half-life, so that it tells of recent events.
+/// A count of recent events, which halves with each half-life.
 #[derive(Debug, Clone, Copy)]
 pub struct DecayingCount {
     count: f64,
@@ -8,6 +8,7 @@
 }
 
 impl DecayingCount {
+    /// Creates a count of events that happen at `now`.
     pub fn new(
         count: f64,
         now: Instant,
@@ -15,7 +16,7 @@
         Self { count, at: now }
     }
 
-    /// Adds events.
+    /// Adds events that happen at `now`.
     pub fn add(
         &mut self,
         events: f64,
@@ -25,7 +26,7 @@
         *self = Self::new(self.value(half_life, now) + events, now);
     }
 
-    /// Returns what is left of the count.
+    /// Returns the decayed count.
     pub fn value(
         &self,
         half_life: Duration,
--- a/src/connection/targets/prefill_throughput.rs
+++ b/src/connection/targets/prefill_throughput.rs
@@ -8,7 +8,8 @@
 /// Weight of a new sample in the moving average.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
-/// Largest factor by which one sample may differ from the estimate; beyond it, a sample counts as this factor.
+/// Largest factor by which one sample may differ from the estimate; beyond it, this factor counts, so that one extreme
+/// sample has a bounded effect.
 const MAX_SAMPLE_FACTOR: f64 = 4.0;
 
 /// Fixed time to the first event besides the prefill, in milliseconds.
@@ -24,7 +25,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PrefillThroughput {
     tokens_per_ms: f64,
-    /// The same from all requests, those that found a backlog included: lower, as queues take time of their own.
+    /// The same over all requests, including those that found a backlog; lower, as it includes the time in queues.
     loaded_tokens_per_ms: f64,
     /// Moving averages of prompt sizes and of their squares, in tokens.
     mean_tokens: f64,
--- a/src/connection/targets/sent_prompts.rs
+++ b/src/connection/targets/sent_prompts.rs
@@ -18,6 +18,7 @@
 }
 
 impl SentPrompts {
+    /// Queues a prompt; drops the oldest one if the queue is full.
     pub fn push(
         &mut self,
         prompt: SentPrompt,
@@ -43,6 +44,7 @@
         report
     }
 
+    /// Returns true if no prompt is to be reported.
     pub fn is_empty(&self) -> bool {
         self.queue.is_empty()
     }
--- a/src/connection/targets/table_pace.rs
+++ b/src/connection/targets/table_pace.rs
@@ -2,14 +2,15 @@
 
 use {super::TargetTable, crate::request::pace::PauseRecord};
 
-/// Share of fast engines from which on a service's engines count as of unequal speed: a few may only seem fast.
+/// Minimum share of fast engines for a service's engines to count as of unequal speed: estimates of a few may be too
+/// high by chance.
 const MIN_FAST_SHARE: f64 = 0.1;
 
 impl TargetTable {
     /// Finds the services whose engines are of unequal speed.
     ///
-    /// Only there does pace decide anything: where engines are alike, so are their backlogs, and requests that are held back only
-    /// wait at the host and not at an engine.
+    /// Pace affects decisions only there: where engines are equally fast, their backlogs are alike, too, and a request
+    /// that is held back only waits at the host instead of at an engine.
     pub fn update_unequal_services(&mut self) {
         if !self.policy().learns_pace || !self.is_large_site() {
             return;
@@ -41,7 +42,7 @@
         self.unequal_services.contains(service)
     }
 
-    /// Records a whole stream of a service.
+    /// Records that a stream of a service ended completely, and whether one of its pauses was too long.
     pub fn record_stream(
         &mut self,
         service: &str,
--- a/src/connection/targets/table_prompts.rs
+++ b/src/connection/targets/table_prompts.rs
@@ -1,4 +1,4 @@
-//! Prompts sent to engines, and what engines keep of them.
+//! Prompts sent to engines, and the tokens that engines keep of them.
 
 use {
     super::TargetTable,
@@ -11,7 +11,7 @@
 };
 
 impl TargetTable {
-    /// Returns the chain of a request's prompt where it matters: on a large site, if the policy says so.
+    /// Returns the chain of a request's prompt where it is used: on a large site, if the policy enables it.
     pub fn prompt_chain(
         &self,
         generation: Option<&Generation>,
@@ -42,7 +42,7 @@
         status: &EngineStanding,
         now: Instant,
     ) {
-        // Holders of an earlier version answer no chain.
+        // Holders of an earlier version send no chain.
         if status.chain == 0 {
             return;
         }
--- a/src/connection/targets/table_unplaced.rs
+++ b/src/connection/targets/table_unplaced.rs
@@ -10,10 +10,10 @@
 const MAX_ROOM_INTERVAL: Duration = Duration::from_millis(300);
 
 impl TargetTable {
-    /// Returns true if waits are bounded by what can be expected of engines. On small sites they are not: there,
-    /// hosts are told of all loads at once.
+    /// Returns true if waits are bounded by the expected availability of engines. On small sites they are not: there,
+    /// all loads are announced to hosts at once.
     ///
-    /// Unreachable hosts count: a host that is cut off from most others does not change its rules.
+    /// Unreachable hosts are included, so that a host keeps its rules while it is cut off from most others.
     pub fn bounds_waits(&self) -> bool {
         let hosts = self.view.hosts.max(self.view.known_hosts);
         self.settings.policy.bounds_waits && hosts > MAX_BROADCAST_HOSTS
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -26,7 +26,7 @@
 /// How long a reported load time is used: the queue at the weight store changes quickly.
 const LOAD_TIME_TTL: Duration = Duration::from_millis(400);
 
-/// Age at which the holder's report tells nothing more about what the engine reads: it may have paused since.
+/// How long the reported reading time is used: the engine may have run out of prompts since the report.
 const READING_TTL: Duration = Duration::from_millis(400);
 
 /// Number of reports sent to the holder after a change of usage, as reports may be lost.
@@ -47,7 +47,7 @@
 pub struct RequestTokens {
     /// Prompt tokens and maximum answer tokens.
     pub all: u64,
-    /// Prompt tokens that the target has to read: those that it keeps from earlier prompts do not count.
+    /// Prompt tokens that the target has to read, without those that it keeps from earlier prompts.
     pub prompt: u64,
 }
 
@@ -92,7 +92,7 @@
     pub adapter_usage: HashMap<String, AdapterUseCount>,
     /// Reports of the last change that are still to be sent.
     pub due_reports: u8,
-    /// Prompts sent there that the holder has not been told of.
+    /// Prompts sent there that are still to be reported to the holder.
     pub sent_prompts: SentPrompts,
     /// What the engine keeps of prompts, by its holder's answers.
     pub cached_prompts: CachedPrompts,
@@ -278,8 +278,8 @@
         }
     }
 
-    /// Returns the time for which the engine has been reading prompts without a break: zero if it has none to read, or if the
-    /// last report is too old to tell.
+    /// Returns the time for which the engine has been reading prompts without a break: zero if it has none to read, or
+    /// if the last report is older than `READING_TTL`.
     pub fn reading_time(
         &self,
         now: Instant,
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -55,7 +55,7 @@
     /// Services whose engines are of unequal speed.
     pub(super) unequal_services: HashSet<String>,
     pub(super) budgets: RepeatBudgets,
-    /// By service.
+    /// Requests that no engine could take, by service.
     pub(super) unplaced: HashMap<String, UnplacedRequests>,
     /// Requests that wait for an adapter.
     pub(super) adapter_waiters: HashMap<String, AdapterWaiters>,
@@ -354,7 +354,7 @@
         }
     }
 
-    /// Reports to the holder at once that an engine has read a prompt, where other hosts foresee pauses from it.
+    /// Reports to the holder at once that an engine has read a prompt, where other hosts predict pauses from that.
     pub fn report_prefill_done(
         &mut self,
         target: &str,
--- a/src/connection/targets/unplaced_requests.rs
+++ b/src/connection/targets/unplaced_requests.rs
@@ -1,13 +1,13 @@
 use {super::DecayingCount, crate::clock::Instant, std::time::Duration};
 
-/// Half-life of a rejected request in the count: rejected callers return within a few seconds.
+/// Half-life of the count of rejected requests: rejected callers retry within a few seconds.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
-/// Longest time between two requests that find no holder for which holders count as unknown in between. Only requests
-/// without an engine look for holders, so that nothing else tells when one became known.
+/// Longest time between two requests that find no holder for holders to count as unknown in between. Only requests
+/// without an engine look for holders, so that a holder that is known in between goes unnoticed.
 const MAX_LOOK_GAP: Duration = Duration::from_secs(3);
 
-/// A time without a known holder, as far as requests have noticed.
+/// A period without a known holder, as noticed by requests.
 #[derive(Debug, Clone, Copy)]
 struct HolderGap {
     since: Instant,
@@ -23,10 +23,12 @@
 }
 
 impl UnplacedRequests {
+    /// Counts a request that begins to wait.
     pub fn on_wait(&mut self) {
         self.waiting += 1;
     }
 
+    /// Counts a request that ends its wait.
     pub fn on_wait_over(&mut self) {
         self.waiting = self.waiting.saturating_sub(1);
     }
@@ -62,8 +64,12 @@
             self.holder_gap = None;
             return None;
         }
-        let lasts = |gap: &HolderGap| now.saturating_duration_since(gap.last_seen) <= MAX_LOOK_GAP;
-        let since = self.holder_gap.filter(lasts).map_or(now, |gap| gap.since);
+        let is_ongoing =
+            |gap: &HolderGap| now.saturating_duration_since(gap.last_seen) <= MAX_LOOK_GAP;
+        let since = self
+            .holder_gap
+            .filter(is_ongoing)
+            .map_or(now, |gap| gap.since);
         self.holder_gap = Some(HolderGap {
             since,
             last_seen: now,
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -156,6 +156,8 @@
         self.register_process(registry);
         self.register_orders(registry);
         self.register_requests(registry);
+        self.register_limits(registry);
+        self.register_request_times(registry);
     }
 
     fn register_beliefs(
@@ -328,6 +330,12 @@
             "Loans of the allowance of repeats between hosts",
             self.repeat_loans.clone(),
         );
+    }
+
+    fn register_limits(
+        &self,
+        registry: &mut Registry,
+    ) {
         registry.register(
             "quota_asks",
             "Asks whether a customer may use more, by what became of them",
@@ -383,6 +391,12 @@
             "Hosts that the extra allowance of repeats is divided by",
             self.known_hosts.clone(),
         );
+    }
+
+    fn register_request_times(
+        &self,
+        registry: &mut Registry,
+    ) {
         registry.register(
             "belief_age_seconds",
             "Age of the tables that requests were routed and sent by",
--- a/src/process/engines/order_outcomes.rs
+++ b/src/process/engines/order_outcomes.rs
@@ -289,7 +289,7 @@
         };
         self.cache.record(adapter, version);
         if reply == OrderReply::Accepted {
-            // What was read with another version of its weights is of no use.
+            // Parts that were read with another version of its weights cannot be reused.
             self.drop_prompts_of(adapter);
         }
         let Some(resident) = self.adapters.get_mut(adapter) else {
--- a/src/process/engines/prompt_cache.rs
+++ b/src/process/engines/prompt_cache.rs
@@ -1,8 +1,8 @@
 //! Estimate of the prompt parts that an engine keeps.
 //!
-//! Addresses prompts with shared parts: a request is sent where the parts have been read. Engines do not report what
-//! they keep, so the holder derives it from the prompts that hosts report as sent. An estimate that is wrong, lost or
-//! behind costs time, never correctness.
+//! Load addressed: prompts with shared parts. A request is sent to an engine that has read these parts. Engines do not
+//! report what they keep, so the holder derives it from the prompts that hosts report as sent. An estimate that is
+//! wrong, lost or outdated costs time, never correctness.
 
 use {
     crate::connection::datagram::{PromptSegment, SentPrompt},
@@ -19,7 +19,7 @@
     /// Start of its chain: the model and adapter that it was read for.
     root: u64,
     tokens: u32,
-    /// Key in the order of use.
+    /// Number of its last use; key in `by_use`.
     used: u64,
 }
 
@@ -30,7 +30,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct PromptCache {
     parts: HashMap<u64, KeptPart>,
-    /// Parts by their last use, oldest first.
+    /// Chains of the parts by their last use, oldest first.
     by_use: BTreeMap<u64, u64>,
     tokens: u64,
     /// Number of uses so far.
@@ -72,7 +72,7 @@
         kept.fold(0, |sum, segment| sum.saturating_add(segment.tokens))
     }
 
-    /// Drops the parts of all models and adapters that `stays` returns false for, given the starts of their chains.
+    /// Drops the parts of all models and adapters for whose chain start `stays` returns false.
     pub fn retain_roots(
         &mut self,
         stays: impl Fn(u64) -> bool,
@@ -98,6 +98,7 @@
         self.parts.len()
     }
 
+    /// Returns true if no part is kept.
     pub fn is_empty(&self) -> bool {
         self.parts.is_empty()
     }
--- a/src/process/holding/assignment_action.rs
+++ b/src/process/holding/assignment_action.rs
@@ -3,6 +3,7 @@
 /// An engine that this host controls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeldEngine {
+    /// Fence of the orders that this host sends to the engine.
     pub fence: u64,
     /// Term of the lease in which the assignment was last confirmed.
     pub term: u64,
--- a/src/process/holding/assignment_rows.rs
+++ b/src/process/holding/assignment_rows.rs
@@ -7,6 +7,7 @@
 /// Another host's lease as known to membership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KnownLease {
+    /// Version of the lease row.
     pub version: u64,
     /// When this host learnt of the version.
     pub known_since: Instant,
@@ -34,6 +35,7 @@
 }
 
 impl AssignmentRows {
+    /// Returns the holder row of an engine.
     pub fn holder(
         &self,
         target: &str,
@@ -41,10 +43,12 @@
         self.holders.get(target)
     }
 
+    /// Returns the number of holder rows.
     pub fn holder_count(&self) -> usize {
         self.holders.len()
     }
 
+    /// Returns the number of hosts with a lease row.
     pub fn host_count(&self) -> usize {
         self.leases.len()
     }
--- a/src/process/holding/engine_assignment.rs
+++ b/src/process/holding/engine_assignment.rs
@@ -371,7 +371,8 @@
         };
         self.is_renewing = true;
         let is_large = self.rows.host_count() > self.timings.max_rereading_hosts;
-        // Later terms follow transactions whose replies may still arrive, and must not be taken for news of the new term.
+        // Only in the first term: in later ones, replies to transactions of an earlier term may still arrive, and must
+        // not be attributed to the new one.
         if is_large && self.lease.term() == 0 {
             self.resumption.begin(&self.rows, self.local_host.peer);
         }
--- a/src/process/holding/lease_timings.rs
+++ b/src/process/holding/lease_timings.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-/// The table of 300 hosts and 3,000 engines has about half a MB, which takes each of them 0.4 s on a link of 10 Mbit/s.
+/// Default of `LeaseTimings::max_rereading_hosts`. The table of 300 hosts and 3,000 engines takes about half a
+/// megabyte, which each host reads in 0.4 s on a link of 10 Mbit/s.
 const MAX_REREADING_HOSTS: usize = 100;
 
 /// Timings of leases and takeovers.
@@ -8,6 +9,7 @@
 pub struct LeaseTimings {
     /// Validity of a lease, from when its renewal was sent.
     pub ttl: Duration,
+    /// Time between the starts of two renewals.
     pub renewal_interval: Duration,
     /// Mean backoff after a failed call, with jitter of half of it.
     pub retry_backoff: Duration,
--- a/src/process/holding/resumption.rs
+++ b/src/process/holding/resumption.rs
@@ -7,14 +7,14 @@
     std::net::SocketAddr,
 };
 
-/// The expectation and the write of the host's own row.
+/// Transaction entries of the renewal itself: the expectation and the write of the host's own row.
 const RENEWAL_ENTRIES: usize = 2;
 
 /// Resumption of the engines that an earlier process of this host held, by its first renewal.
 ///
-/// Load addressed: all hosts of a large site were killed, and each has to resume its engines. The first renewal expects the
-/// rows of these engines to be unchanged since they were read. If it succeeds, no other host has taken one of them
-/// since, and the new version of the lease row keeps others from doing so. The table need not be read again.
+/// Load addressed: a restart of all hosts of a large site, each of which has to resume its engines. The first renewal
+/// expects the rows of these engines to be unchanged since they were read. If it succeeds, no other host has taken one
+/// of them since, and the new version of the lease row prevents others from doing so. The table need not be read again.
 #[derive(Debug, Default)]
 pub(super) struct Resumption {
     is_abandoned: bool,
--- a/src/process/host/control_engines.rs
+++ b/src/process/host/control_engines.rs
@@ -192,7 +192,8 @@
         let mut loads = Vec::new();
         for (target, allocator) in &self.allocators {
             for host in allocator.usage().hosts() {
-                // Pace changes with each answer: sent to all hosts, it would multiply the messages of a small site.
+                // Pace changes with each answer: published as a change of the load, it would multiply the messages of a
+                // small site.
                 let load = EngineLoad {
                     pace: None,
                     reading_ms: 0,
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -45,7 +45,8 @@
         self.completed_seed_queries += 1;
         let me = self.hosts.me().peer;
         let seeds = self.settings.seed_peers().filter(|peer| *peer != me);
-        // All hosts of a large site would load the seeds' links with the complete list; rumors bring the rest.
+        // On a large site, pulls of the complete list by all hosts would saturate the seeds' links: rumors spread it
+        // instead.
         let pulls_from = seeds.filter(|_| self.hosts.lists_holdings());
         let mut actions: Vec<ControlAction> = pulls_from
             .map(|from| ControlAction::PullHosts { from })
--- a/src/process/host/control_spread.rs
+++ b/src/process/host/control_spread.rs
@@ -14,7 +14,7 @@
 
 impl HostControl {
     /// Returns the engines and quota shards that this host holds.
-    pub(super) fn held_engines(
+    pub(super) fn local_holdings(
         &self,
         now: Instant,
     ) -> Vec<String> {
@@ -22,12 +22,12 @@
         held.map(|(target, _)| target.clone()).collect()
     }
 
-    /// Sends the list of engines held here to the hosts that have not confirmed it.
+    /// Sends the list of the engines and quota shards held here to the hosts that have not confirmed it.
     pub(super) fn spread_holdings(
         &mut self,
         now: Instant,
     ) -> Vec<ControlAction> {
-        if now >= self.next_holdings_publish && self.holdings.set(self.held_engines(now)) {
+        if now >= self.next_holdings_publish && self.holdings.set(self.local_holdings(now)) {
             self.next_holdings_publish = now + HOLDINGS_UPDATE_INTERVAL;
         }
         let reachable = self.hosts.reachable_processes();
@@ -57,11 +57,12 @@
     ) -> Option<ControlAction> {
         self.changed |= self.hosts.on_holdings(from, holdings);
         let (process, version) = self.hosts.known_holdings(from)?;
-        // The host is pinged anyway, which makes its new process known.
+        // The list of an unknown process is not confirmed, so that it is sent again; the next ping makes the process
+        // known.
         (process == holdings.process).then(|| known_message(from, process, version))
     }
 
-    /// Handles what another host knows of the list of this host.
+    /// Handles another host's message about the version of this host's list that it knows.
     pub(super) fn on_holdings_known(
         &mut self,
         from: SocketAddr,
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -98,7 +98,7 @@
             before,
         };
         let mut actions = self.apply_rows(table, &row_changes, now);
-        // Reads of both tables mostly end at the same time; on a large site one message tells of both.
+        // Reads of both tables mostly end at the same time; on a large site, one message announces both.
         self.unannounced_read = rows.is_empty() && !self.hosts.lists_holdings();
         if !self.unannounced_read {
             actions.extend(self.notify_all_hosts(now));
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -384,20 +384,16 @@
         &self,
         now: Instant,
     ) -> HostRumor {
-        let is_complete = self.hosts.lists_holdings();
-        let rumor = self.hosts.local_rumor(
-            match is_complete {
-                true => self.held_engines(now),
-                false => Vec::new(),
-            },
-            self.assignment.lease_version(),
-            self.is_ready(),
-        );
+        let (holds, holds_version) = match self.hosts.lists_holdings() {
+            true => (self.local_holdings(now), 0),
+            false => (Vec::new(), self.holdings.version()),
+        };
+        let lease_version = self.assignment.lease_version();
+        let rumor = self
+            .hosts
+            .local_rumor(holds, lease_version, self.is_ready());
         HostRumor {
-            holds_version: match is_complete {
-                true => 0,
-                false => self.holdings.version(),
-            },
+            holds_version,
             ..rumor
         }
     }
@@ -445,8 +441,8 @@
         }
     }
 
-    /// Builds a one-way ping from this host. On a large site it bears no rumors: it goes to hundreds of hosts, and
-    /// the regular pings spread rumors fast enough.
+    /// Builds a one-way ping from this host. On a large site it contains no rumors: it is sent to hundreds of hosts,
+    /// and the regular pings spread rumors fast enough.
     pub(super) fn notification(
         &mut self,
         now: Instant,
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -46,7 +46,8 @@
 /// The same on a large site, whose hosts ask holders before they send.
 const LARGE_SITE_PERIODS: u32 = 3;
 
-/// Periods between two looks at whether engines are of unequal speed: profiles follow a change within seconds.
+/// Usage periods between two checks whether engines are of unequal speed: once a second, as profiles follow a change
+/// within seconds.
 const PACE_PERIODS: u32 = 20;
 
 /// What the control thread tells the traffic thread.
--- a/src/process/hosts/holdings_spread.rs
+++ b/src/process/hosts/holdings_spread.rs
@@ -1,8 +1,9 @@
 //! Spreads the list of the engines held here to all hosts of a large site.
 //!
-//! Load addressed: some hundred hosts that take some thousand engines within a second. A list in each ping and in each
-//! rumor costs bytes in proportion to hosts times engines, and a lost datagram is repaired only by the next ping, which
-//! takes 30 s among 300 hosts. Here a list is sent to each host once per change and again until that host confirms it.
+//! Load addressed: several hundred hosts that take several thousand engines within a second. A list in each ping and in
+//! each rumor would cost bytes in proportion to hosts times engines, and a lost datagram would be made up for only by
+//! the next ping, which takes 30 s among 300 hosts. A list is therefore sent to each host once per change, and again
+//! until that host confirms it.
 
 use {
     crate::clock::Instant,
@@ -11,14 +12,14 @@
 
 /// Up to this number of other hosts, lists are sent with each ping; above it, lists are sent by `HoldingsSpread`.
 ///
-/// A ping with five lists of 7 engines has 1 kB, and news of a change go to all hosts: with 100 of them that fills a
-/// link of 10 Mbit/s for 80 ms.
+/// A ping with five lists of 7 engines takes 1 kB, and a change is sent to all hosts: with 100 of them, that saturates
+/// a link of 10 Mbit/s for 80 ms.
 pub const MAX_LISTING_HOSTS: usize = 100;
 
 /// Version of the empty list with which each process starts.
 pub const INITIAL_HOLDINGS_VERSION: u32 = 1;
 
-/// Time after which an unconfirmed list is sent again: longer than a round trip behind a burst on a slow link.
+/// Time after which an unconfirmed list is sent again. It is longer than a round trip behind a burst on a slow link.
 const RESEND_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Number of transmissions at the short interval. Of datagrams lost at 10% each, all eight are lost once in 10^8.
@@ -30,18 +31,19 @@
 /// Share of the link that lists may use, so that a burst of them delays no other datagram for long.
 const LINK_SHARE: f64 = 0.2;
 
-/// Assumed where the bandwidth is unknown: the slowest link that hosts have.
+/// Bandwidth assumed where it is unknown: that of the slowest links of hosts.
 const DEFAULT_LINK_MBPS: u32 = 10;
 
+/// Bytes per second on a link of 1 Mbit/s.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
-/// Unused allowance is kept for this time at most.
+/// Time for which unused allowance accumulates, so that a burst stays short.
 const MAX_ALLOWANCE_TIME: Duration = Duration::from_millis(100);
 
-/// Size of a message without engine ids, with the IP and UDP heads.
+/// Size of a message without engine ids, including the IP and UDP headers, in bytes.
 const MESSAGE_OVERHEAD: usize = 50;
 
-/// Bytes per engine id besides the id itself.
+/// Bytes per engine id besides the id itself: tag and length.
 const ID_OVERHEAD: usize = 2;
 
 /// What is known of one other host's knowledge of the list.
@@ -71,6 +73,7 @@
 }
 
 impl HoldingsSpread {
+    /// Creates the empty list of the host at `local`; a `link_mbps` of 0 stands for an unknown bandwidth.
     pub fn new(
         local: SocketAddr,
         link_mbps: u32,
@@ -91,10 +94,12 @@
         }
     }
 
+    /// Returns the ids of the engines held here.
     pub fn holds(&self) -> &[String] {
         &self.holds
     }
 
+    /// Returns the version of the list.
     pub fn version(&self) -> u32 {
         self.version
     }
@@ -138,10 +143,7 @@
     ) -> Vec<SocketAddr> {
         self.receivers
             .retain(|peer, receiver| reachable.get(peer) == Some(&receiver.process));
-        let elapsed = now.saturating_duration_since(self.allowance_at);
-        self.allowance_at = now;
-        let most = self.bytes_per_s * MAX_ALLOWANCE_TIME.as_secs_f64();
-        self.allowance = (self.allowance + self.bytes_per_s * elapsed.as_secs_f64()).min(most);
+        self.refill_allowance(now);
         let message_bytes = self.message_bytes() as f64;
         let after = (Bound::Excluded(self.last_sent), Bound::Unbounded);
         let until = (Bound::Unbounded, Bound::Included(self.last_sent));
@@ -166,6 +168,17 @@
         due
     }
 
+    fn refill_allowance(
+        &mut self,
+        now: Instant,
+    ) {
+        let elapsed = now.saturating_duration_since(self.allowance_at);
+        self.allowance_at = now;
+        let max_allowance = self.bytes_per_s * MAX_ALLOWANCE_TIME.as_secs_f64();
+        let refilled = self.allowance + self.bytes_per_s * elapsed.as_secs_f64();
+        self.allowance = refilled.min(max_allowance);
+    }
+
     fn message_bytes(&self) -> usize {
         let ids = self.holds.iter().map(|id| id.len() + ID_OVERHEAD);
         MESSAGE_OVERHEAD + ids.sum::<usize>()
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -104,10 +104,11 @@
     pub(super) pending_pings: BTreeMap<SocketAddr, PendingPing>,
     /// Hosts whose rumors are to be sent, with the number of times each was sent.
     pending_rumors: BTreeMap<SocketAddr, u32>,
-    /// Messages since the last tick that bore rumors.
+    /// Messages with rumors since the last tick.
     rumor_messages: u32,
-    /// Messages still to be sent to each host, as others took this one for dead.
+    /// Messages still to be sent to each host, as others considered this one dead.
     pub(super) return_announcements: u32,
+    /// Earliest time of the next such message.
     pub(super) next_return_announcement: Option<Instant>,
     events: Vec<HostEvent>,
     /// When a host was last added; initially the start of this host.
@@ -461,7 +462,7 @@
     ) {
         let is_dead = state == HostState::Dead && rumor.process == self.me.process;
         if is_dead && !self.lists_holdings() {
-            // Also if a higher incarnation has refuted that: the sender does not know of it.
+            // Applies even if a higher incarnation has refuted that: the sender does not know of it.
             self.return_announcements = RETURN_ANNOUNCEMENTS;
         }
         let is_refutable = state >= HostState::Suspect
--- a/src/process/hosts/large_site.rs
+++ b/src/process/hosts/large_site.rs
@@ -1,7 +1,7 @@
 //! What the host table does differently among more than `MAX_LISTING_HOSTS` other hosts.
 //!
-//! Load addressed: 300 hosts before 3,000 engines, whose full links lose datagrams. Lists of engines don't fit into pings,
-//! single losses must not make hosts seem dead, and rumors alone take long to reach all.
+//! Load addressed: 300 hosts in front of 3,000 engines, with saturated links that lose datagrams. Lists of engines
+//! don't fit into pings, a single loss must not make a host seem dead, and rumors alone take long to reach all hosts.
 
 use {
     super::{
@@ -15,31 +15,32 @@
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
-/// Maximum number of rumors in a message of a large site, where rumors bear no lists and have 70 bytes each: the message fits into one packet. After
-/// a partition hundreds of rumors are pending at once.
+/// Maximum number of rumors in a message of a large site. Rumors contain no lists there and take 70 bytes each, so that
+/// the message fits into one packet. After a partition, hundreds of rumors are pending at once.
 pub(super) const MAX_RUMORS_PER_LARGE_SITE_MESSAGE: usize = 14;
 
-/// Messages that bear rumors between two ticks on a large site. While a site starts, each host exchanges pings with all
-/// others within a second, which would fill its link if all of them bore rumors.
+/// Maximum number of messages with rumors between two ticks on a large site. While a site starts, each host exchanges
+/// pings with all others within a second, which would saturate its link if all of them contained rumors.
 pub(super) const RUMOR_MESSAGES_PER_TICK: u32 = 2;
 
-/// A host of a large site that others took for dead sends this number of messages to each host. Rumors alone take ten
-/// seconds after a partition of 300 hosts, as hundreds are pending at once.
+/// Number of messages that a host of a large site sends to each host after others considered it dead. Rumors alone take
+/// ten seconds after a partition of 300 hosts, as hundreds are pending at once.
 pub(super) const RETURN_ANNOUNCEMENTS: u32 = 3;
 
-/// Time between these messages, as each may be lost.
+/// Time between two such messages; they are repeated because each may be lost.
 const RETURN_ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// On a large site, an unanswered ping is repeated at this interval for `RESEND_TIME`.
+/// Interval at which an unanswered ping is repeated on a large site, until the host is suspected.
 ///
-/// Each host is pinged by somebody several times a second, and one suspicion is spread to all: with a tenth of the
-/// datagrams lost and two pings, a hundred suspicions would arise each second among 300 hosts.
+/// Each host is pinged several times a second, and each suspicion spreads to all hosts: with a tenth of the datagrams
+/// lost and only two pings, 300 hosts would cause a hundred suspicions each second.
 const RESEND_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Added to the time for an answer on a large site, so that repeated pings can be answered.
 const RESEND_TIME: Duration = Duration::from_millis(250);
 
-/// Added to the time for a refutation on a large site: a suspicion has to reach the host and its refutation all others,
-/// by rumors that go one hop further each 50 to 100 ms.
+/// Added to the time for a refutation on a large site: the suspicion has to reach the suspect, and the refutation all
+/// others, by rumors that advance one hop each 50 to 100 ms.
 const RUMOR_SPREAD_TIME: Duration = Duration::from_millis(1_200);
 
 impl HostTable {
@@ -48,16 +49,18 @@
         self.hosts.len() <= MAX_LISTING_HOSTS
     }
 
-    /// Returns the hosts whose held engines are used by requests; the last one that claims an engine holds it.
+    /// Returns the hosts whose held engines are used by requests. If several claim an engine, the last one counts as
+    /// its holder.
     ///
-    /// On a large site these include suspects, as most of them refute: a query to a host that is gone costs less than a
+    /// On a large site these include suspects, as most of them refute: a query to a failed host costs less than a
     /// request that is rejected because no holder is known.
     pub fn claimants(&self) -> impl Iterator<Item = &KnownHost> {
         let uses_suspects = !self.lists_holdings();
         let is_suspect =
             |host: &KnownHost| host.state == HostState::Suspect && host.heard.is_some();
-        let suspects = self.hosts();
-        let suspects = suspects.filter(move |host| uses_suspects && is_suspect(host));
+        let suspects = self
+            .hosts()
+            .filter(move |host| uses_suspects && is_suspect(host));
         suspects.chain(self.hosts().filter(|host| host.state.is_up()))
     }
 
@@ -116,6 +119,7 @@
         Some((known.identity.process, known.holds_version))
     }
 
+    /// Returns the rumor of a host; on a large site, with the version of its list instead of the list.
     pub(super) fn rumor_of(
         &self,
         host: &KnownHost,
@@ -132,7 +136,7 @@
     }
 
     /// Pings a suspect again on a large site, so that it learns of the suspicion from this host itself: rumors may
-    /// reach it too late to refute, and this host would take it for dead until the next round.
+    /// reach it too late to refute, and this host would consider it dead until the next round.
     pub(super) fn ping_suspect(
         &mut self,
         peer: SocketAddr,
@@ -159,7 +163,7 @@
         }
     }
 
-    /// Notifies all hosts, also those that seem dead, that this one is back after a partition.
+    /// Notifies all hosts, including those that seem dead, that this one is reachable again after a partition.
     pub(super) fn announce_return(
         &mut self,
         now: Instant,
@@ -176,8 +180,8 @@
 
     /// Pings the suspects of a large site that have not refuted yet, shortly before they are declared dead.
     ///
-    /// Most hosts know a suspicion only from rumors, and the refutation may reach some of them too late. A host that is
-    /// wrongly taken for dead would be so until the next round.
+    /// Most hosts learn of a suspicion only by rumors, and the refutation may reach some of them too late. These would
+    /// wrongly consider the suspect dead until the next round.
     pub(super) fn ping_unrefuted_suspects(
         &mut self,
         now: Instant,
@@ -206,8 +210,8 @@
 
 /// Applies the held engines that a host sends with its own rumor; returns true if the list changes.
 ///
-/// A rumor of a large site bears only the version of the list. The list that is known stays until the host has sent
-/// the newer one, unless its process has ended.
+/// A rumor of a large site contains only the version of the list. The known list stays until the host has sent the
+/// newer one, unless its process has ended.
 pub(super) fn apply_sent_holds(
     known: &mut KnownHost,
     rumor: &HostRumor,
--- a/src/report/customer_report.rs
+++ b/src/report/customer_report.rs
@@ -10,6 +10,7 @@
 pub struct CustomerRow {
     /// Each attempt of a caller counts: a rejected request that is sent again is two.
     pub requests: usize,
+    /// Requests answered completely and within all objectives.
     pub in_time: usize,
     /// Requests answered with 429 or 503, by cause.
     pub rejected: BTreeMap<String, usize>,
@@ -18,10 +19,12 @@
 /// Requests by customer; `-` stands for routes without keys.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct CustomerReport {
+    /// Rows by customer name.
     pub by_customer: BTreeMap<String, CustomerRow>,
 }
 
 impl CustomerReport {
+    /// Counts the requests in the lines of all hosts.
     pub fn of(lines: &[LogLine]) -> Self {
         let mut report = Self::default();
         for line in lines {
@@ -49,9 +52,9 @@
         &mut self,
         served: &ServedLine,
     ) {
-        let customer = served.name("customer");
+        let customer = served.text_or_dash("customer");
         if served.is_rejection() {
-            return self.add_rejected(customer, served.name("cause"));
+            return self.add_rejected(customer, served.text_or_dash("cause"));
         }
         self.row(customer).in_time += usize::from(served.is_in_time());
     }
--- a/src/report/end_cause.rs
+++ b/src/report/end_cause.rs
@@ -22,7 +22,7 @@
     AllClosed,
     /// No engine was there to be asked.
     NoEngine,
-    /// No engine was expected to answer before the deadline.
+    /// No engine could be expected to answer before the deadline.
     AfterDeadline,
     /// The adapter would have come too late.
     AdapterTooLate {
@@ -137,7 +137,8 @@
     }
 }
 
-/// The first event comes before the pauses: what made it late usually makes the stream pause, too.
+/// Returns the cause of a late answer. A late first event takes precedence over a late pause, as its cause usually
+/// makes the stream pause, too.
 fn late_cause(
     lines: &[&LogLine],
     served: &ServedLine,
@@ -168,7 +169,7 @@
             allowed_ms,
         },
         false => EndCause::PausedAtEngine {
-            target: served.name("target").to_string(),
+            target: served.text_or_dash("target").to_string(),
             pause_ms,
             allowed_ms,
         },
@@ -209,10 +210,10 @@
     lines: &[&LogLine],
     served: &LogLine,
 ) -> EndCause {
-    let cause = served.text("cause");
-    if let Some(cause) = deferred_cause(lines) {
-        return cause;
+    if let Some(deferred) = deferred_cause(lines) {
+        return deferred;
     }
+    let cause = served.text("cause");
     match cause {
         "no_adapter" => no_adapter_cause(lines),
         "turned_away" => {
@@ -235,7 +236,8 @@
     }
 }
 
-/// Finds the cause in the line of a rejection; `None` if there is none, or if other lines say more.
+/// Returns the cause that the line of a rejection names; `None` if there is no such line, or if others are more
+/// specific.
 fn deferred_cause(lines: &[&LogLine]) -> Option<EndCause> {
     let last = |event| lines.iter().rfind(|line| line.event == event);
     let deferred = last(Event::RequestDeferred)?;
--- a/src/report/engine_report.rs
+++ b/src/report/engine_report.rs
@@ -10,7 +10,7 @@
 pub struct EngineRow {
     /// Requests that it answered, or whose first event it sent.
     pub requests: usize,
-    /// Streams whose pauses were too long because of it.
+    /// Streams with a pause that was too long because of it.
     pub late_pauses: usize,
     /// Longest pause of each stream.
     pub pause_ms: Spread,
@@ -23,15 +23,17 @@
 /// Requests by the target that sent the first event.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct EngineReport {
+    /// Rows by target id.
     pub by_engine: BTreeMap<String, EngineRow>,
 }
 
+/// What is collected for one target before the shares are known.
 #[derive(Default)]
 struct Samples {
     requests: usize,
     late_pauses: usize,
     pauses: Vec<f64>,
-    firsts: Vec<f64>,
+    first_events: Vec<f64>,
     prompt_tokens: u64,
 }
 
@@ -46,8 +48,8 @@
         if !served.is_success() {
             return;
         }
-        self.firsts.push(served.first_ms());
-        // A pause of a resumed stream may be that of another target, or the time of the resumption itself.
+        self.first_events.push(served.first_ms());
+        // A pause of a resumed stream may be due to another target or to the resumption itself.
         if served.is_stream() && !is_resumed {
             self.pauses.push(served.pause_ms());
             let late = served.is_pause_late() && served.is_pause_of_engine();
@@ -63,13 +65,14 @@
             requests: self.requests,
             late_pauses: self.late_pauses,
             pause_ms: Spread::of(self.pauses),
-            first_ms: Spread::of(self.firsts),
+            first_ms: Spread::of(self.first_events),
             prompt_share: self.prompt_tokens as f64 / all_tokens.max(1) as f64,
         }
     }
 }
 
 impl EngineReport {
+    /// Evaluates the lines of all hosts.
     pub fn of(lines: &[LogLine]) -> Self {
         let resumed: BTreeSet<&str> = lines
             .iter()
@@ -81,17 +84,17 @@
             let Some(served) = ServedLine::of(line) else {
                 continue;
             };
-            let target = served.name("target");
+            let target = served.text_or_dash("target");
             if target == "-" {
                 continue;
             }
             let is_resumed = resumed.contains(line.text("id"));
             samples.entry(target).or_default().add(&served, is_resumed);
         }
-        let all_tokens = samples.values().map(|of_one| of_one.prompt_tokens).sum();
+        let all_tokens = samples.values().map(|sample| sample.prompt_tokens).sum();
         let by_engine = samples
             .into_iter()
-            .map(|(target, of_one)| (target.to_string(), of_one.row(all_tokens)))
+            .map(|(target, sample)| (target.to_string(), sample.row(all_tokens)))
             .collect();
         Self { by_engine }
     }
--- a/src/report/served_line.rs
+++ b/src/report/served_line.rs
@@ -7,7 +7,7 @@
 }
 
 impl<'a> ServedLine<'a> {
-    /// Returns `None` for other lines.
+    /// Wraps a line `request_served`; returns `None` for other lines.
     pub fn of(line: &'a LogLine) -> Option<Self> {
         (line.event == Event::RequestServed).then_some(Self { line })
     }
@@ -34,6 +34,7 @@
         self.is_success() && whole && !self.is_first_event_late() && !self.is_pause_late()
     }
 
+    /// Returns true if the status is 2xx.
     pub fn is_success(&self) -> bool {
         self.line.text("status").starts_with('2')
     }
@@ -43,46 +44,53 @@
         ["429", "503"].contains(&self.line.text("status")) && self.line.text("cause") != "-"
     }
 
+    /// Returns true if the answer was a stream: only lines of streams have a pause that is not negative.
     pub fn is_stream(&self) -> bool {
         self.line
             .number("pause_ms")
             .is_some_and(|pause| pause >= 0.0)
     }
 
+    /// Returns the longest pause between two events, in milliseconds; 0 if the line has none.
     pub fn pause_ms(&self) -> f64 {
         self.line.number("pause_ms").unwrap_or(0.0)
     }
 
+    /// Returns the allowed pause between two events, in milliseconds; 0 if the line has none.
     pub fn allowed_pause_ms(&self) -> f64 {
         self.line.number("allowed_pause_ms").unwrap_or(0.0)
     }
 
+    /// Returns the time for which the host held events back, in milliseconds; 0 if the line has none.
     pub fn held_ms(&self) -> f64 {
         self.line.number("held_ms").unwrap_or(0.0)
     }
 
+    /// Returns the time from the request's arrival to the answer or its first event, in milliseconds.
     pub fn first_ms(&self) -> f64 {
         self.line.number("first_ms").unwrap_or(0.0)
     }
 
-    /// Time from the request's arrival to this line. Earlier versions wrote the line at the first event.
+    /// Returns the time from the request's arrival to this line, in milliseconds. Earlier versions wrote the line at
+    /// the first event.
     pub fn total_ms(&self) -> f64 {
         self.line
             .number("total_ms")
             .unwrap_or_else(|| self.first_ms())
     }
 
-    /// When the answer or its first event was there, on the host's clock.
+    /// Returns when the answer or its first event arrived, on the host's clock.
     pub fn answered_ms(&self) -> f64 {
         self.line.ts_ms - (self.total_ms() - self.first_ms())
     }
 
+    /// Returns the number of prompt tokens; 0 if the line has none.
     pub fn prompt_tokens(&self) -> u64 {
         self.line.number("prompt_tokens").unwrap_or(0.0) as u64
     }
 
-    /// Returns a field's text, `-` if the line lacks it.
-    pub fn name(
+    /// Returns a field's text; `-` if the line lacks it.
+    pub fn text_or_dash(
         &self,
         field: &str,
     ) -> &'a str {
--- a/src/report/spread.rs
+++ b/src/report/spread.rs
@@ -3,12 +3,14 @@
 /// Median and 90th percentile of some measured times, in milliseconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
 pub struct Spread {
+    /// 50th percentile.
     pub median: f64,
+    /// 90th percentile.
     pub p90: f64,
 }
 
 impl Spread {
-    /// Returns zeros if nothing was measured.
+    /// Computes both from the values; zeros if there are none.
     pub fn of(mut values: Vec<f64>) -> Self {
         values.sort_by(f64::total_cmp);
         let at = |share: f64| {
