--- a/tests/engine_pace.rs
+++ b/tests/engine_pace.rs
@@ -279,7 +279,7 @@
     assert_eq!(engine.reading_time(start), Duration::ZERO);
 }
 
-/// Guards against engines that seem to read for ever because the host that would have reported the end is gone.
+/// Guards against engines that count as reading without end because the host that would have reported the end is gone.
 #[test]
 fn a_lost_host_ends_the_reading_of_its_prompts_only() {
     let start = Instant::now();
@@ -359,7 +359,7 @@
     }
 }
 
-/// Guards against requests that are held for too long, for nothing, or without leave.
+/// Guards against requests that are held for too long, without need, or although holding is switched off.
 #[rstest]
 #[case::makes_streams_late(1_500, true)]
 #[case::just_in_time(900, true)]
@@ -413,7 +413,10 @@
     assert_eq!(choose(false), Some(0));
 }
 
+/// Time from the first event of a stream to its end.
 const STREAM_MS: u64 = 3_000;
+
+/// Length of each prompt of the model.
 const PROMPT_TOKENS: f64 = 3_000.0;
 
 /// An engine that reads prompts one after the other, and its running streams.
@@ -468,7 +471,7 @@
     }
 }
 
-/// What callers got in a play of the model.
+/// Results of a run of the model.
 #[derive(Debug)]
 struct Outcome {
     /// Share of streams.
@@ -478,7 +481,8 @@
     late_first_events: usize,
 }
 
-/// Plays a minute on engines of unequal speed, with this share of what they can read.
+/// Runs the model for a minute on engines of unequal speed; `load` is the share of their prefill capacity that is
+/// requested.
 fn play(
     load: f64,
     holds: bool,
--- a/tests/fleet_size.rs
+++ b/tests/fleet_size.rs
@@ -18,6 +18,7 @@
 
 const ENGINES: usize = 3_000;
 
+/// Step of the simulated time.
 const STEP: Duration = Duration::from_millis(50);
 
 /// Longest time until a host pings each other one.
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -247,7 +247,7 @@
     assert_eq!((cuts[0].holder, cuts[0].kind), (idle, CutKind::Close));
 }
 
-/// Guards against a host that was suspended, or had no processor, and blames its callers for that time.
+/// Guards against a host that was suspended, or had no processor time, and counts that time against its callers.
 #[test]
 fn time_in_which_the_host_stood_still_does_not_count() {
     let mut budget = budget();
--- a/tests/prompt_caches.rs
+++ b/tests/prompt_caches.rs
@@ -818,7 +818,7 @@
 }
 
 /// Guards against shared parts that are read at many engines. Of the tokens read, less than 6% were read before where
-/// memory is ample; samples by chance alone read far more again, else this test would show nothing. At 90 requests a
+/// memory is ample; random samples read far more again, else this test would show nothing. At 90 requests a
 /// second, the parts that are not shared keep the engines busy for 0.3 of the time.
 #[rstest]
 #[case::few_popular_parts(40, 11.0)]
--- a/tests/prompt_choice.rs
+++ b/tests/prompt_choice.rs
@@ -223,7 +223,7 @@
     PromptChain::of(request.generation.as_ref().unwrap()).unwrap()
 }
 
-/// Guards against samples by chance alone, with which each request sees other engines than the last one with the same
+/// Guards against purely random samples, with which each request sees other engines than the last one with the same
 /// parts.
 #[rstest]
 #[case::for_an_adapter(ADAPTER)]
--- a/tests/stream_timing.rs
+++ b/tests/stream_timing.rs
@@ -23,8 +23,8 @@
     timing
 }
 
-/// Guards against engines that are blamed for callers that do not read, and against time before the first event that is
-/// taken for a pause.
+/// Guards against attributing delays of callers that do not read to engines, and against time before the first event
+/// that is taken for a pause.
 #[rstest]
 #[case::nothing(&[], 0, 0, 0)]
 #[case::one_event(&[(700, 700)], 0, 0, 0)]
--- a/tests/wait_decisions.rs
+++ b/tests/wait_decisions.rs
@@ -202,7 +202,8 @@
     }
 }
 
-/// Guards against an assumption that is taken for a holder's word, and against engines that can't help being counted.
+/// Guards against an assumption that is taken for a holder's word, and against counting engines that can't serve the
+/// request.
 #[test]
 fn the_outlook_is_the_earliest_answer_that_can_be_expected() {
     let now = Instant::now();
@@ -361,10 +362,13 @@
 /// Longest queue of a holder, in time.
 const LONGEST_QUEUE: Duration = Duration::from_millis(1_000);
 
+/// Step of the simulated time.
 const STEP: Duration = Duration::from_millis(10);
 
+/// Allowed time to the first event of each request.
 const AIM: Duration = Duration::from_millis(1_500);
 
+/// Time after which a caller gives its request up.
 const TIMEOUT: Duration = Duration::from_secs(6);
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -566,8 +570,8 @@
     }
 }
 
-/// Guards against what the decision is there to prevent under load beyond the capacity: callers that learn too late
-/// that they are not served, urgent requests that get less than others, and rejected callers that return together.
+/// Guards against three faults under load beyond the capacity: callers that learn too late that they are not served,
+/// urgent requests that are served less than others, and rejected callers that return together.
 #[test]
 fn a_burst_beyond_the_room_is_served_in_order_of_urgency_and_spread() {
     let mut burst = Burst::new();
