--- a/src/connection/targets/prefill_throughput.rs
+++ b/src/connection/targets/prefill_throughput.rs
@@ -1,4 +1,7 @@
-use {crate::request::pace::PrefillSample, std::time::Duration};
+use {
+    crate::request::pace::{FIXED_MS, MIN_SAMPLE_TOKENS, PrefillSample},
+    std::time::Duration,
+};
 
 /// Initial estimate, in tokens per millisecond.
 const INITIAL_TOKENS_PER_MS: f64 = 15.0;
@@ -12,12 +15,6 @@
 /// sample has a bounded effect.
 const MAX_SAMPLE_FACTOR: f64 = 4.0;
 
-/// Fixed time to the first event besides the prefill, in milliseconds.
-const FIXED_MS: f64 = 15.0;
-
-/// Shorter prompts are not sampled, as the fixed time dominates them.
-const MIN_SAMPLE_TOKENS: u64 = 400;
-
 /// Weight of a new prompt in the moving averages of prompt sizes.
 const PROMPT_SIZE_WEIGHT: f64 = 0.01;
 
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -35,8 +35,6 @@
     pub copy_state: AdapterCopyState,
     /// Expected time to the first event once the adapter is loaded.
     pub time_to_first_event: Duration,
-    /// Expected time to read the request's prompt alone.
-    pub prefill_time: Duration,
     /// Expected time for which it reads prompts without a break, without and with the request.
     pub reading: Reading,
     /// Requests that run there.
--- a/src/request/pace/mod.rs
+++ b/src/request/pace/mod.rs
@@ -11,7 +11,7 @@
 pub use {
     engine_pace::EnginePace,
     pace_estimate::PaceEstimate,
-    pace_samples::{PaceSamples, PrefillSample},
+    pace_samples::{FIXED_MS, MIN_SAMPLE_TOKENS, PaceSamples, PrefillSample},
     pause_record::PauseRecord,
     placement_rank::PlacementRank,
     stream_lateness::{Reading, StreamLateness},
--- a/src/request/pace/pace_samples.rs
+++ b/src/request/pace/pace_samples.rs
@@ -1,10 +1,10 @@
 use {crate::connection::datagram::PaceReport, std::time::Duration};
 
 /// Samples with fewer tokens are dropped, as the fixed time dominates them.
-const MIN_SAMPLE_TOKENS: u64 = 400;
+pub const MIN_SAMPLE_TOKENS: u64 = 400;
 
 /// Fixed time to the first event besides the prefill, in milliseconds.
-const FIXED_MS: f64 = 15.0;
+pub const FIXED_MS: f64 = 15.0;
 
 /// Number of tokens to which prefill times in reports and profiles refer.
 pub(super) const TOKENS_PER_UNIT: f64 = 1_000.0;
--- a/tests/engine_pace.rs
+++ b/tests/engine_pace.rs
@@ -315,7 +315,6 @@
     EngineCandidate {
         copy_state: AdapterCopyState::Ready,
         time_to_first_event: ms(first_event),
-        prefill_time: ms(first_event),
         reading,
         streams,
         load_time: DEFAULT_LOAD_TIME,
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -201,7 +201,6 @@
         load_time: DEFAULT_LOAD_TIME,
         copy_state,
         time_to_first_event: ms(wait_ms),
-        prefill_time: ms(wait_ms),
         reading: Reading::default(),
         streams: 0,
         memory_share: 0.3,
