Unequal speed of engines is believed with a margin, and told in the log

Cause: one engine that seems fast by chance could switch placement by pace on and off, and no line said so.

Change: a service's engines count as unequal from 18% of fast ones on, and as alike again below 10%; event 716 tells each change. Test in tests/target_table.rs.

--- a/src/connection/targets/table_pace.rs
+++ b/src/connection/targets/table_pace.rs
@@ -1,10 +1,16 @@
 //! Speeds of engines and pauses of streams, as known to this host.
 
-use {super::TargetTable, crate::request::pace::PauseRecord};
+use {
+    super::TargetTable,
+    crate::{note, request::pace::PauseRecord, timeline::Event},
+};
 
-/// Minimum share of fast engines for a service's engines to count as of unequal speed: estimates of a few may be too
-/// high by chance.
-const MIN_FAST_SHARE: f64 = 0.1;
+/// Share of fast engines from which on a service's engines count as of unequal speed: estimates of a few may be too high
+/// by chance.
+const MIN_FAST_SHARE: f64 = 0.18;
+
+/// Share of fast engines below which they count as alike again; lower, so that one estimate does not switch back and forth.
+const MIN_FAST_SHARE_TO_STAY: f64 = 0.1;
 
 impl TargetTable {
     /// Finds the services whose engines are of unequal speed.
@@ -15,23 +21,55 @@
         if !self.policy().learns_pace || !self.is_large_site() {
             return;
         }
-        let services = self.by_service.keys();
-        let unequal = services.filter(|service| self.fast_share(service) >= MIN_FAST_SHARE);
-        self.unequal_services = unequal.cloned().collect();
+        let services: Vec<String> = self.by_service.keys().cloned().collect();
+        for service in services {
+            self.update_unequal_service(service);
+        }
+        let by_service = &self.by_service;
+        self.unequal_services
+            .retain(|service| by_service.contains_key(service));
     }
 
-    /// Returns the share of a service's engines that are known to be faster than the others.
-    fn fast_share(
+    fn update_unequal_service(
+        &mut self,
+        service: String,
+    ) {
+        let engines = self.targets_of(&service).len();
+        let fast = self.fast_engines(&service);
+        let was_unequal = self.has_unequal_engines(&service);
+        let min_share = match was_unequal {
+            true => MIN_FAST_SHARE_TO_STAY,
+            false => MIN_FAST_SHARE,
+        };
+        let is_unequal = fast as f64 >= min_share * engines.max(1) as f64;
+        if is_unequal == was_unequal {
+            return;
+        }
+        note!(
+            Event::EngineSpeeds,
+            service = service,
+            unequal = is_unequal,
+            fast = fast,
+            engines = engines,
+        );
+        match is_unequal {
+            true => self.unequal_services.insert(service),
+            false => self.unequal_services.remove(&service),
+        };
+    }
+
+    /// Returns the number of a service's engines that are known to be faster than the others.
+    fn fast_engines(
         &self,
         service: &str,
-    ) -> f64 {
+    ) -> usize {
         let service_speed = self.service_speed(service);
         let engines = self.targets_of(service);
         let paces = engines
             .iter()
             .filter_map(|engine| self.links.get(&engine.id)?.pace);
         let fast = paces.filter(|pace| pace.relative_speed(service_speed) > 1.0);
-        fast.count() as f64 / engines.len().max(1) as f64
+        fast.count()
     }
 
     /// Returns true if the engines of a service are of unequal speed.
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -133,6 +133,7 @@
     TargetRests = 713 "target_rests" Info,
     TargetNoticeUnreadable = 714 "target_notice_unreadable" Warn,
     TargetNoticeTold = 715 "target_notice_told" Info,
+    EngineSpeeds = 716 "engine_speeds" Info,
     LinesDropped = 801 "lines_dropped" Warn,
     LinesHeldBack = 802 "lines_held_back" Warn,
 }
--- a/tests/target_table.rs
+++ b/tests/target_table.rs
@@ -4,7 +4,7 @@
     coveproxy::{
         clock::Instant,
         connection::{
-            datagram::{Placement, PlacementState, Usage},
+            datagram::{EngineLoad, PaceReport, Placement, PlacementState, Usage},
             targets::{
                 AdapterRequest, ControlRequest, FleetView, ReplicaFreshness, RequestTokens,
                 StalenessBounds, TableFreshness, TargetTable, TargetTableSettings, TargetView,
@@ -398,3 +398,49 @@
     assert_eq!(ids(&world.table, "models"), ["c"]);
     assert_eq!(ids(&world.table, "others"), ["b"]);
 }
+
+/// Guards against pace that decides on sites whose engines are alike, or that switches back and forth with one estimate.
+#[rstest]
+#[case::few_fast(100, 1, false)]
+#[case::a_quarter_fast(100, 3, true)]
+#[case::small_site(5, 3, false)]
+fn engines_are_of_unequal_speed_if_enough_are_fast(
+    #[case] hosts: usize,
+    #[case] fast: usize,
+    #[case] expected: bool,
+) {
+    let mut world = World::new(None);
+    let mut view = view_of((0..12).map(|at| (format!("e{at:02}"), None)));
+    Arc::make_mut(&mut view).hosts = hosts;
+    world.table.set_view(view);
+    for at in 0..fast {
+        report_pace(&mut world, at, 10_000);
+    }
+    world.table.update_unequal_services();
+    assert_eq!(world.table.has_unequal_engines("models"), expected);
+    if expected {
+        report_pace(&mut world, 0, 66_000);
+        world.table.update_unequal_services();
+        assert!(world.table.has_unequal_engines("models"), "one fewer");
+        report_pace(&mut world, 1, 66_000);
+        world.table.update_unequal_services();
+        assert!(!world.table.has_unequal_engines("models"), "one left");
+    }
+}
+
+/// Reports the prefill time of 1,000 tokens at an engine.
+fn report_pace(
+    world: &mut World,
+    at: usize,
+    prefill_us: u32,
+) {
+    let load = EngineLoad {
+        target: format!("e{at:02}"),
+        pace: Some(PaceReport {
+            prefill_us,
+            samples: 8,
+        }),
+        ..EngineLoad::default()
+    };
+    world.table.on_engine_load(&load, world.now);
+}
