Comments on prefill throughput and old log lines say what the code does

The type's comment named idle engines alone though it also holds the throughput of loaded ones, a comment on lines of earlier versions told history, and the trace step of a rejection did not say that the caller may retry.

Change: comments in three files; no code.

--- a/src/connection/front/request_trace.rs
+++ b/src/connection/front/request_trace.rs
@@ -41,7 +41,7 @@
         expected: Option<Duration>,
         awaited: Awaited,
     },
-    /// The request was rejected without having run.
+    /// The request was rejected without having run; its caller may retry later.
     Deferred {
         reason: RejectReason,
         retry_after: Option<Duration>,
--- a/src/connection/targets/prefill_throughput.rs
+++ b/src/connection/targets/prefill_throughput.rs
@@ -18,11 +18,13 @@
 /// Weight of a new prompt in the moving averages of prompt sizes.
 const PROMPT_SIZE_WEIGHT: f64 = 0.01;
 
-/// Prefill throughput of a service's engines, estimated from requests that found no backlog.
+/// Prefill throughput of a service's engines: of idle ones, for times to first events, and of loaded ones, as the reference
+/// for the speed of single engines.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PrefillThroughput {
+    /// Over requests that found no backlog.
     tokens_per_ms: f64,
-    /// The same over all requests, including those that found a backlog; lower, as it includes the time in queues.
+    /// Over all requests, including those that found a backlog; lower, as it includes the time in queues.
     loaded_tokens_per_ms: f64,
     /// Moving averages of prompt sizes and of their squares, in tokens.
     mean_tokens: f64,
--- a/src/report/served_line.rs
+++ b/src/report/served_line.rs
@@ -14,7 +14,7 @@
 
     /// Returns true if the first event, or the answer that is no stream, came late.
     pub fn is_first_event_late(&self) -> bool {
-        // Hosts wrote `true` while only first events were measured.
+        // `true` stands in logs of earlier versions, which judge the first event alone.
         ["first_event", "both", "true"].contains(&self.line.text("late"))
     }
 
