A host that the list leaves out stays known while it answers, and a dead one until its targets are taken

Cause: Membership dropped a host as soon as the list left it out. For the others it was gone at once, with its address, so that no request could go to it; but its targets were not taken over, as is_confirmed_dead asks for a known host and its session went on. The same rule cost more than the listed test showed: a host that dies as the list leaves it out, which is what a platform does with a machine that it has lost, was not confirmed dead either, and its targets waited for lease and margin (7 s by the default settings).

Change: members that the list leaves out are marked, get no new role and no new caller, and stay known while they answer; dead ones are remembered for 60 s, so that takeover is by probes as for listed hosts. A majority counts listed hosts alone. A list that names nobody, not even its reader, changes nothing. A probe counts as answered only by the host that was asked for: a machine's former address may be another's. Event 208 tells how a host is listed; the line of a resend names the owner and what is believed of it.

--- a/src/connection/peer/peer_server.rs
+++ b/src/connection/peer/peer_server.rs
@@ -65,8 +65,10 @@
             return false;
         };
         let (heard, rumors) = heartbeat_from_wire(answer.into_inner());
+        // The host's former address may belong to another one by now.
+        let is_host = heard.host == host;
         self.control.input(Input::Heartbeat { heard, rumors });
-        true
+        is_host
     }
 }
 
--- a/src/connection/platform/host_list.rs
+++ b/src/connection/platform/host_list.rs
@@ -12,6 +12,16 @@
     Leaving,
 }
 
+impl HostState {
+    /// Returns the name used in logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Live => "live",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
 /// A host as the platform lists it, some time ago.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedHost {
--- a/src/process/control/control.rs
+++ b/src/process/control/control.rs
@@ -2,6 +2,7 @@
     super::{Action, Input},
     crate::{
         clock::Instant,
+        connection::platform::{HostState, ListedHost},
         process::{
             loads::{LoadDecision, LoadQueue},
             membership::{Heartbeat, Liveness, Membership, Rumor},
@@ -130,9 +131,7 @@
                 self.decide_loads(now)
             }
             Input::HostList(hosts) => {
-                self.hosts_read = true;
-                self.membership.on_host_list(hosts, now);
-                self.changed = true;
+                self.on_host_list(hosts, now);
                 Vec::new()
             }
             Input::Rows { scan, term } => self.on_rows(scan, term, now),
@@ -302,6 +301,23 @@
         actions
     }
 
+    fn on_host_list(
+        &mut self,
+        hosts: Vec<ListedHost>,
+        now: Instant,
+    ) {
+        self.hosts_read = true;
+        self.membership.on_host_list(hosts, now);
+        self.changed = true;
+        for change in self.membership.take_listing_changes() {
+            let listed_as = change.listed_as.map_or("missing", HostState::word);
+            self.log.note(
+                Event::HostListingChanged,
+                &[("peer", &change.host), ("listed_as", &listed_as)],
+            );
+        }
+    }
+
     pub(super) fn on_heartbeat(
         &mut self,
         heard: &Heartbeat,
--- a/src/process/control/control_view.rs
+++ b/src/process/control/control_view.rs
@@ -4,7 +4,7 @@
     super::{Control, HostView, OwnerView, View},
     crate::{
         clock::Instant,
-        connection::{peer::wire, platform::HostState},
+        connection::peer::wire,
         process::{
             membership::{Heartbeat, Liveness},
             ownership::OwnerRow,
@@ -104,13 +104,12 @@
     pub(super) fn host_views(&self) -> BTreeMap<String, HostView> {
         let view = |(name, member): (&String, &crate::process::membership::Member)| {
             let heard = member.liveness < Liveness::Leaving;
-            let stays = member.listed.state == HostState::Live;
             let host = HostView {
                 hall: member.listed.hall.clone(),
                 caller_address: member.listed.caller_address,
                 peer_address: member.listed.peer_address,
                 liveness: member.liveness,
-                takes_callers: heard && stays,
+                takes_callers: heard && member.accepts_roles(),
                 config_revision: member.config_revision,
             };
             (name.clone(), host)
--- a/src/process/control/view.rs
+++ b/src/process/control/view.rs
@@ -67,6 +67,18 @@
         self.hosts.get(host).map(|host| host.peer_address)
     }
 
+    /// What this host believes of a host, for logs.
+    pub fn host_state(
+        &self,
+        host: &str,
+    ) -> &'static str {
+        match self.hosts.get(host) {
+            _ if host == self.me => "self",
+            Some(host) => host.liveness.word(),
+            None => "unknown",
+        }
+    }
+
     /// True for a host believed dead or unknown; never for this one.
     pub fn is_gone(
         &self,
--- a/src/process/membership/member.rs
+++ b/src/process/membership/member.rs
@@ -1,4 +1,7 @@
-use {crate::clock::Instant, crate::connection::platform::ListedHost};
+use crate::{
+    clock::Instant,
+    connection::platform::{HostState, ListedHost},
+};
 
 /// State of a host in this host's view; within one incarnation, a greater state overrides a lesser one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -16,12 +19,25 @@
     pub fn can_receive_requests(self) -> bool {
         self != Self::Dead
     }
+
+    /// Returns the name used in logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Leaving => "leaving",
+            Self::Suspect => "suspect",
+            Self::Dead => "dead",
+        }
+    }
 }
 
 /// Latest known state of another host.
 #[derive(Debug, Clone)]
 pub struct Member {
+    /// Latest entry of the host in the platform's list.
     pub listed: ListedHost,
+    /// False while the platform's list leaves the host out.
+    pub is_listed: bool,
     pub liveness: Liveness,
     pub incarnation: u64,
     /// Id of the process that runs on the host; 0 if the host was never heard.
@@ -33,3 +49,10 @@
     /// Configuration revision of the host, as of its last heartbeat.
     pub config_revision: u64,
 }
+
+impl Member {
+    /// Returns true if the platform lists the host to stay.
+    pub fn accepts_roles(&self) -> bool {
+        self.is_listed && self.listed.state == HostState::Live
+    }
+}
--- a/src/process/membership/membership.rs
+++ b/src/process/membership/membership.rs
@@ -6,9 +6,15 @@
         process::settings::MembershipSettings,
     },
     rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
+/// Time for which a dead host that is not listed is remembered, so that its targets can be taken over.
+const UNLISTED_RETENTION: Duration = Duration::from_secs(60);
+
 /// Maximum number of hosts asked to probe an unresponsive host before it is suspected.
 const MAX_INDIRECT_PROBES: usize = 3;
 
@@ -28,6 +34,14 @@
     pub liveness: Liveness,
 }
 
+/// A change of a host's entry in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListingChange {
+    pub host: String,
+    /// `None` if the list leaves the host out.
+    pub listed_as: Option<HostState>,
+}
+
 /// State of a host, as sent by the host itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -58,6 +72,7 @@
     rumors: RumorQueue,
     rng: StdRng,
     changes: Vec<LivenessChange>,
+    listing_changes: Vec<ListingChange>,
 }
 
 impl Membership {
@@ -79,6 +94,7 @@
             rumors: RumorQueue::default(),
             rng: StdRng::seed_from_u64(incarnation),
             changes: Vec::new(),
+            listing_changes: Vec::new(),
         }
     }
 
@@ -90,7 +106,7 @@
         self.leaving
     }
 
-    /// Returns the other hosts by name.
+    /// Returns the other hosts by name: the listed ones, and those left out of the list that were not dead for long.
     pub fn members(&self) -> &BTreeMap<String, Member> {
         &self.members
     }
@@ -110,7 +126,10 @@
         hosts
     }
 
-    /// Returns true if a host is dead or no longer listed.
+    /// Returns true if a host is dead or unknown.
+    ///
+    /// A host that the list leaves out is not gone while it answers: it serves its targets until it has handed them
+    /// over.
     pub fn is_gone(
         &self,
         host: &str,
@@ -122,7 +141,7 @@
                 .is_none_or(|member| member.liveness == Liveness::Dead)
     }
 
-    /// Returns true if a listed host is dead and this host reaches a majority of the listed hosts.
+    /// Returns true if a known host is dead and this host reaches a majority of the listed hosts.
     ///
     /// In a network partition this holds on at most one side; the other side must wait for leases to expire.
     pub fn is_confirmed_dead(
@@ -130,11 +149,10 @@
         host: &str,
     ) -> bool {
         let answering = self
-            .members
-            .values()
+            .listed_members()
             .filter(|member| member.liveness < Liveness::Suspect)
             .count();
-        let majority = 2 * (answering + 1) > self.members.len() + 1;
+        let majority = 2 * (answering + 1) > self.listed_members().count() + 1;
         majority && self.members.contains_key(host) && self.is_gone(host)
     }
 
@@ -147,8 +165,12 @@
 
     /// Returns true if other hosts are listed and none of them is reachable.
     pub fn is_isolated(&self) -> bool {
-        let mut members = self.members.values();
-        !self.members.is_empty() && members.all(|member| member.liveness >= Liveness::Suspect)
+        let mut listed = self.listed_members().peekable();
+        listed.peek().is_some() && listed.all(|member| member.liveness >= Liveness::Suspect)
+    }
+
+    fn listed_members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|member| member.is_listed)
     }
 
     /// Returns the liveness changes since the last call.
@@ -156,27 +178,34 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Returns the changes of entries in the platform's list since the last call.
+    pub fn take_listing_changes(&mut self) -> Vec<ListingChange> {
+        std::mem::take(&mut self.listing_changes)
+    }
+
     /// Returns the rumors for one outgoing heartbeat.
     pub fn take_rumors(&mut self) -> Vec<Rumor> {
         self.rumors.take(self.members.len() + 1)
     }
 
-    /// Applies the platform's host list: adds new hosts and removes those no longer listed.
+    /// Applies the platform's host list: adds new hosts, and marks those that are no longer listed.
+    ///
+    /// A list without any host is wrong, as this host runs; the last one remains in force.
     pub fn on_host_list(
         &mut self,
         hosts: Vec<ListedHost>,
         now: Instant,
     ) {
+        if hosts.is_empty() {
+            return;
+        }
         let listed: BTreeSet<String> = hosts.iter().map(|host| host.name.clone()).collect();
-        self.members.retain(|name, _| listed.contains(name));
+        self.mark_unlisted(&listed);
         for host in hosts {
             if host.name == self.me {
                 continue;
             }
-            match self.members.get_mut(&host.name) {
-                Some(member) => member.listed = host,
-                None => self.add(host, now),
-            }
+            self.update_listed(host, now);
         }
     }
 
@@ -186,6 +215,7 @@
         now: Instant,
     ) -> Vec<MembershipAction> {
         self.expire_suspects(now);
+        self.remove_dead_unlisted(now);
         let mut hosts = std::mem::take(&mut self.newly_listed);
         if self.next_probe.is_none_or(|at| now >= at) {
             self.next_probe = Some(now + self.settings.probe);
@@ -322,6 +352,41 @@
         is_refutable
     }
 
+    /// Marks the members that are not in `listed`.
+    fn mark_unlisted(
+        &mut self,
+        listed: &BTreeSet<String>,
+    ) {
+        for (name, member) in &mut self.members {
+            if member.is_listed && !listed.contains(name) {
+                member.is_listed = false;
+                self.listing_changes.push(ListingChange {
+                    host: name.clone(),
+                    listed_as: None,
+                });
+            }
+        }
+    }
+
+    /// Adds a listed host, or updates its entry.
+    fn update_listed(
+        &mut self,
+        host: ListedHost,
+        now: Instant,
+    ) {
+        let Some(member) = self.members.get_mut(&host.name) else {
+            return self.add(host, now);
+        };
+        if !member.is_listed || member.listed.state != host.state {
+            self.listing_changes.push(ListingChange {
+                host: host.name.clone(),
+                listed_as: Some(host.state),
+            });
+        }
+        member.is_listed = true;
+        member.listed = host;
+    }
+
     fn add(
         &mut self,
         host: ListedHost,
@@ -330,6 +395,7 @@
         let name = host.name.clone();
         let member = Member {
             listed: host,
+            is_listed: true,
             // Not considered alive until it is heard, so that nothing is routed to it yet.
             liveness: Liveness::Suspect,
             incarnation: 0,
@@ -359,6 +425,16 @@
         }
     }
 
+    fn remove_dead_unlisted(
+        &mut self,
+        now: Instant,
+    ) {
+        self.members.retain(|_, member| {
+            let dead_for = now.saturating_duration_since(member.since);
+            member.is_listed || member.liveness != Liveness::Dead || dead_for < UNLISTED_RETENTION
+        });
+    }
+
     /// Returns the next host to probe; each host is probed once per round, in random order.
     fn next_in_round(&mut self) -> Option<String> {
         loop {
@@ -418,5 +494,5 @@
     let is_active = matches!(member.liveness, Liveness::Alive | Liveness::Suspect);
     // A host that was never heard gets no role, whatever the list says.
     let was_heard = member.incarnation > 0;
-    is_active && was_heard && member.listed.state == HostState::Live
+    is_active && was_heard && member.accepts_roles()
 }
--- a/src/process/membership/mod.rs
+++ b/src/process/membership/mod.rs
@@ -6,6 +6,6 @@
 
 pub use {
     member::{Liveness, Member},
-    membership::{Heartbeat, LivenessChange, Membership, MembershipAction},
+    membership::{Heartbeat, ListingChange, LivenessChange, Membership, MembershipAction},
     rumor_queue::{Rumor, RumorQueue},
 };
--- a/src/process/node/action_runner.rs
+++ b/src/process/node/action_runner.rs
@@ -79,8 +79,14 @@
         message: wire::HeartbeatMessage,
     ) {
         match self.heartbeat(&host, message, self.probe_timeout).await {
-            Some(answer) => self.heard(answer),
-            None => self.control.input(Input::ProbeFailed { host }),
+            Some(answer) if answer.host == host => self.heard(answer),
+            other => {
+                // The host's former address may belong to another one by now.
+                if let Some(answer) = other {
+                    self.heard(answer);
+                }
+                self.control.input(Input::ProbeFailed { host });
+            }
         }
     }
 
--- a/src/request/entry_service.rs
+++ b/src/request/entry_service.rs
@@ -409,9 +409,18 @@
             .as_ref()
             .map_or("", |last_refusal| last_refusal.code.word());
         self.metrics.resend(cause);
+        let view = self.view.load();
+        let owner = view.owners.get(target).map(|owner| owner.host.as_str());
+        let owner_state = owner.map_or("none", |owner| view.host_state(owner));
         self.log.note(
             Event::RequestResent,
-            &[("request", &request.id), ("from", &target), ("why", &cause)],
+            &[
+                ("request", &request.id),
+                ("from", &target),
+                ("why", &cause),
+                ("owner", &owner.unwrap_or("none")),
+                ("owner_state", &owner_state),
+            ],
         );
     }
 
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -56,6 +56,7 @@
     SelfRefuted = 205 "self_refuted" Warn,
     HostListUnreadable = 206 "host_list_unreadable" Warn,
     MessageNotSent = 207 "message_not_sent" Warn,
+    HostListingChanged = 208 "host_listing_changed" Warn,
     SessionOpened = 301 "session_opened" Info,
     SessionLapsed = 302 "session_lapsed" Warn,
     TableUnreachable = 303 "table_unreachable" Warn,
--- /dev/null
+++ b/tests/host_list.rs
@@ -0,0 +1,113 @@
+//! A host that the platform's list leaves out while it runs on went on owning its targets, while the other hosts took it for gone:
+//! requests for these targets ended with `no_owner` for as long as the list left it out.
+
+mod support;
+
+use {
+    coveproxy::connection::platform::HostState,
+    rstest::rstest,
+    std::time::Duration,
+    support::{Bed, BedPlan, Callers, Verdict},
+};
+
+/// Answers of each sort before and after a change of the list.
+const ANSWERS: usize = 12;
+
+/// Twice the time that a request waits for an owner.
+const LONG: Duration = Duration::from_secs(6);
+
+/// Longer than a host waits before it hands a target over.
+const SHORT: Duration = Duration::from_millis(900);
+
+/// A list that leaves the first `count` hosts out.
+fn leave_out(
+    bed: &Bed,
+    count: usize,
+) {
+    bed.list_hosts(|at| (at >= count).then_some(HostState::Live));
+}
+
+fn list_all(bed: &Bed) {
+    bed.list_hosts(|_| Some(HostState::Live));
+}
+
+/// Ends the callers after some more answers, and fails the test if a promise was broken or a repeatable request lost.
+async fn judge(
+    bed: &Bed,
+    callers: Callers,
+) {
+    callers.wait_answered(ANSWERS).await;
+    let verdict = Verdict::new(bed, &callers.finish().await);
+    eprintln!("{verdict:?}");
+    verdict.assert_kept();
+    verdict.assert_none_lost();
+}
+
+async fn start(plan: BedPlan) -> (Bed, Callers) {
+    let bed = Bed::start(plan).await;
+    let callers = Callers::start(&bed);
+    callers.wait_answered(ANSWERS).await;
+    (bed, callers)
+}
+
+/// Guards against requests that end with `no_owner` while a host is left out for longer than they wait.
+#[rstest]
+#[case::one_host(1)]
+#[case::half_of_the_hosts(2)]
+#[case::all_but_one(3)]
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_that_are_left_out_for_long_cost_no_repeatable_request(#[case] count: usize) {
+    let (bed, callers) = start(BedPlan::default()).await;
+    leave_out(&bed, count);
+    tokio::time::sleep(LONG).await;
+    list_all(&bed);
+    judge(&bed, callers).await;
+}
+
+/// Guards against a list that names nobody, which no host that reads it can believe.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_that_names_no_host_costs_no_repeatable_request() {
+    let (bed, callers) = start(BedPlan::default()).await;
+    leave_out(&bed, 4);
+    tokio::time::sleep(LONG).await;
+    list_all(&bed);
+    judge(&bed, callers).await;
+}
+
+/// Guards against targets without an owner while the list leaves a host out again and again.
+#[rstest]
+#[case::for_shorter_than_a_handover_waits(Duration::from_millis(250))]
+#[case::for_longer_than_a_handover_waits(SHORT)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_is_left_out_again_and_again_costs_no_repeatable_request(
+    #[case] pause: Duration
+) {
+    let (bed, callers) = start(BedPlan::default()).await;
+    for _ in 0..6 {
+        leave_out(&bed, 1);
+        tokio::time::sleep(pause).await;
+        list_all(&bed);
+        tokio::time::sleep(pause).await;
+    }
+    judge(&bed, callers).await;
+}
+
+/// Guards against a takeover that waits for the lease of a dead host because the list leaves it out as well.
+#[rstest]
+#[case::listed_to_the_end(false)]
+#[case::left_out_as_it_dies(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_targets_of_a_host_that_dies_are_taken_over_whatever_the_list_says(
+    #[case] left_out: bool
+) {
+    let plan = BedPlan {
+        real_timings: true,
+        ..BedPlan::default()
+    };
+    let (mut bed, callers) = start(plan).await;
+    if left_out {
+        leave_out(&bed, 1);
+    }
+    bed.hosts[0].kill();
+    judge(&bed, callers).await;
+}
