A host that the list leaves out or shows as leaving counts itself as the others do, and hands its targets over

Cause: each host took itself for one that may hold roles whatever the platform's list said of it, while the others judged it by the list. A host that was left out or listed as leaving kept its targets for good, assigned itself more, and two hosts took themselves for the one that schedules loads. A list with no host to stay left the site without a scheduler for loads.

Change: a host keeps its own entry of the list. Unless it is listed as live it takes no role, is not named to callers and hands its targets over after the usual delay, so that a list which leaves it out for a moment moves nothing. If the list names no host to stay, those that run keep the roles. The set-ups of tests/decisions.rs and tests/properties.rs listed all hosts but the reader; a platform lists it too, and so do they now; no check changed.

--- a/src/connection/caller/caller_front.rs
+++ b/src/connection/caller/caller_front.rs
@@ -349,7 +349,7 @@
             )
         })
         .collect();
-    if !view.leaving {
+    if view.takes_callers {
         let near = context.hall == hall;
         let place = preference(&owner, &view.me, near);
         hosts.push((place, view.me.clone(), context.own_address));
--- a/src/process/control/control_view.rs
+++ b/src/process/control/control_view.rs
@@ -35,6 +35,7 @@
             hosts: self.host_views(),
             eligible: eligible.into_iter().map(str::to_string).collect(),
             leaving: self.membership.is_leaving(),
+            takes_callers: self.membership.accepts_roles(),
             table_reachable: self.table_reachable(),
             table_out_for_all: self.table_out_for_all(),
             ready: self.hosts_read && self.config.revision > 0,
--- a/src/process/control/view.rs
+++ b/src/process/control/view.rs
@@ -18,6 +18,8 @@
     /// Hosts that may hold a role, this one included.
     pub eligible: Vec<String>,
     pub leaving: bool,
+    /// True while new callers may be sent to this host.
+    pub takes_callers: bool,
     pub table_reachable: bool,
     /// True while no host that answers can reach the table, so that no lease can change hands.
     pub table_out_for_all: bool,
--- a/src/process/membership/member.rs
+++ b/src/process/membership/member.rs
@@ -51,6 +51,14 @@
 }
 
 impl Member {
+    /// Returns true if the host was heard, runs and has not begun a planned stop; a suspect counts.
+    pub fn is_active(&self) -> bool {
+        let runs = matches!(self.liveness, Liveness::Alive | Liveness::Suspect);
+        // A host that was never heard gets no role, whatever the list says.
+        let was_heard = self.incarnation > 0;
+        runs && was_heard
+    }
+
     /// Returns true if the platform lists the host to stay.
     pub fn accepts_roles(&self) -> bool {
         self.is_listed && self.listed.state == HostState::Live
--- a/src/process/membership/membership.rs
+++ b/src/process/membership/membership.rs
@@ -61,6 +61,8 @@
     me: String,
     incarnation: u64,
     leaving: bool,
+    /// This host's own entry in the platform's list; `None` if the list leaves it out.
+    listed_as: Option<HostState>,
     settings: MembershipSettings,
     members: BTreeMap<String, Member>,
     probe_queue: Vec<String>,
@@ -85,6 +87,8 @@
             me: me.to_string(),
             incarnation,
             leaving: false,
+            // Until a list says otherwise.
+            listed_as: Some(HostState::Live),
             settings,
             members: BTreeMap::new(),
             probe_queue: Vec::new(),
@@ -111,15 +115,37 @@
         &self.members
     }
 
-    /// Returns the hosts that accept new roles, including this one unless it is leaving.
+    /// Returns true if this host is to stay: it is listed as live, and no planned stop has begun.
+    ///
+    /// The other hosts judge by the same list, so that all agree on who may hold a role.
+    pub fn accepts_roles(&self) -> bool {
+        !self.leaving && self.listed_as == Some(HostState::Live)
+    }
+
+    /// Returns the hosts that accept new roles, including this one if it does.
+    ///
+    /// If the list names none of them to stay, the hosts that run are better than none.
     pub fn eligible(&self) -> Vec<&str> {
+        let staying = self.select_hosts(self.accepts_roles(), Member::accepts_roles);
+        match staying.is_empty() {
+            true => self.select_hosts(!self.leaving, |_| true),
+            false => staying,
+        }
+    }
+
+    /// Returns the active hosts that `is_selected` selects, and this one if `selects_self`, by name.
+    fn select_hosts(
+        &self,
+        selects_self: bool,
+        is_selected: impl Fn(&Member) -> bool,
+    ) -> Vec<&str> {
         let mut hosts: Vec<&str> = self
             .members
             .iter()
-            .filter(|(_, member)| is_eligible(member))
+            .filter(|(_, member)| member.is_active() && is_selected(member))
             .map(|(name, _)| name.as_str())
             .collect();
-        if !self.leaving {
+        if selects_self {
             hosts.push(&self.me);
         }
         hosts.sort_unstable();
@@ -201,11 +227,12 @@
         }
         let listed: BTreeSet<String> = hosts.iter().map(|host| host.name.clone()).collect();
         self.mark_unlisted(&listed);
+        let own = hosts.iter().find(|host| host.name == self.me);
+        self.update_own_listing(own.map(|host| host.state));
         for host in hosts {
-            if host.name == self.me {
-                continue;
+            if host.name != self.me {
+                self.update_listed(host, now);
             }
-            self.update_listed(host, now);
         }
     }
 
@@ -368,6 +395,20 @@
         }
     }
 
+    fn update_own_listing(
+        &mut self,
+        listed_as: Option<HostState>,
+    ) {
+        if self.listed_as == listed_as {
+            return;
+        }
+        self.listed_as = listed_as;
+        self.listing_changes.push(ListingChange {
+            host: self.me.clone(),
+            listed_as,
+        });
+    }
+
     /// Adds a listed host, or updates its entry.
     fn update_listed(
         &mut self,
@@ -489,10 +530,3 @@
         });
     }
 }
-
-fn is_eligible(member: &Member) -> bool {
-    let is_active = matches!(member.liveness, Liveness::Alive | Liveness::Suspect);
-    // A host that was never heard gets no role, whatever the list says.
-    let was_heard = member.incarnation > 0;
-    is_active && was_heard && member.accepts_roles()
-}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -403,8 +403,8 @@
     now: Instant,
 ) -> Membership {
     let mut membership = Membership::new("a", 10, membership_settings());
-    let hosts = others.iter().map(|name| listed(name)).collect();
-    membership.on_host_list(hosts, now);
+    let hosts = others.iter().chain(&["a"]).map(|name| listed(name));
+    membership.on_host_list(hosts.collect(), now);
     for other in others {
         membership.on_heartbeat(&heartbeat(other, 10), now);
     }
@@ -501,6 +501,44 @@
     assert!(membership.is_gone("b") && !membership.is_confirmed_dead("b"));
 }
 
+/// Guards against a host that keeps its roles while the others, by the same list, give them to others.
+#[rstest]
+#[case::left_out(None)]
+#[case::listed_as_leaving(Some(HostState::Leaving))]
+fn a_host_counts_itself_as_the_list_does(#[case] listed_as: Option<HostState>) {
+    let now = Instant::now();
+    let mut membership = members(&["b", "c"], now);
+    let own = listed_as.map(|state| ListedHost {
+        state,
+        ..listed("a")
+    });
+    let list = own.into_iter().chain(["b", "c"].map(listed));
+    membership.on_host_list(list.collect(), now);
+    assert_eq!(membership.eligible(), ["b", "c"]);
+    let change = ListingChange {
+        host: "a".into(),
+        listed_as,
+    };
+    assert_eq!(membership.take_listing_changes(), [change]);
+    membership.on_host_list(["a", "b", "c"].map(listed).to_vec(), now);
+    assert_eq!(membership.eligible(), ["a", "b", "c"]);
+}
+
+/// Guards against a site without any host for a role, as when the list shows all hosts as leaving.
+#[test]
+fn hosts_that_run_keep_the_roles_that_no_host_is_listed_for() {
+    let now = Instant::now();
+    let mut membership = members(&["b", "c"], now);
+    let leaves = |name| ListedHost {
+        state: HostState::Leaving,
+        ..listed(name)
+    };
+    membership.on_host_list(["a", "b"].map(leaves).to_vec(), now);
+    assert_eq!(membership.eligible(), ["a", "b", "c"]);
+    membership.on_host_list(vec![leaves("a"), leaves("b"), listed("c")], now);
+    assert_eq!(membership.eligible(), ["c"]);
+}
+
 /// Guards against hosts that forget one another as the list names nobody.
 #[test]
 fn a_list_that_names_no_host_changes_nothing() {
--- a/tests/host_list.rs
+++ b/tests/host_list.rs
@@ -7,7 +7,7 @@
     coveproxy::connection::platform::HostState,
     rstest::rstest,
     std::time::Duration,
-    support::{Bed, BedPlan, Callers, Verdict},
+    support::{Bed, BedPlan, Callers, Verdict, wait_for},
 };
 
 /// Answers of each sort before and after a change of the list.
@@ -27,10 +27,33 @@
     bed.list_hosts(|at| (at >= count).then_some(HostState::Live));
 }
 
+/// A list that shows the first host as leaving.
+fn list_as_leaving(bed: &Bed) {
+    bed.list_hosts(|at| match at {
+        0 => Some(HostState::Leaving),
+        _ => Some(HostState::Live),
+    });
+}
+
 fn list_all(bed: &Bed) {
     bed.list_hosts(|_| Some(HostState::Live));
 }
 
+/// Waits until no target is owned by `host` in the view of another one.
+async fn wait_owns_nothing(
+    bed: &Bed,
+    host: usize,
+) {
+    let name = bed.hosts[host].name.as_str();
+    wait_for("a host without targets", async || {
+        let status = bed.status(bed.hosts.len() - 1).await?;
+        let owners = status["owners"].as_array()?;
+        let owns = owners.iter().any(|owner| owner["host"] == name);
+        (!owns).then_some(())
+    })
+    .await;
+}
+
 /// Ends the callers after some more answers, and fails the test if a promise was broken or a repeatable request lost.
 async fn judge(
     bed: &Bed,
@@ -60,6 +83,24 @@
     let (bed, callers) = start(BedPlan::default()).await;
     leave_out(&bed, count);
     tokio::time::sleep(LONG).await;
+    for host in 0..count {
+        wait_owns_nothing(&bed, host).await;
+    }
+    list_all(&bed);
+    judge(&bed, callers).await;
+}
+
+/// Guards against engines that obey any order and stay without an owner while theirs is left out.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_is_left_out_hands_over_engines_that_check_no_fences() {
+    let plan = BedPlan {
+        checks_fences: false,
+        ..BedPlan::default()
+    };
+    let (bed, callers) = start(plan).await;
+    leave_out(&bed, 1);
+    tokio::time::sleep(LONG).await;
+    wait_owns_nothing(&bed, 0).await;
     list_all(&bed);
     judge(&bed, callers).await;
 }
@@ -111,3 +152,13 @@
     bed.hosts[0].kill();
     judge(&bed, callers).await;
 }
+
+/// Guards against a host that is listed as leaving and, counting itself among those that stay, keeps its targets.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_is_listed_as_leaving_hands_its_targets_over() {
+    let (bed, callers) = start(BedPlan::default()).await;
+    list_as_leaving(&bed);
+    wait_owns_nothing(&bed, 0).await;
+    list_all(&bed);
+    judge(&bed, callers).await;
+}
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -689,8 +689,9 @@
     };
     let mut membership = Membership::new(NAMES[host], 1, settings);
     let others = [NAMES[1 - host], "h2"];
+    let names = [NAMES[host], others[0], others[1]];
     let address = "127.0.0.1:9".parse().unwrap();
-    let listed = others.map(|name| coveproxy::connection::platform::ListedHost {
+    let listed = names.map(|name| coveproxy::connection::platform::ListedHost {
         name: name.into(),
         hall: "a".into(),
         caller_address: address,
