A host takes targets of its earlier process again even if they are assigned to another host

What callers would see: targets without an owner for as long as a host that is left out of the list, or listed as leaving, runs on after a start anew. Requests for them end with no_owner or not_owner.

Cause: rows of a host's earlier process were taken by that host alone, and only for targets assigned to it. Nobody else takes them while the host answers. Since a host that is not to stay is assigned nothing, and whenever a host ends with a handover still due, nobody took them.

Change: a host takes the rows of its earlier process first and hands the targets over after the usual delay.

--- a/src/process/ownership/ownership.rs
+++ b/src/process/ownership/ownership.rs
@@ -221,7 +221,7 @@
                     None
                 }
                 None if *host == self.local_host => self.take(target, config, membership, now),
-                None => None,
+                None => self.take_from_earlier_process(target),
             };
             if let Some(action) = action {
                 if let OwnershipAction::HandOver { .. } = action {
@@ -259,6 +259,21 @@
         self.assigned_for = (config.revision, hosts);
     }
 
+    /// Takes a target that an earlier process of this host owned, although it is assigned to another host.
+    ///
+    /// No other host takes it while this one answers; once taken, it is handed over.
+    fn take_from_earlier_process(
+        &self,
+        target: &str,
+    ) -> Option<OwnershipAction> {
+        let known = self.rows.get(target)?;
+        let is_earlier = known.row.host == self.local_host && known.row.session != self.session;
+        is_earlier.then(|| OwnershipAction::Take {
+            target: target.to_string(),
+            expected_version: known.version,
+        })
+    }
+
     /// Takes a target over once its previous owner can no longer act on it.
     fn take(
         &mut self,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -648,6 +648,30 @@
     assert!(lapsed.iter().any(is_take), "{lapsed:?}");
 }
 
+/// Guards against a target without an owner: its host has started anew, so that no other takes it, and is assigned other ones.
+#[test]
+fn a_target_of_an_earlier_process_is_taken_although_another_host_is_assigned_to_it() {
+    let now = Instant::now();
+    let mut membership = members(&["b"], now);
+    membership.on_host_list(vec![listed("b")], now);
+    let mut ownership = Ownership::new("a", 10, ms(2_000));
+    let config = site(&["t"], true);
+    ownership.on_row("t", 3, row("a", 9), 1, now);
+    let take = OwnershipAction::Take {
+        target: "t".into(),
+        expected_version: 3,
+    };
+    assert_eq!(ownership.decide(&config, &membership, 1, now), [take]);
+    ownership.on_row("t", 4, row("a", 10), 1, now);
+    let later = now + ms(700);
+    ownership.decide(&config, &membership, 1, now);
+    let actions = ownership.decide(&config, &membership, 1, later);
+    assert!(
+        matches!(&actions[..], [OwnershipAction::HandOver { to, .. }] if to == "b"),
+        "{actions:?}"
+    );
+}
+
 fn leaving(host: &str) -> Rumor {
     Rumor {
         host: host.into(),
--- a/tests/host_list.rs
+++ b/tests/host_list.rs
@@ -153,6 +153,27 @@
     judge(&bed, callers).await;
 }
 
+/// Guards against rows of a host's earlier process that neither its new process nor any other host takes.
+#[rstest]
+#[case::left_out(false)]
+#[case::listed_as_leaving(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_without_a_place_on_the_list_that_starts_anew_leaves_no_target_without_an_owner(
+    #[case] leaving: bool
+) {
+    let (mut bed, callers) = start(BedPlan::default()).await;
+    match leaving {
+        true => list_as_leaving(&bed),
+        false => leave_out(&bed, 1),
+    }
+    bed.hosts[0].kill();
+    bed.hosts[0].start();
+    tokio::time::sleep(LONG).await;
+    wait_owns_nothing(&bed, 0).await;
+    list_all(&bed);
+    judge(&bed, callers).await;
+}
+
 /// Guards against a host that is listed as leaving and, counting itself among those that stay, keeps its targets.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_that_is_listed_as_leaving_hands_its_targets_over() {
