Revert "A held request chooses again when the first engine is idle, the one with the least time to spare first"

Cause: the mend holds in the model of one decision point and fresh news, and costs callers where 75 hosts decide. That requests of many hosts choose again at the same moment, by reports of the same age, is likely and was not shown.

--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -167,7 +167,7 @@
                 let choice = send_to(table, attempts, &targets[to], None, counts, now);
                 with_estimate(choice, &candidates[to])
             }
-            EngineChoice::Hold { until } => hold(attempts, until, now),
+            EngineChoice::Hold { until } => hold(until, now),
             _ => Unplaced::of(request, &targets, &candidates, now).wait_or_give_up(table, attempts),
         }
     }
@@ -255,7 +255,7 @@
                 }
                 unplaced.await_load(table, attempts, until, expected)
             }
-            EngineChoice::Hold { until } => hold(attempts, until, now),
+            EngineChoice::Hold { until } => hold(until, now),
             EngineChoice::NoEngine => {
                 let exclusions = EngineExclusions::of(&candidates, now);
                 attempts.trace.add(TraceStep::Unplaced(exclusions), now);
@@ -333,13 +333,11 @@
     }
 }
 
-/// Holds a request back until a time; the next choice is made by new reports of the engines' holders.
+/// Holds a request back until a time.
 fn hold(
-    attempts: &mut Attempts,
     until: Instant,
     now: Instant,
 ) -> Choice {
-    attempts.query = None;
     Choice::Wait {
         until,
         expected: Some(until.saturating_duration_since(now)),
--- a/src/connection/front/engine_estimator.rs
+++ b/src/connection/front/engine_estimator.rs
@@ -72,7 +72,6 @@
         EngineCandidate {
             copy_state,
             time_to_first_event: speed.prefill_time(self.backlog_before(link, request) + unread),
-            time_to_idle: speed.read_time(link.backlog_tokens()),
             reading: self.reading(link, unread, &speed),
             streams: link.running(),
             load_time: link.load_time(self.now).unwrap_or(DEFAULT_LOAD_TIME),
--- a/src/request/direct/engine_choice.rs
+++ b/src/request/direct/engine_choice.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Policy, hold::hold_until},
+    super::Policy,
     crate::{
         clock::Instant,
         request::{
@@ -35,8 +35,6 @@
     pub copy_state: AdapterCopyState,
     /// Expected time to the first event once the adapter is loaded.
     pub time_to_first_event: Duration,
-    /// Expected time until it has read the prompts that it has.
-    pub time_to_idle: Duration,
     /// Expected time for which it reads prompts without a break, without and with the request.
     pub reading: Reading,
     /// Requests that run there.
@@ -162,6 +160,16 @@
 /// The same for an engine that has to load the adapter first: what it reads now is partly over by then.
 const LATE_ANSWER_AFTER_LOAD_COST_S: f64 = 0.1;
 
+/// A request is held back if it makes more answers late than this.
+const MAX_LATE_ANSWERS: f64 = 0.3;
+
+/// Time after which an engine is chosen again for a request that is held back: about that of reading a long prompt.
+const HOLD_INTERVAL: Duration = Duration::from_millis(60);
+
+/// A request is held back only while this multiple of its expected time to the first event is left: estimates may be
+/// this far off.
+const FIRST_EVENT_MARGIN: f64 = 1.5;
+
 /// Time allowed for the reply of a lease holder.
 pub(super) const HOLDER_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -176,8 +184,9 @@
     let is_open = |candidate: &EngineCandidate| candidate.availability == Availability::Open;
     let choice = choose_among(candidates, context, &is_open);
     if let EngineChoice::Send { to, .. } = choice
-        && let Some(until) = hold_until(&candidates[to], candidates, context)
+        && should_hold(&candidates[to], context)
     {
+        let until = context.now + HOLD_INTERVAL;
         return EngineChoice::Hold { until };
     }
     if matches!(choice, EngineChoice::Send { .. }) || candidates.iter().all(is_open) {
@@ -262,8 +271,23 @@
     }
 }
 
+/// Returns true if a request is better sent later: now it would make answers late, and it can wait without being late
+/// itself.
+///
+/// A request is not held for an engine whose load is unknown: without a holder, none would be sent in time.
+fn should_hold(
+    candidate: &EngineCandidate,
+    context: &ChoiceContext,
+) -> bool {
+    let needed = candidate.time_to_first_event.mul_f64(FIRST_EVENT_MARGIN) + HOLD_INTERVAL;
+    context.may_hold
+        && !candidate.load_unknown
+        && late_answers(candidate, context) > MAX_LATE_ANSWERS
+        && needed < context.time_to_goal
+}
+
 /// Returns the number of answers that become late if the request is sent to an engine.
-pub(super) fn late_answers(
+fn late_answers(
     candidate: &EngineCandidate,
     context: &ChoiceContext,
 ) -> f64 {
--- a/src/request/direct/mod.rs
+++ b/src/request/direct/mod.rs
@@ -6,7 +6,6 @@
 mod engine_choice;
 mod engine_outlook;
 mod generation;
-mod hold;
 mod next_step;
 mod plain_choice;
 mod policy;
