Hosts that tests start end with the test's process, also if that is killed

What was seen: two listed tests failed right after the start of their site (a_stream_is_cut_at_the_callers_deadline: for 40 s both engines had no room; faulty_workers case_7: a request was refused before any fault was set), now and then, beside builds or load.

Cause, as the lines of a failed play show: the hosts of a test that was killed go on. Their store was at a port of the system which a later test got for its own. They read that test's hosts there, pinged them, and both sites became one: host-0 of the play (127.55.1.1) lists peer_alive for host-2 at 127.104.1.3, takes the targets of that site (704, started 43 minutes before the play) for newer and forgets its own four (706, 707); the engines that are left have ended, so that each load is turned away (511, reason=unknown) for 40 s. The eighteen hosts were found running with process 1 as their parent, from plays that had been killed at 15:38:40.

--- a/tests/support/bed.rs
+++ b/tests/support/bed.rs
@@ -1,4 +1,5 @@
 use {
+    super::bound_child::spawn_bound,
     coveproxy::{
         client::CallerClient,
         clock::Instant,
@@ -421,15 +422,14 @@
 
     pub fn start(&mut self) {
         let level = std::env::var("BED_LOG").unwrap_or_else(|_| "off".into());
-        let child = Command::new(env!("CARGO_BIN_EXE_coveproxyd"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_coveproxyd"));
+        command
             .arg("--settings")
             .arg(&self.settings)
             .args(["--threads", &self.threads.to_string()])
             .env("RUST_LOG", level)
-            .stdin(Stdio::null())
-            .spawn()
-            .unwrap();
-        self.child = Some(child);
+            .stdin(Stdio::null());
+        self.child = Some(spawn_bound(&mut command).unwrap());
     }
 
     /// The process's number, while it runs.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unused_imports)]
 
 mod bed;
+mod bound_child;
 mod callers;
 mod verdict;
 
