--- a/src/connection/front/admission/freshness_gate.rs
+++ b/src/connection/front/admission/freshness_gate.rs
@@ -11,8 +11,8 @@
     tokio::sync::Notify,
 };
 
-/// Past this delay the caller should retry at another host, while most of its time is left. News that are late are mostly
-/// late by less.
+/// Past this delay the caller should retry at another host, while most of its time is left. Late news is mostly late
+/// by less.
 const MAX_DELAY: Duration = Duration::from_millis(250);
 
 /// Retry delay for callers that were rejected because a table was too stale.
