Lines for reads of the store that bring nothing: a history that is gone, an answer older than what is known

Change: event 316 tells a feed that the store refused as it has no history since that version, event 317 a read that was dropped, with both versions. No logic changes.

--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -80,6 +80,11 @@
         let Some(RowsReply::Rows(batch)) = reply else {
             let history_gone = reply == Some(RowsReply::HistoryGone);
             if history_gone {
+                note!(
+                    Event::TableHistoryGone,
+                    table = table.word(),
+                    since = self.table_mut(table).replica.version()
+                );
                 return vec![ControlAction::ReadTable { table }];
             }
             self.record_read_end(table, false, now);
@@ -87,6 +92,7 @@
         };
         let fingerprint_of = fingerprint(table, &self.formats);
         let before = self.table_mut(table).replica_freshness();
+        self.note_outdated_read(table, &batch);
         self.record_read_end(table, true, now);
         let rows = self
             .table_mut(table)
@@ -130,6 +136,7 @@
         let Some(rows) = rows else {
             return Vec::new();
         };
+        self.note_outdated_read(table, &rows);
         let rows = self
             .table_mut(table)
             .replica
@@ -251,6 +258,23 @@
         (replica.changes_since(since), replica.staleness(now))
     }
 
+    /// Logs a read that is older than the replica, which takes nothing from it.
+    fn note_outdated_read(
+        &mut self,
+        table: TableName,
+        batch: &RowBatch,
+    ) {
+        let known = self.table_mut(table).replica.version();
+        if batch.version < known {
+            note!(
+                Event::TableReadOutdated,
+                table = table.word(),
+                read = batch.version,
+                known = known
+            );
+        }
+    }
+
     /// Records the end of a read from the store.
     fn record_read_end(
         &mut self,
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -72,6 +72,8 @@
     OrderFencedOff = 313 "order_fenced_off" Warn,
     QuotaCounted = 314 "quota_counted" Info,
     LeasesChecked = 315 "leases_checked" Info,
+    TableHistoryGone = 316 "table_history_gone" Warn,
+    TableReadOutdated = 317 "table_read_outdated" Warn,
     RowUnreadable = 319 "row_unreadable" Warn,
     ConfigApplied = 401 "config_applied" Info,
     ConfigUnreadable = 402 "config_unreadable" Warn,
