--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -12,7 +12,7 @@
             datagram::SentPrompt,
             targets::{FleetView, StalenessBounds, TargetTable, TargetTableSettings, TargetView},
         },
-        formats::{TargetRecord, TargetState},
+        formats::{RowBatch, TargetRecord, TargetState},
         process::{
             engines::PromptCache,
             holding::{EngineAssignment, HostRow, LeaseTimings},
@@ -284,13 +284,19 @@
         hall: "a".to_string(),
         front: address(0),
         process: 1,
+        settled_era: 0,
     };
     let lease = Duration::from_secs(12);
+    let empty = RowBatch {
+        rows: Vec::new(),
+        version: 1.into(),
+        more: false,
+    };
     let timings = LeaseTimings::new(lease, lease / 4, lease / 4);
     let mut holding = EngineAssignment::new(row, timings, now);
-    holding.on_table_read(Some(&[]), 0, now);
-    holding.on_renewed(now, Some(1), now);
-    holding.on_table_read(Some(&[]), 1, now);
+    holding.on_table_read(Some(&empty), 0, now);
+    holding.on_renewed(now, Some(1.into()), now);
+    holding.on_table_read(Some(&empty), 1, now);
     let engines =
         (0..engines).map(|at| (format!("engine-{at:04}"), address(at + 1_000).to_string()));
     let engines: Arc<BTreeMap<String, String>> = Arc::new(engines.collect());
--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -44,7 +44,7 @@
     /// Engines that it gives orders to, by id.
     #[prost(string, repeated, tag = "8")]
     pub holds: Vec<String>,
-    /// Version of its lease's row, 0 if it has none.
+    /// Version of its lease's row as the bits of a `StoreVersion`, 0 if it has none.
     #[prost(uint64, tag = "9")]
     pub lease_version: u64,
     /// It takes requests.
@@ -64,6 +64,7 @@
 /// How a host's copy of one table of the store stands.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct CopyState {
+    /// The bits of a `StoreVersion`.
     #[prost(uint64, tag = "1")]
     pub version: u64,
     /// Equal for copies that mean the same.
--- a/src/connection/http1/call_client.rs
+++ b/src/connection/http1/call_client.rs
@@ -84,9 +84,12 @@
         let mut progress = CallProgress::default();
         let running = self.try_call(call, headers, limit.silence, &mut progress);
         let end = match timeout(limit.whole, running).await {
-            Ok(Ok(status)) => {
-                let body = progress.body;
-                return Ok(HttpReply { status, body });
+            Ok(Ok(head)) => {
+                return Ok(HttpReply {
+                    status: head.status.as_u16(),
+                    headers: head.headers,
+                    body: progress.body,
+                });
             }
             Ok(Err(end)) => end,
             Err(_) => CallEnd::TimedOut,
@@ -106,7 +109,7 @@
         headers: &str,
         silence: Duration,
         progress: &mut CallProgress,
-    ) -> Result<u16, CallEnd> {
+    ) -> Result<ResponseHead, CallEnd> {
         let head = self.read_head(call, headers, progress);
         let (mut connection, head, whole) = within(silence, head).await?;
         let mut decoder = BodyDecoder::new(head.framing);
@@ -120,7 +123,7 @@
             connection.rest();
             self.connection = Some(connection);
         }
-        Ok(head.status.as_u16())
+        Ok(head)
     }
 
     /// Sends the request and reads the reply's head; the flag says whether the request was sent whole.
--- a/src/connection/pull/changes_body.rs
+++ b/src/connection/pull/changes_body.rs
@@ -1,5 +1,8 @@
 use {
-    crate::{connection::datagram::HostRumor, formats::Row},
+    crate::{
+        connection::datagram::HostRumor,
+        formats::{Row, StoreVersion},
+    },
     prost::Message,
 };
 
@@ -8,6 +11,7 @@
 pub struct RowBody {
     #[prost(string, tag = "1")]
     pub key: String,
+    /// The bits of a [`StoreVersion`].
     #[prost(uint64, tag = "2")]
     pub version: u64,
     /// Absent for a row that is gone.
@@ -27,6 +31,7 @@
 pub struct ChangesBody {
     #[prost(message, repeated, tag = "1")]
     pub rows: Vec<RowBody>,
+    /// The bits of a [`StoreVersion`].
     #[prost(uint64, tag = "2")]
     pub version: u64,
     #[prost(fixed64, tag = "3")]
@@ -39,7 +44,7 @@
     fn from(row: &Row) -> Self {
         Self {
             key: row.key.to_string(),
-            version: row.version,
+            version: row.version.to_bits(),
             value: row.value.as_deref().map(<[u8]>::to_vec),
         }
     }
@@ -49,7 +54,7 @@
     fn from(body: RowBody) -> Self {
         Self {
             key: body.key.into(),
-            version: body.version,
+            version: StoreVersion::from_bits(body.version),
             value: body.value.map(Into::into),
         }
     }
--- a/src/connection/store/store_client.rs
+++ b/src/connection/store/store_client.rs
@@ -3,7 +3,7 @@
         connection::http1::{CallClient, CallFailure, CallLimit},
         formats::{
             Commit, FormatError, Formats, HttpCall, HttpReply, Row, RowBatch, RowsReply,
-            Transaction,
+            StoreVersion, Transaction,
         },
         metrics::{CallLabels, metrics},
     },
@@ -73,18 +73,22 @@
         }
     }
 
-    /// All rows of a table, as of one version or a later one.
+    /// All rows of a table, as of one version or a later one of the same era.
     pub async fn read_table(
         &self,
         table: &str,
     ) -> Result<RowBatch, StoreFailure> {
         let mut rows: Vec<Row> = Vec::new();
-        let mut version = None;
+        let mut first_version: Option<StoreVersion> = None;
         for _ in 0..MAX_PAGES {
             let after = rows.last().map(|row| row.key.clone());
             let page = self.read_page(table, after.as_deref()).await?;
             // What changes between two pages is told by the changes since the first.
-            let version = *version.get_or_insert(page.version);
+            let version = *first_version.get_or_insert(page.version);
+            if page.version.era != version.era {
+                let problem = "the store was restored between two pages";
+                return Err(FormatError::new("store reply", problem).into());
+            }
             let is_new = |row: &Row| after.as_ref().is_none_or(|after| row.key > *after);
             rows.extend(page.rows.into_iter().filter(is_new));
             if !page.more {
@@ -99,19 +103,25 @@
     }
 
     /// What has changed in a table since a version; waits for a change for up to `wait`.
+    ///
+    /// A store that was restored since then may have the number of that version, but not its history.
     pub async fn read_changes(
         &self,
         table: &str,
-        since: u64,
+        since: StoreVersion,
         wait: Duration,
     ) -> Result<RowsReply, StoreFailure> {
-        let call = self.formats.changes_call(table, since, wait);
+        let call = self.formats.changes_call(table, since.number, wait);
         let limit = CallLimit {
             whole: self.limit.whole + wait,
             silence: self.limit.silence + wait,
         };
         let reply = self.call("changes", &call, limit).await?;
-        Ok(self.formats.rows_reply(&reply)?)
+        let reply = self.formats.rows_reply(&reply)?;
+        Ok(match reply {
+            RowsReply::Rows(batch) if batch.version.era != since.era => RowsReply::HistoryGone,
+            reply => reply,
+        })
     }
 
     /// Carries out a transaction.
--- a/src/formats/http_call.rs
+++ b/src/formats/http_call.rs
@@ -1,4 +1,4 @@
-use http::Method;
+use http::{HeaderMap, Method};
 
 /// A call to an outside system, without what only concerns the connection.
 #[derive(Debug, Clone, PartialEq)]
@@ -37,5 +37,6 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct HttpReply {
     pub status: u16,
+    pub headers: HeaderMap,
     pub body: Vec<u8>,
 }
--- a/src/formats/mod.rs
+++ b/src/formats/mod.rs
@@ -7,6 +7,7 @@
 mod http_call;
 mod order;
 mod rows;
+mod store_version;
 mod target_record;
 mod target_report;
 mod target_start;
@@ -19,6 +20,7 @@
     rows::{
         Commit, Expectation, Row, RowBatch, RowKey, RowWrite, RowsReply, Transaction, bytes_of,
     },
+    store_version::StoreVersion,
     target_record::{HeldAdapter, HeldModel, TargetRecord, TargetState},
     target_report::TargetReport,
     target_start::TargetStart,
--- a/src/formats/rows.rs
+++ b/src/formats/rows.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use {super::StoreVersion, std::sync::Arc};
 
 /// Names a row of the platform's table service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -24,7 +24,7 @@
 pub struct Row {
     pub key: Arc<str>,
     /// Rises with each change of any row.
-    pub version: u64,
+    pub version: StoreVersion,
     pub value: Option<Arc<[u8]>>,
 }
 
@@ -39,7 +39,7 @@
 pub struct RowBatch {
     pub rows: Vec<Row>,
     /// The answer is as of this version of the whole store.
-    pub version: u64,
+    pub version: StoreVersion,
     /// There are more rows behind the last one.
     pub more: bool,
 }
@@ -73,8 +73,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Expectation {
     pub row: RowKey,
-    /// 0 expects that there is no such row.
-    pub version: u64,
+    /// An absent version expects that there is no such row.
+    pub version: StoreVersion,
 }
 
 /// One write of a transaction; no value removes the row.
@@ -95,9 +95,22 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Commit {
     /// The rows written bear this version.
-    Done { version: u64 },
-    /// An expectation failed; these are the rows named by it, as they are.
-    Conflict { rows: Vec<Row> },
+    Done { version: StoreVersion },
+    /// An expectation failed; these are the rows named by it, as they are at this version of the store.
+    Conflict {
+        rows: Vec<Row>,
+        version: StoreVersion,
+    },
     /// The store turned the call away, or was not reached: nothing was done.
     TurnedAway,
 }
+
+impl Commit {
+    /// The store's version as of the answer, if it tells one.
+    pub fn version(&self) -> Option<StoreVersion> {
+        match self {
+            Self::Done { version } | Self::Conflict { version, .. } => Some(*version),
+            Self::TurnedAway => None,
+        }
+    }
+}
--- a/src/process/holding/assignment_rows.rs
+++ b/src/process/holding/assignment_rows.rs
@@ -1,6 +1,9 @@
 use {
     super::{HolderRow, HostRow},
-    crate::{clock::Instant, formats::Row},
+    crate::{
+        clock::Instant,
+        formats::{Row, StoreVersion},
+    },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
@@ -8,7 +11,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KnownLease {
     /// Version of the lease row.
-    pub version: u64,
+    pub version: StoreVersion,
     /// When this host learnt of the version.
     pub known_since: Instant,
 }
@@ -16,25 +19,62 @@
 /// A holder row as last read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct StoredHolder {
-    pub version: u64,
+    pub version: StoreVersion,
     pub row: HolderRow,
 }
 
 /// Another host's lease as last read from the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct StoredLease {
-    version: u64,
+    version: StoreVersion,
     known_since: Instant,
 }
 
 /// The rows of leases and holders as last read from the store, and when this host learnt of each lease version.
 #[derive(Debug, Default)]
 pub(super) struct AssignmentRows {
+    /// Era of the store that all rows are of.
+    era: u32,
     holders: BTreeMap<String, StoredHolder>,
     leases: BTreeMap<SocketAddr, StoredLease>,
+    /// A row was written in an earlier era, or before all rows of this one were written, so that some may be lost.
+    has_earlier_rows: bool,
 }
 
 impl AssignmentRows {
+    /// Forgets all rows, as the store has entered another era.
+    pub fn reset(
+        &mut self,
+        era: u32,
+    ) {
+        *self = Self {
+            era,
+            ..Self::default()
+        };
+    }
+
+    /// Sets the era of the first answer.
+    pub fn set_first_era(
+        &mut self,
+        era: u32,
+    ) {
+        self.era = self.era.max(era);
+    }
+
+    /// Returns true if a holder was recorded in the present era. What was recorded earlier may be outdated.
+    pub fn is_current(
+        &self,
+        stored: &StoredHolder,
+    ) -> bool {
+        stored.row.era() == self.era
+    }
+
+    /// Returns true if a row was written in an earlier era, or before all rows of this one were written, so that some may be
+    /// lost.
+    pub fn has_earlier_rows(&self) -> bool {
+        self.has_earlier_rows
+    }
+
     /// Returns the holder row of an engine.
     pub fn holder(
         &self,
@@ -66,14 +106,14 @@
     pub fn record_written(
         &mut self,
         target: &str,
-        version: u64,
+        version: StoreVersion,
         row: HolderRow,
     ) {
         let stored = StoredHolder { version, row };
         self.holders.insert(target.to_string(), stored);
     }
 
-    /// Applies a row. Returns true if it was not known.
+    /// Applies a row, unless it is of an earlier era. Returns true if it was not known.
     pub fn apply(
         &mut self,
         row: &Row,
@@ -82,6 +122,9 @@
         let Some(value) = &row.value else {
             return false;
         };
+        if row.version.era < self.era {
+            return false;
+        }
         if let Some(peer) = HostRow::peer_of(&row.key) {
             let known_version = self.leases.get(&peer).map(|lease| lease.version);
             if known_version == Some(row.version) {
@@ -92,12 +135,17 @@
                 known_since: now,
             };
             self.leases.insert(peer, lease);
+            let host = serde_json::from_slice::<HostRow>(value);
+            self.has_earlier_rows |= host.is_ok_and(|host| host.settled_era < self.era);
             return true;
         }
         let Some(target) = HolderRow::target_of(&row.key) else {
             return false;
         };
-        let previous_version = self.holders.get(target).map_or(0, |stored| stored.version);
+        let previous_version = self
+            .holders
+            .get(target)
+            .map_or(StoreVersion::default(), |stored| stored.version);
         if row.version < previous_version {
             return false;
         }
@@ -108,6 +156,7 @@
             version: row.version,
             row: holder,
         };
+        self.has_earlier_rows |= !self.is_current(&stored);
         self.holders.insert(target.to_string(), stored);
         row.version > previous_version
     }
@@ -119,7 +168,7 @@
     fn on_malformed_row(
         &mut self,
         target: &str,
-        version: u64,
+        version: StoreVersion,
     ) -> bool {
         let Some(stored) = self.holders.get_mut(target) else {
             return false;
@@ -136,9 +185,10 @@
         membership: Option<KnownLease>,
         delay: Duration,
         now: Instant,
-    ) -> Option<u64> {
+    ) -> Option<StoreVersion> {
+        // Rows that were lost with an earlier era tell nothing of the lease.
         let from_membership = membership
-            .filter(|lease| lease.version > 0)
+            .filter(|lease| !lease.version.is_absent() && lease.version.era == self.era)
             .map(|lease| (lease.version, lease.known_since));
         let from_store = self
             .leases
--- a/src/process/holding/engine_assignment.rs
+++ b/src/process/holding/engine_assignment.rs
@@ -2,16 +2,19 @@
     super::{
         AssignmentAction, HOLDING_TABLE, HeldEngine, HolderRow, HostRow, KnownLease, LeaseTimings,
         TakenEngine,
-        assignment_rows::AssignmentRows,
+        assignment_rows::{AssignmentRows, StoredHolder},
+        holder_rows::{era_of_fence, next_fence},
         host_key,
         lease_checks::LeaseChecks,
+        recording::Recording,
         resumption::Resumption,
+        store_era::StoreEra,
         takeover_batches::{LapsedLease, MAX_BATCH_ENGINES, TakeoverBatches, VacantEngine},
         takeover_turns::TakeoverTurns,
     },
     crate::{
         clock::Instant,
-        formats::{Expectation, Row, RowKey, RowWrite, Transaction},
+        formats::{Expectation, Row, RowBatch, RowKey, RowWrite, StoreVersion, Transaction},
         process::ownership::SessionLease,
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
@@ -37,16 +40,22 @@
 /// A lease is valid from when its renewal was sent, on this host's monotonic clock. A lost host's engine is taken in
 /// a transaction that expects the lost host's lease row to be unchanged for a lease and a gap. If it succeeds, the
 /// lost host has not renewed since and its last order is old enough.
+///
+/// A restoration of the store may lose any of these rows. Nobody takes an engine whose row is of an earlier era until the lease
+/// that its holder may have had is over, and holders record their engines anew.
 pub struct EngineAssignment {
     local_host: HostRow,
     timings: LeaseTimings,
     lease: SessionLease,
-    /// Version of this host's row, once known; 0 if there is none.
-    row_version: Option<u64>,
-    renewed_version: u64,
+    era: StoreEra,
+    /// Version of this host's row, once known; absent if there is none.
+    row_version: Option<StoreVersion>,
+    renewed_version: StoreVersion,
     is_renewing: bool,
     /// Confirms the engines that an earlier process of this host held, with the first renewal.
     resumption: Resumption,
+    /// Records the engines held since before a restoration of the store, with a renewal.
+    recording: Recording,
     next_renewal: Instant,
     is_reading: bool,
     next_read: Instant,
@@ -79,10 +88,12 @@
             local_host,
             lease: SessionLease::new(timings.ttl),
             timings,
+            era: StoreEra::default(),
             row_version: None,
-            renewed_version: 0,
+            renewed_version: StoreVersion::default(),
             is_renewing: false,
             resumption: Resumption::default(),
+            recording: Recording::default(),
             next_renewal: now,
             is_reading: false,
             next_read: now,
@@ -103,8 +114,8 @@
         &self.lease
     }
 
-    /// Returns the version of this host's lease row at its last renewal, or 0 if there was none.
-    pub fn lease_version(&self) -> u64 {
+    /// Returns the version of this host's lease row at its last renewal, absent if there was none.
+    pub fn lease_version(&self) -> StoreVersion {
         self.renewed_version
     }
 
@@ -115,9 +126,9 @@
     ) -> impl Iterator<Item = (&String, &HeldEngine)> {
         let term = self.lease.term();
         let holds = self.lease.is_valid(now);
-        self.held
-            .iter()
-            .filter(move |(_, held)| holds && held.term == term)
+        self.held.iter().filter(move |(target, held)| {
+            holds && held.term == term && self.era.may_hold(target, now)
+        })
     }
 
     /// Returns the engine if this host may send orders to it now.
@@ -127,7 +138,42 @@
         now: Instant,
     ) -> Option<HeldEngine> {
         let held = self.held.get(target)?;
-        self.lease.is_valid_in(held.term, now).then_some(*held)
+        let may_hold = self.lease.is_valid_in(held.term, now) && self.era.may_hold(target, now);
+        may_hold.then_some(*held)
+    }
+
+    /// Records the era of an answer of the store; returns true if the store was restored since the last one.
+    ///
+    /// What was known of rows is void then. The engines held here are held on until the end of the lease, and are recorded anew
+    /// with the next renewal, which follows at once.
+    pub fn on_era(
+        &mut self,
+        era: u32,
+        now: Instant,
+    ) -> bool {
+        if !self.era.is_restored_in(era) {
+            self.era.begin(era);
+            self.rows.set_first_era(era);
+            return false;
+        }
+        let held: Vec<String> = self.held(now).map(|(target, _)| target.clone()).collect();
+        let held_until = self.lease.expires_at();
+        self.era.enter(era, held.into_iter(), held_until, now);
+        self.rows.reset(era);
+        self.resumption.abandon();
+        self.recording.abandon();
+        self.row_version = None;
+        self.next_renewal = now;
+        self.require_read(now);
+        true
+    }
+
+    /// Returns true for a version of an earlier era than that of the newest answer.
+    pub fn is_of_earlier_era(
+        &self,
+        version: StoreVersion,
+    ) -> bool {
+        version.era < self.era.number()
     }
 
     /// Returns the store operations that are due now.
@@ -151,7 +197,10 @@
         self.vacant_since
             .retain(|target, _| engines.contains_key(target));
         self.blocked_until.retain(|_, until| now < *until);
-        let needs_lease = takers.contains(&self.local_host.peer) || self.is_holder(engines);
+        self.era.retain(|target| self.held.contains_key(target));
+        let needs_lease = takers.contains(&self.local_host.peer)
+            || self.is_holder(engines)
+            || self.era.has_unrecorded();
         if !needs_lease && is_likely_taker && self.row_version.is_none() {
             // After a restart, a host resumes the engines that it held before takers are agreed on.
             actions.extend(self.read_table(now));
@@ -205,7 +254,7 @@
     pub fn on_renewed(
         &mut self,
         sent: Instant,
-        version: Option<u64>,
+        version: Option<StoreVersion>,
         now: Instant,
     ) {
         self.is_renewing = false;
@@ -215,10 +264,15 @@
                 self.renewed_version = version;
                 self.lease.record_renewal(sent, now);
                 self.resume();
+                self.finish_recording(version);
                 self.next_renewal = sent + self.timings.renewal_interval;
+                self.record_at_once(now);
             }
             // If the row was written all the same, the next attempt fails with a conflict that names its version.
-            None => self.next_renewal = now + self.jittered_backoff(),
+            None => {
+                self.recording.abandon();
+                self.next_renewal = now + self.jittered_backoff();
+            }
         }
     }
 
@@ -230,21 +284,28 @@
     ) {
         self.is_renewing = false;
         self.resumption.abandon();
+        if self.recording.abandon() {
+            // A row that was to be recorded anew is not as it was read.
+            self.require_read(now);
+        }
         self.next_renewal = now;
         let key = host_key(self.local_host.peer);
         let found = rows.iter().find(|row| *row.key == key);
-        self.row_version = Some(found.map_or(0, |row| row.version));
+        self.row_version = Some(found.map_or(StoreVersion::default(), |row| row.version));
     }
 
     /// Handles a read of the table, or `None` if it failed.
     pub fn on_table_read(
         &mut self,
-        rows: Option<&[Row]>,
+        batch: Option<&RowBatch>,
         term: u64,
         now: Instant,
     ) {
         self.is_reading = false;
-        let Some(rows) = rows else {
+        if batch.is_some_and(|batch| self.is_of_earlier_era(batch.version)) {
+            return;
+        }
+        let Some(RowBatch { rows, .. }) = batch else {
             self.next_read = now + self.jittered_backoff();
             if self.row_version.is_some() && self.read_term == term {
                 // The read followed a lost reply.
@@ -255,14 +316,18 @@
         let key = host_key(self.local_host.peer);
         if self.row_version.is_none() {
             let local_row = rows.iter().find(|row| *row.key == key);
-            self.row_version = Some(local_row.map_or(0, |row| row.version));
+            self.row_version = Some(local_row.map_or(StoreVersion::default(), |row| row.version));
         }
         for row in rows {
             self.rows.apply(row, now);
         }
+        if self.rows.has_earlier_rows() {
+            self.era.on_earlier_row(now);
+        }
         if term == self.lease.term() {
             self.read_term = term;
             self.confirm_held();
+            self.record_at_once(now);
         }
     }
 
@@ -270,9 +335,15 @@
     pub fn on_taken(
         &mut self,
         engines: &[TakenEngine],
-        version: u64,
+        version: StoreVersion,
         term: u64,
+        now: Instant,
     ) {
+        let is_current = |engine: &TakenEngine| era_of_fence(engine.fence) == version.era;
+        if !engines.iter().all(is_current) {
+            // Carried out after a restoration of the store, against other rows than those that were read.
+            return self.require_read(now);
+        }
         self.max_batch_engines = MAX_BATCH_ENGINES;
         for TakenEngine { target, fence } in engines {
             self.blocked_until.remove(target);
@@ -404,21 +475,26 @@
         if is_large && self.lease.term() == 0 {
             self.resumption.begin(&self.rows, self.local_host.peer);
         }
+        self.recording.begin(self.engines_to_record().into_iter());
         let row = RowKey::new(HOLDING_TABLE, &host_key(self.local_host.peer));
-        let value = serde_json::to_vec(&self.local_host).expect("host row serializes");
+        let host_row = HostRow {
+            settled_era: self.era.settled_number(self.timings.takeover_delay(), now),
+            ..self.local_host.clone()
+        };
+        let value = serde_json::to_vec(&host_row).expect("host row serializes");
+        let mut writes = vec![RowWrite {
+            row: row.clone(),
+            value: Some(value),
+        }];
+        writes.extend(self.recording.writes(self.local_host.peer));
         let mut expected = vec![Expectation {
             row: row.clone(),
             version,
         }];
         expected.extend(self.resumption.expectations());
+        expected.extend(self.recording.expectations());
         Some(AssignmentAction::Renew {
-            transaction: Transaction {
-                expected,
-                writes: vec![RowWrite {
-                    row,
-                    value: Some(value),
-                }],
-            },
+            transaction: Transaction { expected, writes },
         })
     }
 
@@ -434,6 +510,74 @@
         }
     }
 
+    /// Records the engines that the last renewal has written.
+    fn finish_recording(
+        &mut self,
+        version: StoreVersion,
+    ) {
+        let term = self.lease.term();
+        for TakenEngine { target, fence } in self.recording.finish() {
+            let row = HolderRow {
+                holder: self.local_host.peer,
+                fence,
+            };
+            self.rows.record_written(&target, version, row);
+            self.era.on_recorded(&target);
+            // In a later term than the one in which it was held, the rows are read first.
+            if let Some(held) = self.held.get_mut(&target)
+                && held.term == term
+            {
+                held.fence = fence;
+            }
+        }
+    }
+
+    /// Has the next renewal follow at once if it can record engines anew.
+    fn record_at_once(
+        &mut self,
+        now: Instant,
+    ) {
+        if !self.engines_to_record().is_empty() {
+            self.next_renewal = now;
+        }
+    }
+
+    /// Returns the engines to record anew, with the versions of their rows.
+    fn engines_to_record(&self) -> Vec<(TakenEngine, StoreVersion)> {
+        let is_read = self.read_term == self.lease.term();
+        let unrecorded = self
+            .held
+            .iter()
+            .filter(|(target, _)| is_read && self.era.is_unrecorded(target));
+        unrecorded
+            .map(|(target, held)| {
+                let stored = self.rows.holder(target);
+                let version = stored.map_or(StoreVersion::default(), |stored| stored.version);
+                let fence = self.fence_after(stored).max(held.fence + 1);
+                let target = target.clone();
+                (TakenEngine { target, fence }, version)
+            })
+            .collect()
+    }
+
+    /// Returns the fence for a new record of an engine.
+    fn fence_after(
+        &self,
+        stored: Option<&StoredHolder>,
+    ) -> u64 {
+        let previous = stored.map_or(0, |stored| stored.row.fence);
+        next_fence(previous, self.renewed_version, self.era.number())
+    }
+
+    /// Has the table read before engines are held or taken by what is known of its rows.
+    fn require_read(
+        &mut self,
+        now: Instant,
+    ) {
+        self.read_term = 0;
+        self.next_read = now;
+    }
+
     fn read_table(
         &mut self,
         now: Instant,
@@ -451,16 +595,28 @@
         self.rng.random_range(backoff / 2..=backoff + backoff / 2)
     }
 
-    /// Sets the held engines to those that the rows assign to this host.
+    /// Sets the held engines to those that the rows assign to this host, and those that are still to be recorded anew.
     fn confirm_held(&mut self) {
         let term = self.lease.term();
-        let assigned = self.rows.assigned_to(self.local_host.peer);
-        self.held = assigned
-            .map(|(target, stored)| {
-                let fence = stored.row.fence;
-                (target.clone(), HeldEngine { fence, term })
-            })
-            .collect();
+        let rows = &self.rows;
+        let is_recorded = |target: &str| {
+            let stored = rows.holder(target);
+            stored.is_some_and(|stored| rows.is_current(stored))
+        };
+        let (era, held) = (&self.era, std::mem::take(&mut self.held));
+        let unrecorded = held.into_iter().filter(|(target, held)| {
+            held.term == term && era.is_unrecorded(target) && !is_recorded(target)
+        });
+        let assigned = rows.assigned_to(self.local_host.peer);
+        let recorded =
+            assigned
+                .filter(|(_, stored)| rows.is_current(stored))
+                .map(|(target, stored)| {
+                    let fence = stored.row.fence;
+                    (target.clone(), HeldEngine { fence, term })
+                });
+        self.held = unrecorded.chain(recorded).collect();
+        self.era.retain(|target| !is_recorded(target));
     }
 
     /// Returns the engine if this host may take it now; adds its holder to `lost` if only its lease is in the way.
@@ -473,8 +629,13 @@
         lost: &mut BTreeSet<SocketAddr>,
         now: Instant,
     ) -> Option<VacantEngine> {
+        if self.era.is_unrecorded(target) {
+            return None;
+        }
         let stored = self.rows.holder(target);
-        let holder = stored.map(|stored| stored.row.holder);
+        // What was recorded in an earlier era names neither the last holder nor its lease for certain.
+        let current = stored.filter(|stored| self.rows.is_current(stored));
+        let holder = current.map(|stored| stored.row.holder);
         if holder == Some(self.local_host.peer) {
             if !self.held.contains_key(target) {
                 self.confirm_held();
@@ -482,8 +643,8 @@
             return None;
         }
         // Versions of the store's rows only increase, also across targets that reuse an address.
-        let fence = (stored.map_or(0, |stored| stored.row.fence) + 1).max(self.renewed_version);
-        let version = stored.map_or(0, |stored| stored.version);
+        let fence = self.fence_after(stored);
+        let version = stored.map_or(StoreVersion::default(), |stored| stored.version);
         let vacant_since = match self.vacant_since.get(target) {
             Some(since) => *since,
             None => {
@@ -505,7 +666,8 @@
                 let version = version?;
                 Some(LapsedLease { host, version })
             }
-            None => None,
+            None if self.era.has_settled(self.timings.takeover_delay(), now) => None,
+            None => return None,
         };
         let target = target.to_string();
         Some(VacantEngine {
--- a/src/process/holding/lease_checks.rs
+++ b/src/process/holding/lease_checks.rs
@@ -2,14 +2,11 @@
     super::{HOLDING_TABLE, host_key, takeover_batches::MAX_TRANSACTION_ENTRIES},
     crate::{
         clock::Instant,
-        formats::{Expectation, RowKey, Transaction},
+        formats::{Expectation, RowKey, StoreVersion, Transaction},
     },
     std::{collections::BTreeSet, net::SocketAddr},
 };
 
-/// Version of a row that does not exist.
-const ABSENT: u64 = 0;
-
 /// Lost hosts whose lease rows are read from the store, once for each loss.
 ///
 /// A host may have renewed its lease just before it was lost, so that no other host knows the newest version. Without a
@@ -50,7 +47,7 @@
         }
         let expectation = |host: &SocketAddr| Expectation {
             row: RowKey::new(HOLDING_TABLE, &host_key(*host)),
-            version: ABSENT,
+            version: StoreVersion::default(),
         };
         let expected = hosts.iter().map(expectation).collect();
         self.checked.extend(hosts);
--- a/src/process/holding/mod.rs
+++ b/src/process/holding/mod.rs
@@ -6,7 +6,9 @@
 mod holder_rows;
 mod lease_checks;
 mod lease_timings;
+mod recording;
 mod resumption;
+mod store_era;
 mod takeover_batches;
 mod takeover_turns;
 
--- a/src/process/holding/resumption.rs
+++ b/src/process/holding/resumption.rs
@@ -3,12 +3,12 @@
         HOLDING_TABLE, assignment_rows::AssignmentRows, engine_key,
         takeover_batches::MAX_TRANSACTION_ENTRIES,
     },
-    crate::formats::{Expectation, RowKey},
+    crate::formats::{Expectation, RowKey, StoreVersion},
     std::net::SocketAddr,
 };
 
 /// Transaction entries of the renewal itself: the expectation and the write of the host's own row.
-const RENEWAL_ENTRIES: usize = 2;
+pub(super) const RENEWAL_ENTRIES: usize = 2;
 
 /// Resumption of the engines that an earlier process of this host held, by its first renewal.
 ///
@@ -19,7 +19,7 @@
 pub(super) struct Resumption {
     is_abandoned: bool,
     /// Engines with the version and the fence of their rows.
-    engines: Option<Vec<(String, u64, u64)>>,
+    engines: Option<Vec<(String, StoreVersion, u64)>>,
 }
 
 impl Resumption {
@@ -29,8 +29,9 @@
         rows: &AssignmentRows,
         local_host: SocketAddr,
     ) {
-        let engines: Vec<(String, u64, u64)> = rows
+        let engines: Vec<(String, StoreVersion, u64)> = rows
             .assigned_to(local_host)
+            .filter(|(_, stored)| rows.is_current(stored))
             .map(|(target, stored)| (target.clone(), stored.version, stored.row.fence))
             .collect();
         let fits = engines.len() + RENEWAL_ENTRIES <= MAX_TRANSACTION_ENTRIES;
--- a/src/process/holding/takeover_batches.rs
+++ b/src/process/holding/takeover_batches.rs
@@ -1,6 +1,6 @@
 use {
     super::{AssignmentAction, HOLDING_TABLE, HolderRow, engine_key, host_key},
-    crate::formats::{Expectation, RowKey, RowWrite, Transaction},
+    crate::formats::{Expectation, RowKey, RowWrite, StoreVersion, Transaction},
     std::{collections::BTreeSet, net::SocketAddr},
 };
 
@@ -8,7 +8,7 @@
 pub(super) const MAX_TRANSACTION_ENTRIES: usize = 100;
 
 /// One expectation and one write.
-const ENTRIES_PER_ENGINE: usize = 2;
+pub(super) const ENTRIES_PER_ENGINE: usize = 2;
 
 /// Engines that fit into one transaction if they have no former holder.
 pub(super) const MAX_BATCH_ENGINES: usize = MAX_TRANSACTION_ENTRIES / ENTRIES_PER_ENGINE;
@@ -24,15 +24,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct LapsedLease {
     pub host: SocketAddr,
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// An engine that this host may take now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct VacantEngine {
     pub engine: TakenEngine,
-    /// Version of its row, or 0 if there is none.
-    pub version: u64,
+    /// Version of its row, absent if there is none.
+    pub version: StoreVersion,
     /// Lease of the holder that its row names.
     pub lapsed: Option<LapsedLease>,
 }
@@ -119,7 +119,7 @@
     fn expect(
         &mut self,
         row: RowKey,
-        version: u64,
+        version: StoreVersion,
     ) {
         self.transaction.expected.push(Expectation { row, version });
     }
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -8,7 +8,7 @@
             },
             targets::{FleetView, ReplicaFreshness},
         },
-        formats::{Order, RowWrite, Transaction},
+        formats::{Order, RowWrite, StoreVersion, Transaction},
         process::holding::TakenEngine,
         request::{
             notices::TargetNotices,
@@ -27,7 +27,7 @@
     },
     ReadChanges {
         table: TableName,
-        since: u64,
+        since: StoreVersion,
     },
     ReadTable {
         table: TableName,
@@ -36,7 +36,7 @@
     PullChanges {
         table: TableName,
         from: SocketAddr,
-        since: u64,
+        since: StoreVersion,
     },
     /// Pulls the hosts that another host knows.
     PullHosts {
--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -5,7 +5,7 @@
     crate::{
         clock::Instant,
         connection::datagram::HostRumor,
-        formats::{Commit, Row, RowBatch},
+        formats::{Commit, Row, RowBatch, StoreVersion},
         note,
         process::{
             engines::EngineAllocator,
@@ -64,13 +64,14 @@
         commit: Option<Commit>,
         now: Instant,
     ) -> Vec<ControlAction> {
+        let (commit, mut actions) = self.observe_commit(commit, now);
         let term = self.assignment.lease().term();
         match commit {
             Some(Commit::Done { version }) => {
                 self.assignment.on_renewed(sent, Some(version), now);
                 note!(Event::SessionRenewed, row_version = version);
             }
-            Some(Commit::Conflict { rows }) => {
+            Some(Commit::Conflict { rows, .. }) => {
                 note!(Event::SessionNotRenewed, cause = "conflict");
                 self.assignment.on_renewal_conflict(&rows, now);
             }
@@ -85,11 +86,12 @@
         }
         let new_term = self.assignment.lease().term();
         if new_term == term {
-            return Vec::new();
+            return actions;
         }
         note!(Event::SessionOpened, term = new_term);
         // Requests wait for the engines' holders, so don't wait for the next tick.
-        self.tick_engines(now)
+        actions.extend(self.tick_engines(now));
+        actions
     }
 
     pub(super) fn on_holders_read(
@@ -99,8 +101,11 @@
         now: Instant,
     ) -> Vec<ControlAction> {
         let mut actions = Vec::new();
+        if let Some(batch) = &rows {
+            actions.extend(self.observe_store(batch.version, now));
+        }
+        self.assignment.on_table_read(rows.as_ref(), term, now);
         let rows = rows.map(|batch| batch.rows);
-        self.assignment.on_table_read(rows.as_deref(), term, now);
         for row in rows.iter().flatten() {
             let value = row.value.as_deref().unwrap_or_default();
             if HostRow::peer_of(&row.key).is_none() {
@@ -120,7 +125,7 @@
                 hall: host.hall,
                 front: host.front.into(),
                 process: host.process,
-                lease_version: row.version,
+                lease_version: row.version.to_bits(),
                 ..Default::default()
             };
             let host_actions = self.hosts.on_discovered(&rumor, now);
@@ -137,31 +142,34 @@
         term: u64,
         commit: Option<Commit>,
         now: Instant,
-    ) {
+    ) -> Vec<ControlAction> {
+        let (commit, actions) = self.observe_commit(commit, now);
         match commit {
             Some(Commit::Done { version }) => {
                 for TakenEngine { target, fence } in engines {
                     note!(Event::TargetTaken, target = target, fence = fence);
                 }
-                self.assignment.on_taken(engines, version, term);
+                self.assignment.on_taken(engines, version, term, now);
             }
-            Some(Commit::Conflict { rows }) => {
+            Some(Commit::Conflict { rows, .. }) => {
                 self.assignment.on_take_conflict(engines, &rows, now)
             }
             Some(Commit::TurnedAway) => self.assignment.on_take_rejected(engines, now),
             None => self.assignment.on_take_outcome_unknown(now),
         }
         self.changed = true;
+        actions
     }
 
     pub(super) fn on_leases_checked(
         &mut self,
         commit: Option<Commit>,
         now: Instant,
-    ) {
+    ) -> Vec<ControlAction> {
+        let (commit, actions) = self.observe_commit(commit, now);
         let rows = match &commit {
             Some(Commit::Done { .. }) => Some(&[][..]),
-            Some(Commit::Conflict { rows }) => Some(&rows[..]),
+            Some(Commit::Conflict { rows, .. }) => Some(&rows[..]),
             Some(Commit::TurnedAway) | None => None,
         };
         note!(
@@ -170,6 +178,44 @@
             leases = rows.map_or(0, <[Row]>::len)
         );
         self.assignment.on_leases_checked(rows, now);
+        actions
+    }
+
+    /// Handles the version that an answer of the store tells, whatever was asked.
+    ///
+    /// If the store was restored since the last answer, what it has lost is written again.
+    pub(super) fn observe_store(
+        &mut self,
+        version: StoreVersion,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        if !self.assignment.on_era(version.era, now) {
+            return Vec::new();
+        }
+        note!(
+            Event::StoreRestored,
+            version = version,
+            declared = self.declared.replica.version(),
+            targets = self.listed.replica.version(),
+            engines = self.allocators.len()
+        );
+        self.changed = true;
+        self.store_all_records(now).into_iter().collect()
+    }
+
+    /// Handles the version that a transaction's answer tells. An answer from before a restoration tells nothing of the rows as
+    /// they are: it counts as an unknown outcome.
+    fn observe_commit(
+        &mut self,
+        commit: Option<Commit>,
+        now: Instant,
+    ) -> (Option<Commit>, Vec<ControlAction>) {
+        let Some(version) = commit.as_ref().and_then(Commit::version) else {
+            return (commit, Vec::new());
+        };
+        let actions = self.observe_store(version, now);
+        let is_outdated = self.assignment.is_of_earlier_era(version);
+        (commit.filter(|_| !is_outdated), actions)
     }
 
     /// Returns the reachable holder of each engine.
--- a/src/process/host/control_poison.rs
+++ b/src/process/host/control_poison.rs
@@ -45,6 +45,9 @@
 /// Minimum number of crashes for which a request is stored; with fewer, losing the record costs at most one target.
 const MIN_STORED_CRASHES: usize = 2;
 
+/// Number of hosts that write the records again after a restoration of the store: more than one, as one may be cut off.
+const RESTORING_HOSTS: usize = 3;
+
 /// Poison records known to this host, and the state of their synchronization.
 #[derive(Debug, Default)]
 pub(super) struct PoisonState {
@@ -193,6 +196,20 @@
         (!writes.is_empty()).then_some(ControlAction::WritePoison { writes })
     }
 
+    /// Stores all records that must survive, as a restored store may have lost them. A few hosts do so, as all know the same.
+    pub(super) fn store_all_records(
+        &self,
+        now: Instant,
+    ) -> Option<ControlAction> {
+        if self.hosts.link_rank() >= RESTORING_HOSTS {
+            return None;
+        }
+        let updates = self.poison.ledger.page(None, usize::MAX, now);
+        let fingerprints: Vec<Fingerprint> =
+            updates.iter().map(|update| update.fingerprint).collect();
+        self.store_records(&fingerprints, now)
+    }
+
     /// Evicts expired records and triggers the first read of the store when due.
     pub(super) fn tick_poison(
         &mut self,
@@ -243,6 +260,7 @@
         let Some(batch) = rows else {
             return Vec::new();
         };
+        let mut actions = self.observe_store(batch.version, now);
         self.poison.is_synchronized = true;
         let mut updates = Vec::new();
         let mut deletions = Vec::new();
@@ -266,7 +284,7 @@
                 deletions.push(delete_write(&update.fingerprint));
             }
         }
-        let mut actions = self.publish_statuses(&changed, "store");
+        actions.extend(self.publish_statuses(&changed, "store"));
         if !deletions.is_empty() {
             actions.push(ControlAction::WritePoison { writes: deletions });
         }
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -8,7 +8,7 @@
             datagram::{Freshness, HostRumor, Message},
             targets::{TableFreshness, VersionHistory},
         },
-        formats::{Declared, Formats, Row, RowBatch, RowsReply},
+        formats::{Declared, Formats, Row, RowBatch, RowsReply, StoreVersion},
         note,
         process::tables::{Comparison, TableChanges},
         timeline::Event,
@@ -92,8 +92,8 @@
         };
         let fingerprint_of = fingerprint(table, &self.formats);
         let before = self.table_mut(table).replica_freshness();
-        self.note_outdated_read(table, &batch);
-        self.record_read_end(table, true, now);
+        let mut actions = self.observe_store(batch.version, now);
+        self.record_answered_read(table, batch.version, now);
         let rows = self
             .table_mut(table)
             .replica
@@ -103,7 +103,7 @@
             source: "store",
             before,
         };
-        let mut actions = self.apply_rows(table, &row_changes, now);
+        actions.extend(self.apply_rows(table, &row_changes, now));
         // Reads of both tables mostly end at the same time; on a large site, one message announces both.
         self.unannounced_read = rows.is_empty() && !self.hosts.lists_holdings();
         if !self.unannounced_read {
@@ -132,11 +132,12 @@
     ) -> Vec<ControlAction> {
         let fingerprint_of = fingerprint(table, &self.formats);
         let before = self.table_mut(table).replica_freshness();
-        self.record_read_end(table, rows.is_some(), now);
         let Some(rows) = rows else {
+            self.record_read_end(table, false, now);
             return Vec::new();
         };
-        self.note_outdated_read(table, &rows);
+        let mut actions = self.observe_store(rows.version, now);
+        self.record_answered_read(table, rows.version, now);
         let rows = self
             .table_mut(table)
             .replica
@@ -146,7 +147,8 @@
             source: "store",
             before,
         };
-        self.apply_rows(table, &row_changes, now)
+        actions.extend(self.apply_rows(table, &row_changes, now));
+        actions
     }
 
     /// Handles the freshness of another host's replicas, from a message that arrived after `arrived_after`.
@@ -182,9 +184,11 @@
                 continue;
             };
             let replicated = self.table_mut(table);
-            let comparison = replicated
-                .replica
-                .compare(state.version, state.digest, as_of);
+            let comparison = replicated.replica.compare(
+                StoreVersion::from_bits(state.version),
+                state.digest,
+                as_of,
+            );
             if comparison != Comparison::Newer || replicated.pulling_from.is_some() {
                 continue;
             }
@@ -227,7 +231,7 @@
             actions.push(ControlAction::PullChanges {
                 table,
                 from,
-                since: 0,
+                since: StoreVersion::default(),
             });
         }
         let row_changes = RowChanges {
@@ -248,7 +252,7 @@
     pub fn changes_for_host(
         &self,
         table: TableName,
-        since: u64,
+        since: StoreVersion,
         now: Instant,
     ) -> (TableChanges, Option<Duration>) {
         let replica = match table {
@@ -258,18 +262,22 @@
         (replica.changes_since(since), replica.staleness(now))
     }
 
-    /// Logs a read that is older than the replica, which takes nothing from it.
-    fn note_outdated_read(
+    /// Records the end of a read that the store answered as of a version.
+    fn record_answered_read(
         &mut self,
         table: TableName,
-        batch: &RowBatch,
+        version: StoreVersion,
+        now: Instant,
     ) {
-        let known = self.table_mut(table).replica.version();
-        if batch.version < known {
+        self.record_read_end(table, true, now);
+        let replicated = self.table_mut(table);
+        let known = replicated.replica.version();
+        if version < known {
+            replicated.schedule.on_outdated(now);
             note!(
                 Event::TableReadOutdated,
                 table = table.word(),
-                read = batch.version,
+                read = version,
                 known = known
             );
         }
--- a/src/process/host/copy_reader.rs
+++ b/src/process/host/copy_reader.rs
@@ -12,7 +12,7 @@
             pull::CopyPage,
             store::{StoreClient, StoreFailure},
         },
-        formats::{Formats, HttpReply, RowBatch, RowsReply},
+        formats::{Formats, HttpReply, RowBatch, RowsReply, StoreVersion},
         process::tables::TableChanges,
     },
     std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
@@ -61,7 +61,7 @@
     pub fn read_changes(
         &self,
         table: TableName,
-        since: u64,
+        since: StoreVersion,
     ) {
         let (store, events, name) = (self.store.clone(), self.events.clone(), self.name_of(table));
         spawn_local(async move {
@@ -83,7 +83,7 @@
     ) {
         let (store, events, name) = (self.store.clone(), self.events.clone(), self.name_of(table));
         spawn_local(async move {
-            let transfer = CopyTransfer::begin(table, CopySource::Store, 0);
+            let transfer = CopyTransfer::begin(table, CopySource::Store, StoreVersion::default());
             let rows = store.read_table(&name).await;
             tell_store_read(&transfer, rows.as_ref().map(RowBatch::bytes));
             let _ = events.send(ControlEvent::TableRead {
@@ -99,7 +99,7 @@
         &self,
         table: TableName,
         from: SocketAddr,
-        since: u64,
+        since: StoreVersion,
     ) {
         let (events, calls) = (self.events.clone(), self.calls.clone());
         spawn_local(async move {
--- a/src/process/host/copy_server.rs
+++ b/src/process/host/copy_server.rs
@@ -3,6 +3,7 @@
     crate::{
         clock::Instant,
         connection::pull::CopyPage,
+        formats::StoreVersion,
         metrics::{CopyLabels, metrics},
         process::tables::TableChanges,
     },
@@ -40,7 +41,7 @@
         &mut self,
         control: &HostControl,
         table: TableName,
-        since: u64,
+        since: StoreVersion,
         now: Instant,
     ) -> PeerAnswer {
         let (changes, age) = control.changes_for_host(table, since, now);
@@ -85,9 +86,9 @@
     let mut content = Xxh3Default::new();
     for row in &changes.rows {
         content.update(row.key.as_bytes());
-        content.update(&row.version.to_le_bytes());
+        content.update(&row.version.to_bits().to_le_bytes());
     }
-    content.update(&changes.version.to_le_bytes());
+    content.update(&changes.version.to_bits().to_le_bytes());
     content.update(&changes.digest.to_le_bytes());
     content.update(&[u8::from(changes.is_full)]);
     content.digest()
--- a/src/process/host/copy_transfer.rs
+++ b/src/process/host/copy_transfer.rs
@@ -2,6 +2,7 @@
     super::TableName,
     crate::{
         clock::Instant,
+        formats::StoreVersion,
         metrics::{TransferLabels, metrics},
         note,
         timeline::Event,
@@ -52,8 +53,8 @@
 pub struct CopyTransfer {
     table: TableName,
     source: CopySource,
-    /// The version since which changes are asked for, 0 for the whole table.
-    since: u64,
+    /// The version since which changes are asked for, absent for the whole table.
+    since: StoreVersion,
     begun: Instant,
 }
 
@@ -61,7 +62,7 @@
     pub fn begin(
         table: TableName,
         source: CopySource,
-        since: u64,
+        since: StoreVersion,
     ) -> Self {
         Self {
             table,
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -165,6 +165,7 @@
             hall: identity.hall.clone(),
             front: identity.front,
             process,
+            settled_era: 0,
         };
         let holdings = HoldingsSpread::new(identity.peer, identity.link_mbps, now);
         let mut hosts = HostTable::new(identity, FailureDetectionTimings::default(), now);
@@ -295,14 +296,8 @@
                 engines,
                 term,
                 commit,
-            } => {
-                self.on_taken(&engines, term, commit, now);
-                Vec::new()
-            }
-            ControlEvent::LeasesChecked { commit } => {
-                self.on_leases_checked(commit, now);
-                Vec::new()
-            }
+            } => self.on_taken(&engines, term, commit, now),
+            ControlEvent::LeasesChecked { commit } => self.on_leases_checked(commit, now),
             ControlEvent::OrderEnded { target, reply } => self.on_order_ended(&target, reply, now),
             ControlEvent::OrderCancelled { target } => {
                 if let Some(allocator) = self.allocators.get_mut(&target) {
@@ -408,7 +403,7 @@
         now: Instant,
     ) -> Freshness {
         let state = |replica: &TableReplica| CopyState {
-            version: replica.version(),
+            version: replica.version().to_bits(),
             digest: replica.digest(),
             age_ms: replica
                 .staleness(now)
--- a/src/process/host/listed_target.rs
+++ b/src/process/host/listed_target.rs
@@ -42,7 +42,7 @@
     /// Compares an entry under this target's key with the known record.
     ///
     /// Writes may reach the list late: an entry of an earlier incarnation must not replace a newer record, and
-    /// an incarnation that is leaving does not become ready again.
+    /// an incarnation that is leaving does not become ready again. Without incarnations, each start has an id of its own.
     pub fn compare(
         &self,
         record: &TargetRecord,
@@ -53,9 +53,7 @@
             (Some(known), Some(reported)) if reported > known => {
                 EntryOrder::Restarted { before: known }
             }
-            (Some(_), Some(_)) if self.is_leaving() && record.state == TargetState::Ready => {
-                EntryOrder::Stale
-            }
+            _ if self.is_leaving() && record.state == TargetState::Ready => EntryOrder::Stale,
             _ => EntryOrder::Current,
         }
     }
--- a/src/process/host/peer_pages.rs
+++ b/src/process/host/peer_pages.rs
@@ -5,7 +5,7 @@
     crate::{
         clock::Instant,
         connection::{datagram::HostRumor, pull::HostsBody},
-        formats::HttpCall,
+        formats::{HttpCall, StoreVersion},
     },
     prost::Message,
 };
@@ -32,9 +32,13 @@
 /// Asks for what has changed since a version.
 pub fn copy_call(
     table: TableName,
-    since: u64,
+    since: StoreVersion,
 ) -> HttpCall {
-    HttpCall::get(format!("{COPY_PATH}{}?since={since}", table.word()))
+    HttpCall::get(format!(
+        "{COPY_PATH}{}?since={}",
+        table.word(),
+        since.to_bits()
+    ))
 }
 
 /// Asks for the hosts that another one knows.
@@ -69,8 +73,8 @@
 fn asked_copy(
     path: &str,
     query: &str,
-) -> Option<(TableName, u64)> {
+) -> Option<(TableName, StoreVersion)> {
     let table = TableName::from_word(path.strip_prefix(COPY_PATH)?)?;
     let since = query.strip_prefix("since=")?.parse().ok()?;
-    Some((table, since))
+    Some((table, StoreVersion::from_bits(since)))
 }
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -9,6 +9,7 @@
     crate::{
         clock::Instant,
         connection::datagram::{HostRumor, RumorState},
+        formats::StoreVersion,
     },
     rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
     std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -243,7 +244,7 @@
     pub fn local_rumor(
         &self,
         holds: Vec<String>,
-        lease_version: u64,
+        lease_version: StoreVersion,
         ready: bool,
     ) -> HostRumor {
         let state = match self.leaving {
@@ -259,7 +260,7 @@
             incarnation: self.incarnation,
             state: state as i32,
             holds,
-            lease_version,
+            lease_version: lease_version.to_bits(),
             ready,
             link_mbps: self.me.link_mbps,
             counted: u32::try_from(self.size.host_count()).unwrap_or(u32::MAX),
@@ -371,7 +372,8 @@
         if !restarted && rumor.incarnation < known.incarnation {
             return;
         }
-        let lease_changed = known.lease_version < rumor.lease_version;
+        let lease_version = StoreVersion::from_bits(rumor.lease_version);
+        let lease_changed = known.lease_version < lease_version;
         known.identity.process = rumor.process;
         known.identity.name.clone_from(&rumor.name);
         known.identity.hall.clone_from(&rumor.hall);
@@ -386,7 +388,7 @@
             _ => self.size.on_heard(peer, now),
         }
         if lease_changed {
-            known.lease_version = rumor.lease_version;
+            known.lease_version = lease_version;
             known.lease_known_since = now;
         }
         self.holders_epoch += u64::from(holds_changed);
@@ -447,8 +449,9 @@
             }
             known.ready = rumor.ready;
         }
-        if known.lease_version < rumor.lease_version {
-            known.lease_version = rumor.lease_version;
+        let lease_version = StoreVersion::from_bits(rumor.lease_version);
+        if known.lease_version < lease_version {
+            known.lease_version = lease_version;
             known.lease_known_since = now;
         }
         self.set_state(peer, state, now);
--- a/src/process/hosts/known_host.rs
+++ b/src/process/hosts/known_host.rs
@@ -2,6 +2,7 @@
     crate::{
         clock::Instant,
         connection::datagram::{HostRumor, RumorState},
+        formats::StoreVersion,
     },
     std::net::SocketAddr,
 };
@@ -82,7 +83,7 @@
     /// Version of `holds` in the host's process; 0 if the host sends its list without a version, or no list is known.
     pub holds_version: u32,
     /// Version of the host's lease row.
-    pub lease_version: u64,
+    pub lease_version: StoreVersion,
     /// When this host first learned of `lease_version`.
     pub lease_known_since: Instant,
     /// The host accepts requests.
@@ -110,7 +111,7 @@
             incarnation: self.incarnation,
             state: state.to_wire() as i32,
             holds: self.holds.clone(),
-            lease_version: self.lease_version,
+            lease_version: self.lease_version.to_bits(),
             ready: self.ready,
             link_mbps: self.identity.link_mbps,
             // Sent only by the host itself: a count relayed by others would never expire.
@@ -140,7 +141,7 @@
             heard: None,
             holds: rumor.holds.clone(),
             holds_version: 0,
-            lease_version: rumor.lease_version,
+            lease_version: StoreVersion::from_bits(rumor.lease_version),
             lease_known_since: now,
             ready: rumor.ready,
             counted: 0,
--- a/src/process/ownership/session_lease.rs
+++ b/src/process/ownership/session_lease.rs
@@ -65,6 +65,11 @@
         self.is_valid(now) && self.term() == term
     }
 
+    /// Returns when the lease lapses unless it is renewed; the time of its creation before the first renewal.
+    pub fn expires_at(&self) -> Instant {
+        self.start + Duration::from_micros(self.expires_at_us.load(Ordering::Acquire))
+    }
+
     /// Returns true if the lease has not lapsed.
     pub fn is_valid(
         &self,
--- a/src/process/tables/read_schedule.rs
+++ b/src/process/tables/read_schedule.rs
@@ -56,6 +56,8 @@
     failures: u32,
     /// When the last read failed; `None` if it succeeded.
     failed_at: Option<Instant>,
+    /// When the last read ended that was older than the replica.
+    outdated_at: Option<Instant>,
     /// Earliest time of the first read once it is known that no other host has a replica.
     expedited_read: Option<Instant>,
 }
@@ -71,6 +73,7 @@
             reading: false,
             failures: 0,
             failed_at: None,
+            outdated_at: None,
             expedited_read: None,
         }
     }
@@ -92,7 +95,11 @@
     ) -> bool {
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let backs_off = |at: Instant| now.saturating_duration_since(at) < self.backoff(rank);
-        if self.reading || self.failed_at.is_some_and(backs_off) {
+        let pauses = |at: Instant| now.saturating_duration_since(at) < self.timings.initial_backoff;
+        if self.reading
+            || self.failed_at.is_some_and(backs_off)
+            || self.outdated_at.is_some_and(pauses)
+        {
             return false;
         }
         let due = match staleness {
@@ -119,6 +126,16 @@
         self.failed_at = Some(now);
     }
 
+    /// Records that the running read was answered with an older version than that of the replica, which it leaves as stale as it
+    /// was. The store has not failed, but the next read must not follow at once.
+    pub fn on_outdated(
+        &mut self,
+        now: Instant,
+    ) {
+        self.on_end(true, now);
+        self.outdated_at = Some(now);
+    }
+
     /// Returns the number of failed reads since the last success.
     pub fn failures(&self) -> u32 {
         self.failures
--- a/src/process/tables/table_changes.rs
+++ b/src/process/tables/table_changes.rs
@@ -1,6 +1,6 @@
 use crate::{
     connection::pull::{ChangesBody, RowBody},
-    formats::{Row, bytes_of},
+    formats::{Row, StoreVersion, bytes_of},
 };
 
 /// Changed rows or a full snapshot of a table, for transfer to another host.
@@ -8,7 +8,7 @@
 pub struct TableChanges {
     pub rows: Vec<Row>,
     /// Store version of the sender's replica.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Digest of the sender's replica.
     pub digest: u64,
     /// `rows` is the full table; rows missing from it are deleted.
@@ -26,7 +26,7 @@
     fn from(changes: &TableChanges) -> Self {
         Self {
             rows: changes.rows.iter().map(RowBody::from).collect(),
-            version: changes.version,
+            version: changes.version.to_bits(),
             digest: changes.digest,
             whole: changes.is_full,
         }
@@ -37,7 +37,7 @@
     fn from(body: ChangesBody) -> Self {
         Self {
             rows: body.rows.into_iter().map(Row::from).collect(),
-            version: body.version,
+            version: StoreVersion::from_bits(body.version),
             digest: body.digest,
             is_full: body.whole,
         }
--- a/src/process/tables/table_replica.rs
+++ b/src/process/tables/table_replica.rs
@@ -2,7 +2,7 @@
     super::TableChanges,
     crate::{
         clock::Instant,
-        formats::{Row, RowBatch},
+        formats::{Row, RowBatch, StoreVersion},
     },
     std::{
         collections::{BTreeMap, HashSet},
@@ -33,23 +33,24 @@
     fingerprint: u64,
 }
 
-/// A replica of one table of the store. Its version never decreases.
+/// A replica of one table of the store. Its version never decreases: after a restoration of the store, the older content of the
+/// later era replaces that of the earlier one.
 #[derive(Debug, Default)]
 pub struct TableReplica {
     rows: BTreeMap<Arc<str>, ReplicaRow>,
     /// The replica holds every change up to this version of the store.
-    version: u64,
+    version: StoreVersion,
     /// Sum of the digests of all rows; equal for equivalent replicas.
     digest: u64,
     /// When the replica was last known to match the store; `None` before the first read.
     confirmed_at: Option<Instant>,
     /// Deletions up to this version may be missing from the tombstones.
-    compacted_version: u64,
+    compacted_version: StoreVersion,
 }
 
 impl TableReplica {
-    /// Returns the store version of the replica; 0 before the first read.
-    pub fn version(&self) -> u64 {
+    /// Returns the store version of the replica; absent before the first read.
+    pub fn version(&self) -> StoreVersion {
         self.version
     }
 
@@ -194,7 +195,7 @@
     /// this replica matched the store then as well.
     pub fn compare(
         &mut self,
-        version: u64,
+        version: StoreVersion,
         digest: u64,
         confirmed_at: Instant,
     ) -> Comparison {
@@ -211,9 +212,12 @@
     /// Returns the changes since `version`, or a full snapshot if they are no longer available.
     pub fn changes_since(
         &self,
-        version: u64,
+        version: StoreVersion,
     ) -> TableChanges {
-        let is_full = version < self.compacted_version || version == 0;
+        // Of an earlier era, the other host may have rows that the store has lost.
+        let is_full = version < self.compacted_version
+            || version.era != self.version.era
+            || version.is_absent();
         let rows = self.rows.values().map(|entry| &entry.row);
         let rows = rows.filter(|row| match is_full {
             true => row.value.is_some(),
@@ -230,7 +234,7 @@
     /// Advances the version and the time of confirmation.
     fn confirm(
         &mut self,
-        version: u64,
+        version: StoreVersion,
         requested_at: Instant,
     ) {
         self.version = self.version.max(version);
@@ -287,7 +291,7 @@
 
     /// Evicts the older half of the tombstones when there are more than the maximum.
     fn evict_tombstones(&mut self) {
-        let mut tombstone_versions: Vec<u64> = self
+        let mut tombstone_versions: Vec<StoreVersion> = self
             .rows
             .values()
             .filter(|entry| entry.row.value.is_none())
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -74,6 +74,7 @@
     LeasesChecked = 315 "leases_checked" Info,
     TableHistoryGone = 316 "table_history_gone" Warn,
     TableReadOutdated = 317 "table_read_outdated" Warn,
+    StoreRestored = 318 "store_restored" Warn,
     RowUnreadable = 319 "row_unreadable" Warn,
     ConfigApplied = 401 "config_applied" Info,
     ConfigUnreadable = 402 "config_unreadable" Warn,
--- a/tests/fleet_size.rs
+++ b/tests/fleet_size.rs
@@ -69,7 +69,7 @@
     fn rumor(&self) -> HostRumor {
         HostRumor {
             holds_version: self.spread.version(),
-            ..self.table.local_rumor(Vec::new(), 5, true)
+            ..self.table.local_rumor(Vec::new(), 5.into(), true)
         }
     }
 
--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -4,7 +4,7 @@
 use {
     coveproxy::{
         clock::Instant,
-        formats::{Commit, Row, RowKey, RowWrite, Transaction},
+        formats::{Commit, Row, RowBatch, RowKey, RowWrite, StoreVersion, Transaction},
         process::holding::{
             AssignmentAction, EngineAssignment, HOLDING_TABLE, HeldEngine, HolderRow, HostRow,
             KnownLease, LeaseTimings, TakenEngine, engine_key, host_key,
@@ -13,7 +13,7 @@
     rand::{RngExt, SeedableRng, rngs::StdRng},
     rstest::rstest,
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -30,6 +30,10 @@
 /// More than `MAX_REREADING_HOSTS`.
 const MANY_HOSTS: usize = 110;
 
+/// Age of the oldest copy that the store comes back from, and the time between two copies.
+const OLDEST_COPY: Duration = Duration::from_secs(7);
+const COPY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Limit of the store.
 const MAX_TRANSACTION_ENTRIES: usize = 100;
 
@@ -42,10 +46,11 @@
 }
 
 /// A store with conditional writes, and one version for all rows.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Store {
     rows: BTreeMap<String, (u64, Vec<u8>)>,
     version: u64,
+    era: u32,
 }
 
 impl Store {
@@ -59,14 +64,17 @@
         let holds = transaction
             .expected
             .iter()
-            .all(|expected| version(&expected.row) == expected.version);
+            .all(|expected| version(&expected.row) == expected.version.number);
         if !holds {
             let named = transaction
                 .expected
                 .iter()
                 .map(|expected| &expected.row.key);
             let found = named.filter_map(|key| self.row(key)).collect();
-            return Commit::Conflict { rows: found };
+            return Commit::Conflict {
+                rows: found,
+                version: self.version(),
+            };
         }
         self.version += 1;
         for write in &transaction.writes {
@@ -76,10 +84,24 @@
                 .insert(write.row.key.to_string(), (self.version, value));
         }
         Commit::Done {
-            version: self.version,
+            version: self.version(),
         }
     }
 
+    fn version(&self) -> StoreVersion {
+        StoreVersion::new(self.era, self.version)
+    }
+
+    /// Comes back from an older copy.
+    fn restore(
+        &mut self,
+        copy: &Store,
+    ) {
+        self.rows.clone_from(&copy.rows);
+        self.version = copy.version;
+        self.era += 1;
+    }
+
     fn row(
         &self,
         key: &str,
@@ -87,13 +109,26 @@
         let (version, value) = self.rows.get(key)?;
         Some(Row {
             key: key.into(),
-            version: *version,
+            version: StoreVersion::new(self.era, *version),
             value: Some(value.as_slice().into()),
         })
     }
 
-    fn all(&self) -> Vec<Row> {
-        self.rows.keys().filter_map(|key| self.row(key)).collect()
+    fn all(&self) -> RowBatch {
+        RowBatch {
+            rows: self.rows.keys().filter_map(|key| self.row(key)).collect(),
+            version: self.version(),
+            more: false,
+        }
+    }
+}
+
+/// A read of the whole table.
+fn batch(rows: Vec<Row>) -> RowBatch {
+    RowBatch {
+        rows,
+        version: 9.into(),
+        more: false,
     }
 }
 
@@ -114,7 +149,7 @@
         action: AssignmentAction,
         sent: Instant,
         term: u64,
-        outcome: Option<Result<Commit, Vec<Row>>>,
+        outcome: Option<Result<Commit, RowBatch>>,
     },
 }
 
@@ -130,11 +165,13 @@
     rng: StdRng,
     now: Instant,
     store: Store,
+    /// What the store held a while ago, the oldest first.
+    copies: VecDeque<(Instant, Store)>,
     hosts: Vec<Host>,
     events: Vec<(Instant, Event)>,
     engines: BTreeMap<String, String>,
     /// Last lease version published by each host, and when.
-    published_leases: HashMap<usize, (u64, Instant)>,
+    published_leases: HashMap<usize, (StoreVersion, Instant)>,
     /// Hosts tell one another of their renewals.
     publishes: bool,
     last_order: HashMap<String, (usize, Instant, u64)>,
@@ -163,6 +200,7 @@
             rng: StdRng::seed_from_u64(seed),
             now,
             store: Store::default(),
+            copies: VecDeque::new(),
             hosts: Vec::new(),
             events: Vec::new(),
             engines: BTreeMap::new(),
@@ -208,6 +246,7 @@
             hall: "a".to_string(),
             front: address(host),
             process: self.rng.random(),
+            settled_era: 0,
         };
         let timings = LeaseTimings {
             max_rereading_hosts: self.max_rereading_hosts,
@@ -227,6 +266,7 @@
     fn step(&mut self) {
         self.now += STEP;
         self.deliver();
+        self.keep_copy();
         for host in 0..self.hosts.len() {
             if self.hosts[host].holding.is_none() && self.hosts[host].starts_at <= self.now {
                 self.start(host);
@@ -466,23 +506,33 @@
         action: AssignmentAction,
         sent: Instant,
         term: u64,
-        outcome: Option<Result<Commit, Vec<Row>>>,
+        outcome: Option<Result<Commit, RowBatch>>,
     ) {
         let now = self.now;
         let holding = self.hosts[host].holding.as_mut().unwrap();
+        let version = match &outcome {
+            Some(Ok(commit)) => commit.version(),
+            Some(Err(batch)) => Some(batch.version),
+            None => None,
+        };
+        if let Some(version) = version {
+            holding.on_era(version.era, now);
+        }
+        let is_outdated = version.is_some_and(|version| holding.is_of_earlier_era(version));
+        let outcome = outcome.filter(|_| !is_outdated);
         match (action, outcome) {
             (AssignmentAction::Renew { .. }, Some(Ok(Commit::Done { version }))) => {
                 holding.on_renewed(sent, Some(version), now);
             }
-            (AssignmentAction::Renew { .. }, Some(Ok(Commit::Conflict { rows }))) => {
+            (AssignmentAction::Renew { .. }, Some(Ok(Commit::Conflict { rows, .. }))) => {
                 holding.on_renewal_conflict(&rows, now);
             }
             (AssignmentAction::Renew { .. }, _) => holding.on_renewed(sent, None, now),
-            (AssignmentAction::ReadTable, Some(Err(rows))) => {
-                holding.on_table_read(Some(&rows), term, now);
+            (AssignmentAction::ReadTable, Some(Err(batch))) => {
+                holding.on_table_read(Some(&batch), term, now);
             }
             (AssignmentAction::ReadTable, _) => holding.on_table_read(None, term, now),
-            (AssignmentAction::CheckLeases { .. }, Some(Ok(Commit::Conflict { rows }))) => {
+            (AssignmentAction::CheckLeases { .. }, Some(Ok(Commit::Conflict { rows, .. }))) => {
                 holding.on_leases_checked(Some(&rows), now);
             }
             (AssignmentAction::CheckLeases { .. }, Some(Ok(Commit::Done { .. }))) => {
@@ -490,9 +540,9 @@
             }
             (AssignmentAction::CheckLeases { .. }, _) => holding.on_leases_checked(None, now),
             (AssignmentAction::Take { engines, .. }, Some(Ok(Commit::Done { version }))) => {
-                holding.on_taken(&engines, version, term);
+                holding.on_taken(&engines, version, term, now);
             }
-            (AssignmentAction::Take { engines, .. }, Some(Ok(Commit::Conflict { rows }))) => {
+            (AssignmentAction::Take { engines, .. }, Some(Ok(Commit::Conflict { rows, .. }))) => {
                 holding.on_take_conflict(&engines, &rows, now);
             }
             (AssignmentAction::Take { engines, .. }, Some(Ok(Commit::TurnedAway))) => {
@@ -502,6 +552,29 @@
         }
     }
 
+    fn keep_copy(&mut self) {
+        let now = self.now;
+        if self
+            .copies
+            .back()
+            .is_none_or(|(at, _)| now >= *at + COPY_INTERVAL)
+        {
+            self.copies.push_back((now, self.store.clone()));
+        }
+        self.copies.retain(|(at, _)| now < *at + OLDEST_COPY);
+    }
+
+    /// The store is away for a moment, and comes back from one of its copies.
+    fn restore_store(&mut self) {
+        let copy = self.rng.random_range(0..self.copies.len());
+        let (_, copy) = self.copies[copy].clone();
+        self.store.restore(&copy);
+        let back = self.now + ms(self.rng.random_range(0..3_000));
+        for host in &mut self.hosts {
+            host.partitioned_until = host.partitioned_until.max(back);
+        }
+    }
+
     fn inject_fault(&mut self) {
         let host = self.rng.random_range(0..self.hosts.len());
         let now = self.now;
@@ -555,6 +628,64 @@
     assert!(takeovers > 200, "{takeovers} changes of holder");
 }
 
+/// A restoration loses renewals and takeovers, and gives the versions of the rows out again.
+#[rstest]
+#[case::replies_arrive(0, ENGINES, 150, 100)]
+#[case::replies_are_lost(30, ENGINES, 150, 100)]
+#[case::many_engines_are_taken_together(30, MANY_ENGINES, 6, 100)]
+#[case::first_renewals_confirm_engines_and_replies_are_lost(30, ENGINES, 150, 0)]
+fn orders_of_two_holders_never_come_close_as_the_store_is_restored(
+    #[case] lost: u32,
+    #[case] engines: usize,
+    #[case] seeds: u64,
+    #[case] max_rereading_hosts: usize,
+) {
+    let (mut orders, mut takeovers) = (0, 0);
+    for seed in 0..seeds {
+        let mut world = World::new(seed, 3, lost);
+        world.set_engines(engines);
+        world.max_rereading_hosts = max_rereading_hosts;
+        for step in 0..2_400 {
+            world.step();
+            if step > 200 && world.rng.random_range(0..120) == 0 {
+                world.inject_fault();
+            }
+            if step > 100 && world.rng.random_range(0..250) == 0 {
+                world.restore_store();
+            }
+        }
+        orders += world.orders;
+        takeovers += world.takeovers;
+    }
+    // Ensures that there were orders and takeovers to check.
+    assert!(orders > 50_000, "{orders} orders");
+    assert!(takeovers > 100, "{takeovers} changes of holder");
+}
+
+#[test]
+fn holders_go_on_while_the_store_is_restored() {
+    let mut world = World::new(4, 3, 0);
+    for _ in 0..100 {
+        world.step();
+    }
+    let before = world.last_order.clone();
+    let (_, copy) = world.copies[0].clone();
+    world.store.restore(&copy);
+    let mut longest_pause = Duration::ZERO;
+    for _ in 0..400 {
+        world.step();
+        for (_, at, _) in world.last_order.values() {
+            longest_pause = longest_pause.max(world.now.saturating_duration_since(*at));
+        }
+    }
+    assert!(longest_pause < ms(500), "{longest_pause:?}");
+    for (engine, (host, _, fence)) in before {
+        let (now, _, now_fence) = world.last_order[&engine];
+        assert_eq!(now, host, "{engine}");
+        assert!(now_fence > fence, "{engine} was not recorded anew");
+    }
+}
+
 #[test]
 fn every_engine_gets_a_holder_within_a_second_of_a_calm_start() {
     let mut world = World::new(1, 7, 0);
@@ -650,6 +781,7 @@
         hall: "a".to_string(),
         front: address(0),
         process: 1,
+        settled_era: 0,
     };
     let timings = LeaseTimings {
         max_rereading_hosts: 0,
@@ -687,7 +819,7 @@
         panic!("no renewal");
     };
     store.commit(&write(engine_key("engine-0"), holder(1)));
-    let Commit::Conflict { rows } = store.commit(transaction) else {
+    let Commit::Conflict { rows, .. } = store.commit(transaction) else {
         panic!("the renewal confirms an engine of another host");
     };
     holding.on_renewal_conflict(&rows, now);
@@ -818,6 +950,7 @@
             hall: "a".to_string(),
             front: address(0),
             process,
+            settled_era: 0,
         };
         let now = Instant::now();
         let timings = LeaseTimings::new(ms(9_000), ms(2_500), GAP);
@@ -827,9 +960,13 @@
             engines: engines.collect(),
             now,
         };
-        single.holding.on_table_read(Some(&[]), 0, now);
-        single.holding.on_renewed(now, Some(1), now);
-        single.holding.on_table_read(Some(&[]), 1, now);
+        single
+            .holding
+            .on_table_read(Some(&batch(Vec::new())), 0, now);
+        single.holding.on_renewed(now, Some(1.into()), now);
+        single
+            .holding
+            .on_table_read(Some(&batch(Vec::new())), 1, now);
         single
     }
 
@@ -884,7 +1021,7 @@
     };
     let taken = Row {
         key: engine_key("engine-5").into(),
-        version: 9,
+        version: 9.into(),
         value: Some(serde_json::to_vec(&holder).unwrap().into()),
     };
     single
@@ -911,7 +1048,7 @@
             if batch.iter().any(|taken| taken.target == "engine-5") {
                 single.holding.on_take_conflict(&batch, &[], single.now);
             } else {
-                single.holding.on_taken(&batch, 9, 1);
+                single.holding.on_taken(&batch, 9.into(), 1, single.now);
                 left -= batch.len();
             }
         }
@@ -934,7 +1071,7 @@
     let mut single = SingleHost::new(1, 1);
     let row = |key: String, version: u64, value: Vec<u8>| Row {
         key: key.into(),
-        version,
+        version: version.into(),
         value: Some(value.into()),
     };
     let holder = HolderRow {
@@ -948,17 +1085,20 @@
         hall: "a".to_string(),
         front: address(1),
         process: 2,
+        settled_era: 0,
     };
     let lost = serde_json::to_vec(&lost).unwrap();
     let rows = [
         row(engine_key("engine-0"), 5, holder),
         row(host_key(address(1)), 4, lost),
     ];
-    single.holding.on_table_read(Some(&rows), 1, single.now);
+    single
+        .holding
+        .on_table_read(Some(&batch(rows.to_vec())), 1, single.now);
     let malformed = [row(engine_key("engine-0"), 6, b"malformed".to_vec())];
     single
         .holding
-        .on_table_read(Some(&malformed), 1, single.now);
+        .on_table_read(Some(&batch(malformed.to_vec())), 1, single.now);
     assert!(
         single.takes().is_empty(),
         "its holder may still send orders"
@@ -966,14 +1106,16 @@
     let mut expected = None;
     for _ in 0..20 {
         single.now += ms(1_000);
-        single.holding.on_renewed(single.now, Some(9), single.now);
+        single
+            .holding
+            .on_renewed(single.now, Some(9.into()), single.now);
         for action in single.decide() {
             if let AssignmentAction::Take { transaction, .. } = action {
                 expected.get_or_insert(transaction.expected[0].version);
             }
         }
     }
-    assert_eq!(expected, Some(6));
+    assert_eq!(expected, Some(6.into()));
 }
 
 /// Guards against table reads after rejected calls, which keep an overloaded store busy.
@@ -1006,14 +1148,16 @@
         };
         Row {
             key: engine_key(&format!("other-{at}")).into(),
-            version: 9,
+            version: 9.into(),
             value: Some(serde_json::to_vec(&holder).unwrap().into()),
         }
     });
     let rows: Vec<Row> = rows.collect();
     let read_at = |process| {
         let mut single = SingleHost::new(40, process);
-        single.holding.on_table_read(Some(&rows), 1, single.now);
+        single
+            .holding
+            .on_table_read(Some(&batch(rows.to_vec())), 1, single.now);
         let batches = single.takes();
         assert_eq!(batches.len(), 1);
         single.holding.on_take_outcome_unknown(single.now);
@@ -1049,13 +1193,15 @@
         for action in decide(&mut holding, now) {
             let term = holding.lease().term();
             match action {
-                AssignmentAction::ReadTable => holding.on_table_read(Some(&[]), term, now),
-                AssignmentAction::Renew { .. } => holding.on_renewed(now, Some(1), now),
+                AssignmentAction::ReadTable => {
+                    holding.on_table_read(Some(&batch(Vec::new())), term, now)
+                }
+                AssignmentAction::Renew { .. } => holding.on_renewed(now, Some(1.into()), now),
                 AssignmentAction::CheckLeases { .. } => holding.on_leases_checked(None, now),
                 AssignmentAction::Take { engines, .. } => {
                     let is_first = |taken: &TakenEngine| taken.target == "engine-0";
                     let first: Vec<TakenEngine> = engines.into_iter().filter(is_first).collect();
-                    holding.on_taken(&first, 2, term);
+                    holding.on_taken(&first, 2.into(), term, now);
                 }
             }
         }
@@ -1063,7 +1209,7 @@
     let held_at = start + Duration::from_secs(4);
     assert!(holding.held_engine("engine-0", held_at).is_some());
     let back_at = start + Duration::from_secs(30);
-    holding.on_renewed(back_at, Some(9), back_at);
+    holding.on_renewed(back_at, Some(9.into()), back_at);
     let other = TakenEngine {
         target: "engine-1".to_string(),
         fence: 1,
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -644,7 +644,7 @@
     table.on_heard(&rumor(3, RumorState::Alive, 5), start);
     table.on_tick(start);
     assert_eq!(table.known_count(), 7);
-    assert_eq!(table.local_rumor(Vec::new(), 0, true).counted, 4);
+    assert_eq!(table.local_rumor(Vec::new(), 0.into(), true).counted, 4);
     table.on_heard(&rumor(1, RumorState::Alive, 4), start + ms(50));
     assert_eq!(table.known_count(), 5);
 }
--- a/tests/table_replica.rs
+++ b/tests/table_replica.rs
@@ -31,7 +31,7 @@
 ) -> Row {
     Row {
         key: key.into(),
-        version,
+        version: version.into(),
         value: value.map(|value| value.as_bytes().into()),
     }
 }
@@ -42,7 +42,7 @@
 ) -> RowBatch {
     RowBatch {
         rows,
-        version,
+        version: version.into(),
         more: false,
     }
 }
@@ -100,7 +100,7 @@
     let changed = replica.apply_snapshot(batch(5, vec![row("b", 2, Some("y"))]), now, fingerprint);
     assert_eq!(changed, [row("a", 5, None)]);
     assert_eq!(values(&replica).len(), 1);
-    let changes = replica.changes_since(4);
+    let changes = replica.changes_since(4.into());
     assert!(changes.is_full || changes.rows.contains(&row("a", 5, None)));
 }
 
@@ -122,7 +122,7 @@
         false => replica.digest() + 1,
     };
     let later = now + ms(300);
-    assert_eq!(replica.compare(version, digest, later), expected);
+    assert_eq!(replica.compare(version.into(), digest, later), expected);
     let staleness = match expected {
         Comparison::Same => Duration::ZERO,
         _ => ms(300),
@@ -196,7 +196,11 @@
         rows
     };
     if replica.is_known() && rng.random_bool(0.8) {
-        replica.apply_changes(batch(version, rows(replica.version())), now, fingerprint);
+        replica.apply_changes(
+            batch(version, rows(replica.version().number)),
+            now,
+            fingerprint,
+        );
         return;
     }
     let live = rows(0).into_iter().filter(|row| row.value.is_some());
@@ -220,13 +224,13 @@
     }
     let since = match replicas[host].is_known() {
         true => replicas[host].version(),
-        false => 0,
+        false => 0.into(),
     };
     let changes = replicas[from].changes_since(since);
     let is_full = changes.is_full;
     let (_, same) = replicas[host].apply_host_changes(changes, confirmed_at, fingerprint);
     if !same && !is_full {
-        let changes = replicas[from].changes_since(0);
+        let changes = replicas[from].changes_since(0.into());
         let (_, same) = replicas[host].apply_host_changes(changes, confirmed_at, fingerprint);
         assert!(same, "digests differ after a full snapshot");
     }
--- a/tests/table_transfer.rs
+++ b/tests/table_transfer.rs
@@ -20,7 +20,7 @@
 fn changes(rows: Vec<Row>) -> TableChanges {
     TableChanges {
         rows,
-        version: 9,
+        version: 9.into(),
         digest: 7,
         is_full: false,
     }
@@ -32,7 +32,7 @@
 ) -> Row {
     Row {
         key: key.into(),
-        version: 3,
+        version: 3.into(),
         value: value.map(Into::into),
     }
 }
@@ -94,7 +94,7 @@
 /// The duration of a transfer must not make a replica appear newer than it is.
 #[test]
 fn the_time_on_its_way_makes_no_copy_newer() {
-    let transfer = CopyTransfer::begin(TableName::Targets, CopySource::Store, 0);
+    let transfer = CopyTransfer::begin(TableName::Targets, CopySource::Store, 0.into());
     let begun = Instant::now();
     std::thread::sleep(Duration::from_millis(20));
     assert!(transfer.right_at(AGE).unwrap() <= begun - AGE);
