A target known as gone is not used as soon as a restored store lists it again

Cause: the copy that a store comes back from holds entries of targets that had left since. A target that vanished and is back within one era is used as before.

--- a/src/process/host/control_targets.rs
+++ b/src/process/host/control_targets.rs
@@ -29,7 +29,9 @@
             return Vec::new();
         }
         match self.formats.target_record(row) {
-            Ok(record) => self.apply_target_record(record, row_changes.source, now),
+            Ok(record) => {
+                self.apply_target_record(record, row.version.era, row_changes.source, now)
+            }
             Err(problem) => {
                 self.on_invalid_entry(&row.key, &problem.to_string());
                 Vec::new()
@@ -44,9 +46,11 @@
         now: Instant,
     ) {
         let until = self.usable_until(&row_changes.before, now);
+        self.returned_targets.remove(&row.key);
         if let Some(target) = self.targets.get_mut(&*row.key) {
             // A leaving target is out of use already.
             target.usable_until.get_or_insert(until);
+            target.vanished_in = Some(row.version.era);
             note!(
                 Event::TargetVanished,
                 target = row.key,
@@ -55,10 +59,30 @@
         }
     }
 
-    /// Handles a readable entry of a target.
+    /// Lists the targets whose entries a restored store has shown for long enough.
+    pub(super) fn list_returned(
+        &mut self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
+        for id in self.returned_targets.take_confirmed(now) {
+            self.removed_targets.forget(&id);
+            let row = self.listed.replica.row(&id);
+            let era = row.map_or(0, |row| row.version.era);
+            let record = row.and_then(|row| self.formats.target_record(row).ok());
+            if let Some(record) = record {
+                actions.extend(self.apply_target_record(record, era, "store", now));
+                self.changed = true;
+            }
+        }
+        actions
+    }
+
+    /// Handles a readable entry of a target, as of an era of the store.
     fn apply_target_record(
         &mut self,
         record: TargetRecord,
+        era: u32,
         source: &str,
         now: Instant,
     ) -> Vec<ControlAction> {
@@ -66,7 +90,18 @@
         let known = self.targets.get(&id);
         let known = known.or_else(|| self.removed_targets.get(&id));
         let entry_order = known.map_or(EntryOrder::Current, |known| known.compare(&record));
+        let is_returned = known.is_some_and(|known| known.is_returned_in(era, &record));
         match entry_order {
+            EntryOrder::Current if is_returned => {
+                note!(
+                    Event::TargetEntryLate,
+                    target = id,
+                    started = incarnation_label(record.started),
+                    source = source
+                );
+                self.returned_targets.insert(&id, now);
+                return Vec::new();
+            }
             EntryOrder::Current => {}
             EntryOrder::Restarted { before } => {
                 note!(
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -3,7 +3,8 @@
         ControlAction, ControlEvent, TableName, control_notices::NoticeState,
         control_places::AllocatedSlots, control_poison::PoisonState, control_quotas::ShardLedger,
         listed_target::ListedTarget, removed_targets::RemovedTargets,
-        taker_selection::TakerSelection, unclaimed_engines::UnclaimedEngines,
+        returned_targets::ReturnedTargets, taker_selection::TakerSelection,
+        unclaimed_engines::UnclaimedEngines,
     },
     crate::{
         clock::Instant,
@@ -95,6 +96,8 @@
     pub(super) targets: BTreeMap<String, ListedTarget>,
     /// Targets that are no longer used, retained to recognize entries that arrive late.
     pub(super) removed_targets: RemovedTargets,
+    /// Targets known as gone that a restored store lists again.
+    pub(super) returned_targets: ReturnedTargets,
     /// The engines among the targets; `None` once targets or the configuration have changed.
     pub(super) engines: Option<Arc<BTreeMap<String, String>>>,
     /// Engines that no responsive host holds.
@@ -190,6 +193,7 @@
             shared: SharedAllocatorState::new(policy),
             targets: BTreeMap::new(),
             removed_targets: RemovedTargets::default(),
+            returned_targets: ReturnedTargets::default(),
             engines: None,
             open_engines: UnclaimedEngines::default(),
             takers: TakerSelection::default(),
@@ -338,6 +342,7 @@
         actions.extend(self.tick_hosts(now));
         actions.extend(self.start_table_reads(now));
         self.remove_vanished(now);
+        actions.extend(self.list_returned(now));
         actions.extend(self.take_freshness_update());
         actions.extend(self.announce_read(now));
         actions.extend(self.tick_engines(now));
--- a/src/process/host/listed_target.rs
+++ b/src/process/host/listed_target.rs
@@ -13,6 +13,8 @@
     pub record: Arc<TargetRecord>,
     /// When use of the target ends, if its entry has vanished without notice.
     pub usable_until: Option<Instant>,
+    /// Era of the store in which the entry vanished without notice.
+    pub vanished_in: Option<u32>,
     /// Set if the current entry is not valid.
     pub is_entry_invalid: bool,
 }
@@ -35,6 +37,7 @@
         Self {
             record: Arc::new(record),
             usable_until: None,
+            vanished_in: None,
             is_entry_invalid: false,
         }
     }
@@ -58,6 +61,16 @@
         }
     }
 
+    /// Returns true if an entry of this era shows a target as ready that was known as gone in an earlier era: it may stand in the
+    /// copy that the store was restored from alone.
+    pub fn is_returned_in(
+        &self,
+        era: u32,
+        record: &TargetRecord,
+    ) -> bool {
+        record.state == TargetState::Ready && self.vanished_in.is_some_and(|before| before < era)
+    }
+
     /// Returns true if the target accepts new requests.
     pub fn is_usable(&self) -> bool {
         !self.is_entry_invalid && !self.is_leaving()
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -26,6 +26,7 @@
 mod poison_rows;
 mod public_pages;
 mod removed_targets;
+mod returned_targets;
 mod send_allowance;
 mod taker_selection;
 mod traffic;
--- a/src/process/host/removed_targets.rs
+++ b/src/process/host/removed_targets.rs
@@ -38,6 +38,13 @@
         );
     }
 
+    pub fn forget(
+        &mut self,
+        id: &str,
+    ) {
+        self.by_id.remove(id);
+    }
+
     pub fn get(
         &self,
         id: &str,
--- a/src/process/tables/table_replica.rs
+++ b/src/process/tables/table_replica.rs
@@ -84,6 +84,15 @@
         rows.filter(|row| row.value.is_some())
     }
 
+    /// Returns a row that has a value.
+    pub fn row(
+        &self,
+        key: &str,
+    ) -> Option<&Row> {
+        let row = &self.rows.get(key)?.row;
+        row.value.is_some().then_some(row)
+    }
+
     /// Applies changes that were requested from the store at `requested_at`; returns the rows whose meaning
     /// changed.
     ///
