coveproxyd keeps owners and the configuration as its table comes back from an older copy

The daemon took sequence numbers for states of the table: rows of a restored table with lower numbers were passed over for good, a row of the copy that named this host made it the owner again although another had taken the target since, a lost row let anybody take the target at once, and the head of the configuration stayed at an older revision for whoever started anew. Change: HttpTable reads the era and gives versions that hold it, so that their order, the fences and the watch of sessions go by era first; a scan since a number of another era reads all. A row tells the era in which it was written; one of an earlier era makes nobody an owner. An owner takes its targets again within its lease from before, and gives them up at its end; nobody else takes a target without a row of this era for a lease and its margin. Hosts that know a newer revision than the table names write its head again, and its object if that is lost (event 404).

--- a/src/connection/platform/mod.rs
+++ b/src/connection/platform/mod.rs
@@ -15,7 +15,7 @@
     http_call::HttpCall,
     http_host_list::HttpHostList,
     http_object_store::HttpObjectStore,
-    http_table::HttpTable,
+    http_table::{ERA_HEADER, HttpTable},
     http_weight_store::HttpWeightStore,
     object_store::ObjectStore,
     table::{Commit, Condition, Row, RowScan, Table, Transaction, Write},
--- a/src/connection/platform/table.rs
+++ b/src/connection/platform/table.rs
@@ -9,7 +9,8 @@
     pub key: String,
     /// The text stored; empty in a scan's mark of a deleted row.
     pub value: String,
-    /// Sequence number of the transaction that wrote the row; grows with each write.
+    /// Sequence number of the transaction that wrote the row, as the bits of a `StoreVersion`; grows with each write, and with
+    /// each era of the table.
     pub version: u64,
     /// True in a scan for a row that was deleted.
     #[serde(default)]
@@ -81,9 +82,12 @@
 /// Rows written after a known sequence number.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowScan {
-    /// Sequence number that the scan is as of.
+    /// Sequence number that the scan is as of, as the bits of a `StoreVersion`.
     pub sequence: u64,
     pub rows: Vec<Row>,
+    /// These are all rows: one that is missing does not exist, or no longer.
+    #[serde(default)]
+    pub is_whole: bool,
 }
 
 /// The platform's transactional table.
@@ -94,7 +98,8 @@
         key: &str,
     ) -> Result<Option<Row>, PlatformError>;
 
-    /// Reads the rows under any of `prefixes` that were written or deleted after `since`.
+    /// Reads the rows under any of `prefixes` that were written or deleted after `since`, or all of them if the table has come
+    /// back from an older copy and no longer knows.
     fn scan(
         &self,
         prefixes: &[&str],
--- a/src/process/control/control_ownership.rs
+++ b/src/process/control/control_ownership.rs
@@ -12,7 +12,7 @@
             target::EngineOrder,
         },
         process::{
-            ownership::{OWNER_PREFIX, OwnerChange, OwnerRow},
+            ownership::{OWNER_PREFIX, OwnerChange, OwnerRow, era_of},
             target::TargetState,
         },
         timeline::Event,
@@ -34,10 +34,15 @@
             return Vec::new();
         }
         let term = self.lease.term();
-        let actions = self
+        let mut actions = Vec::new();
+        for target in self.ownership.take_lost(now) {
+            actions.extend(self.on_owner_change(&target, OwnerChange::Lost, now));
+        }
+        let decided = self
             .ownership
             .decide(&self.config, &self.membership, term, now);
-        actions.into_iter().map(Action::Ownership).collect()
+        actions.extend(decided.into_iter().map(Action::Ownership));
+        actions
     }
 
     pub(super) fn on_fenced_off(
@@ -64,6 +69,10 @@
         self.table_failures = 0;
         self.table_read = true;
         let mut actions = Vec::new();
+        let era = era_of(scan.sequence);
+        if self.ownership.on_era(era, self.lease.expires_at(), now) {
+            self.log.note(Event::StoreRestored, &[("era", &era)]);
+        }
         for row in scan.rows {
             actions.extend(self.on_table_row(row, term, now));
         }
--- a/src/process/control/control_view.rs
+++ b/src/process/control/control_view.rs
@@ -91,9 +91,11 @@
             session: row.session,
             fence,
         };
+        let rows = self.ownership.rows();
+        let current = rows.filter(|(_, version, row)| row.is_current(*version));
         wire::SnapshotReply {
             config: config.into(),
-            owners: self.ownership.rows().map(owner).collect(),
+            owners: current.map(owner).collect(),
         }
     }
 
--- a/src/process/node/action_runner.rs
+++ b/src/process/node/action_runner.rs
@@ -13,7 +13,7 @@
             loads::{LoadRequest, LoadRequestId},
             membership::{Heartbeat, MembershipAction, Rumor},
             ownership::{
-                OwnerRow, OwnershipAction, SessionLease, SessionRow, owner_key, session_key,
+                OwnerRow, OwnershipAction, SessionLease, SessionRow, era_of, owner_key, session_key,
             },
         },
         timeline::{Event, EventLog},
@@ -142,20 +142,27 @@
             OwnershipAction::Take {
                 target,
                 expected_version,
+                era,
             } => {
                 let row = OwnerRow {
                     host: runner.me.clone(),
                     session: runner.session,
+                    era,
                 };
                 runner.commit_owner(&target, expected_version, row);
             }
             OwnershipAction::HandOver {
                 target,
                 expected_version,
+                era,
                 to,
                 session,
             } => {
-                let row = OwnerRow { host: to, session };
+                let row = OwnerRow {
+                    host: to,
+                    session,
+                    era,
+                };
                 runner.commit_owner(&target, expected_version, row);
             }
             OwnershipAction::WatchSession { host } => runner.read_session(host),
@@ -435,6 +442,7 @@
                 row: OwnerRow {
                     host: entry.host,
                     session: entry.session,
+                    era: era_of(entry.fence),
                 },
                 // What another host remembers proves no term of this one's lease.
                 term: NO_TERM,
--- a/src/process/node/platform_poller.rs
+++ b/src/process/node/platform_poller.rs
@@ -87,6 +87,10 @@
             return self.control.input(Input::TableFailed);
         };
         self.sequence = scan.sequence;
+        let names_head = scan.rows.iter().any(|row| row.key == CONFIG_HEAD_KEY);
+        if scan.is_whole && !names_head {
+            let _ = self.heads.send(ConfigHead::default());
+        }
         for row in &scan.rows {
             if row.key == CONFIG_HEAD_KEY
                 && let Ok(head) = ConfigHead::from_row(row)
--- a/src/process/ownership/mod.rs
+++ b/src/process/ownership/mod.rs
@@ -8,7 +8,9 @@
 
 pub use {
     assignment::{assign, rank},
-    owner_row::{OWNER_PREFIX, OwnerRow, SESSION_PREFIX, SessionRow, owner_key, session_key},
+    owner_row::{
+        OWNER_PREFIX, OwnerRow, SESSION_PREFIX, SessionRow, era_of, owner_key, session_key,
+    },
     ownership::{OwnedTarget, OwnerChange, Ownership, OwnershipAction},
     session_lease::SessionLease,
     session_watch::SessionWatch,
--- a/src/process/ownership/owner_row.rs
+++ b/src/process/ownership/owner_row.rs
@@ -1,4 +1,7 @@
-use serde::{Deserialize, Serialize};
+use {
+    crate::formats::StoreVersion,
+    serde::{Deserialize, Serialize},
+};
 
 /// Key prefix of the rows that name the owner of a target.
 pub const OWNER_PREFIX: &str = "owner/";
@@ -22,6 +25,25 @@
     pub host: String,
     /// The session of the owning process.
     pub session: u64,
+    /// Era of the table in which the row was written.
+    #[serde(default)]
+    pub era: u32,
+}
+
+impl OwnerRow {
+    /// Returns true if the row, read at this version, was written in the era of that version. A row of an earlier era stands in
+    /// the copy that the table came back from, and its target may have been taken by another host since.
+    pub fn is_current(
+        &self,
+        version: u64,
+    ) -> bool {
+        self.era == era_of(version)
+    }
+}
+
+/// Returns the era of the table in which a row had this version.
+pub fn era_of(version: u64) -> u32 {
+    StoreVersion::from_bits(version).era
 }
 
 /// The value of a row `session/<host>`; each renewal gives the row a new version.
--- a/src/process/ownership/ownership.rs
+++ b/src/process/ownership/ownership.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OwnerRow, SessionWatch, assign},
+    super::{OwnerRow, SessionWatch, assign, owner_row::era_of},
     crate::{
         clock::Instant,
         process::membership::{Liveness, Membership},
@@ -22,6 +22,9 @@
     /// Lease term in which the target was acquired.
     pub term: u64,
     pub since: Instant,
+    /// When the target is lost unless it is taken again, as the table came back from an older copy; `None` if the table holds
+    /// this host's row.
+    pub held_until: Option<Instant>,
 }
 
 /// The latest known state of an ownership row.
@@ -38,11 +41,13 @@
     Take {
         target: String,
         expected_version: u64,
+        era: u32,
     },
     /// Writes another host as owner if the row still has version `expected_version`.
     HandOver {
         target: String,
         expected_version: u64,
+        era: u32,
         to: String,
         session: u64,
     },
@@ -61,6 +66,10 @@
     /// Start of the transaction in flight, by target.
     pending: BTreeMap<String, Instant>,
     watch: SessionWatch,
+    /// Era of the table; `None` before the first look at it.
+    era: Option<u32>,
+    /// When this process learned that rows may be missing or outdated, as the table came back from an older copy.
+    restored_at: Option<Instant>,
     /// The host that each target is assigned to.
     assigned: BTreeMap<String, String>,
     /// Configuration revision and hosts that the assignment was computed for.
@@ -86,6 +95,8 @@
             owned: BTreeMap::new(),
             pending: BTreeMap::new(),
             watch: SessionWatch::default(),
+            era: None,
+            restored_at: None,
             assigned: BTreeMap::new(),
             assigned_for: (0, Vec::new()),
             misplaced_since: BTreeMap::new(),
@@ -114,6 +125,43 @@
             .map(|(target, known)| (target, known.version, &known.row))
     }
 
+    /// Records the era of a look at the table; returns true if the table came back from an older copy since the last one.
+    ///
+    /// Targets owned here are lost at `held_until`, the end of the lease, unless they are taken again before.
+    pub fn on_era(
+        &mut self,
+        era: u32,
+        held_until: Instant,
+        now: Instant,
+    ) -> bool {
+        let known = *self.era.get_or_insert(era);
+        if era <= known {
+            return false;
+        }
+        self.era = Some(era);
+        self.restored_at = Some(now);
+        self.rows.clear();
+        self.pending.clear();
+        for owned in self.owned.values_mut() {
+            owned.held_until.get_or_insert(held_until);
+        }
+        true
+    }
+
+    /// Gives up the targets that were not taken again in time; returns them.
+    pub fn take_lost(
+        &mut self,
+        now: Instant,
+    ) -> Vec<String> {
+        let is_lost = |owned: &OwnedTarget| owned.held_until.is_some_and(|until| now >= until);
+        let lost = self.owned.iter().filter(|(_, owned)| is_lost(owned));
+        let lost: Vec<String> = lost.map(|(target, _)| target.clone()).collect();
+        for target in &lost {
+            self.owned.remove(target);
+        }
+        lost
+    }
+
     /// Records a row that was read or written; returns whether this process gained or lost the target.
     pub fn on_row(
         &mut self,
@@ -124,10 +172,16 @@
         now: Instant,
     ) -> Option<OwnerChange> {
         let old = self.rows.get(target).map_or(0, |known| known.version);
-        if version <= old {
+        if version <= old || self.era.is_some_and(|era| era_of(version) < era) {
             return None;
         }
         self.pending.remove(target);
+        if !row.is_current(version) {
+            self.restored_at.get_or_insert(now);
+            self.rows
+                .insert(target.to_string(), KnownRow { version, row });
+            return None;
+        }
         let ours = row.host == self.local_host && row.session == self.session;
         self.rows
             .insert(target.to_string(), KnownRow { version, row });
@@ -137,6 +191,7 @@
                     fence: version,
                     term,
                     since: now,
+                    held_until: None,
                 };
                 self.owned.insert(target.to_string(), owned);
                 Some(OwnerChange::Gained)
@@ -197,11 +252,17 @@
         let assigned = std::mem::take(&mut self.assigned);
         let mut actions = Vec::new();
         let mut handovers = 0;
+        let era = self.era.unwrap_or_default();
         for (target, host) in &assigned {
             if self.pending.contains_key(target) {
                 continue;
             }
             let action = match self.owned.get(target) {
+                Some(owned) if owned.held_until.is_some() => Some(OwnershipAction::Take {
+                    target: target.to_string(),
+                    expected_version: self.rows.get(target).map_or(0, |known| known.version),
+                    era,
+                }),
                 Some(owned)
                     if *host != self.local_host && handovers < MAX_HANDOVERS_PER_DECISION =>
                 {
@@ -214,6 +275,7 @@
                     Some(OwnershipAction::Take {
                         target: target.to_string(),
                         expected_version,
+                        era,
                     })
                 }
                 Some(_) => {
@@ -267,10 +329,13 @@
         target: &str,
     ) -> Option<OwnershipAction> {
         let known = self.rows.get(target)?;
-        let is_earlier = known.row.host == self.local_host && known.row.session != self.session;
+        let is_earlier = known.row.host == self.local_host
+            && known.row.session != self.session
+            && known.row.is_current(known.version);
         is_earlier.then(|| OwnershipAction::Take {
             target: target.to_string(),
             expected_version: known.version,
+            era: self.era.unwrap_or_default(),
         })
     }
 
@@ -282,12 +347,17 @@
         membership: &Membership,
         now: Instant,
     ) -> Option<OwnershipAction> {
+        let era = self.era.unwrap_or_default();
         let take = |expected_version| OwnershipAction::Take {
             target: target.to_string(),
             expected_version,
+            era,
         };
-        let Some(known) = self.rows.get(target) else {
-            return Some(take(0));
+        let known = self.rows.get(target);
+        let Some(known) = known.filter(|known| known.row.is_current(known.version)) else {
+            // Whoever owned it before the table came back has taken it again by then, or gives no more orders.
+            let version = known.map_or(0, |known| known.version);
+            return self.has_settled(now).then(|| take(version));
         };
         // The row names an earlier process of this host, which has exited.
         if known.row.host == self.local_host {
@@ -308,6 +378,15 @@
         Some(OwnershipAction::WatchSession { host })
     }
 
+    /// Returns true once all leases from before a restoration of the table have ended.
+    fn has_settled(
+        &self,
+        now: Instant,
+    ) -> bool {
+        self.restored_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.lapse_wait)
+    }
+
     /// Hands a target over to a live host once the delay has elapsed, or at once during shutdown.
     fn hand_over(
         &mut self,
@@ -333,6 +412,7 @@
         Some(OwnershipAction::HandOver {
             target: target.to_string(),
             expected_version: fence,
+            era: self.era.unwrap_or_default(),
             to: to.to_string(),
             session: member.session,
         })
--- a/src/standin/platform/platform_standin.rs
+++ b/src/standin/platform/platform_standin.rs
@@ -4,7 +4,7 @@
         clock::Instant,
         connection::{
             caller::DropConnection,
-            platform::{ListedHost, Transaction, WeightStoreHealth},
+            platform::{ERA_HEADER, ListedHost, Transaction, WeightStoreHealth},
         },
         standin::StandinServer,
     },
@@ -121,6 +121,19 @@
         self.state.fetches.done()
     }
 
+    /// What the table holds now.
+    pub fn table_copy(&self) -> TableRows {
+        lock(&self.state.table).clone()
+    }
+
+    /// The table comes back from an older copy.
+    pub fn restore_table(
+        &self,
+        copy: &TableRows,
+    ) {
+        lock(&self.state.table).restore(copy);
+    }
+
     /// Calls that the table has taken.
     pub fn table_calls(&self) -> TableCalls {
         *lock(&self.state.calls)
@@ -190,11 +203,12 @@
         return fault;
     }
     lock(&state.calls).reads += 1;
-    let row = lock(&state.table).get(&query.key);
-    match row {
+    let table = lock(&state.table);
+    let answer = match table.get(&query.key) {
         Some(row) => Json(row).into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
-    }
+    };
+    in_era(table.era(), answer)
 }
 
 async fn table_rows(
@@ -206,8 +220,12 @@
     }
     lock(&state.calls).reads += 1;
     let prefixes: Vec<&str> = query.prefixes.split(',').collect();
-    let scan = lock(&state.table).scan(&prefixes, query.since);
-    Json(scan).into_response()
+    let table = lock(&state.table);
+    let answer = match table.scan(&prefixes, query.since) {
+        Some(scan) => Json(scan).into_response(),
+        None => StatusCode::GONE.into_response(),
+    };
+    in_era(table.era(), answer)
 }
 
 async fn table_transact(
@@ -218,11 +236,23 @@
         return fault;
     }
     lock(&state.calls).writes += 1;
-    let commit = lock(&state.table).transact(&transaction);
+    let (commit, era) = {
+        let mut table = lock(&state.table);
+        (table.transact(&transaction), table.era())
+    };
     if state.loses_reply() {
         return dropped();
     }
-    Json(commit).into_response()
+    in_era(era, Json(commit).into_response())
+}
+
+/// Names the table's era in an answer.
+fn in_era(
+    era: u32,
+    mut answer: Response,
+) -> Response {
+    answer.headers_mut().insert(ERA_HEADER, era.into());
+    answer
 }
 
 async fn object_put(
--- a/src/standin/platform/table_rows.rs
+++ b/src/standin/platform/table_rows.rs
@@ -4,13 +4,30 @@
 };
 
 /// The rows of the table, with marks of the deleted ones.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct TableRows {
+    /// Rises by one with each restoration.
+    era: u32,
     sequence: u64,
     rows: BTreeMap<String, Row>,
 }
 
 impl TableRows {
+    pub fn era(&self) -> u32 {
+        self.era
+    }
+
+    /// Comes back from an older copy: what was written since is gone, and its sequence numbers are given out again.
+    pub fn restore(
+        &mut self,
+        copy: &Self,
+    ) {
+        *self = Self {
+            era: self.era + 1,
+            ..copy.clone()
+        };
+    }
+
     pub fn get(
         &self,
         key: &str,
@@ -18,20 +35,25 @@
         self.rows.get(key).filter(|row| !row.deleted).cloned()
     }
 
+    /// Returns the rows that were written or deleted after `since`; `None` if there is no such number yet.
     pub fn scan(
         &self,
         prefixes: &[&str],
         since: u64,
-    ) -> RowScan {
+    ) -> Option<RowScan> {
+        if since > self.sequence {
+            return None;
+        }
         let wanted = |row: &&Row| {
             let under = prefixes.iter().any(|prefix| row.key.starts_with(prefix));
             let news = row.version > since;
             under && news && (since > 0 || !row.deleted)
         };
-        RowScan {
+        Some(RowScan {
             sequence: self.sequence,
             rows: self.rows.values().filter(wanted).cloned().collect(),
-        }
+            is_whole: since == 0,
+        })
     }
 
     pub fn transact(
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -79,6 +79,7 @@
     ConfigApplied = 401 "config_applied" Info,
     ConfigUnreadable = 402 "config_unreadable" Warn,
     AdapterVersionSeen = 403 "adapter_version_seen" Info,
+    ConfigRestored = 404 "config_restored" Warn,
     LoadOrdered = 501 "load_ordered" Info,
     LoadDone = 502 "load_done" Info,
     LoadFailed = 503 "load_failed" Warn,
--- a/src/version/config_store.rs
+++ b/src/version/config_store.rs
@@ -14,6 +14,9 @@
 /// The table row that names the newest revision.
 pub const CONFIG_HEAD_KEY: &str = "config/head";
 
+/// Stands for operator and operation in a revision whose body was lost and written again.
+const RESTORED: &str = "restored";
+
 /// Every so many revisions the body holds the whole configuration.
 const WHOLE_EVERY: u64 = 64;
 
@@ -21,7 +24,7 @@
 const SETTLE_TRIES: usize = 5;
 
 /// The value of the row `config/head`.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ConfigHead {
     pub revision: u64,
     /// Object name of the revision's body.
@@ -128,6 +131,35 @@
         Ok(next)
     }
 
+    /// Writes the head of a known configuration again, as the platform has come back from an older copy without it.
+    ///
+    /// Does nothing if the table names this revision or a newer one by now.
+    pub fn restore(
+        &self,
+        head: &ConfigHead,
+        config: &SiteConfig,
+    ) -> Result<(), ConfigError> {
+        let found = self.head()?;
+        if found
+            .as_ref()
+            .is_some_and(|(found, _)| found.revision >= head.revision)
+        {
+            return Ok(());
+        }
+        if self.objects.get(&head.object)?.is_none() {
+            let body = RevisionBody {
+                revision: config.revision,
+                previous: None,
+                operation: RESTORED.to_string(),
+                operator: RESTORED.to_string(),
+                committed_ms: wall_clock_ms(),
+                content: RevisionContent::Whole(config.clone()),
+            };
+            self.objects.put(&head.object, &to_json(&body))?;
+        }
+        self.commit_head(head, found.map_or(0, |(_, row)| row.version))
+    }
+
     fn commit_head(
         &self,
         head: &ConfigHead,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -8,6 +8,7 @@
             target::{AdapterReport, AdapterState, EngineOrder, EngineReport},
         },
         errors::TargetError,
+        formats::StoreVersion,
         process::{
             loads::{LoadDecision, LoadQueue, LoadRequest, LoadRequestId},
             membership::{Heartbeat, ListingChange, Liveness, Membership, MembershipAction, Rumor},
@@ -590,6 +591,7 @@
     OwnerRow {
         host: host.into(),
         session,
+        era: 0,
     }
 }
 
@@ -660,6 +662,7 @@
     let take = OwnershipAction::Take {
         target: "t".into(),
         expected_version: 3,
+        era: 0,
     };
     assert_eq!(ownership.decide(&config, &membership, 1, now), [take]);
     ownership.on_row("t", 4, row("a", 10), 1, now);
@@ -672,6 +675,86 @@
     );
 }
 
+/// The version of a row after the table came back from an older copy for the first time.
+fn restored(number: u64) -> u64 {
+    StoreVersion::new(1, number).to_bits()
+}
+
+fn row_of_era(
+    host: &str,
+    session: u64,
+    era: u32,
+) -> OwnerRow {
+    OwnerRow {
+        era,
+        ..row(host, session)
+    }
+}
+
+/// The row was lost, or names a former owner: the owner takes its target again, and gives it up at the end of its lease.
+#[rstest]
+#[case::row_is_lost(None, 0)]
+#[case::row_names_a_former_owner(Some("b"), restored(2))]
+fn an_owner_takes_its_target_again_from_a_restored_table(
+    #[case] former: Option<&str>,
+    #[case] expected_version: u64,
+) {
+    let now = Instant::now();
+    let mut membership = members(&["b"], now);
+    membership.on_host_list(vec![listed("a"), listed("b")], now);
+    let config = site(&["t"], false);
+    let lease_end = now + ms(1_500);
+    let restore = || {
+        let mut ownership = Ownership::new("a", 10, ms(2_000));
+        ownership.on_era(0, lease_end, now);
+        ownership.on_row("t", 5, row("a", 10), 1, now);
+        assert!(ownership.on_era(1, lease_end, now));
+        if let Some(former) = former {
+            let row = row_of_era(former, 7, 0);
+            assert_eq!(ownership.on_row("t", restored(2), row, 1, now), None);
+        }
+        ownership
+    };
+    let take = OwnershipAction::Take {
+        target: "t".into(),
+        expected_version,
+        era: 1,
+    };
+    let mut ownership = restore();
+    assert_eq!(ownership.decide(&config, &membership, 1, now), [take]);
+    let gained = ownership.on_row("t", restored(9), row_of_era("a", 10, 1), 1, now);
+    assert_eq!(gained, Some(OwnerChange::Gained));
+    assert!(ownership.take_lost(lease_end).is_empty());
+    let mut ownership = restore();
+    assert_eq!(ownership.take_lost(lease_end), ["t"]);
+}
+
+/// Whoever owned the target before the table came back may give orders until its lease ends.
+#[rstest]
+#[case::row_is_lost(None)]
+#[case::row_names_this_host(Some("a"))]
+#[case::row_names_a_host_that_is_gone(Some("b"))]
+fn nobody_else_takes_a_target_from_a_restored_table_before_a_lease_has_lapsed(
+    #[case] former: Option<&str>
+) {
+    let now = Instant::now();
+    let mut membership = members(&["b"], now);
+    membership.on_host_list(vec![listed("a"), listed("b")], now);
+    membership.on_rumor(&dead("b"), now);
+    let config = site(&["t"], true);
+    let mut ownership = Ownership::new("a", 10, ms(2_000));
+    ownership.on_era(0, now, now);
+    ownership.on_era(1, now, now);
+    if let Some(former) = former {
+        ownership.on_row("t", restored(2), row_of_era(former, 10, 0), 1, now);
+    }
+    assert!(ownership.owned().is_empty());
+    let early = ownership.decide(&config, &membership, 1, now + ms(1_900));
+    assert!(!early.iter().any(is_take), "{early:?}");
+    let late = ownership.decide(&config, &membership, 1, now + ms(2_000));
+    assert!(late.iter().any(is_take), "{late:?}");
+}
+
 fn leaving(host: &str) -> Rumor {
     Rumor {
         host: host.into(),
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -21,6 +21,9 @@
 /// Longer than a lease and its margin in the bed.
 const PAST_LEASE: Duration = Duration::from_millis(2500);
 
+/// Time for which the table is away before it is back from a copy.
+const TABLE_AWAY: Duration = Duration::from_millis(700);
+
 /// First attempts, each under a key of its own, until one must have been answered.
 const FIRST_ATTEMPTS: usize = 200;
 
@@ -78,6 +81,7 @@
     SeatsLinkCut,
     SeatsUnreachable,
     OperatorsRace,
+    TableRestored,
 }
 
 use Fault::*;
@@ -90,6 +94,7 @@
     ) {
         match self {
             TableDown => set_platform(bed, |f| f.table_down = true),
+            TableRestored => restore_table(bed).await,
             TableSlow => set_platform(bed, |f| f.table_slow_ms = 200),
             TableLosesReplies => set_platform(bed, |f| f.lose_replies = 12),
             ObjectsDown => set_platform(bed, |f| f.objects_down = true),
@@ -235,6 +240,25 @@
     bed.platform.set_faults(faults);
 }
 
+/// The table is away for a moment and comes back from a copy without the last changes of owners and configuration.
+async fn restore_table(bed: &mut Bed) {
+    let copy = bed.platform.table_copy();
+    let owner = bed.owner("engine-0").await;
+    bed.hosts[owner].kill();
+    let change = Change::SetOutfitter {
+        name: "restored".into(),
+        spec: coveproxy::version::OutfitterSpec { worth: 2.0 },
+    };
+    let seen = bed.config().await;
+    bed.commit(&seen, vec![change]).await;
+    tokio::time::sleep(PAST_LEASE).await;
+    bed.hosts[owner].start();
+    set_platform(bed, |f| f.table_down = true);
+    tokio::time::sleep(TABLE_AWAY).await;
+    bed.platform.restore_table(&copy);
+    set_platform(bed, |f| f.table_down = false);
+}
+
 fn set_engines(
     bed: &Bed,
     set: impl Fn(&mut EngineFaults),
@@ -371,6 +395,7 @@
 #[case(SeatsLinkCut)]
 #[case(SeatsUnreachable)]
 #[case(OperatorsRace)]
+#[case(TableRestored)]
 #[tokio::test(flavor = "multi_thread")]
 async fn costs_no_repeatable_request(#[case] fault: Fault) {
     run(BedPlan::default(), &[fault]).await.assert_none_lost();
@@ -413,6 +438,7 @@
 #[case(AllRestarted)]
 #[case(EngineRestarted)]
 #[case(OrdersLost)]
+#[case(TableRestored)]
 #[tokio::test(flavor = "multi_thread")]
 async fn keeps_promises_without_fences(#[case] fault: Fault) {
     let plan = BedPlan {
@@ -422,6 +448,43 @@
     run(plan, &[fault]).await;
 }
 
+/// The host that had committed it knows the revision; the table and whoever starts anew do not.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_configuration_is_kept_as_the_table_comes_back_without_it() {
+    let mut bed = Bed::start(BedPlan::default()).await;
+    let copy = bed.platform.table_copy();
+    let change = Change::SetOutfitter {
+        name: "restored".into(),
+        spec: coveproxy::version::OutfitterSpec { worth: 2.0 },
+    };
+    let seen = bed.config().await;
+    bed.commit(&seen, vec![change]).await;
+    let accepted = bed.config().await.revision;
+    for at in 0..bed.hosts.len() {
+        wait_revision(&bed, at, accepted).await;
+    }
+    bed.platform.restore_table(&copy);
+    support::wait_for("the table names the revision again", async || {
+        (bed.config().await.revision == accepted).then_some(())
+    })
+    .await;
+    bed.hosts[0].kill();
+    bed.hosts[0].start();
+    wait_revision(&bed, 0, accepted).await;
+}
+
+async fn wait_revision(
+    bed: &Bed,
+    host: usize,
+    revision: u64,
+) {
+    support::wait_for("the revision is in force", async || {
+        let status = bed.status(host).await?;
+        (status["config_revision"].as_u64() == Some(revision)).then_some(())
+    })
+    .await;
+}
+
 /// A caller that lost its answer asks again while no host can take over the dead owner's target:
 /// nobody knows of the first attempt, so that the second must not run.
 #[rstest]
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -608,6 +608,7 @@
                     OwnerRow {
                         host: name,
                         session,
+                        era: 0,
                     },
                 )
             }
@@ -616,7 +617,14 @@
                 to,
                 session,
                 ..
-            } => (expected_version, OwnerRow { host: to, session }),
+            } => {
+                let row = OwnerRow {
+                    host: to,
+                    session,
+                    era: 0,
+                };
+                (expected_version, row)
+            }
             OwnershipAction::WatchSession { .. } => return,
         };
         let found = self.row.as_ref().map_or(0, |(version, _)| *version);
