An unused constructor of store versions is gone, and their bits are explained

Found reading the change as a newcomer: nothing used StoreVersion::absent, and the comment on the number's bits gave no reason for 40.

--- a/src/formats/store_version.rs
+++ b/src/formats/store_version.rs
@@ -1,6 +1,7 @@
 use std::fmt::{self, Display, Formatter};
 
-/// Bits of the number in the form in which a version is sent and stored; the era has the bits above.
+/// Bits of the number in the form in which a version is sent and stored. They last for decades at a thousand writes a second; the
+/// era has the 24 bits above.
 const NUMBER_BITS: u32 = 40;
 
 const NUMBER_MASK: u64 = (1 << NUMBER_BITS) - 1;
@@ -24,11 +25,6 @@
         Self { era, number }
     }
 
-    /// Returns the version of a row that does not exist.
-    pub fn absent(era: u32) -> Self {
-        Self::new(era, 0)
-    }
-
     /// Returns true for the version of a row that does not exist.
     pub fn is_absent(self) -> bool {
         self.number == 0
--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -181,7 +181,7 @@
         actions
     }
 
-    /// Handles the version that an answer of the store tells, whatever was asked.
+    /// Handles the store's version as an answer tells it, whatever was asked.
     ///
     /// If the store was restored since the last answer, what it has lost is written again.
     pub(super) fn observe_store(
