The two random tests of holders share their play

Cause: the test of restorations repeated twenty lines of the one before it. Change: a Plan says what strikes the world, and plays the seeds; draws, seeds, bounds and checks are the same.

--- a/tests/holding.rs
+++ b/tests/holding.rs
@@ -597,6 +597,43 @@
     }
 }
 
+/// A world in which hosts and the store are struck at random moments.
+struct Plan {
+    /// Percentage of calls whose reply is lost.
+    lost: u32,
+    engines: usize,
+    max_rereading_hosts: usize,
+    /// The store comes back from older copies.
+    restores: bool,
+}
+
+impl Plan {
+    /// Plays the seeds; returns the numbers of orders and of changes of holder.
+    fn play(
+        &self,
+        seeds: u64,
+    ) -> (usize, usize) {
+        let (mut orders, mut takeovers) = (0, 0);
+        for seed in 0..seeds {
+            let mut world = World::new(seed, 3, self.lost);
+            world.set_engines(self.engines);
+            world.max_rereading_hosts = self.max_rereading_hosts;
+            for step in 0..2_400 {
+                world.step();
+                if step > 200 && world.rng.random_range(0..120) == 0 {
+                    world.inject_fault();
+                }
+                if self.restores && step > 100 && world.rng.random_range(0..250) == 0 {
+                    world.restore_store();
+                }
+            }
+            orders += world.orders;
+            takeovers += world.takeovers;
+        }
+        (orders, takeovers)
+    }
+}
+
 #[rstest]
 #[case::replies_arrive(0, ENGINES, 150, 100)]
 #[case::replies_are_lost(30, ENGINES, 150, 100)]
@@ -609,20 +646,13 @@
     #[case] seeds: u64,
     #[case] max_rereading_hosts: usize,
 ) {
-    let (mut orders, mut takeovers) = (0, 0);
-    for seed in 0..seeds {
-        let mut world = World::new(seed, 3, lost);
-        world.set_engines(engines);
-        world.max_rereading_hosts = max_rereading_hosts;
-        for step in 0..2_400 {
-            world.step();
-            if step > 200 && world.rng.random_range(0..120) == 0 {
-                world.inject_fault();
-            }
-        }
-        orders += world.orders;
-        takeovers += world.takeovers;
-    }
+    let plan = Plan {
+        lost,
+        engines,
+        max_rereading_hosts,
+        restores: false,
+    };
+    let (orders, takeovers) = plan.play(seeds);
     // Ensures that there were orders and takeovers to check.
     assert!(orders > 100_000, "{orders} orders");
     assert!(takeovers > 200, "{takeovers} changes of holder");
@@ -640,23 +670,13 @@
     #[case] seeds: u64,
     #[case] max_rereading_hosts: usize,
 ) {
-    let (mut orders, mut takeovers) = (0, 0);
-    for seed in 0..seeds {
-        let mut world = World::new(seed, 3, lost);
-        world.set_engines(engines);
-        world.max_rereading_hosts = max_rereading_hosts;
-        for step in 0..2_400 {
-            world.step();
-            if step > 200 && world.rng.random_range(0..120) == 0 {
-                world.inject_fault();
-            }
-            if step > 100 && world.rng.random_range(0..250) == 0 {
-                world.restore_store();
-            }
-        }
-        orders += world.orders;
-        takeovers += world.takeovers;
-    }
+    let plan = Plan {
+        lost,
+        engines,
+        max_rereading_hosts,
+        restores: true,
+    };
+    let (orders, takeovers) = plan.play(seeds);
     // Ensures that there were orders and takeovers to check.
     assert!(orders > 50_000, "{orders} orders");
     assert!(takeovers > 100, "{takeovers} changes of holder");
