Lines that tell whether a host reaches any target of a service

A slow or failed connection, a lost answer, or a service of which nothing comes while a request waits now start a check of up to four targets at once, at most one a second while targets answer. 717 tells that none answered, 718 that one does again, and coveproxy_services_unreached counts such services. Requests that may be repeated no longer wait on connections that are as silent as those checks.

InFlightRequest and the opening of connections get files of their own out of exchange.rs.

--- a/src/connection/front/crash_probe.rs
+++ b/src/connection/front/crash_probe.rs
@@ -1,13 +1,11 @@
 //! Detects whether a target crashed while it ran a request, or only dropped the connection.
 
 use {
+    super::health_check::{Health, HealthCheck},
     crate::{
         clock::Instant,
-        connection::{
-            http1::{CallClient, CallEnd, CallLimit},
-            targets::{SuspectRequest, TargetIncarnation, TargetTable},
-        },
-        formats::{HeaderNames, HttpCall},
+        connection::targets::{SuspectRequest, TargetIncarnation, TargetTable},
+        formats::HeaderNames,
         note,
         request::{
             direct::CallRequest,
@@ -19,59 +17,10 @@
     tokio::task::spawn_local,
 };
 
-/// Time for a target's answer to a health check; a sound one answers within some milliseconds.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Interval between the two health checks: a target that rejected the first one because it was full has answered other
 /// requests by the second. It delays the report of a crash by as much.
 const RECHECK_DELAY: Duration = Duration::from_millis(200);
 
-/// Result of a health check.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Health {
-    /// The target answered, with any status.
-    Answering,
-    /// Connections are refused, or closed at once.
-    Refusing,
-    /// No answer in time: the network may be partitioned.
-    Silent,
-}
-
-struct HealthCheck {
-    call: HttpCall,
-    /// Header line by which any other target at the address rejects the call.
-    expect: String,
-}
-
-impl HealthCheck {
-    fn new(
-        names: &HeaderNames,
-        request: &CallRequest,
-        target: &str,
-    ) -> Self {
-        Self {
-            call: HttpCall::get(request.service.health_path.clone()),
-            expect: format!("{}: {target}\r\n", names.expect_target),
-        }
-    }
-
-    /// Runs the check over a new connection, since an open one may be closed for other reasons.
-    async fn at(
-        &self,
-        address: SocketAddr,
-    ) -> Health {
-        let limit = CallLimit::whole(PROBE_TIMEOUT);
-        let mut client = CallClient::new(address);
-        match client.call(&self.call, &self.expect, limit).await {
-            Ok(_) => Health::Answering,
-            Err(failure) => match failure.end {
-                CallEnd::TimedOut | CallEnd::Silent => Health::Silent,
-                CallEnd::Broken(_) => Health::Refusing,
-            },
-        }
-    }
-}
-
 /// Returns true if a target answers a health check now.
 ///
 /// Called before a suspect request is sent, so that a crash that follows can be attributed to it.
@@ -88,7 +37,10 @@
     };
     match address {
         Some(address) => {
-            HealthCheck::new(names, request, target).at(address).await == Health::Answering
+            HealthCheck::new(names, &request.service, target)
+                .at(address)
+                .await
+                == Health::Answering
         }
         None => false,
     }
@@ -125,7 +77,7 @@
     };
     let probe = CrashProbe {
         table: table.clone(),
-        check: HealthCheck::new(names, request, &incarnation.0),
+        check: HealthCheck::new(names, &request.service, &incarnation.0),
         incarnation,
         lost_at,
     };
--- a/src/connection/front/engine_estimator.rs
+++ b/src/connection/front/engine_estimator.rs
@@ -1,5 +1,5 @@
 use {
-    super::{attempts::Attempts, exchange::HIGHEST_PRIORITY},
+    super::{attempts::Attempts, in_flight_request::HIGHEST_PRIORITY},
     crate::{
         clock::Instant,
         connection::targets::{PrefillThroughput, TargetLink, TargetTable},
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -1,37 +1,29 @@
 use {
+    super::{
+        in_flight_request::InFlightRequest, reach_check::suspect_unreached,
+        target_connection::connect, target_silence::watch_silence,
+    },
     crate::{
         clock::Instant,
         connection::{
             http1::{BodyDecoder, ExchangeError, HttpConnection, ResponseHead},
-            targets::{KeyStatus, RequestTokens, TargetIncarnation, TargetLink, TargetTable},
+            targets::{KeyStatus, TargetIncarnation, TargetTable},
         },
-        formats::{HeaderNames, TargetStart},
+        formats::HeaderNames,
         request::{
             direct::{AttemptEnd, CallRequest},
             memory::MemoryUse,
-            notices::NoticeHeaders,
-            pace::{PaceEstimate, PrefillSample},
+            pace::PaceEstimate,
         },
     },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, StatusCode, header},
-    std::{
-        cell::{Cell, RefCell},
-        rc::Rc,
-        sync::Arc,
-        time::Duration,
-    },
-    tokio::time::timeout,
+    std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Bodies up to this size in bytes are read completely before they are relayed.
 const MAX_BUFFERED_BODY: usize = 256 * 1024;
 
-/// Priority of the requests that engines admit before all others.
-pub(super) const HIGHEST_PRIORITY: u8 = 0;
-
 /// Lowest priority that engines know.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -69,145 +61,6 @@
     }
 }
 
-/// A request that may run at a target; counted there until dropped.
-pub struct InFlightRequest {
-    table: Rc<RefCell<TargetTable>>,
-    target: Arc<str>,
-    incarnation: Option<TargetStart>,
-    adapter: Option<String>,
-    tokens: RequestTokens,
-    /// True until the first byte of the answer arrives.
-    is_prompt_unread: Cell<bool>,
-}
-
-impl InFlightRequest {
-    fn start(
-        table: &Rc<RefCell<TargetTable>>,
-        request: &CallRequest,
-        target: &Arc<str>,
-    ) -> Self {
-        let generation = request.generation.as_ref();
-        let adapter = generation.and_then(|generation| generation.adapter());
-        let incarnation = table.borrow().incarnation(target);
-        let tokens = generation.map_or(RequestTokens::default(), |generation| RequestTokens {
-            all: u64::from(generation.tokens_in) + u64::from(generation.tokens_out),
-            prompt: table
-                .borrow_mut()
-                .send_prompt(target, generation, Instant::now()),
-        });
-        table.borrow_mut().start_request(target, adapter, tokens);
-        Self {
-            table: table.clone(),
-            target: target.clone(),
-            incarnation,
-            adapter: adapter.map(str::to_string),
-            tokens,
-            is_prompt_unread: Cell::new(true),
-        }
-    }
-
-    /// Applies a change to the target's link, unless the target is gone or has a new incarnation.
-    fn with_link(
-        &self,
-        change: impl FnOnce(&mut TargetLink),
-    ) {
-        let mut table = self.table.borrow_mut();
-        let link = table.links.get_mut(&self.target);
-        if let Some(link) = link.filter(|link| link.view.record.started == self.incarnation) {
-            change(link);
-        }
-    }
-
-    /// Returns true if the target still has the incarnation that the request was sent to.
-    fn has_same_incarnation(&self) -> bool {
-        let table = self.table.borrow();
-        let link = table.links.get(&self.target);
-        link.is_some_and(|link| link.view.record.started == self.incarnation)
-    }
-
-    /// Records that bytes have arrived from the target.
-    fn on_received(&self) {
-        self.with_link(|link| link.last_received = Some(Instant::now()));
-    }
-
-    /// Records what the head of an answer announces; `sent` is the time of the request.
-    fn on_head(
-        &self,
-        names: &HeaderNames,
-        head: &ResponseHead,
-        sent: Instant,
-    ) {
-        let notice = NoticeHeaders {
-            names,
-            status: head.status,
-            headers: &head.headers,
-        };
-        let mut table = self.table.borrow_mut();
-        let (target, incarnation) = (&self.target, self.incarnation);
-        table
-            .notices
-            .on_answer(target, incarnation, &notice, sent, Instant::now());
-    }
-
-    /// Records that the target has read the prompt: the answer has started, or none will come.
-    fn on_prefill_done(&self) {
-        if !self.is_prompt_unread.replace(false) {
-            return;
-        }
-        self.with_link(|link| link.on_prefill_done(self.tokens));
-        if self.tokens.prompt > 0 {
-            self.table.borrow_mut().report_prefill_done(&self.target);
-        }
-    }
-
-    /// Samples the engine's pace; `backlog` is the number of prompt tokens that were queued when the request was sent.
-    fn sample_prefill(
-        &self,
-        request: &CallRequest,
-        backlog: u64,
-        time: Duration,
-    ) {
-        let mut table = self.table.borrow_mut();
-        let prompt = self.tokens.prompt;
-        let policy = table.policy();
-        let service = &request.service.name;
-        if backlog == 0 {
-            let throughput = table.prefill_throughput(service);
-            throughput.on_first_event(prompt, time);
-        }
-        if !policy.learns_pace || !table.is_large_site() {
-            return;
-        }
-        // An urgent request overtakes the backlog, so that its wait tells little of the time that the backlog takes.
-        if backlog > 0 && policy.ranks_backlog && request.urgency == HIGHEST_PRIORITY {
-            return;
-        }
-        let sample = PrefillSample {
-            tokens: backlog + prompt,
-            time,
-        };
-        table.prefill_throughput(service).on_sample(&sample);
-        drop(table);
-        self.with_link(|link| link.pace_samples.add(&sample));
-    }
-
-    /// Returns the connection of a finished exchange to the pool of idle ones.
-    pub fn release(
-        &self,
-        connection: HttpConnection,
-        idle_limit: Option<Duration>,
-    ) {
-        self.with_link(|link| link.put_idle(connection, idle_limit, Instant::now()));
-    }
-}
-
-impl Drop for InFlightRequest {
-    fn drop(&mut self) {
-        self.on_prefill_done();
-        self.with_link(|link| link.end(self.adapter.as_deref(), self.tokens));
-    }
-}
-
 /// A complete answer of a target.
 #[derive(Debug)]
 pub struct CompleteAnswer {
@@ -249,19 +102,16 @@
         &self,
         time: Duration,
     ) -> bool {
-        let table = self.in_flight.table.borrow();
-        let link = table.links.get(&self.in_flight.target);
-        let link = link.filter(|link| link.view.record.started == self.in_flight.incarnation);
-        link.is_none_or(|link| link.is_silent(time, Instant::now()))
+        self.in_flight.target_is_silent(time)
     }
 
     pub fn target(&self) -> &str {
-        &self.in_flight.target
+        self.in_flight.target()
     }
 
     /// Returns the incarnation of the target that answers.
     pub fn incarnation(&self) -> TargetIncarnation {
-        (self.in_flight.target.clone(), self.in_flight.incarnation)
+        self.in_flight.target_incarnation()
     }
 
     /// Ends a completely read body, and returns the connection to the pool if it can be reused.
@@ -306,9 +156,10 @@
     let started_at = Instant::now();
     let backlog = backlog(table, &destination.target);
     let in_flight = InFlightRequest::start(table, request, &destination.target);
-    let Some(mut connection) = connect(&in_flight).await else {
+    let Some(opened) = connect(&in_flight, names, &request.service).await else {
         return SendOutcome::Ended(AttemptEnd::NotSent);
     };
+    let (mut connection, is_new) = (opened.connection, opened.is_new);
     let now = Instant::now();
     // Connecting may have taken long, and the connection may lead to an earlier incarnation.
     if !table.borrow().is_usable(&destination.target, now) || !in_flight.has_same_incarnation() {
@@ -324,11 +175,19 @@
         |head: &ResponseHead| head.headers.get(&names.request_id) == request.id.as_ref();
     let exchange =
         connection.exchange_parts(&sent_head, &request.body, &request.method, is_own_answer);
-    let (head, sent_completely) = match exchange.await {
-        Ok(answer) => answer,
-        Err(_) => return lost_answer(&in_flight),
+    let answered = tokio::select! {
+        answer = exchange => answer.ok(),
+        () = watch_silence(table, names, request, now) => None,
+    };
+    let Some((head, sent_completely)) = answered else {
+        return lost_answer(&in_flight, names, request);
     };
     in_flight.on_head(names, &head, now);
+    if is_new {
+        table
+            .borrow_mut()
+            .on_reach_answered(&request.service.name, Instant::now());
+    }
     let mut source = AnswerSource {
         connection,
         decoder: BodyDecoder::new(head.framing),
@@ -359,17 +218,17 @@
                 has_room = held.cover(body.capacity() as u64);
             }
             Ok(None) => {
-                record_success(&source.in_flight);
+                source.in_flight.record_success();
                 let answer = complete(head, held.keep(body.freeze()), source);
                 return match failed {
                     true => SendOutcome::Failed(answer),
                     false => SendOutcome::Complete(answer),
                 };
             }
-            Err(_) => return lost_answer(&source.in_flight),
+            Err(_) => return lost_answer(&source.in_flight, names, request),
         }
     }
-    record_success(&source.in_flight);
+    source.in_flight.record_success();
     source.in_flight.on_prefill_done();
     source
         .in_flight
@@ -421,25 +280,6 @@
         .map_or(0, |link| link.backlog_tokens())
 }
 
-async fn connect(in_flight: &InFlightRequest) -> Option<HttpConnection> {
-    let address = {
-        let mut table = in_flight.table.borrow_mut();
-        let link = table.links.get_mut(&in_flight.target)?;
-        if let Some(connection) = link.take_idle(Instant::now()) {
-            return Some(connection);
-        }
-        link.view.record.address
-    };
-    let opened = timeout(CONNECT_TIMEOUT, HttpConnection::open(address)).await;
-    match opened {
-        Ok(Ok(connection)) => Some(connection),
-        _ => {
-            record_failure(in_flight);
-            None
-        }
-    }
-}
-
 /// Handles a rejection by the target.
 async fn not_run(
     head: ResponseHead,
@@ -469,19 +309,16 @@
     }
 }
 
-fn lost_answer(in_flight: &InFlightRequest) -> SendOutcome {
-    record_failure(in_flight);
+fn lost_answer(
+    in_flight: &InFlightRequest,
+    names: &HeaderNames,
+    request: &CallRequest,
+) -> SendOutcome {
+    in_flight.record_failure();
+    suspect_unreached(in_flight.table(), names, &request.service);
     SendOutcome::Ended(AttemptEnd::Lost)
 }
 
-fn record_success(in_flight: &InFlightRequest) {
-    in_flight.with_link(|link| link.health.on_success());
-}
-
-fn record_failure(in_flight: &InFlightRequest) {
-    in_flight.with_link(|link| link.health.on_failure(Instant::now()));
-}
-
 /// Returns the headers of an answer that are relayed to the caller.
 fn relayed_headers(mut headers: HeaderMap) -> HeaderMap {
     for name in [
--- /dev/null
+++ b/src/connection/front/health_check.rs
@@ -0,0 +1,58 @@
+use {
+    crate::{
+        connection::http1::{CallClient, CallEnd, CallLimit},
+        formats::{HeaderNames, HttpCall},
+        version::routing::TargetService,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Time for a target's answer to a health check; a sound one answers within some milliseconds.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Result of a health check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// The target answered, with any status.
+    Answering,
+    /// Connections are refused, or closed at once.
+    Refusing,
+    /// No answer in time: the network may be partitioned.
+    Silent,
+}
+
+/// A health check of one target.
+pub struct HealthCheck {
+    call: HttpCall,
+    /// Header line by which any other target at the address rejects the call.
+    expect: String,
+}
+
+impl HealthCheck {
+    pub fn new(
+        names: &HeaderNames,
+        service: &TargetService,
+        target: &str,
+    ) -> Self {
+        Self {
+            call: HttpCall::get(service.health_path.clone()),
+            expect: format!("{}: {target}\r\n", names.expect_target),
+        }
+    }
+
+    /// Runs the check over a new connection, since an open one may be closed for other reasons.
+    pub async fn at(
+        &self,
+        address: SocketAddr,
+    ) -> Health {
+        let limit = CallLimit::whole(CHECK_TIMEOUT);
+        let mut client = CallClient::new(address);
+        match client.call(&self.call, &self.expect, limit).await {
+            Ok(_) => Health::Answering,
+            Err(failure) => match failure.end {
+                CallEnd::TimedOut | CallEnd::Silent => Health::Silent,
+                CallEnd::Broken(_) => Health::Refusing,
+            },
+        }
+    }
+}
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -15,12 +15,14 @@
 mod repeat_budgets;
 mod replica_freshness;
 mod sent_prompts;
+mod service_reach;
 mod staleness_monitor;
 mod table_adapters;
 mod table_counting;
 mod table_notices;
 mod table_pace;
 mod table_prompts;
+mod table_reach;
 mod table_staleness;
 mod table_unplaced;
 mod target_health;
@@ -46,7 +48,9 @@
     repeat_budgets::RepeatBudgets,
     replica_freshness::{ReplicaFreshness, SEND_MARGIN, TableFreshness},
     sent_prompts::{MAX_REPORTED_PROMPTS, SentPrompts},
+    service_reach::ServiceReach,
     staleness_monitor::{MaxStaleness, StalenessBounds, StalenessMonitor},
+    table_reach::ReachProbe,
     target_health::TargetHealth,
     target_link::{IdleConnection, RequestTokens, TargetLink},
     target_table::{MAX_BROADCAST_HOSTS, ServiceTarget, TargetTable, TargetTableSettings},
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -170,6 +170,11 @@
         });
     }
 
+    /// Closes all idle connections.
+    pub fn drop_idle(&mut self) {
+        self.idle.clear();
+    }
+
     /// Adds a request that is sent to the target to the counts.
     pub fn start(
         &mut self,
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -2,7 +2,8 @@
     super::{
         AdapterDemand, AdapterMap, ControlRequest, CrashTracker, FleetView, NoticeTracker,
         PendingReplies, PrefillThroughput, QuotaTable, RepeatBudgets, ReplicaFreshness,
-        RequestTokens, StalenessBounds, StalenessMonitor, TargetLink, TargetView, UnplacedRequests,
+        RequestTokens, ServiceReach, StalenessBounds, StalenessMonitor, TargetLink, TargetView,
+        UnplacedRequests,
     },
     crate::{
         clock::Instant,
@@ -66,6 +67,10 @@
     /// Wakes requests that wait for fresh replicas.
     pub(super) freshness_updates: Rc<Notify>,
     pub(super) staleness_monitor: StalenessMonitor,
+    /// Whether this host reaches targets, by service.
+    pub(super) reach: HashMap<String, ServiceReach>,
+    /// Wakes requests that wait for a change of reach.
+    pub(super) reach_updates: Rc<Notify>,
     pub crashes: CrashTracker,
     pub notices: NoticeTracker,
     pub quotas: QuotaTable,
@@ -113,6 +118,8 @@
             freshness: ReplicaFreshness::default(),
             freshness_updates: Rc::default(),
             staleness_monitor: StalenessMonitor::new(settings.bounds, Instant::now()),
+            reach: HashMap::new(),
+            reach_updates: Rc::default(),
             crashes: CrashTracker::default(),
             notices: NoticeTracker::new(control.clone()),
             quotas: QuotaTable::default(),
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -61,6 +61,7 @@
     pub prompt_tokens_cached: Counter,
     pub hosts: Family<StateLabels, Gauge>,
     pub targets: Family<StateLabels, Gauge>,
+    pub services_unreached: Gauge,
     pub poison: Family<StateLabels, Gauge>,
     pub copy_age: Family<CopyLabels, Seconds>,
     pub copy_transfers: Family<TransferLabels, Counter>,
@@ -121,6 +122,7 @@
             prompt_tokens_cached: Counter::default(),
             hosts: Family::default(),
             targets: Family::default(),
+            services_unreached: Gauge::default(),
             poison: Family::default(),
             copy_age: Family::default(),
             copy_transfers: Family::default(),
@@ -184,6 +186,11 @@
             "Targets, by what is believed",
             self.targets.clone(),
         );
+        registry.register(
+            "services_unreached",
+            "Services of which this host reaches no target",
+            self.services_unreached.clone(),
+        );
         registry.register(
             "poison_requests",
             "Requests that targets ended under, by how they stand",
--- a/src/standin/fault_proxy.rs
+++ b/src/standin/fault_proxy.rs
@@ -1,6 +1,7 @@
 use {
     crate::clock::{Instant, sleep_until},
     std::{
+        collections::HashMap,
         io,
         net::SocketAddr,
         sync::{
@@ -37,6 +38,44 @@
     pub bytes_per_s: Option<u32>,
 }
 
+/// Which process opened a connection, by the address that it comes from; `None` if that is not known.
+pub type SourceOf = Arc<dyn Fn(SocketAddr) -> Option<usize> + Send + Sync>;
+
+/// Faults of all connections, and of those of some sources.
+#[derive(Debug, Clone, Default, PartialEq)]
+struct LinkFaults {
+    all: ProxyFault,
+    /// In place of `all`.
+    by_source: HashMap<usize, ProxyFault>,
+}
+
+impl LinkFaults {
+    fn of(
+        &self,
+        source: Option<usize>,
+    ) -> &ProxyFault {
+        let own = source.and_then(|source| self.by_source.get(&source));
+        own.unwrap_or(&self.all)
+    }
+}
+
+/// Numbers of cuts so far: of all connections, and of those of some sources.
+#[derive(Debug, Clone, Default, PartialEq)]
+struct LinkCuts {
+    all: u64,
+    by_source: HashMap<usize, u64>,
+}
+
+impl LinkCuts {
+    fn of(
+        &self,
+        source: Option<usize>,
+    ) -> u64 {
+        let own = source.and_then(|source| self.by_source.get(&source));
+        self.all + own.copied().unwrap_or_default()
+    }
+}
+
 /// One direction of a link, which carries one piece after the other.
 #[derive(Debug)]
 struct Lane {
@@ -67,8 +106,8 @@
 /// A TCP proxy on loopback whose connections can be refused, stalled, slowed and cut.
 pub struct FaultProxy {
     address: SocketAddr,
-    fault: watch::Sender<ProxyFault>,
-    cuts: watch::Sender<u64>,
+    faults: watch::Sender<LinkFaults>,
+    cuts: watch::Sender<LinkCuts>,
     stop: watch::Sender<bool>,
     bytes: Arc<AtomicU64>,
 }
@@ -77,8 +116,9 @@
 #[derive(Clone)]
 struct Shared {
     to: Arc<Mutex<SocketAddr>>,
-    fault: watch::Receiver<ProxyFault>,
-    cuts: watch::Receiver<u64>,
+    faults: watch::Receiver<LinkFaults>,
+    cuts: watch::Receiver<LinkCuts>,
+    source_of: SourceOf,
     bytes: Arc<AtomicU64>,
     asks: Arc<Lane>,
     answers: Arc<Lane>,
@@ -87,17 +127,26 @@
 impl FaultProxy {
     /// Listens on a port of the system's and passes connections on to `to`.
     pub async fn start(to: SocketAddr) -> io::Result<Self> {
+        Self::start_with_sources(to, Arc::new(|_| None)).await
+    }
+
+    /// Like `start`, for a link that is shared by processes whose connections can be harmed separately.
+    pub async fn start_with_sources(
+        to: SocketAddr,
+        source_of: SourceOf,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let address = listener.local_addr()?;
-        let (fault, seen_fault) = watch::channel(ProxyFault::default());
-        let (cuts, seen_cuts) = watch::channel(0);
+        let (faults, seen_faults) = watch::channel(LinkFaults::default());
+        let (cuts, seen_cuts) = watch::channel(LinkCuts::default());
         let (stop, mut stopped) = watch::channel(false);
         let bytes = Arc::new(AtomicU64::new(0));
         let shared = Shared {
             bytes: bytes.clone(),
             to: Arc::new(Mutex::new(to)),
-            fault: seen_fault,
+            faults: seen_faults,
             cuts: seen_cuts,
+            source_of,
             asks: Lane::new(),
             answers: Lane::new(),
         };
@@ -107,14 +156,14 @@
                     accepted = listener.accept() => accepted,
                     _ = stopped.changed() => return,
                 };
-                if let Ok((stream, _)) = accepted {
-                    tokio::spawn(carry(stream, shared.clone()));
+                if let Ok((stream, from)) = accepted {
+                    tokio::spawn(carry(stream, from, shared.clone()));
                 }
             }
         });
         Ok(Self {
             address,
-            fault,
+            faults,
             cuts,
             stop,
             bytes,
@@ -130,7 +179,21 @@
         &self,
         fault: ProxyFault,
     ) {
-        self.fault.send_replace(fault);
+        self.faults.send_modify(|faults| faults.all = fault);
+    }
+
+    /// Sets the fault of one source's connections from now on; `None` treats them like all others again.
+    pub fn set_source(
+        &self,
+        source: usize,
+        fault: Option<ProxyFault>,
+    ) {
+        self.faults.send_modify(|faults| {
+            match fault {
+                Some(fault) => faults.by_source.insert(source, fault),
+                None => faults.by_source.remove(&source),
+            };
+        });
     }
 
     /// Bytes passed on so far, both ways.
@@ -140,7 +203,16 @@
 
     /// Cuts every open connection.
     pub fn cut(&self) {
-        self.cuts.send_modify(|cuts| *cuts += 1);
+        self.cuts.send_modify(|cuts| cuts.all += 1);
+    }
+
+    /// Cuts every open connection of one source.
+    pub fn cut_source(
+        &self,
+        source: usize,
+    ) {
+        self.cuts
+            .send_modify(|cuts| *cuts.by_source.entry(source).or_default() += 1);
     }
 }
 
@@ -152,11 +224,13 @@
 
 async fn carry(
     from: TcpStream,
+    address: SocketAddr,
     shared: Shared,
 ) {
+    let source = (shared.source_of)(address);
     let mut cuts = shared.cuts.clone();
-    cuts.mark_unchanged();
-    if shared.fault.borrow().refuse {
+    let cuts_before = cuts.borrow().of(source);
+    if shared.faults.borrow().of(source).refuse {
         return;
     }
     let to = *shared.to.lock().expect("no holder panics");
@@ -167,11 +241,11 @@
     let _ = to.set_nodelay(true);
     let (from_read, from_write) = from.into_split();
     let (to_read, to_write) = to.into_split();
-    let asks = pass(from_read, to_write, &shared, false);
-    let answers = pass(to_read, from_write, &shared, true);
+    let asks = pass(from_read, to_write, &shared, source, false);
+    let answers = pass(to_read, from_write, &shared, source, true);
     tokio::select! {
         _ = async { tokio::try_join!(asks, answers) } => {}
-        _ = cuts.changed() => {}
+        _ = cuts.wait_for(|cuts| cuts.of(source) > cuts_before) => {}
     }
 }
 
@@ -179,9 +253,10 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     shared: &Shared,
+    source: Option<usize>,
     answers: bool,
 ) -> io::Result<()> {
-    let mut fault = shared.fault.clone();
+    let mut faults = shared.faults.clone();
     let mut piece = vec![0; PIECE];
     loop {
         let read = match from.read(&mut piece).await {
@@ -191,9 +266,12 @@
                 return Err(problem);
             }
         };
-        let passes = |fault: &ProxyFault| !(fault.stall || answers && fault.stall_answers);
-        let fault = match fault.wait_for(passes).await {
-            Ok(fault) => *fault,
+        let passes = |faults: &LinkFaults| {
+            let fault = faults.of(source);
+            !(fault.stall || answers && fault.stall_answers)
+        };
+        let fault = match faults.wait_for(passes).await {
+            Ok(faults) => *faults.of(source),
             Err(_) => return Ok(()),
         };
         tokio::time::sleep(fault.delay).await;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     engine::{EngineFaults, EngineRecord, EngineStandin, EngineStandinSpec, Execution},
-    fault_proxy::{FaultProxy, ProxyFault},
+    fault_proxy::{FaultProxy, ProxyFault, SourceOf},
     plain_standin::{PlainFaults, PlainRecord, PlainStandin},
     platform::{PlatformFaults, PlatformStandin, PlatformStandinSpec},
     standin_server::StandinServer,
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -140,6 +140,8 @@
     TargetNoticeUnreadable = 714 "target_notice_unreadable" Warn,
     TargetNoticeTold = 715 "target_notice_told" Info,
     EngineSpeeds = 716 "engine_speeds" Info,
+    ServiceUnreached = 717 "service_unreached" Warn,
+    ServiceReached = 718 "service_reached" Info,
     LinesDropped = 801 "lines_dropped" Warn,
     LinesHeldBack = 802 "lines_held_back" Warn,
 }
