Hosts that reach no target of a service forward its requests to hosts that do

Cause: a host judged targets one by one and never whether it is itself cut off, so that each request tried one target after the other until its time was over. Evidence: 717 is told only by the hosts cut off, and request_not_reached for all their targets.

While a service is unreached its requests go to another host, on a port for hosts alone, as their callers would send them: that host checks the key, charges the quota and counts the repeats, and its answer goes back unchanged. What may have run is not sent again unless its route allows that, and a connection that breaks is an unknown outcome. If no host takes it, it is tried here. A host that reaches nothing accuses no request of ending targets: to it all targets refuse connections.

--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -24,6 +24,8 @@
     pub tried: Vec<String>,
     /// Last answer with a server error.
     pub failure: Option<CompleteAnswer>,
+    /// No other host has taken it.
+    pub forwarding_failed: bool,
     pub trace: RequestTrace,
     /// Last query of engines' status.
     pub query: Option<QueryRound>,
--- a/src/connection/front/crash_probe.rs
+++ b/src/connection/front/crash_probe.rs
@@ -160,7 +160,10 @@
         if self.was_replaced() {
             return true;
         }
-        self.check.at(address).await == Health::Refusing && !self.has_sent_since_loss()
+        // A host that reaches nothing sees all targets refuse.
+        self.check.at(address).await == Health::Refusing
+            && !self.has_sent_since_loss()
+            && !self.table.borrow().reaches_nothing()
     }
 
     /// Returns true if the target is gone or has a new incarnation.
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -11,6 +11,7 @@
         crash_probe::{answers_health_check, clear_suspect, probe_after_loss},
         exchange::{Destination, OpenAnswer, SendOutcome, send},
         final_answers::{FinalAnswers, relay},
+        host_forwarder::HostForwarder,
         open_request::OpenRequest,
         pending_request::{PendingRequest, settle_charge},
         poison_check::{has_crashed_targets, is_poison, is_suspected},
@@ -51,6 +52,10 @@
     Final(Response<AnswerBody>),
     /// The head and the first piece of an answer that is still being sent.
     Open(Box<OpenAnswer>),
+    /// The answer of another host.
+    Forwarded(Response<AnswerBody>),
+    /// This host reaches no target of the service, and another host may serve the request.
+    Unreached,
 }
 
 /// Sends each request to a target, with resends where the route allows them, and returns the final answer.
@@ -58,6 +63,7 @@
     table: Rc<RefCell<TargetTable>>,
     chooser: Chooser,
     answers: FinalAnswers,
+    forwarder: Rc<HostForwarder>,
     formats: Arc<dyn Formats>,
 }
 
@@ -70,6 +76,7 @@
         Self {
             chooser: Chooser::new(table.clone(), hall),
             answers: FinalAnswers::new(table.clone(), formats.clone()),
+            forwarder: Rc::new(HostForwarder::new(table.clone(), formats.clone())),
             table,
             formats,
         }
@@ -88,18 +95,31 @@
             served.log_final(&request, &attempts);
             return self.answers.reject_poison(&request);
         }
+        let mut forwarding_failed = false;
+        if self.table.borrow().is_unreached(&request.service.name) {
+            match self.forward_unsent(&request).await {
+                Some(response) => return response,
+                None => forwarding_failed = true,
+            }
+        }
         let charged = match charge(&self.table, &request).await {
             Ok(charged) => charged,
             Err(answer) => return self.answers.reject_uncharged(&request, answer),
         };
         self.record_demand(&request);
         let mut pending = PendingRequest::new(&request, charged);
-        let tried = self.try_targets(&request, &mut pending.attempts, None);
+        pending.attempts.forwarding_failed = forwarding_failed;
+        let tried = self.try_or_forward(&request, &mut pending.attempts);
         let outcome = timeout_at(request.deadline, tried).await;
         let (mut attempts, charged) = pending.disarm();
         let response = match outcome {
             Ok(Outcome::Final(response)) => response,
-            Err(_) => self.answers.answer_timeout(&request, &mut attempts),
+            Ok(Outcome::Forwarded(response)) => {
+                // The other host has charged it.
+                settle_charge(charged, false);
+                return response;
+            }
+            Err(_) | Ok(Outcome::Unreached) => self.answers.answer_timeout(&request, &mut attempts),
             Ok(Outcome::Open(answer)) => {
                 settle_charge(charged, true);
                 let open = OpenRequest::new(request, attempts, answer.status.as_u16());
@@ -114,6 +134,64 @@
         response
     }
 
+    /// Answers a request for which nothing was done yet, while no target of its service is reached; `None` if it is to be tried
+    /// here nevertheless.
+    async fn forward_unsent(
+        &self,
+        request: &CallRequest,
+    ) -> Option<Response<AnswerBody>> {
+        if request.is_forwarded {
+            return Some(self.answers.decline_unreached(request));
+        }
+        let pending = PendingRequest::new(request, None);
+        let response = self.forwarder.forward(request).await;
+        pending.disarm();
+        response
+    }
+
+    /// Sends the request to targets, or to another host once no target of its service is reached.
+    async fn try_or_forward(
+        &self,
+        request: &CallRequest,
+        attempts: &mut Attempts,
+    ) -> Outcome {
+        loop {
+            let outcome = self.try_targets(request, attempts, None).await;
+            if !matches!(outcome, Outcome::Unreached) {
+                return outcome;
+            }
+            if request.is_forwarded {
+                return Outcome::Final(self.answers.decline_unreached(request));
+            }
+            let repeats = attempts.history.arrivals > 0;
+            if repeats && charge_repeat(&self.table, request).is_none() {
+                return Outcome::Final(self.answers.rejected_by_targets(request, attempts));
+            }
+            // A send counts as run until its end is known.
+            attempts.history.runs += 1;
+            let response = self.forwarder.forward(request).await;
+            attempts.history.runs -= 1;
+            match response {
+                Some(response) => return Outcome::Forwarded(response),
+                None => attempts.forwarding_failed = true,
+            }
+        }
+    }
+
+    /// Returns true if a request is to be served by another host from now on.
+    fn must_forward(
+        &self,
+        request: &CallRequest,
+        attempts: &Attempts,
+    ) -> bool {
+        let may_run_elsewhere = attempts.history.runs == 0 || request.route.repeatable();
+        let is_untouched = attempts.history.arrivals == 0;
+        may_run_elsewhere
+            && (is_untouched || !request.is_forwarded)
+            && !attempts.forwarding_failed
+            && self.table.borrow().is_unreached(&request.service.name)
+    }
+
     /// Opens the rest of a broken stream at another target, after the event `after`.
     pub async fn resume(
         &self,
@@ -168,6 +246,9 @@
         resume_after: Option<u64>,
     ) -> Outcome {
         loop {
+            if resume_after.is_none() && self.must_forward(request, attempts) {
+                return Outcome::Unreached;
+            }
             let next = self.next_destination(request, attempts, resume_after.is_some());
             let (mut destination, mut slot) = match next.await {
                 Ok(next) => next,
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -320,7 +320,7 @@
 }
 
 /// Returns the headers of an answer that are relayed to the caller.
-fn relayed_headers(mut headers: HeaderMap) -> HeaderMap {
+pub(super) fn relayed_headers(mut headers: HeaderMap) -> HeaderMap {
     for name in [
         header::CONNECTION,
         header::CONTENT_LENGTH,
--- a/src/connection/front/final_answers.rs
+++ b/src/connection/front/final_answers.rs
@@ -84,6 +84,14 @@
         self.answer_unserved(request, attempts, unplaced_cause(request), retry_after)
     }
 
+    /// Declines a request that another host has forwarded, as this host reaches no target of its service either.
+    pub fn decline_unreached(
+        &self,
+        request: &CallRequest,
+    ) -> Response<AnswerBody> {
+        self.answer(request, LocalAnswer::new(ErrorCause::Unreached))
+    }
+
     /// Returns the final answer to a request that targets have rejected, and that is not sent again.
     pub fn rejected_by_targets(
         &self,
--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -2,6 +2,7 @@
     super::{
         AnswerBody, Dispatcher, ErrorCause, LocalAnswer, RequestReadError, RequestReader,
         admission::{FreshnessCheck, STALE_RETRY_AFTER, wait_until_fresh},
+        host_forwarder::DECLINED,
         memory_sweeper::MemorySweeper,
         request_trace::millis,
     },
@@ -72,6 +73,14 @@
     Rejecting,
 }
 
+/// Who sends the requests of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestOrigin {
+    Caller,
+    /// Another host that forwards what it can't serve.
+    Host,
+}
+
 /// Accepts callers' connections and serves their requests.
 pub struct FrontListener {
     dispatcher: Rc<Dispatcher>,
@@ -107,12 +116,15 @@
     pub async fn serve(
         self: Rc<Self>,
         listener: TcpListener,
+        origin: RequestOrigin,
     ) {
-        spawn_local(MemorySweeper::new(self.memory.clone()).run());
+        if origin == RequestOrigin::Caller {
+            spawn_local(MemorySweeper::new(self.memory.clone()).run());
+        }
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    spawn_local(self.clone().serve_connection(stream));
+                    spawn_local(self.clone().serve_connection(stream, origin));
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
             }
@@ -122,6 +134,7 @@
     async fn serve_connection(
         self: Rc<Self>,
         stream: TcpStream,
+        origin: RequestOrigin,
     ) {
         let _ = stream.set_nodelay(true);
         let _open = OpenConnection::start(&self.open_connections);
@@ -134,8 +147,11 @@
         let limits = self.table.borrow().routing().limits;
         let front = self.clone();
         let request_memory = memory.clone();
-        let service =
-            service_fn(move |request| front.clone().answer(request, request_memory.clone()));
+        let service = service_fn(move |request| {
+            front
+                .clone()
+                .answer(request, origin, request_memory.clone())
+        });
         let mut connection = Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout)
@@ -181,19 +197,26 @@
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
+        origin: RequestOrigin,
         memory: CallerMemory,
     ) -> Result<Response<AnswerBody>, io::Error> {
         memory.begin_request(id_text(self.reader.id(request.headers()).as_ref()));
         let mut answered = CallerStage::Idle;
-        let response = self.serve_request(request, &memory, &mut answered).await;
+        let response = self
+            .serve_request(request, origin, &memory, &mut answered)
+            .await;
         memory.set_stage(answered);
-        response
+        match origin {
+            RequestOrigin::Caller => response,
+            RequestOrigin::Host => response.map(mark_declined),
+        }
     }
 
     /// Serves a request; sets `answered` to the stage of the connection once the request has an answer.
     async fn serve_request(
         &self,
         request: Request<Incoming>,
+        origin: RequestOrigin,
         memory: &CallerMemory,
         answered: &mut CallerStage,
     ) -> Result<Response<AnswerBody>, io::Error> {
@@ -222,7 +245,7 @@
         let draw = rand::rng().random::<f64>();
         let read = self
             .reader
-            .read(request, &routing, arrived, draw, memory)
+            .read(request, &routing, arrived, draw, origin, memory)
             .await;
         match read {
             Ok(request) => {
@@ -301,6 +324,16 @@
     }
 }
 
+/// Marks an answer that says that this host has done nothing for a forwarded request, so that another host can serve it.
+fn mark_declined(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    let cause = response.extensions().get::<ErrorCause>();
+    if cause.is_some_and(|cause| cause.is_of_host()) {
+        let headers = response.headers_mut();
+        headers.insert(DECLINED, HeaderValue::from_static("1"));
+    }
+    response
+}
+
 /// Returns the id of a request for logs.
 fn id_text(id: Option<&HeaderValue>) -> &str {
     id.and_then(|id| id.to_str().ok()).unwrap_or("-")
--- a/src/connection/front/local_answer.rs
+++ b/src/connection/front/local_answer.rs
@@ -24,6 +24,8 @@
     Stopping,
     /// A table that is needed to serve the request is too stale on this host.
     StaleTables,
+    /// This host reaches no target of the service, and may not forward the request.
+    Unreached,
     /// All targets are full or closed, or there is none.
     NoTarget,
     /// The adapter can't be loaded in time.
@@ -54,6 +56,7 @@
             Self::NoMemory => "no_memory",
             Self::Stopping => "host_stopping",
             Self::StaleTables => "unconfirmed",
+            Self::Unreached => "unreached",
             Self::NoTarget => "no_target",
             Self::NoAdapter => "no_adapter",
             Self::RejectedByTargets => "turned_away",
@@ -69,6 +72,14 @@
         matches!(self, Self::DeadlineExceeded | Self::AnswerLost)
     }
 
+    /// Returns true if the cause is this host's state, and it has done nothing for the request: another host may serve it.
+    pub fn is_of_host(self) -> bool {
+        matches!(
+            self,
+            Self::NotReady | Self::NoMemory | Self::Stopping | Self::StaleTables | Self::Unreached
+        )
+    }
+
     /// Returns the HTTP status; 408, 429 and 503 guarantee that the request has not run and never will.
     pub fn status(self) -> StatusCode {
         match self {
@@ -82,6 +93,7 @@
             | Self::Stopping
             | Self::StaleTables
             | Self::QuotaUnavailable
+            | Self::Unreached
             | Self::NoTarget
             | Self::NoAdapter
             | Self::RejectedByTargets
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -14,8 +14,10 @@
 mod event_splitter;
 mod exchange;
 mod final_answers;
+mod forwarded_relay;
 mod front_listener;
 mod health_check;
+mod host_forwarder;
 mod in_flight_request;
 mod lateness;
 mod local_answer;
@@ -41,7 +43,7 @@
     dispatcher::Dispatcher,
     event_splitter::{BrokenStream, EventSplitter},
     exchange::Destination,
-    front_listener::{FrontListener, StopStage},
+    front_listener::{FrontListener, RequestOrigin, StopStage},
     lateness::{Lateness, TimedPart},
     local_answer::{ErrorCause, LocalAnswer},
     request_reader::{RequestReadError, RequestReader},
--- a/src/connection/front/reach_check.rs
+++ b/src/connection/front/reach_check.rs
@@ -69,12 +69,21 @@
             self.table
                 .borrow_mut()
                 .on_reach_unanswered(service, probes.len(), now);
+            self.suspect_other_services();
             self.wait_for_answer().await;
         }
         let now = Instant::now();
         self.table.borrow_mut().on_reach_answered(service, now);
     }
 
+    /// Checks the other services too: the host may be cut off from all targets.
+    fn suspect_other_services(&self) {
+        let routing = self.table.borrow().routing().clone();
+        for service in routing.services() {
+            suspect_unreached(&self.table, &self.names, service);
+        }
+    }
+
     /// Waits until a target answers, or none is left to ask.
     async fn wait_for_answer(&self) {
         loop {
--- a/src/connection/front/request_reader.rs
+++ b/src/connection/front/request_reader.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ErrorCause, admission::identify},
+    super::{ErrorCause, RequestOrigin, admission::identify},
     crate::{
         clock::{Instant, timeout_at},
         formats::{Formats, HeaderNames},
@@ -71,6 +71,7 @@
         routing: &RoutingTable,
         arrived: Instant,
         draw: f64,
+        origin: RequestOrigin,
         memory: &CallerMemory,
     ) -> Result<CallRequest, RequestReadError> {
         if routing.version == 0 {
@@ -100,6 +101,8 @@
                 .map_or("/", |text| text.as_str())
                 .to_string(),
             method: parts.method,
+            is_forwarded: origin == RequestOrigin::Host,
+            authorization: authorization(&parts.headers),
             headers: forwarded_headers(&parts.headers, names, routing),
             body,
             arrived,
@@ -221,6 +224,13 @@
         .collect()
 }
 
+/// Returns the caller's key, which is kept out of logs.
+fn authorization(headers: &HeaderMap) -> Option<HeaderValue> {
+    let mut value = headers.get(header::AUTHORIZATION)?.clone();
+    value.set_sensitive(true);
+    Some(value)
+}
+
 /// Limits on the body of a request.
 struct BodyLimits {
     bytes: usize,
--- a/src/connection/targets/fleet_view.rs
+++ b/src/connection/targets/fleet_view.rs
@@ -26,6 +26,8 @@
     /// By hash slot, the hosts that count customers' usage and allocate concurrency slots of plain targets; empty if
     /// no customer has a limit.
     pub hash_slot_holders: Vec<Option<SocketAddr>>,
+    /// Where other hosts take forwarded requests.
+    pub other_hosts: Vec<SocketAddr>,
     /// Reachable hosts, including this one.
     pub hosts: usize,
     /// Recently known hosts, including unreachable ones.
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -39,6 +39,7 @@
     pub belief_age: Family<CopyLabels, Histogram>,
     pub resends: Family<WaitLabels, Counter>,
     pub rejections: Family<WaitLabels, Counter>,
+    pub forwards: Family<StateLabels, Counter>,
     pub repeats: Family<StateLabels, Counter>,
     pub repeat_allowance: Family<StateLabels, Amount>,
     pub repeat_loans: Family<StateLabels, Counter>,
@@ -100,6 +101,7 @@
             belief_age: Family::new_with_constructor(ages),
             resends: Family::default(),
             rejections: Family::default(),
+            forwards: Family::default(),
             repeats: Family::default(),
             repeat_allowance: Family::default(),
             repeat_loans: Family::default(),
@@ -312,6 +314,11 @@
             "Requests that were rejected without having run, as no target could be expected to serve them",
             self.rejections.clone(),
         );
+        registry.register(
+            "forwards",
+            "Requests forwarded to other hosts, as this one reached no target of their service",
+            self.forwards.clone(),
+        );
         registry.register(
             "prompt_tokens",
             "Prompt tokens sent to engines",
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -248,6 +248,16 @@
         addresses
     }
 
+    /// Returns where the other hosts that are not leaving take forwarded requests.
+    fn other_hosts(&self) -> Vec<SocketAddr> {
+        let port = self.settings.listen.forwards.port();
+        self.hosts
+            .hosts()
+            .filter(|host| host.state == HostState::Alive)
+            .map(|host| SocketAddr::new(host.identity.peer.ip(), port))
+            .collect()
+    }
+
     /// Returns when the next tick is due, at the earliest `now`.
     pub fn next_wake(
         &self,
@@ -556,6 +566,7 @@
             targets: targets.collect(),
             versions: self.versions.clone(),
             hash_slot_holders: self.shard_holders(&holders),
+            other_hosts: self.other_hosts(),
             hosts: self.hosts.reachable_count(),
             known_hosts: self.hosts.known_count(),
             freshness: self.published_freshness,
--- a/src/process/host/host_process.rs
+++ b/src/process/host/host_process.rs
@@ -69,6 +69,8 @@
     let listen = &settings.listen;
     let front = std::net::TcpListener::bind(listen.front)
         .map_err(|problem| listen_error(listen.front, &problem))?;
+    let forwards = std::net::TcpListener::bind(listen.forwards)
+        .map_err(|problem| listen_error(listen.forwards, &problem))?;
     let (control_sender, requests) = flume::unbounded();
     let pages = Rc::new(PublicPages::new(
         control.clone(),
@@ -95,6 +97,7 @@
         settings: settings.clone(),
         formats: formats.clone(),
         listener: front,
+        forwards,
         inputs,
         control: control_sender,
         stop: stop_seen,
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -8,7 +8,7 @@
                 ChargeAnswer, EngineLoad, EngineStanding, Loan, LoanAsk, PermitAnswer, PlaceGiven,
                 Placement,
             },
-            front::{FrontListener, StopStage},
+            front::{FrontListener, RequestOrigin, StopStage},
             targets::{
                 ControlRequest, FleetView, ReplicaFreshness, StalenessBounds, TargetTable,
                 TargetTableSettings,
@@ -88,6 +88,8 @@
     pub settings: NodeSettings,
     pub formats: Arc<dyn Formats>,
     pub listener: TcpListener,
+    /// Takes the requests that other hosts forward.
+    pub forwards: TcpListener,
     pub inputs: flume::Receiver<TrafficInput>,
     pub control: flume::Sender<ControlRequest>,
     pub stop: watch::Receiver<StopStage>,
@@ -118,11 +120,8 @@
         },
     };
     let board = Rc::new(RefCell::new(TargetTable::new(settings, parts.control)));
-    let listener = parts
-        .listener
-        .set_nonblocking(true)
-        .and_then(|()| tokio::net::TcpListener::from_std(parts.listener))
-        .map_err(|problem| RunError::Call(problem.to_string()))?;
+    let listener = non_blocking(parts.listener)?;
+    let forwards = non_blocking(parts.forwards)?;
     let front = FrontListener::new(
         board.clone(),
         parts.formats,
@@ -131,7 +130,9 @@
         parts.open_connections,
         HostMemory::new(parts.settings.memory_limit),
     );
-    spawn_local(Rc::new(front).serve(listener));
+    let front = Rc::new(front);
+    spawn_local(front.clone().serve(listener, RequestOrigin::Caller));
+    spawn_local(front.serve(forwards, RequestOrigin::Host));
     let mut usage = tokio::time::interval(USAGE_PERIOD);
     let mut period = 0u32;
     loop {
@@ -157,6 +158,13 @@
     }
 }
 
+fn non_blocking(listener: TcpListener) -> Result<tokio::net::TcpListener, RunError> {
+    listener
+        .set_nonblocking(true)
+        .and_then(|()| tokio::net::TcpListener::from_std(listener))
+        .map_err(|problem| RunError::Call(problem.to_string()))
+}
+
 /// Tells of what requests rested on, if that came near its bounds.
 fn tell_ages(
     board: &mut TargetTable,
--- a/src/process/settings/node_settings.rs
+++ b/src/process/settings/node_settings.rs
@@ -27,6 +27,8 @@
     pub ready: SocketAddr,
     /// Other hosts, by datagrams and by connections.
     pub peers: SocketAddr,
+    /// Requests that other hosts forward, by default on the port after that of `peers`; all hosts use the same port.
+    pub forwards: SocketAddr,
     /// Whoever gathers figures; none serves none.
     pub metrics: Option<SocketAddr>,
 }
@@ -146,12 +148,16 @@
     let ready = ini.required(SECTION, "ready");
     let peers_ip: Option<IpAddr> = ini.required(SECTION, "peers_ip");
     let peers_port: Option<u16> = ini.required(SECTION, "peers_port");
+    let forwards_port: Option<u16> = ini.optional(SECTION, "forwards_port");
     let metrics = ini.optional(SECTION, "metrics");
+    let (peers_ip, peers_port) = (peers_ip?, peers_port?);
+    let forwards_port = forwards_port.unwrap_or(peers_port.saturating_add(1));
     Some(ListenSettings {
         front: front?,
         entry: entry?,
         ready: ready?,
-        peers: SocketAddr::new(peers_ip?, peers_port?),
+        peers: SocketAddr::new(peers_ip, peers_port),
+        forwards: SocketAddr::new(peers_ip, forwards_port),
         metrics,
     })
 }
--- a/src/request/direct/call_request.rs
+++ b/src/request/direct/call_request.rs
@@ -24,6 +24,10 @@
     pub id: Option<HeaderValue>,
     pub method: Method,
     pub path_and_query: String,
+    /// True if another host has forwarded it, so that this host must not.
+    pub is_forwarded: bool,
+    /// The caller's key as it came, for a host that the request is forwarded to.
+    pub authorization: Option<HeaderValue>,
     /// Headers that are forwarded to the target.
     pub headers: HeaderMap,
     pub body: Bytes,
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -121,6 +121,8 @@
     RequestOverLimit = 628 "request_over_limit" Info,
     RequestNoPermit = 629 "request_no_permit" Info,
     RequestDeferred = 635 "request_deferred" Info,
+    RequestForwarded = 636 "request_forwarded" Info,
+    ForwardCut = 637 "forward_cut" Info,
     RequestNoMemory = 640 "request_no_memory" Info,
     CallerCut = 641 "caller_cut" Warn,
     CallerNoMemory = 642 "caller_no_memory" Info,
--- a/tests/prompt_choice.rs
+++ b/tests/prompt_choice.rs
@@ -199,6 +199,8 @@
         id: None,
         method: Method::POST,
         path_and_query: "/generate".to_string(),
+        is_forwarded: false,
+        authorization: None,
         headers: HeaderMap::new(),
         body: Bytes::new(),
         arrived: now,
