Brittle targets get requests with permits only, so that they reject no more than they bear

Cause: nobody read the statement, and what has no room was tried, request by request. Statements reach all hosts as those of limits do, and hold for all targets of the service, those that have just started too. The host that gives out a target's permits keeps requests that may still be rejected, and rejections of the last second, together below what it bears, and learns its room from rejections; whoever holds a permit tells how far its request has got. A target that falls over while it turns requests away speaks against no request.

--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Address, EngineLoad, EngineQuery, Holdings, HoldingsKnown, PermitAnswer, PermitAsk,
-        TargetNews, Usage,
+        PermitReport, TargetNews, Usage,
     },
     crate::request::places::SlotOutcome,
     prost::Message as _,
@@ -466,6 +466,8 @@
     Holdings(Holdings),
     #[prost(message, tag = "24")]
     HoldingsKnown(HoldingsKnown),
+    #[prost(message, tag = "25")]
+    PermitReport(PermitReport),
 }
 
 impl Message {
@@ -496,6 +498,7 @@
             Self::PermitAnswer(_) => "permit_answer",
             Self::Holdings(_) => "holdings",
             Self::HoldingsKnown(_) => "holdings_known",
+            Self::PermitReport(_) => "permit_report",
         }
     }
 }
@@ -504,7 +507,7 @@
 struct Envelope {
     #[prost(
         oneof = "Message",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
     )]
     message: Option<Message>,
 }
--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -20,5 +20,7 @@
         Vouch, Want, decode, encode,
     },
     socket::DatagramSocket,
-    target_news::{LimitNews, PermitAnswer, PermitAsk, TargetNews},
+    target_news::{
+        BrittleNews, LimitNews, PermitAnswer, PermitAsk, PermitReport, PermitStage, TargetNews,
+    },
 };
--- a/src/connection/datagram/target_news.rs
+++ b/src/connection/datagram/target_news.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::Instant,
     formats::TargetStart,
-    request::notices::{AnnouncedLimit, TargetNotices},
+    request::notices::{AnnouncedLimit, Brittleness, TargetNotices},
 };
 
 /// A limit that a target has named.
@@ -20,6 +20,20 @@
     pub ended: bool,
 }
 
+/// A target has said that it is brittle.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct BrittleNews {
+    /// Rejections a second that it bears from all hosts together.
+    #[prost(double, tag = "1")]
+    pub rejections: f64,
+    /// Time since a host last heard of it, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub told_ago_ms: u32,
+    /// What was heard then is that it is over.
+    #[prost(bool, tag = "3")]
+    pub ended: bool,
+}
+
 /// What a target has said of itself.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct TargetNews {
@@ -33,6 +47,8 @@
     pub leaves: bool,
     #[prost(message, optional, tag = "4")]
     pub limit: Option<LimitNews>,
+    #[prost(message, optional, tag = "5")]
+    pub brittle: Option<BrittleNews>,
 }
 
 /// Asks the host that counts what a target gets for leave to send one request there.
@@ -44,6 +60,36 @@
     /// The target, and the limit as the host that asks knows it.
     #[prost(message, required, tag = "2")]
     pub news: TargetNews,
+    /// Rejections a second that targets of its service bear, if they are brittle.
+    #[prost(double, optional, tag = "3")]
+    pub borne_rejections: Option<f64>,
+}
+
+/// How far a request with a permit for a brittle target has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum PermitStage {
+    /// The target has accepted it.
+    Accepted = 0,
+    /// The target has turned it away.
+    Rejected = 1,
+    /// It has ended, or was never sent.
+    Ended = 2,
+}
+
+/// Tells the host that has granted a permit how far its request has got.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PermitReport {
+    /// As in the ask.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    #[prost(string, tag = "2")]
+    pub target: String,
+    /// Which start of it, as Unix milliseconds; absent where the platform does not tell.
+    #[prost(uint64, optional, tag = "3")]
+    pub start_ms: Option<u64>,
+    #[prost(enumeration = "PermitStage", tag = "4")]
+    pub stage: i32,
 }
 
 /// Answers an ask for leave.
@@ -71,11 +117,17 @@
             told_ago_ms: millis_since(limit.reported_at, now),
             ended: limit.ended,
         });
+        let brittle = notices.brittleness.map(|known| BrittleNews {
+            rejections: known.rejections,
+            told_ago_ms: millis_since(known.reported_at, now),
+            ended: known.ended,
+        });
         Self {
             target: target.to_string(),
             start_ms: notices.start.map(TargetStart::unix_ms),
             leaves: notices.leaving,
             limit,
+            brittle,
         }
     }
 
@@ -86,7 +138,13 @@
     ) -> TargetNotices {
         let start = self.start_ms.map(TargetStart::from_unix_ms);
         let limit = self.limit.filter(|limit| limit.rate >= 0.0);
+        let brittle = self.brittle.filter(|brittle| brittle.rejections >= 0.0);
         TargetNotices {
+            brittleness: brittle.map(|brittle| Brittleness {
+                rejections: brittle.rejections,
+                reported_at: before(now, brittle.told_ago_ms),
+                ended: brittle.ended,
+            }),
             limit: limit.map(|limit| AnnouncedLimit {
                 rate: limit.rate,
                 reported_at: before(now, limit.told_ago_ms),
--- a/src/connection/front/admission/permit_gate.rs
+++ b/src/connection/front/admission/permit_gate.rs
@@ -1,6 +1,7 @@
 //! Permits to send to a target whose request rate is limited over all hosts.
 
 use {
+    super::held_permit::HeldPermit,
     crate::{
         clock::{Instant, timeout_at},
         connection::targets::TargetTable,
@@ -16,20 +17,29 @@
 /// Backoff for a target after a permit request that nobody answered: by then another host counts, or that one is back.
 const UNANSWERED_BACKOFF: Duration = Duration::from_millis(200);
 
-/// Requests a permit where the target needs one, and returns true if a request may be sent there now.
+/// Whether a request may be sent to a target now.
+pub enum Permit {
+    /// It may.
+    Free,
+    /// It may, and whoever granted the permit hears how far the request has got.
+    Held(HeldPermit),
+    Denied,
+}
+
+/// Requests a permit where the target needs one.
 ///
-/// If not, the target is closed on this host until the next permit may be requested.
+/// If it is denied, the target is closed on this host until the next permit may be requested.
 pub async fn acquire_permit(
     table: &Rc<RefCell<TargetTable>>,
     target: &Arc<str>,
-) -> bool {
+) -> Permit {
     let started = Instant::now();
     let id = rand::random();
     let mut pending = {
         let table = table.borrow();
         match table.availability(target, started) {
-            Availability::Open => return true,
-            Availability::Closed => return false,
+            Availability::Open => return Permit::Free,
+            Availability::Closed => return Permit::Denied,
             Availability::Limited => {}
         }
         let pending = table.pending_permits.register(id);
@@ -47,10 +57,14 @@
     };
     let labels = StateLabels { state };
     metrics().permit_asks.get_or_create(&labels).inc();
+    let now = Instant::now();
     let Some(backoff) = backoff else {
-        return true;
+        let is_held = table.borrow().holds_permits(target, now);
+        return match is_held {
+            true => Permit::Held(HeldPermit::new(table, target, id)),
+            false => Permit::Free,
+        };
     };
-    let until = Instant::now() + backoff;
-    table.borrow_mut().mark_unavailable(target, until);
-    false
+    table.borrow_mut().mark_unavailable(target, now + backoff);
+    Permit::Denied
 }
--- a/src/connection/front/crash_probe.rs
+++ b/src/connection/front/crash_probe.rs
@@ -78,6 +78,7 @@
     let probe = CrashProbe {
         table: table.clone(),
         check: HealthCheck::new(names, &request.service, &incarnation.0),
+        service: request.service.name.clone(),
         incarnation,
         lost_at,
     };
@@ -103,6 +104,7 @@
 struct CrashProbe {
     table: Rc<RefCell<TargetTable>>,
     check: HealthCheck,
+    service: String,
     incarnation: TargetIncarnation,
     lost_at: Instant,
 }
@@ -112,7 +114,9 @@
         self,
         address: SocketAddr,
     ) {
-        let crashed = self.has_crashed(address).await;
+        // A brittle target that turns requests away falls over these, not over what it runs.
+        let is_at_risk = self.table.borrow().is_at_risk(&self.service, self.lost_at);
+        let crashed = !is_at_risk && self.has_crashed(address).await;
         let mut table = self.table.borrow_mut();
         let suspects = table.crashes.take_suspects(&self.incarnation);
         if !crashed {
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -3,7 +3,7 @@
         AnswerBody, ErrorCause, LocalAnswer, StreamTiming,
         adapter_waiter::AdapterWaiter,
         admission::{
-            FreshnessCheck, HeldSlot, STALE_RETRY_AFTER, SlotAcquisition, acquire_permit,
+            FreshnessCheck, HeldSlot, Permit, STALE_RETRY_AFTER, SlotAcquisition, acquire_permit,
             acquire_slot, charge, charge_repeat, wait_for_budget, wait_until_fresh,
         },
         attempts::Attempts,
@@ -254,12 +254,16 @@
                 Ok(next) => next,
                 Err(response) => return Outcome::Final(response),
             };
-            if !acquire_permit(&self.table, &destination.target).await {
-                let target = destination.target.clone();
-                let step = TraceStep::NoPermit { target };
-                attempts.trace.add(step, Instant::now());
-                continue;
-            }
+            let permit = match acquire_permit(&self.table, &destination.target).await {
+                Permit::Free => None,
+                Permit::Held(permit) => Some(permit),
+                Permit::Denied => {
+                    let target = destination.target.clone();
+                    let step = TraceStep::NoPermit { target };
+                    attempts.trace.add(step, Instant::now());
+                    continue;
+                }
+            };
             destination.resume_after = resume_after;
             let names = self.formats.headers();
             let streams = request.route.kind == RouteKind::Stream;
@@ -286,11 +290,19 @@
             }
             let incarnation = self.incarnation_of(&destination.target);
             let sent_at = Instant::now();
+            if let Some(permit) = &permit {
+                permit.on_sent();
+            }
             // A send counts as run until its end is known.
             attempts.history.runs += 1;
             attempts.estimate = destination.estimate;
             let sent = send(&self.table, names, request, &destination, streams).await;
             attempts.history.runs -= 1;
+            if let Some(permit) = permit.as_ref().filter(|_| is_rejected(&sent)) {
+                permit.on_rejected();
+                let mut table = self.table.borrow_mut();
+                table.on_brittle_rejection(&request.service.name, Instant::now());
+            }
             if let Some(slot) = &mut slot {
                 slot.end = slot_end(&sent, sent_at.elapsed());
             }
@@ -304,7 +316,10 @@
                     clear_suspect(&self.table, request);
                     return Outcome::Final(relay(answer));
                 }
-                SendOutcome::Open(answer) => return Outcome::Open(answer),
+                SendOutcome::Open(mut answer) => {
+                    answer.source.permit = permit;
+                    return Outcome::Open(answer);
+                }
                 SendOutcome::Failed(answer) => {
                     let status = answer.status.as_u16();
                     attempts.failure = Some(answer);
@@ -606,6 +621,11 @@
     }
 }
 
+/// Returns true if the target turned the request away.
+fn is_rejected(sent: &SendOutcome) -> bool {
+    matches!(sent, SendOutcome::Ended(AttemptEnd::NotRun { .. }))
+}
+
 /// Returns what a send shows of the load of its target.
 fn slot_end(
     sent: &SendOutcome,
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        in_flight_request::InFlightRequest, reach_check::suspect_unreached,
+        admission::HeldPermit, in_flight_request::InFlightRequest, reach_check::suspect_unreached,
         target_connection::connect, target_silence::watch_silence,
     },
     crate::{
@@ -85,6 +85,8 @@
     reusable: bool,
     idle_limit: Option<Duration>,
     in_flight: InFlightRequest,
+    /// Permit of a brittle target.
+    pub(super) permit: Option<HeldPermit>,
 }
 
 impl AnswerSource {
@@ -194,6 +196,7 @@
         reusable: head.keeps_alive && sent_completely,
         idle_limit: head.idle_limit,
         in_flight,
+        permit: None,
     };
     if head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST {
         return not_run(head, source).await;
--- a/src/connection/front/in_flight_request.rs
+++ b/src/connection/front/in_flight_request.rs
@@ -96,9 +96,7 @@
         };
         let mut table = self.table.borrow_mut();
         let (target, incarnation) = (&self.target, self.incarnation);
-        table
-            .notices
-            .on_answer(target, incarnation, &notice, sent, Instant::now());
+        table.on_answer_notices(target, incarnation, &notice, sent, Instant::now());
     }
 
     /// Records that the target has read the prompt: the answer has started, or none will come.
--- a/src/connection/targets/control_request.rs
+++ b/src/connection/targets/control_request.rs
@@ -1,8 +1,8 @@
 use {
     crate::{
         connection::datagram::{
-            ChargeAsk, ChargeRefund, EngineQuery, Loan, LoanAsk, PermitAsk, PlaceEnded,
-            PlaceWanted, Usage, Want,
+            ChargeAsk, ChargeRefund, EngineQuery, Loan, LoanAsk, PermitAsk, PermitReport,
+            PlaceEnded, PlaceWanted, Usage, Want,
         },
         request::{notices::TargetNotices, poison::PoisonReport},
     },
@@ -41,6 +41,8 @@
     },
     /// Request a permit to send one request to a target.
     RequestPermit(PermitAsk),
+    /// Tell the host that has granted a permit for a brittle target how far its request has got.
+    ReportPermit(PermitReport),
     /// Release a concurrency slot at the host that allocated it.
     ReleaseSlot { to: SocketAddr, release: PlaceEnded },
     /// Return an unused part of a charge.
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapter_demand;
 mod adapter_map;
+mod brittle_services;
 mod cached_prompts;
 mod control_request;
 mod crash_tracker;
@@ -35,6 +36,7 @@
 pub use {
     adapter_demand::AdapterDemand,
     adapter_map::{AdapterCopy, AdapterMap},
+    brittle_services::BrittleServices,
     cached_prompts::CachedPrompts,
     control_request::{AdapterRequest, ControlRequest},
     crash_tracker::{CrashTracker, SuspectRequest, TargetIncarnation},
--- a/src/connection/targets/notice_tracker.rs
+++ b/src/connection/targets/notice_tracker.rs
@@ -123,6 +123,15 @@
         Some(TargetNews::of(target, notices, now))
     }
 
+    /// Returns the rejections per second that a target bears; `None` if it does not say that it is brittle.
+    pub fn borne_rejections(
+        &self,
+        target: &str,
+        incarnation: Option<TargetStart>,
+    ) -> Option<f64> {
+        self.registry.get(target, incarnation)?.borne_rejections()
+    }
+
     /// Merges notices of a target that another host received.
     pub fn on_peer_notices(
         &mut self,
@@ -200,6 +209,18 @@
             count("unlimited");
             note!(Event::TargetUnlimited, target = target, rate = rate);
         }
+        NoticeChange::Brittle { rejections } => {
+            count("brittle");
+            note!(
+                Event::TargetBrittle,
+                target = target,
+                rejections = rejections
+            );
+        }
+        NoticeChange::Sturdy => {
+            count("sturdy");
+            note!(Event::TargetSturdy, target = target);
+        }
         NoticeChange::Leaving => {
             count("leaving");
             note!(Event::TargetSaidLeaving, target = target);
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -1,9 +1,9 @@
 use {
     super::{
-        AdapterDemand, AdapterMap, ControlRequest, CrashTracker, FleetView, NoticeTracker,
-        PendingReplies, PrefillThroughput, QuotaTable, RepeatBudgets, ReplicaFreshness,
-        RequestTokens, ServiceReach, StalenessBounds, StalenessMonitor, TargetLink, TargetView,
-        UnplacedRequests,
+        AdapterDemand, AdapterMap, BrittleServices, ControlRequest, CrashTracker, FleetView,
+        NoticeTracker, PendingReplies, PrefillThroughput, QuotaTable, RepeatBudgets,
+        ReplicaFreshness, RequestTokens, ServiceReach, StalenessBounds, StalenessMonitor,
+        TargetLink, TargetView, UnplacedRequests,
     },
     crate::{
         clock::Instant,
@@ -73,6 +73,7 @@
     pub(super) reach_updates: Rc<Notify>,
     pub crashes: CrashTracker,
     pub notices: NoticeTracker,
+    pub(super) brittle: BrittleServices,
     pub quotas: QuotaTable,
     /// Awaited concurrency slots at targets of plain services.
     pub pending_slots: PendingReplies<PlaceGiven>,
@@ -122,6 +123,7 @@
             reach_updates: Rc::default(),
             crashes: CrashTracker::default(),
             notices: NoticeTracker::new(control.clone()),
+            brittle: BrittleServices::default(),
             quotas: QuotaTable::default(),
             pending_slots: PendingReplies::default(),
             pending_permits: PendingReplies::default(),
--- a/src/formats/header_names.rs
+++ b/src/formats/header_names.rs
@@ -27,6 +27,8 @@
     pub not_run: HeaderName,
     /// Requests a second that the target which answers takes from all hosts together, as a decimal number.
     pub target_limit: HeaderName,
+    /// Rejections a second above which the target that answers falls over, as a decimal number.
+    pub target_brittle: HeaderName,
     /// Says that the target which answers is leaving.
     pub target_leaving: HeaderName,
     /// Last event of a stream that its receiver has.
@@ -49,6 +51,7 @@
             &self.priority,
             &self.customer,
             &self.target_limit,
+            &self.target_brittle,
             &self.target_leaving,
         ];
         own.contains(&name) || self.reserved.contains(name)
--- a/src/process/host/control_notices.rs
+++ b/src/process/host/control_notices.rs
@@ -5,13 +5,16 @@
     super::{ControlAction, HostControl, listed_target::ListedTarget},
     crate::{
         clock::Instant,
-        connection::datagram::{Message, PermitAnswer, PermitAsk, TargetNews},
+        connection::datagram::{
+            Message, PermitAnswer, PermitAsk, PermitReport, PermitStage, TargetNews,
+        },
+        formats::TargetStart,
         metrics::{StateLabels, metrics},
         note,
         process::hosts::HostState,
         request::{
             notices::{NoticeRegistry, TargetNotices},
-            permits::{PermitAllocator, permit_host},
+            permits::{PermitAllocator, PermitEvent, RejectionBudgets, permit_host},
         },
         timeline::Event,
     },
@@ -32,6 +35,7 @@
 pub(super) struct NoticeState {
     registry: NoticeRegistry,
     allocator: PermitAllocator,
+    rejections: RejectionBudgets,
     /// Notices with broadcasts left.
     pending_broadcasts: Vec<NoticeBroadcast>,
 }
@@ -95,6 +99,7 @@
             target = update.target,
             leaves = notices.leaving,
             rate = limit.map_or(-1.0, |limit| limit.rate),
+            rejections = notices.borne_rejections().unwrap_or(-1.0),
             ended = limit.is_some_and(|limit| limit.ended),
             age_ms = limit.map_or(0, |limit| {
                 now.saturating_duration_since(limit.reported_at).as_millis()
@@ -119,7 +124,7 @@
         now: Instant,
     ) -> Vec<ControlAction> {
         let mut actions = self.on_target_notices(&request.news, now);
-        let outcome = self.allocate_permit(&request.news, now);
+        let outcome = self.allocate_permit(request, now);
         let state = match &outcome {
             Ok(()) => "granted",
             Err(_) => "denied",
@@ -136,15 +141,45 @@
         actions
     }
 
+    /// Handles how far a request with a permit for a brittle target has got.
+    pub(super) fn on_permit_report(
+        &mut self,
+        report: &PermitReport,
+        now: Instant,
+    ) {
+        let start = report.start_ms.map(TargetStart::from_unix_ms);
+        let stage = PermitStage::try_from(report.stage).unwrap_or(PermitStage::Ended);
+        let event = match stage {
+            PermitStage::Accepted => PermitEvent::Accepted,
+            PermitStage::Rejected => PermitEvent::Rejected,
+            PermitStage::Ended => PermitEvent::Ended,
+        };
+        let rejections = &mut self.notices.rejections;
+        let usage = rejections.on_event(&report.target, start, report.id, event, now);
+        if event == PermitEvent::Rejected {
+            note!(
+                Event::TargetRejections,
+                target = report.target,
+                rejected = usage.rejected,
+                running = usage.running,
+            );
+        }
+    }
+
     fn allocate_permit(
         &mut self,
-        update: &TargetNews,
+        request: &PermitAsk,
         now: Instant,
     ) -> Result<(), Duration> {
+        let update = &request.news;
         if self.permit_host(&update.target) != Some(self.hosts.me().peer) {
             return Err(WRONG_HOST_RETRY_DELAY);
         }
         let start = update.notices(now).start;
+        if let Some(bound) = request.borne_rejections {
+            let rejections = &mut self.notices.rejections;
+            rejections.request(&update.target, start, request.id, bound, now)?;
+        }
         let merged = self.notices.registry.get(&update.target, start);
         let limit = merged.and_then(|notices| notices.limit);
         match limit.and_then(|limit| limit.rate_at(now)) {
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -6,7 +6,8 @@
         clock::Instant,
         connection::{
             datagram::{
-                Ack, HostRumor, LoanAsk, Message, PermitAsk, Ping, PingEcho, PingRequest, Vouch,
+                Ack, HostRumor, LoanAsk, Message, PermitAsk, PermitReport, Ping, PingEcho,
+                PingRequest, Vouch,
             },
             targets::ControlRequest,
         },
@@ -176,6 +177,10 @@
             Message::TargetNews(update) => self.on_target_notices(&update, now),
             Message::PermitAsk(request) => self.on_permit_request(from, &request, now),
             Message::PermitAnswer(answer) => vec![ControlAction::DeliverPermitAnswer(answer)],
+            Message::PermitReport(report) => {
+                self.on_permit_report(&report, now);
+                Vec::new()
+            }
             Message::Holdings(holdings) => self.on_holdings(from, &holdings).into_iter().collect(),
             Message::HoldingsKnown(known) => {
                 self.on_holdings_known(from, known, now);
@@ -252,6 +257,7 @@
                 self.on_response_notices(&target, &notices, now)
             }
             ControlRequest::RequestPermit(request) => self.request_permit(request, now),
+            ControlRequest::ReportPermit(report) => self.report_permit(report, now),
             ControlRequest::ReleaseSlot { to, release } if to == me => {
                 self.on_slot_release(&release);
                 Vec::new()
@@ -307,6 +313,25 @@
         }
     }
 
+    /// Tells the host that allocates a target's permits how far a request has got.
+    fn report_permit(
+        &mut self,
+        report: PermitReport,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let me = self.hosts.me().peer;
+        match self.permit_host(&report.target) {
+            Some(to) if to != me => vec![ControlAction::Send {
+                to,
+                message: Message::PermitReport(report),
+            }],
+            _ => {
+                self.on_permit_report(&report, now);
+                Vec::new()
+            }
+        }
+    }
+
     /// Sends a message to a host, or delivers it to this host's own requests.
     pub(super) fn send(
         &self,
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -204,9 +204,7 @@
             board.pending_permits.on_answer(answer.id, answer);
         }
         TrafficInput::TargetNews { target, notices } => {
-            board
-                .notices
-                .on_peer_notices(&target, &notices, Instant::now());
+            board.on_peer_notices(&target, &notices, Instant::now());
         }
         TrafficInput::Charged(answer) => board.quotas.on_answer(answer),
         TrafficInput::Borrowed(loan) => board.on_loan(&loan, Instant::now()),
--- a/src/request/notices/mod.rs
+++ b/src/request/notices/mod.rs
@@ -3,6 +3,7 @@
 
 mod announced_limit;
 mod availability;
+mod brittleness;
 mod notice;
 mod notice_registry;
 mod target_notices;
@@ -10,6 +11,7 @@
 pub use {
     announced_limit::AnnouncedLimit,
     availability::Availability,
+    brittleness::Brittleness,
     notice::{InvalidNoticeHeader, LimitHeader, Notice, NoticeHeaders},
     notice_registry::NoticeRegistry,
     target_notices::{NoticeChange, TargetNotices},
--- a/src/request/notices/notice.rs
+++ b/src/request/notices/notice.rs
@@ -10,12 +10,12 @@
 /// Longer backoffs are cut to this.
 const MAX_BACKOFF: Duration = Duration::from_secs(24 * 3600);
 
-/// The rate limit in the headers of one response.
+/// A rate in the headers of one response.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum LimitHeader {
     #[default]
     Absent,
-    /// Requests per second, summed over all hosts.
+    /// Requests per second, summed over all hosts; for brittle targets, rejections per second.
     Rate(f64),
     /// Not usable: neither announces a limit nor ends one.
     Unknown,
@@ -25,6 +25,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Notice {
     pub limit: LimitHeader,
+    /// The target falls over if it has to turn away more than so many requests per second.
+    pub brittle: LimitHeader,
     /// The target is shutting down.
     pub leaving: bool,
     /// The target accepts no requests from this host for this long.
@@ -34,7 +36,11 @@
 impl Notice {
     /// Returns true if the response has no limit, shutdown notice or backoff.
     pub fn is_empty(&self) -> bool {
-        !matches!(self.limit, LimitHeader::Rate(_)) && !self.leaving && self.backoff.is_none()
+        let announces = |header| matches!(header, LimitHeader::Rate(_));
+        !announces(self.limit)
+            && !announces(self.brittle)
+            && !self.leaving
+            && self.backoff.is_none()
     }
 }
 
@@ -59,15 +65,13 @@
         if self.status == StatusCode::MISDIRECTED_REQUEST {
             let notice = Notice {
                 limit: LimitHeader::Unknown,
+                brittle: LimitHeader::Unknown,
                 ..Notice::default()
             };
             return (notice, invalid);
         }
-        let limit = match self.value(&self.names.target_limit, &mut invalid) {
-            Value::Absent => LimitHeader::Absent,
-            Value::Number(rate) => LimitHeader::Rate(rate),
-            Value::Invalid => LimitHeader::Unknown,
-        };
+        let limit = self.rate(&self.names.target_limit, &mut invalid);
+        let brittle = self.rate(&self.names.target_brittle, &mut invalid);
         let leaving = match self.value(&self.names.target_leaving, &mut invalid) {
             Value::Number(flag) => flag > 0.0,
             Value::Absent | Value::Invalid => false,
@@ -85,12 +89,25 @@
         };
         let notice = Notice {
             limit,
+            brittle,
             leaving,
             backoff,
         };
         (notice, invalid)
     }
 
+    fn rate(
+        &self,
+        name: &HeaderName,
+        invalid: &mut Vec<InvalidNoticeHeader>,
+    ) -> LimitHeader {
+        match self.value(name, invalid) {
+            Value::Absent => LimitHeader::Absent,
+            Value::Number(rate) => LimitHeader::Rate(rate),
+            Value::Invalid => LimitHeader::Unknown,
+        }
+    }
+
     fn value(
         &self,
         name: &HeaderName,
--- a/src/request/notices/target_notices.rs
+++ b/src/request/notices/target_notices.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AnnouncedLimit, LimitHeader, Notice},
+    super::{AnnouncedLimit, Brittleness, LimitHeader, Notice},
     crate::{clock::Instant, formats::TargetStart},
 };
 
@@ -10,6 +10,10 @@
     Limited { rate: f64 },
     /// The limit that was in force, in requests per second, is no longer announced.
     Unlimited { rate: f64 },
+    /// From now on the target falls over if it turns away more than so many requests per second.
+    Brittle { rejections: f64 },
+    /// The target is no longer brittle.
+    Sturdy,
     /// The target is shutting down.
     Leaving,
     /// The target accepts no requests from this host until then.
@@ -29,6 +33,7 @@
     /// `None` if the platform does not report start times.
     pub start: Option<TargetStart>,
     pub limit: Option<AnnouncedLimit>,
+    pub brittleness: Option<Brittleness>,
     /// The target is shutting down; never reset.
     pub leaving: bool,
     /// The target accepts no requests from this host until then.
@@ -45,6 +50,7 @@
         Self {
             start,
             limit: None,
+            brittleness: None,
             leaving: false,
             backoff_until: None,
             updated_at: now,
@@ -61,6 +67,7 @@
         self.updated_at = now;
         let mut changes = Vec::new();
         changes.extend(self.record_limit(notice.limit, sent, now));
+        changes.extend(self.record_brittleness(notice.brittle, sent, now));
         if notice.leaving && !self.leaving {
             self.leaving = true;
             changes.push(NoticeChange::Leaving);
@@ -107,6 +114,43 @@
         }
     }
 
+    fn record_brittleness(
+        &mut self,
+        header: LimitHeader,
+        sent: Instant,
+        now: Instant,
+    ) -> Option<NoticeChange> {
+        let known = self.brittleness.filter(|known| !known.ended);
+        match header {
+            LimitHeader::Rate(rejections) => {
+                self.brittleness = Some(Brittleness {
+                    rejections,
+                    reported_at: now,
+                    ended: false,
+                });
+                let same = known.is_some_and(|known| known.rejections == rejections);
+                (!same).then_some(NoticeChange::Brittle { rejections })
+            }
+            // A response to a request that was sent before the statement can't end it.
+            LimitHeader::Absent => {
+                let known = known.filter(|known| known.reported_at < sent)?;
+                self.brittleness = Some(Brittleness {
+                    reported_at: now,
+                    ended: true,
+                    ..known
+                });
+                Some(NoticeChange::Sturdy)
+            }
+            LimitHeader::Unknown => None,
+        }
+    }
+
+    /// Returns the rejections per second that the target bears, if it is brittle.
+    pub fn borne_rejections(&self) -> Option<f64> {
+        let brittleness = self.brittleness.filter(|known| !known.ended);
+        brittleness.map(|known| known.rejections)
+    }
+
     /// Returns the end of the backoff that the target has asked for, if it is not over.
     pub fn active_backoff(
         &self,
@@ -124,7 +168,7 @@
         limit.is_some_and(|limit| limit.rate_at(now).is_some())
     }
 
-    /// Merges another host's entry for the same start. Returns true if the limit or the shutdown notice changed; a mere
+    /// Merges another host's entry for the same start. Returns true if a limit, brittleness or the shutdown notice changed; a mere
     /// confirmation is no change. Backoffs are not shared.
     pub fn merge(
         &mut self,
@@ -136,13 +180,30 @@
             (Some(known), Some(remote)) => Some(known.merge(remote)),
             (known, remote) => known.or(remote),
         };
+        self.brittleness = match (self.brittleness, other.brittleness) {
+            (Some(known), Some(remote)) => Some(known.merge(remote)),
+            (known, remote) => known.or(remote),
+        };
         self.updated_at = self.updated_at.max(other.updated_at);
         before != self.shared_state()
     }
 
-    /// Returns the part that is shared with all hosts: limit, whether it has ended, shutdown notice.
-    fn shared_state(&self) -> (Option<(f64, bool)>, bool) {
-        let limit = self.limit.map(|limit| (limit.rate, limit.ended));
-        (limit, self.leaving)
+    /// Returns the part that is shared with all hosts.
+    fn shared_state(&self) -> SharedState {
+        SharedState {
+            limit: self.limit.map(|limit| (limit.rate, limit.ended)),
+            borne_rejections: self.borne_rejections(),
+            leaving: self.leaving,
+        }
     }
 }
+
+/// What hosts tell each other of a target's notices.
+#[derive(Debug, PartialEq)]
+struct SharedState {
+    /// Requests per second, and whether the limit has ended.
+    limit: Option<(f64, bool)>,
+    /// Rejections per second that a brittle target bears.
+    borne_rejections: Option<f64>,
+    leaving: bool,
+}
--- a/src/request/permits/mod.rs
+++ b/src/request/permits/mod.rs
@@ -4,5 +4,11 @@
 mod permit_allocator;
 mod permit_host;
 mod rate_bucket;
+mod rejection_budget;
 
-pub use {permit_allocator::PermitAllocator, permit_host::permit_host, rate_bucket::RateBucket};
+pub use {
+    permit_allocator::PermitAllocator,
+    permit_host::permit_host,
+    rate_bucket::RateBucket,
+    rejection_budget::{BudgetUsage, PermitEvent, RejectionBudgets},
+};
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -144,6 +144,9 @@
     EngineSpeeds = 716 "engine_speeds" Info,
     ServiceUnreached = 717 "service_unreached" Warn,
     ServiceReached = 718 "service_reached" Info,
+    TargetBrittle = 719 "target_brittle" Info,
+    TargetSturdy = 720 "target_sturdy" Info,
+    TargetRejections = 721 "target_rejections" Info,
     LinesDropped = 801 "lines_dropped" Warn,
     LinesHeldBack = 802 "lines_held_back" Warn,
 }
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -39,6 +39,7 @@
         customer: name("customer"),
         not_run: name("not-run"),
         target_limit: name("limit"),
+        target_brittle: name("brittle"),
         target_leaving: name("leaving"),
         last_event_id: name("last"),
         reserved: Vec::new(),
