The dispatcher's waits and its hop to other hosts stand in files of their own

Change: that no target of a service is reached is the error of `try_targets` (`Unreached`); waits and forwarding are blocks of their own (`dispatch_waits`, `dispatch_forwarding`), the limits one copy (`buffer_limits`). Nothing acts otherwise.

--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -1,10 +1,9 @@
 use {
     super::{
         AnswerBody, ErrorCause, LocalAnswer, StreamTiming,
-        adapter_waiter::AdapterWaiter,
         admission::{
-            FreshnessCheck, HeldSlot, Permit, STALE_RETRY_AFTER, SlotAcquisition, acquire_permit,
-            acquire_slot, charge, charge_repeat, wait_for_budget, wait_until_fresh,
+            HeldSlot, Permit, STALE_RETRY_AFTER, SlotAcquisition, acquire_permit, acquire_slot,
+            charge, charge_repeat, wait_for_budget,
         },
         attempts::Attempts,
         chooser::{Choice, Chooser},
@@ -20,8 +19,8 @@
         stream_relay::StreamRelay,
     },
     crate::{
-        clock::{Instant, sleep_until, timeout_at},
-        connection::targets::{KeyStatus, TargetIncarnation, TargetTable},
+        clock::{Instant, timeout_at},
+        connection::targets::{TargetIncarnation, TargetTable},
         formats::Formats,
         metrics::{WaitLabels, metrics},
         request::{
@@ -47,23 +46,24 @@
 const MIN_RUN_TIME: Duration = Duration::from_millis(3);
 
 /// Result of all sends of a request.
-enum Outcome {
+pub(super) enum Outcome {
     /// The final answer.
     Final(Response<AnswerBody>),
     /// The head and the first piece of an answer that is still being sent.
     Open(Box<OpenAnswer>),
     /// The answer of another host.
     Forwarded(Response<AnswerBody>),
-    /// This host reaches no target of the service, and another host may serve the request.
-    Unreached,
 }
 
+/// This host reaches no target of the service, and another host may serve the request.
+pub(super) struct Unreached;
+
 /// Sends each request to a target, with resends where the route allows them, and returns the final answer.
 pub struct Dispatcher {
-    table: Rc<RefCell<TargetTable>>,
+    pub(super) table: Rc<RefCell<TargetTable>>,
     chooser: Chooser,
-    answers: FinalAnswers,
-    forwarder: Rc<HostForwarder>,
+    pub(super) answers: FinalAnswers,
+    pub(super) forwarder: Rc<HostForwarder>,
     formats: Arc<dyn Formats>,
 }
 
@@ -119,7 +119,7 @@
                 settle_charge(charged, false);
                 return response;
             }
-            Err(_) | Ok(Outcome::Unreached) => self.answers.answer_timeout(&request, &mut attempts),
+            Err(_) => self.answers.answer_timeout(&request, &mut attempts),
             Ok(Outcome::Open(answer)) => {
                 settle_charge(charged, true);
                 let open = OpenRequest::new(request, attempts, answer.status.as_u16());
@@ -134,64 +134,6 @@
         response
     }
 
-    /// Answers a request for which nothing was done yet, while no target of its service is reached; `None` if it is to be tried
-    /// here nevertheless.
-    async fn forward_unsent(
-        &self,
-        request: &CallRequest,
-    ) -> Option<Response<AnswerBody>> {
-        if request.is_forwarded {
-            return Some(self.answers.decline_unreached(request));
-        }
-        let pending = PendingRequest::new(request, None);
-        let response = self.forwarder.forward(request).await;
-        pending.disarm();
-        response
-    }
-
-    /// Sends the request to targets, or to another host once no target of its service is reached.
-    async fn try_or_forward(
-        &self,
-        request: &CallRequest,
-        attempts: &mut Attempts,
-    ) -> Outcome {
-        loop {
-            let outcome = self.try_targets(request, attempts, None).await;
-            if !matches!(outcome, Outcome::Unreached) {
-                return outcome;
-            }
-            if request.is_forwarded {
-                return Outcome::Final(self.answers.decline_unreached(request));
-            }
-            let repeats = attempts.history.arrivals > 0;
-            if repeats && charge_repeat(&self.table, request).is_none() {
-                return Outcome::Final(self.answers.rejected_by_targets(request, attempts));
-            }
-            // A send counts as run until its end is known.
-            attempts.history.runs += 1;
-            let response = self.forwarder.forward(request).await;
-            attempts.history.runs -= 1;
-            match response {
-                Some(response) => return Outcome::Forwarded(response),
-                None => attempts.forwarding_failed = true,
-            }
-        }
-    }
-
-    /// Returns true if a request is to be served by another host from now on.
-    fn must_forward(
-        &self,
-        request: &CallRequest,
-        attempts: &Attempts,
-    ) -> bool {
-        let may_run_elsewhere = attempts.history.runs == 0 || request.route.repeatable();
-        let is_untouched = attempts.history.arrivals == 0;
-        may_run_elsewhere
-            && (is_untouched || !request.is_forwarded)
-            && !attempts.forwarding_failed
-            && self.table.borrow().is_unreached(&request.service.name)
-    }
-
     /// Opens the rest of a broken stream at another target, after the event `after`.
     pub async fn resume(
         &self,
@@ -214,7 +156,7 @@
             return None;
         }
         match self.try_targets(request, attempts, after).await {
-            Outcome::Open(answer) if answer.status.is_success() => Some(answer),
+            Ok(Outcome::Open(answer)) if answer.status.is_success() => Some(answer),
             _ => None,
         }
     }
@@ -239,20 +181,20 @@
     }
 
     /// Sends the request to one target after the other until there is an answer or it is not sent again.
-    async fn try_targets(
+    pub(super) async fn try_targets(
         &self,
         request: &CallRequest,
         attempts: &mut Attempts,
         resume_after: Option<u64>,
-    ) -> Outcome {
+    ) -> Result<Outcome, Unreached> {
         loop {
             if resume_after.is_none() && self.must_forward(request, attempts) {
-                return Outcome::Unreached;
+                return Err(Unreached);
             }
             let next = self.next_destination(request, attempts, resume_after.is_some());
             let (mut destination, mut slot) = match next.await {
                 Ok(next) => next,
-                Err(response) => return Outcome::Final(response),
+                Err(response) => return Ok(Outcome::Final(response)),
             };
             let permit = match acquire_permit(&self.table, &destination.target).await {
                 Permit::Free => None,
@@ -274,7 +216,9 @@
                 false => None,
             };
             if repeats && repeat_charge.is_none() {
-                return Outcome::Final(self.answers.rejected_by_targets(request, attempts));
+                return Ok(Outcome::Final(
+                    self.answers.rejected_by_targets(request, attempts),
+                ));
             }
             let verified = is_suspected(&self.table, request);
             if verified
@@ -286,7 +230,7 @@
             }
             // The request may have become known as poison while it waited seconds for its adapter.
             if is_poison(&self.table, request) {
-                return Outcome::Final(self.answers.reject_poison(request));
+                return Ok(Outcome::Final(self.answers.reject_poison(request)));
             }
             let incarnation = self.incarnation_of(&destination.target);
             let sent_at = Instant::now();
@@ -314,11 +258,11 @@
             let end = match sent {
                 SendOutcome::Complete(answer) => {
                     clear_suspect(&self.table, request);
-                    return Outcome::Final(relay(answer));
+                    return Ok(Outcome::Final(relay(answer)));
                 }
                 SendOutcome::Open(mut answer) => {
                     answer.source.permit = permit;
-                    return Outcome::Open(answer);
+                    return Ok(Outcome::Open(answer));
                 }
                 SendOutcome::Failed(answer) => {
                     let status = answer.status.as_u16();
@@ -343,7 +287,7 @@
                 .handle_failed_send(request, attempts, &destination, end)
                 .await
             {
-                return Outcome::Final(response);
+                return Ok(Outcome::Final(response));
             }
         }
     }
@@ -474,44 +418,6 @@
         table.record_stream(&request.service.name, paused_too_long);
     }
 
-    /// Waits until all tables that a send depends on are fresh; returns false on timeout.
-    async fn wait_until_fresh(
-        &self,
-        request: &CallRequest,
-    ) -> bool {
-        let id = request.id_text();
-        let has_adapter = request
-            .generation
-            .as_ref()
-            .and_then(|g| g.adapter())
-            .is_some();
-        // The tables that the request was routed by may have become stale while it waited for its adapter.
-        if request.credential.is_some()
-            && !wait_until_fresh(&self.table, FreshnessCheck::Keys, id).await
-        {
-            return false;
-        }
-        if has_adapter && !wait_until_fresh(&self.table, FreshnessCheck::Versions, id).await {
-            return false;
-        }
-        wait_until_fresh(&self.table, FreshnessCheck::Targets, id).await
-    }
-
-    /// Returns why a request must not be sent with its key any more: the key may have been revoked while the request
-    /// waited seconds for its adapter.
-    fn key_error(
-        &self,
-        request: &CallRequest,
-    ) -> Option<ErrorCause> {
-        let credential = request.credential.as_ref()?;
-        let key_status = self.table.borrow().key_status(credential, Instant::now());
-        match key_status {
-            KeyStatus::Valid => None,
-            KeyStatus::Revoked => Some(ErrorCause::UnknownKey),
-            KeyStatus::Reassigned | KeyStatus::Unconfirmed => Some(ErrorCause::StaleTables),
-        }
-    }
-
     /// Decides what follows a failed send; returns the final answer, or `None` if the request is to be sent again.
     async fn handle_failed_send(
         &self,
@@ -589,36 +495,6 @@
             table.on_adapter_missing(adapter, &destination.target);
         }
     }
-
-    /// Waits until a holder has reported the status of its engine, or until a time.
-    async fn wait_for_engine_reports(
-        &self,
-        until: Instant,
-    ) {
-        let update = self.table.borrow().engine_status_updates();
-        tokio::select! {
-            _ = update.notified() => {}
-            _ = sleep_until(until) => {}
-        }
-    }
-
-    /// Waits for an update on the request's adapter, or until a time.
-    async fn wait_for_adapter(
-        &self,
-        request: &CallRequest,
-        until: Instant,
-    ) {
-        let Some(adapter) = request.generation.as_ref().and_then(|g| g.adapter()) else {
-            sleep_until(until).await;
-            return;
-        };
-        let waiter =
-            AdapterWaiter::start(&self.table, &request.service.name, adapter, request.urgency);
-        tokio::select! {
-            _ = waiter.updated() => {}
-            _ = sleep_until(until) => {}
-        }
-    }
 }
 
 /// Returns true if the target turned the request away.
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        admission::HeldPermit, in_flight_request::InFlightRequest, reach_check::suspect_unreached,
+        admission::HeldPermit, buffer_limits::MAX_BUFFERED_BODY,
+        in_flight_request::InFlightRequest, reach_check::suspect_unreached,
         target_connection::connect, target_silence::watch_silence,
     },
     crate::{
@@ -21,9 +22,6 @@
     std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
 
-/// Bodies up to this size in bytes are read completely before they are relayed.
-const MAX_BUFFERED_BODY: usize = 256 * 1024;
-
 /// Lowest priority that engines know.
 const LOWEST_PRIORITY: u8 = 9;
 
--- a/src/connection/front/forwarded_relay.rs
+++ b/src/connection/front/forwarded_relay.rs
@@ -1,6 +1,9 @@
 use {
     super::{
-        AnswerBody, BrokenAnswer, exchange::relayed_headers, host_forwarder::HostForwarder,
+        AnswerBody, BrokenAnswer,
+        buffer_limits::{MAX_BUFFERED_BODY, MAX_BUFFERED_PIECES},
+        exchange::relayed_headers,
+        host_forwarder::HostForwarder,
         request_trace::millis,
     },
     crate::{
@@ -16,12 +19,6 @@
     tokio::sync::mpsc,
 };
 
-/// Bodies up to this size in bytes are read completely before they are relayed.
-const MAX_BUFFERED_BODY: usize = 256 * 1024;
-
-/// Pieces that are buffered for a slow caller before backpressure reaches the other host.
-const MAX_BUFFERED_PIECES: usize = 16;
-
 /// The answer of another host, whose body is still to be read.
 pub struct RelayedAnswer {
     pub status: StatusCode,
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         AnswerBody, BrokenAnswer, Dispatcher,
+        buffer_limits::MAX_BUFFERED_PIECES,
         event_splitter::EventSplitter,
         exchange::{AnswerSource, OpenAnswer},
         open_request::OpenRequest,
@@ -18,9 +19,6 @@
     tokio::sync::mpsc,
 };
 
-/// Pieces that are buffered for a slow caller before backpressure reaches the target.
-const MAX_BUFFERED_PIECES: usize = 16;
-
 /// Silence after which a resumable stream is abandoned, as a multiple of the route's gap objective.
 const SILENCE_GAP_FACTOR: u32 = 4;
 
