A limit and brittleness are one type, a rate that a target has announced

Cause: `Brittleness` and `AnnouncedLimit` had the same fields, the same merge and nearly the same record of a header, and their messages between hosts were alike too; `LimitHeader` also held the rate of rejections; `Sturdy` is no term of the field. Change: `AnnouncedRate`, `RateHeader`, `RateNews` and `NoticeChange::NoLongerBrittle`, event 720 `target_no_longer_brittle`; the messages' bytes stay the same.

--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -20,7 +20,5 @@
         Vouch, Want, decode, encode,
     },
     socket::DatagramSocket,
-    target_news::{
-        BrittleNews, LimitNews, PermitAnswer, PermitAsk, PermitReport, PermitStage, TargetNews,
-    },
+    target_news::{PermitAnswer, PermitAsk, PermitReport, PermitStage, RateNews, TargetNews},
 };
--- a/src/connection/datagram/target_news.rs
+++ b/src/connection/datagram/target_news.rs
@@ -3,13 +3,13 @@
 use crate::{
     clock::Instant,
     formats::TargetStart,
-    request::notices::{AnnouncedLimit, Brittleness, TargetNotices},
+    request::notices::{AnnouncedRate, TargetNotices},
 };
 
-/// A limit that a target has named.
+/// A rate that a target has named.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct LimitNews {
-    /// Requests a second from all hosts together.
+pub struct RateNews {
+    /// Per second, for all hosts together.
     #[prost(double, tag = "1")]
     pub rate: f64,
     /// Time since a host last heard of it, in milliseconds.
@@ -20,20 +20,6 @@
     pub ended: bool,
 }
 
-/// A target has said that it is brittle.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct BrittleNews {
-    /// Rejections a second that it bears from all hosts together.
-    #[prost(double, tag = "1")]
-    pub rejections: f64,
-    /// Time since a host last heard of it, in milliseconds.
-    #[prost(uint32, tag = "2")]
-    pub told_ago_ms: u32,
-    /// What was heard then is that it is over.
-    #[prost(bool, tag = "3")]
-    pub ended: bool,
-}
-
 /// What a target has said of itself.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct TargetNews {
@@ -45,10 +31,12 @@
     /// It leaves.
     #[prost(bool, tag = "3")]
     pub leaves: bool,
+    /// Requests that it takes.
     #[prost(message, optional, tag = "4")]
-    pub limit: Option<LimitNews>,
+    pub limit: Option<RateNews>,
+    /// Rejections that it bears, if it is brittle.
     #[prost(message, optional, tag = "5")]
-    pub brittle: Option<BrittleNews>,
+    pub brittle: Option<RateNews>,
 }
 
 /// Asks the host that counts what a target gets for leave to send one request there.
@@ -105,6 +93,32 @@
     pub ask_again_ms: u32,
 }
 
+impl RateNews {
+    fn of(
+        known: &AnnouncedRate,
+        now: Instant,
+    ) -> Self {
+        Self {
+            rate: known.rate,
+            told_ago_ms: millis_since(known.reported_at, now),
+            ended: known.ended,
+        }
+    }
+
+    /// What another host knows, by this host's clock; `None` if the rate makes no sense.
+    fn announced(
+        &self,
+        now: Instant,
+    ) -> Option<AnnouncedRate> {
+        let known = AnnouncedRate {
+            rate: self.rate,
+            reported_at: before(now, self.told_ago_ms),
+            ended: self.ended,
+        };
+        (known.rate >= 0.0).then_some(known)
+    }
+}
+
 impl TargetNews {
     /// What is known of one start of a target, for another host.
     pub fn of(
@@ -112,22 +126,12 @@
         notices: &TargetNotices,
         now: Instant,
     ) -> Self {
-        let limit = notices.limit.map(|limit| LimitNews {
-            rate: limit.rate,
-            told_ago_ms: millis_since(limit.reported_at, now),
-            ended: limit.ended,
-        });
-        let brittle = notices.brittleness.map(|known| BrittleNews {
-            rejections: known.rejections,
-            told_ago_ms: millis_since(known.reported_at, now),
-            ended: known.ended,
-        });
         Self {
             target: target.to_string(),
             start_ms: notices.start.map(TargetStart::unix_ms),
             leaves: notices.leaving,
-            limit,
-            brittle,
+            limit: notices.limit.map(|limit| RateNews::of(&limit, now)),
+            brittle: notices.brittleness.map(|known| RateNews::of(&known, now)),
         }
     }
 
@@ -137,19 +141,9 @@
         now: Instant,
     ) -> TargetNotices {
         let start = self.start_ms.map(TargetStart::from_unix_ms);
-        let limit = self.limit.filter(|limit| limit.rate >= 0.0);
-        let brittle = self.brittle.filter(|brittle| brittle.rejections >= 0.0);
         TargetNotices {
-            brittleness: brittle.map(|brittle| Brittleness {
-                rejections: brittle.rejections,
-                reported_at: before(now, brittle.told_ago_ms),
-                ended: brittle.ended,
-            }),
-            limit: limit.map(|limit| AnnouncedLimit {
-                rate: limit.rate,
-                reported_at: before(now, limit.told_ago_ms),
-                ended: limit.ended,
-            }),
+            limit: self.limit.and_then(|limit| limit.announced(now)),
+            brittleness: self.brittle.and_then(|known| known.announced(now)),
             leaving: self.leaves,
             ..TargetNotices::new(start, now)
         }
--- a/src/connection/targets/notice_tracker.rs
+++ b/src/connection/targets/notice_tracker.rs
@@ -217,9 +217,9 @@
                 rejections = rejections
             );
         }
-        NoticeChange::Sturdy => {
-            count("sturdy");
-            note!(Event::TargetSturdy, target = target);
+        NoticeChange::NoLongerBrittle => {
+            count("not_brittle");
+            note!(Event::TargetNoLongerBrittle, target = target);
         }
         NoticeChange::Leaving => {
             count("leaving");
--- a/src/process/host/control_notices.rs
+++ b/src/process/host/control_notices.rs
@@ -182,7 +182,7 @@
         }
         let merged = self.notices.registry.get(&update.target, start);
         let limit = merged.and_then(|notices| notices.limit);
-        match limit.and_then(|limit| limit.rate_at(now)) {
+        match limit.and_then(|limit| limit.limit_at(now)) {
             Some(rate) => self
                 .notices
                 .allocator
--- a/src/request/notices/mod.rs
+++ b/src/request/notices/mod.rs
@@ -1,18 +1,16 @@
-//! Notices that targets send in response headers: that they are shutting down, that they need a backoff, and the
-//! request rate that they accept from all hosts together. No I/O.
+//! Notices that targets send in response headers: that they are shutting down, that they need a backoff, the request rate
+//! that they accept from all hosts together, and the rate of rejections at which they fall over. No I/O.
 
-mod announced_limit;
+mod announced_rate;
 mod availability;
-mod brittleness;
 mod notice;
 mod notice_registry;
 mod target_notices;
 
 pub use {
-    announced_limit::AnnouncedLimit,
+    announced_rate::AnnouncedRate,
     availability::Availability,
-    brittleness::Brittleness,
-    notice::{InvalidNoticeHeader, LimitHeader, Notice, NoticeHeaders},
+    notice::{InvalidNoticeHeader, Notice, NoticeHeaders, RateHeader},
     notice_registry::NoticeRegistry,
     target_notices::{NoticeChange, TargetNotices},
 };
--- a/src/request/notices/notice.rs
+++ b/src/request/notices/notice.rs
@@ -12,7 +12,7 @@
 
 /// A rate in the headers of one response.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub enum LimitHeader {
+pub enum RateHeader {
     #[default]
     Absent,
     /// Requests per second, summed over all hosts; for brittle targets, rejections per second.
@@ -24,9 +24,9 @@
 /// The notices in the headers of one response.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Notice {
-    pub limit: LimitHeader,
+    pub limit: RateHeader,
     /// The target falls over if it has to turn away more than so many requests per second.
-    pub brittle: LimitHeader,
+    pub brittle: RateHeader,
     /// The target is shutting down.
     pub leaving: bool,
     /// The target accepts no requests from this host for this long.
@@ -36,7 +36,7 @@
 impl Notice {
     /// Returns true if the response has no limit, shutdown notice or backoff.
     pub fn is_empty(&self) -> bool {
-        let announces = |header| matches!(header, LimitHeader::Rate(_));
+        let announces = |header| matches!(header, RateHeader::Rate(_));
         !announces(self.limit)
             && !announces(self.brittle)
             && !self.leaving
@@ -64,8 +64,8 @@
         let mut invalid = Vec::new();
         if self.status == StatusCode::MISDIRECTED_REQUEST {
             let notice = Notice {
-                limit: LimitHeader::Unknown,
-                brittle: LimitHeader::Unknown,
+                limit: RateHeader::Unknown,
+                brittle: RateHeader::Unknown,
                 ..Notice::default()
             };
             return (notice, invalid);
@@ -100,11 +100,11 @@
         &self,
         name: &HeaderName,
         invalid: &mut Vec<InvalidNoticeHeader>,
-    ) -> LimitHeader {
+    ) -> RateHeader {
         match self.value(name, invalid) {
-            Value::Absent => LimitHeader::Absent,
-            Value::Number(rate) => LimitHeader::Rate(rate),
-            Value::Invalid => LimitHeader::Unknown,
+            Value::Absent => RateHeader::Absent,
+            Value::Number(rate) => RateHeader::Rate(rate),
+            Value::Invalid => RateHeader::Unknown,
         }
     }
 
--- a/src/request/notices/target_notices.rs
+++ b/src/request/notices/target_notices.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AnnouncedLimit, Brittleness, LimitHeader, Notice},
+    super::{AnnouncedRate, Notice, announced_rate::RateChange},
     crate::{clock::Instant, formats::TargetStart},
 };
 
@@ -13,7 +13,7 @@
     /// From now on the target falls over if it turns away more than so many requests per second.
     Brittle { rejections: f64 },
     /// The target is no longer brittle.
-    Sturdy,
+    NoLongerBrittle,
     /// The target is shutting down.
     Leaving,
     /// The target accepts no requests from this host until then.
@@ -21,6 +21,20 @@
 }
 
 impl NoticeChange {
+    fn of_limit(change: RateChange) -> Self {
+        match change {
+            RateChange::Announced(rate) => Self::Limited { rate },
+            RateChange::Ended(rate) => Self::Unlimited { rate },
+        }
+    }
+
+    fn of_brittleness(change: RateChange) -> Self {
+        match change {
+            RateChange::Announced(rejections) => Self::Brittle { rejections },
+            RateChange::Ended(_) => Self::NoLongerBrittle,
+        }
+    }
+
     /// Returns true for changes that concern all hosts; a backoff concerns only the host that received it.
     pub fn is_site_wide(&self) -> bool {
         !matches!(self, Self::BackingOff { .. })
@@ -32,8 +46,10 @@
 pub struct TargetNotices {
     /// `None` if the platform does not report start times.
     pub start: Option<TargetStart>,
-    pub limit: Option<AnnouncedLimit>,
-    pub brittleness: Option<Brittleness>,
+    /// Requests that the target accepts.
+    pub limit: Option<AnnouncedRate>,
+    /// Rejections that the target bears, if it is brittle.
+    pub brittleness: Option<AnnouncedRate>,
     /// The target is shutting down; never reset.
     pub leaving: bool,
     /// The target accepts no requests from this host until then.
@@ -66,8 +82,10 @@
     ) -> Vec<NoticeChange> {
         self.updated_at = now;
         let mut changes = Vec::new();
-        changes.extend(self.record_limit(notice.limit, sent, now));
-        changes.extend(self.record_brittleness(notice.brittle, sent, now));
+        let limit = AnnouncedRate::record(&mut self.limit, notice.limit, sent, now);
+        changes.extend(limit.map(NoticeChange::of_limit));
+        let brittleness = AnnouncedRate::record(&mut self.brittleness, notice.brittle, sent, now);
+        changes.extend(brittleness.map(NoticeChange::of_brittleness));
         if notice.leaving && !self.leaving {
             self.leaving = true;
             changes.push(NoticeChange::Leaving);
@@ -82,73 +100,9 @@
         changes
     }
 
-    fn record_limit(
-        &mut self,
-        header: LimitHeader,
-        sent: Instant,
-        now: Instant,
-    ) -> Option<NoticeChange> {
-        let known = self.limit.filter(|limit| limit.rate_at(now).is_some());
-        match header {
-            LimitHeader::Rate(rate) => {
-                let announced = AnnouncedLimit {
-                    rate,
-                    reported_at: now,
-                    ended: false,
-                };
-                self.limit = Some(announced);
-                let same = known.is_some_and(|known| !known.ended && known.rate == rate);
-                (!same).then_some(NoticeChange::Limited { rate })
-            }
-            // A response to a request that was sent before the limit was announced can't end it.
-            LimitHeader::Absent => {
-                let known = known.filter(|known| !known.ended && known.reported_at < sent)?;
-                self.limit = Some(AnnouncedLimit {
-                    reported_at: now,
-                    ended: true,
-                    ..known
-                });
-                Some(NoticeChange::Unlimited { rate: known.rate })
-            }
-            LimitHeader::Unknown => None,
-        }
-    }
-
-    fn record_brittleness(
-        &mut self,
-        header: LimitHeader,
-        sent: Instant,
-        now: Instant,
-    ) -> Option<NoticeChange> {
-        let known = self.brittleness.filter(|known| !known.ended);
-        match header {
-            LimitHeader::Rate(rejections) => {
-                self.brittleness = Some(Brittleness {
-                    rejections,
-                    reported_at: now,
-                    ended: false,
-                });
-                let same = known.is_some_and(|known| known.rejections == rejections);
-                (!same).then_some(NoticeChange::Brittle { rejections })
-            }
-            // A response to a request that was sent before the statement can't end it.
-            LimitHeader::Absent => {
-                let known = known.filter(|known| known.reported_at < sent)?;
-                self.brittleness = Some(Brittleness {
-                    reported_at: now,
-                    ended: true,
-                    ..known
-                });
-                Some(NoticeChange::Sturdy)
-            }
-            LimitHeader::Unknown => None,
-        }
-    }
-
     /// Returns the rejections per second that the target bears, if it is brittle.
     pub fn borne_rejections(&self) -> Option<f64> {
-        let brittleness = self.brittleness.filter(|known| !known.ended);
-        brittleness.map(|known| known.rejections)
+        self.brittleness?.in_force()
     }
 
     /// Returns the end of the backoff that the target has asked for, if it is not over.
@@ -165,7 +119,7 @@
         now: Instant,
     ) -> bool {
         let limit = self.limit.as_ref();
-        limit.is_some_and(|limit| limit.rate_at(now).is_some())
+        limit.is_some_and(|limit| limit.limit_at(now).is_some())
     }
 
     /// Merges another host's entry for the same start. Returns true if a limit, brittleness or the shutdown notice changed; a mere
@@ -176,14 +130,8 @@
     ) -> bool {
         let before = self.shared_state();
         self.leaving |= other.leaving;
-        self.limit = match (self.limit, other.limit) {
-            (Some(known), Some(remote)) => Some(known.merge(remote)),
-            (known, remote) => known.or(remote),
-        };
-        self.brittleness = match (self.brittleness, other.brittleness) {
-            (Some(known), Some(remote)) => Some(known.merge(remote)),
-            (known, remote) => known.or(remote),
-        };
+        self.limit = AnnouncedRate::merge(self.limit, other.limit);
+        self.brittleness = AnnouncedRate::merge(self.brittleness, other.brittleness);
         self.updated_at = self.updated_at.max(other.updated_at);
         before != self.shared_state()
     }
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -145,7 +145,7 @@
     ServiceUnreached = 717 "service_unreached" Warn,
     ServiceReached = 718 "service_reached" Info,
     TargetBrittle = 719 "target_brittle" Info,
-    TargetSturdy = 720 "target_sturdy" Info,
+    TargetNoLongerBrittle = 720 "target_no_longer_brittle" Info,
     TargetRejections = 721 "target_rejections" Info,
     LinesDropped = 801 "lines_dropped" Warn,
     LinesHeldBack = 802 "lines_held_back" Warn,
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -7,7 +7,7 @@
         formats::{HeaderNames, TargetStart},
         request::{
             notices::{
-                AnnouncedLimit, LimitHeader, Notice, NoticeChange, NoticeHeaders, NoticeRegistry,
+                AnnouncedRate, Notice, NoticeChange, NoticeHeaders, NoticeRegistry, RateHeader,
                 TargetNotices,
             },
             permits::{PermitAllocator, permit_host},
@@ -65,33 +65,33 @@
 }
 
 #[rstest]
-#[case::fraction(b"2.25", LimitHeader::Rate(2.25))]
-#[case::zero(b"0", LimitHeader::Rate(0.0))]
-#[case::blanks(b" 4 ", LimitHeader::Rate(4.0))]
-#[case::empty(b"", LimitHeader::Unknown)]
-#[case::negative(b"-1", LimitHeader::Unknown)]
-#[case::no_number(b"NaN", LimitHeader::Unknown)]
-#[case::infinite(b"1e400", LimitHeader::Unknown)]
-#[case::words(b"two", LimitHeader::Unknown)]
-#[case::long(&[b'1'; 10_000], LimitHeader::Unknown)]
-#[case::not_ascii(b"2\xff", LimitHeader::Unknown)]
+#[case::fraction(b"2.25", RateHeader::Rate(2.25))]
+#[case::zero(b"0", RateHeader::Rate(0.0))]
+#[case::blanks(b" 4 ", RateHeader::Rate(4.0))]
+#[case::empty(b"", RateHeader::Unknown)]
+#[case::negative(b"-1", RateHeader::Unknown)]
+#[case::no_number(b"NaN", RateHeader::Unknown)]
+#[case::infinite(b"1e400", RateHeader::Unknown)]
+#[case::words(b"two", RateHeader::Unknown)]
+#[case::long(&[b'1'; 10_000], RateHeader::Unknown)]
+#[case::not_ascii(b"2\xff", RateHeader::Unknown)]
 fn a_limit_is_read_or_left_aside(
     #[case] text: &[u8],
-    #[case] expected: LimitHeader,
+    #[case] expected: RateHeader,
 ) {
     let (notice, unreadable) = read(200, &[("limit", text)]);
     assert_eq!(notice.limit, expected);
-    assert_eq!(unreadable, usize::from(expected == LimitHeader::Unknown));
+    assert_eq!(unreadable, usize::from(expected == RateHeader::Unknown));
 }
 
 #[rstest]
-#[case::doubled(200, &[("limit", b"2".as_slice()), ("limit", b"3")], LimitHeader::Unknown)]
-#[case::of_another_target(421, &[("limit", b"2".as_slice())], LimitHeader::Unknown)]
-#[case::absent(200, &[], LimitHeader::Absent)]
+#[case::doubled(200, &[("limit", b"2".as_slice()), ("limit", b"3")], RateHeader::Unknown)]
+#[case::of_another_target(421, &[("limit", b"2".as_slice())], RateHeader::Unknown)]
+#[case::absent(200, &[], RateHeader::Absent)]
 fn what_can_not_be_gone_by_is_left_aside(
     #[case] status: u16,
     #[case] lines: &[(&'static str, &[u8])],
-    #[case] expected: LimitHeader,
+    #[case] expected: RateHeader,
 ) {
     assert_eq!(read(status, lines).0.limit, expected);
 }
@@ -101,7 +101,7 @@
     let begin = Instant::now();
     let mut notices = TargetNotices::new(None, begin);
     let named = Notice {
-        limit: LimitHeader::Rate(2.0),
+        limit: RateHeader::Rate(2.0),
         ..Notice::default()
     };
     let changes = notices.record(&named, begin, begin + ms(10));
@@ -112,7 +112,7 @@
     let over = begin + ms(1_000);
     let changes = notices.record(&absent, begin + ms(900), over);
     assert_eq!(changes, [NoticeChange::Unlimited { rate: 2.0 }]);
-    let rate = |at| notices.limit.unwrap().rate_at(at);
+    let rate = |at| notices.limit.unwrap().limit_at(at);
     assert_eq!(rate(over), Some(2.0));
     assert_eq!(rate(over + ms(2_000)), Some(8.0));
     assert_eq!(rate(over + ms(6_000)), None);
@@ -131,7 +131,7 @@
     assert!(registry.is_leaving("t", start(5)));
     assert!(!registry.is_leaving("t", start(6)));
     let named = Notice {
-        limit: LimitHeader::Rate(1.0),
+        limit: RateHeader::Rate(1.0),
         ..Notice::default()
     };
     registry.record("t", start(6), &named, now, now);
@@ -151,7 +151,7 @@
     let limit = (0u64..20, 0u32..4, any::<bool>());
     (any::<bool>(), proptest::option::of(limit)).prop_map(move |(leaving, limit)| TargetNotices {
         leaving,
-        limit: limit.map(|(reported_at, rate, ended)| AnnouncedLimit {
+        limit: limit.map(|(reported_at, rate, ended)| AnnouncedRate {
             rate: f64::from(rate),
             reported_at: begin + ms(reported_at),
             ended,
@@ -167,7 +167,7 @@
     let begin = Instant::now();
     let mut registry = NoticeRegistry::default();
     let named = |at: Instant, rate: f64| TargetNotices {
-        limit: Some(AnnouncedLimit {
+        limit: Some(AnnouncedRate {
             rate,
             reported_at: at,
             ended: false,
