A host that comes up is told what targets say

Cause: notices are broadcast as they change. A host that starts later, or that others had lost, knew of none until an answer told it, and crowded brittle, limited or leaving targets until then, though their word binds new hosts too. Change: as a host comes up, or runs in a new process while it was believed to be alive (`HostEvent::Restarted`), the host that issued a target's permits before that sends it the notices in force, as often as a broadcast. What arrives before the list of targets does is applied as the list comes.

--- a/src/connection/targets/table_notices.rs
+++ b/src/connection/targets/table_notices.rs
@@ -87,7 +87,8 @@
         self.brittle.bound(&link.view.record.service, now)
     }
 
-    fn record_brittleness(
+    /// Records whether a target says that it is brittle, for its whole service.
+    pub(super) fn record_brittleness(
         &mut self,
         target: &Arc<str>,
         incarnation: Option<TargetStart>,
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -285,7 +285,10 @@
         let Some(link) = self.links.get_mut(id) else {
             let id: Arc<str> = id.into();
             self.adapters.assume_held(&id, &target.record.models);
-            self.links.insert(id, TargetLink::new(target.clone()));
+            self.links
+                .insert(id.clone(), TargetLink::new(target.clone()));
+            // Another host may have told of its notices before the list brought it.
+            self.record_brittleness(&id, target.record.started, Instant::now());
             return true;
         };
         if Arc::ptr_eq(&link.view, target) {
--- a/src/process/host/control_notices.rs
+++ b/src/process/host/control_notices.rs
@@ -44,10 +44,17 @@
 struct NoticeBroadcast {
     target: String,
     notices: TargetNotices,
+    recipients: Recipients,
     remaining: u32,
     due: Instant,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Recipients {
+    AllHosts,
+    Host(SocketAddr),
+}
+
 impl NoticeState {
     /// Returns true if a response of the target announced that it is leaving; its list entry may lag behind.
     pub fn has_announced_leaving(
@@ -192,16 +199,54 @@
         }
     }
 
+    /// Sends the notices in force to a host that has come up: no answer has told it of them.
+    ///
+    /// The host that issued a target's permits before that one came up does so.
+    pub(super) fn send_notices_in_force(
+        &mut self,
+        peer: SocketAddr,
+        now: Instant,
+    ) {
+        let me = self.hosts.me().peer;
+        let in_force = self.notices.registry.in_force(now);
+        let mine =
+            in_force.filter(|(target, _)| self.permit_host_without(target, peer) == Some(me));
+        let messages: Vec<NoticeBroadcast> = mine
+            .map(|(target, notices)| NoticeBroadcast {
+                target: target.to_string(),
+                notices: *notices,
+                recipients: Recipients::Host(peer),
+                remaining: BROADCAST_COUNT,
+                due: now,
+            })
+            .collect();
+        self.notices.pending_broadcasts.extend(messages);
+    }
+
     /// Returns the host that issues permits for a target.
     pub(super) fn permit_host(
         &self,
         target: &str,
     ) -> Option<SocketAddr> {
+        permit_host(target, self.permit_hosts())
+    }
+
+    /// Returns the host that would issue permits for a target without one host.
+    fn permit_host_without(
+        &self,
+        target: &str,
+        without: SocketAddr,
+    ) -> Option<SocketAddr> {
+        permit_host(target, self.permit_hosts().filter(|peer| *peer != without))
+    }
+
+    /// Returns all hosts that may issue permits.
+    fn permit_hosts(&self) -> impl Iterator<Item = SocketAddr> {
         let others = self.hosts.hosts();
         let alive = others.filter(|host| host.state == HostState::Alive);
         let peers = alive.map(|host| host.identity.peer);
         let me = (!self.hosts.is_leaving()).then(|| self.hosts.me().peer);
-        permit_host(target, peers.chain(me))
+        peers.chain(me)
     }
 
     fn merge_notices(
@@ -233,6 +278,7 @@
         pending_broadcasts.push(NoticeBroadcast {
             target: target.to_string(),
             notices: *notices,
+            recipients: Recipients::AllHosts,
             remaining: BROADCAST_COUNT,
             due: now,
         });
@@ -253,9 +299,12 @@
             broadcast.remaining -= 1;
             broadcast.due = now + BROADCAST_INTERVAL;
             let update = TargetNews::of(&broadcast.target, &broadcast.notices, now);
-            let up = self.hosts.hosts().filter(|host| host.state.is_up());
-            actions.extend(up.map(|host| ControlAction::Send {
-                to: host.identity.peer,
+            let recipients = match broadcast.recipients {
+                Recipients::AllHosts => self.peers_up(),
+                Recipients::Host(peer) => vec![peer],
+            };
+            actions.extend(recipients.into_iter().map(|to| ControlAction::Send {
+                to,
                 message: Message::TargetNews(update.clone()),
             }));
         }
@@ -263,4 +312,9 @@
         self.notices.pending_broadcasts = pending_broadcasts;
         actions
     }
+
+    fn peers_up(&self) -> Vec<SocketAddr> {
+        let up = self.hosts.hosts().filter(|host| host.state.is_up());
+        up.map(|host| host.identity.peer).collect()
+    }
 }
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -491,12 +491,16 @@
                     if state == HostState::Alive && announces {
                         newly_alive.push(peer);
                     }
+                    if state == HostState::Alive {
+                        self.send_notices_in_force(peer, now);
+                    }
                     if state == HostState::Dead {
                         for allocator in self.allocators.values_mut() {
                             allocator.on_host_gone(peer);
                         }
                     }
                 }
+                HostEvent::Restarted { peer } => self.send_notices_in_force(peer, now),
                 HostEvent::Refuted { incarnation } => {
                     note!(Event::SelfRefuted, incarnation = incarnation);
                 }
--- a/src/process/hosts/host_table.rs
+++ b/src/process/hosts/host_table.rs
@@ -80,6 +80,8 @@
         name: String,
         state: HostState,
     },
+    /// A host that was believed to be alive all along runs in a new process.
+    Restarted { peer: SocketAddr },
     /// This host refuted a rumor that it is suspect or dead.
     Refuted { incarnation: u32 },
 }
@@ -395,6 +397,9 @@
         let changed = restarted || known.ready != rumor.ready || holds_changed;
         known.ready = rumor.ready;
         let state = HostState::from_wire(rumor.state());
+        if restarted && known.state == HostState::Alive && state == HostState::Alive {
+            self.events.push(HostEvent::Restarted { peer });
+        }
         if changed {
             self.pending_rumors.insert(peer, 0);
         }
--- a/src/request/notices/notice_registry.rs
+++ b/src/request/notices/notice_registry.rs
@@ -64,6 +64,16 @@
         notices.filter(|notices| notices.start == start)
     }
 
+    /// Returns the notices that bind all hosts now, with the ids of their targets.
+    pub fn in_force(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&Arc<str>, &TargetNotices)> {
+        self.by_target
+            .iter()
+            .filter(move |(_, notices)| notices.bind_all_hosts(now))
+    }
+
     /// Returns true if this start of the target has announced its shutdown.
     pub fn is_leaving(
         &self,
--- a/src/request/notices/target_notices.rs
+++ b/src/request/notices/target_notices.rs
@@ -122,6 +122,14 @@
         limit.is_some_and(|limit| limit.limit_at(now).is_some())
     }
 
+    /// Returns true if anything that is shared with all hosts is in force.
+    pub fn bind_all_hosts(
+        &self,
+        now: Instant,
+    ) -> bool {
+        self.leaving || self.is_limited(now) || self.borne_rejections().is_some()
+    }
+
     /// Merges another host's entry for the same start. Returns true if a limit, brittleness or the shutdown notice changed; a mere
     /// confirmation is no change. Backoffs are not shared.
     pub fn merge(
