--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -1,13 +1,13 @@
 use {
     super::{
-        admission::HeldPermit, buffer_limits::MAX_BUFFERED_BODY,
+        AnswerEnding, AnswerReader, admission::HeldPermit, buffer_limits::MAX_BUFFERED_BODY,
         in_flight_request::InFlightRequest, reach_check::suspect_unreached,
         target_connection::connect, target_silence::watch_silence,
     },
     crate::{
         clock::Instant,
         connection::{
-            http1::{BodyDecoder, ExchangeError, HttpConnection, ResponseHead},
+            http1::{ExchangeError, ResponseHead},
             targets::{KeyStatus, TargetIncarnation, TargetTable},
         },
         formats::HeaderNames,
@@ -78,8 +78,7 @@
 
 /// Source of the rest of a body.
 pub struct AnswerSource {
-    connection: HttpConnection,
-    decoder: BodyDecoder,
+    reader: AnswerReader,
     reusable: bool,
     idle_limit: Option<Duration>,
     in_flight: InFlightRequest,
@@ -90,7 +89,7 @@
 impl AnswerSource {
     /// Returns the next piece, or `None` at the end of the body.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
-        let piece = self.connection.body_piece(&mut self.decoder).await;
+        let piece = self.reader.next().await;
         if matches!(piece, Ok(Some(_))) {
             self.in_flight.on_received();
         }
@@ -114,10 +113,16 @@
         self.in_flight.target_incarnation()
     }
 
+    /// Returns how the end of the bytes so far was told.
+    pub fn ending(&self) -> AnswerEnding {
+        self.reader.ending()
+    }
+
     /// Ends a completely read body, and returns the connection to the pool if it can be reused.
     pub fn finish(self) {
         if self.reusable {
-            self.in_flight.release(self.connection, self.idle_limit);
+            let connection = self.reader.into_connection();
+            self.in_flight.release(connection, self.idle_limit);
         }
     }
 }
@@ -189,8 +194,7 @@
             .on_reach_answered(&request.service.name, Instant::now());
     }
     let mut source = AnswerSource {
-        connection,
-        decoder: BodyDecoder::new(head.framing),
+        reader: AnswerReader::new(connection, &head, streams),
         reusable: head.keeps_alive && sent_completely,
         idle_limit: head.idle_limit,
         in_flight,
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -4,6 +4,7 @@
 mod adapter_waiter;
 mod admission;
 mod answer_body;
+mod answer_reader;
 mod attempts;
 mod buffer_limits;
 mod chooser;
@@ -14,6 +15,7 @@
 mod engine_estimator;
 mod engine_exclusions;
 mod engine_sample;
+mod event_scanner;
 mod event_splitter;
 mod exchange;
 mod final_answers;
@@ -41,9 +43,11 @@
 
 pub use {
     answer_body::{AnswerBody, BrokenAnswer},
+    answer_reader::{AnswerEnding, AnswerReader},
     attempts::Attempts,
     chooser::{Choice, Chooser},
     dispatcher::Dispatcher,
+    event_scanner::EventScanner,
     event_splitter::{BrokenStream, EventSplitter},
     exchange::Destination,
     front_listener::{FrontListener, RequestOrigin, StopStage},
--- a/src/connection/front/open_request.rs
+++ b/src/connection/front/open_request.rs
@@ -1,5 +1,9 @@
 use {
-    super::{StreamTiming, attempts::Attempts, served_request::ServedRequest},
+    super::{
+        AnswerEnding, StreamTiming,
+        attempts::Attempts,
+        served_request::{RelayedAnswer, ServedRequest},
+    },
     crate::request::direct::CallRequest,
 };
 
@@ -12,6 +16,8 @@
     pub request: CallRequest,
     pub attempts: Attempts,
     pub timing: StreamTiming,
+    /// How the end of the last target's answer was told, once that is known.
+    pub ending: Option<AnswerEnding>,
     served: ServedRequest,
     is_logged: bool,
 }
@@ -27,6 +33,7 @@
             request,
             attempts,
             timing: StreamTiming::default(),
+            ending: None,
             is_logged: false,
         }
     }
@@ -39,8 +46,12 @@
         if std::mem::replace(&mut self.is_logged, true) {
             return;
         }
+        let relayed = RelayedAnswer {
+            timing: &self.timing,
+            ending: self.ending,
+        };
         self.served
-            .log_relayed(&self.request, &self.attempts, &self.timing, ended);
+            .log_relayed(&self.request, &self.attempts, &relayed, ended);
     }
 }
 
--- a/src/connection/front/served_request.rs
+++ b/src/connection/front/served_request.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        ErrorCause, Lateness, StreamTiming, TimedPart, attempts::Attempts,
+        AnswerEnding, ErrorCause, Lateness, StreamTiming, TimedPart, attempts::Attempts,
         exchange::ExpectedVersion, request_trace::millis,
     },
     crate::{
@@ -20,6 +20,13 @@
 /// Word for a stream that the caller left.
 pub const CALLER_GONE: &str = "caller_gone";
 
+/// What is known of a relayed answer at its end.
+pub struct RelayedAnswer<'a> {
+    pub timing: &'a StreamTiming,
+    /// `None` if the answer did not end by itself.
+    pub ending: Option<AnswerEnding>,
+}
+
 /// Content of a request's log line that is known once there is its answer, or the first event of a stream.
 ///
 /// A stream that is resumed later keeps what was known at its first event; other log lines record the resumption.
@@ -71,11 +78,11 @@
         &self,
         request: &CallRequest,
         attempts: &Attempts,
-        timing: &StreamTiming,
+        relayed: &RelayedAnswer,
         ended: &'static str,
     ) {
         let is_stream = request.route.kind == RouteKind::Stream;
-        self.log(request, attempts, is_stream.then_some(timing), ended);
+        self.log(request, attempts, is_stream.then_some(relayed), ended);
     }
 
     /// Writes one line, preceded by the request's trace if it failed, was late or broke off.
@@ -83,9 +90,11 @@
         &self,
         request: &CallRequest,
         attempts: &Attempts,
-        timing: Option<&StreamTiming>,
+        relayed: Option<&RelayedAnswer>,
         ended: &'static str,
     ) {
+        let timing = relayed.map(|relayed| relayed.timing);
+        let ending = relayed.and_then(|relayed| relayed.ending);
         let now = Instant::now();
         let id = request.id_text();
         let lateness = self.lateness(request, timing);
@@ -120,6 +129,8 @@
             expected_first_ms = self.estimate.map_or(-1.0, |e| millis(e.first_event)),
             expected_pause_ms = self.estimate.map_or(-1.0, |e| millis(e.pause)),
             prompt_tokens = generation.map_or(0, |generation| generation.tokens_in),
+            framing = ending.map_or("-", |ending| ending.framing.word()),
+            in_event = ending.map_or("-", AnswerEnding::in_event_word),
             customer = credential.map_or("-", |credential| &credential.customer.name),
         );
     }
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -83,6 +83,9 @@
         loop {
             let first_event = Instant::now();
             let end = self.relay(first, &mut source).await;
+            if matches!(end, RelayEnd::Complete | RelayEnd::Broken) {
+                self.open.ending = Some(source.ending());
+            }
             if end == RelayEnd::Broken {
                 let incarnation = source.incarnation();
                 self.dispatcher
--- a/src/connection/http1/response_head.rs
+++ b/src/connection/http1/response_head.rs
@@ -21,6 +21,17 @@
     UntilClose,
 }
 
+impl BodyFraming {
+    /// Returns the word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "close",
+        }
+    }
+}
+
 /// Status and headers of an answer.
 #[derive(Debug, Clone)]
 pub struct ResponseHead {
