Streams that end inside an event are broken off, however their end was told

Cause: whether an answer is complete was decided by its framing, and for an answer with neither a length nor chunks a FIN is the end. Only resumable routes looked at events, in the relay, so that a target that ended in mid-event on any other route passed for complete; a head alone passed on all routes. The class: the end of the transport taken for the end of what it carries. Ruled out: a host that knows and ends its own answer as if it was whole (the lines say ended=whole), the hop (the hosts that answered had sent the requests to the engines themselves). Change: AnswerReader, which reads each answer of a target or of another host, decides at its end: a stream that ends inside an event is an error, so is one without any event whose end only the connection tells. Relay, resumption, buffered answers and the hop see a broken answer as any other: resumed, sent again, or cut. Hosts frame all answers to each other; one without is lost.

--- a/src/connection/front/answer_reader.rs
+++ b/src/connection/front/answer_reader.rs
@@ -29,7 +29,10 @@
     }
 }
 
-/// Reads the body of one answer.
+/// Reads the body of one answer, and decides at its end whether the answer is complete.
+///
+/// A stream that ends inside an event has been broken off, whatever its framing says. So has one without any event whose
+/// end is told by nothing but the connection. Of any other answer without framing the end can't be checked.
 pub struct AnswerReader {
     connection: HttpConnection,
     decoder: BodyDecoder,
@@ -54,15 +57,30 @@
         }
     }
 
-    /// Returns the next piece, or `None` at the end of the body.
+    /// Returns the next piece, or `None` at the end of a complete body.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         let piece = self.connection.body_piece(&mut self.decoder).await?;
-        if let (Some(events), Some(piece)) = (&mut self.events, &piece) {
-            events.scan(piece);
+        let Some(bytes) = &piece else {
+            return match self.is_broken_off() {
+                true => Err(ExchangeError::BrokenOff),
+                false => Ok(None),
+            };
+        };
+        if let Some(events) = &mut self.events {
+            events.scan(bytes);
         }
         Ok(piece)
     }
 
+    /// Returns true if the bytes so far can't be a complete answer.
+    fn is_broken_off(&self) -> bool {
+        let Some(events) = &self.events else {
+            return false;
+        };
+        let is_framed = self.framing != BodyFraming::UntilClose;
+        events.is_in_event() || !(is_framed || events.has_event())
+    }
+
     /// Returns how the end of the bytes so far was told.
     pub fn ending(&self) -> AnswerEnding {
         AnswerEnding {
--- a/src/connection/front/event_splitter.rs
+++ b/src/connection/front/event_splitter.rs
@@ -25,11 +25,6 @@
         self.last_id
     }
 
-    /// Returns true if no incomplete event is buffered.
-    pub fn is_between_events(&self) -> bool {
-        self.partial.is_empty()
-    }
-
     /// Discards an incomplete event, before another target continues the stream and sends it again.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
--- a/src/connection/front/forwarded_relay.rs
+++ b/src/connection/front/forwarded_relay.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        AnswerBody, BrokenAnswer,
+        AnswerBody, AnswerReader, BrokenAnswer,
         buffer_limits::{MAX_BUFFERED_BODY, MAX_BUFFERED_PIECES},
         exchange::relayed_headers,
         host_forwarder::HostForwarder,
@@ -8,7 +8,7 @@
     },
     crate::{
         clock::{Instant, sleep_until},
-        connection::http1::{BodyDecoder, ExchangeError, HttpConnection},
+        connection::http1::ExchangeError,
         note,
         request::memory::{CallerMemory, MemoryUse},
         timeline::Event,
@@ -23,18 +23,11 @@
 pub struct RelayedAnswer {
     pub status: StatusCode,
     pub headers: HeaderMap,
-    pub connection: HttpConnection,
-    pub decoder: BodyDecoder,
+    pub body: AnswerReader,
     /// The connection can be used again after the body.
     pub keeps: bool,
 }
 
-impl RelayedAnswer {
-    async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
-        self.connection.body_piece(&mut self.decoder).await
-    }
-}
-
 /// Relays another host's answer to a forwarded request.
 pub struct ForwardedRelay {
     pub forwarder: Rc<HostForwarder>,
@@ -61,7 +54,7 @@
         let mut first = BytesMut::new();
         let mut has_room = true;
         while first.len() < min_bytes && has_room {
-            match answer.next().await.ok()? {
+            match answer.body.next().await.ok()? {
                 Some(piece) => {
                     first.extend_from_slice(&piece);
                     has_room = held.cover(first.capacity() as u64);
@@ -85,7 +78,8 @@
     ) -> Response<AnswerBody> {
         let response = response(&mut answer, body);
         if answer.keeps {
-            self.forwarder.put_idle(self.host, answer.connection);
+            self.forwarder
+                .put_idle(self.host, answer.body.into_connection());
         }
         response
     }
@@ -108,7 +102,7 @@
                 return self.log_cut("caller_gone", begun);
             }
             let next = tokio::select! {
-                next = answer.next() => next,
+                next = answer.body.next() => next,
                 () = caller.closed() => return self.log_cut("caller_gone", begun),
                 () = sleep_until(self.deadline) => Err(ExchangeError::Closed),
             };
@@ -116,7 +110,8 @@
                 Ok(Some(next)) => piece = next,
                 Ok(None) => {
                     if answer.keeps {
-                        self.forwarder.put_idle(self.host, answer.connection);
+                        self.forwarder
+                            .put_idle(self.host, answer.body.into_connection());
                     }
                     return;
                 }
--- a/src/connection/front/host_forwarder.rs
+++ b/src/connection/front/host_forwarder.rs
@@ -6,14 +6,14 @@
 
 use {
     super::{
-        AnswerBody, ErrorCause, LocalAnswer,
+        AnswerBody, AnswerReader, ErrorCause, LocalAnswer,
         forwarded_relay::{ForwardedRelay, RelayedAnswer},
         request_trace::millis,
     },
     crate::{
         clock::{Instant, timeout_at},
         connection::{
-            http1::{BodyDecoder, HttpConnection, ResponseHead},
+            http1::{BodyFraming, HttpConnection, ResponseHead},
             targets::TargetTable,
         },
         formats::Formats,
@@ -165,13 +165,17 @@
         let Ok((head, sent_completely)) = exchange.await else {
             return ForwardEnd::Lost;
         };
+        // Hosts frame each answer, so that its end shows.
+        if head.framing == BodyFraming::UntilClose {
+            return ForwardEnd::Lost;
+        }
+        let streams = request.route.kind == RouteKind::Stream;
         let is_declined = head.headers.contains_key(DECLINED);
         let keeps = head.keeps_alive && sent_completely;
         let answer = RelayedAnswer {
-            decoder: BodyDecoder::new(head.framing),
+            body: AnswerReader::new(connection, &head, streams),
             status: head.status,
             headers: head.headers,
-            connection,
             keeps,
         };
         if is_declined {
@@ -180,7 +184,7 @@
         let relay = ForwardedRelay {
             forwarder: self.clone(),
             host,
-            streams: request.route.kind == RouteKind::Stream,
+            streams,
             memory: request.memory.clone(),
             deadline: request.deadline,
             id: request.id_text().to_string(),
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -152,8 +152,8 @@
                         return end;
                     }
                 }
-                Ok(None) if self.events.is_between_events() => return RelayEnd::Complete,
-                Ok(None) | Err(_) => return RelayEnd::Broken,
+                Ok(None) => return RelayEnd::Complete,
+                Err(_) => return RelayEnd::Broken,
             }
         }
     }
--- a/src/connection/http1/connection.rs
+++ b/src/connection/http1/connection.rs
@@ -25,6 +25,8 @@
     Closed,
     #[error("the connection was reset")]
     Reset,
+    #[error("the answer was broken off")]
+    BrokenOff,
     #[error("no answer in the protocol: {0}")]
     Nonsense(&'static str),
 }
