Resumable streams whose lines end with CR LF or CR are passed on

What callers saw: nothing of such a stream, which was broken off after 1 MiB or at its end. Cause: EventSplitter knew LF alone as a line end, and held the events back. Change: it finds the ends of events with EventScanner, the one place that knows them; comments and empty lines between events pass at once, and what is left at a complete end is passed on. A new counter, coveproxy_broken_streams, tells how the end of broken streams was told.

--- a/src/connection/front/event_splitter.rs
+++ b/src/connection/front/event_splitter.rs
@@ -1,7 +1,7 @@
-use bytes::{Bytes, BytesMut};
-
-/// Terminator of an event.
-const EVENT_END: &[u8] = b"\n\n";
+use {
+    super::EventScanner,
+    bytes::{Bytes, BytesMut},
+};
 
 /// Maximum size of an event, in bytes; a stream with a longer one is broken.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -12,6 +12,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// Place in the answer of the present target.
+    scanner: EventScanner,
     last_id: Option<u64>,
 }
 
@@ -28,6 +30,12 @@
     /// Discards an incomplete event, before another target continues the stream and sends it again.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.scanner = EventScanner::default();
+    }
+
+    /// Takes what is left at the end of a complete stream, such as a comment without a line end.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.partial.split().freeze()
     }
 
     /// Appends bytes; returns the events that are now complete, without those returned before.
@@ -35,18 +43,19 @@
         &mut self,
         piece: &[u8],
     ) -> Result<Bytes, BrokenStream> {
+        let buffered = self.partial.len();
         self.partial.extend_from_slice(piece);
-        let Some(end) = end_of_last_event(&self.partial) else {
+        let Some(end) = self.scanner.scan(piece) else {
             return match self.partial.len() > MAX_EVENT_BYTES {
                 true => Err(BrokenStream),
                 false => Ok(Bytes::new()),
             };
         };
-        let mut events = self.partial.split_to(end).freeze();
+        let mut events = self.partial.split_to(buffered + end).freeze();
         let mut new_from = 0;
         let mut at = 0;
         while at < events.len() {
-            let size = end_of_first_event(&events[at..]).unwrap_or(events.len() - at);
+            let size = EventScanner::first_event(&events[at..]);
             let id = event_id(&events[at..at + size]);
             at += size;
             if self.is_duplicate(id)? {
@@ -74,24 +83,10 @@
     }
 }
 
-fn end_of_first_event(bytes: &[u8]) -> Option<usize> {
-    let found = bytes
-        .windows(EVENT_END.len())
-        .position(|window| window == EVENT_END)?;
-    Some(found + EVENT_END.len())
-}
-
-fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    let found = bytes
-        .windows(EVENT_END.len())
-        .rposition(|window| window == EVENT_END)?;
-    Some(found + EVENT_END.len())
-}
-
 /// Returns the number in the `id:` line of an event.
 fn event_id(event: &[u8]) -> Option<u64> {
     let line = event
-        .split(|byte| *byte == b'\n')
+        .split(|byte| matches!(byte, b'\r' | b'\n'))
         .find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
 }
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -10,6 +10,7 @@
     },
     crate::{
         clock::{Instant, sleep_until, timeout_at},
+        metrics::{FramingLabels, metrics},
         note,
         timeline::Event,
     },
@@ -87,6 +88,9 @@
                 self.open.ending = Some(source.ending());
             }
             if end == RelayEnd::Broken {
+                let framing = source.ending().framing.word();
+                let labels = FramingLabels { framing };
+                metrics().broken_streams.get_or_create(&labels).inc();
                 let incarnation = source.incarnation();
                 self.dispatcher
                     .on_broken(&self.open.request, incarnation, first_event);
@@ -152,7 +156,11 @@
                         return end;
                     }
                 }
-                Ok(None) => return RelayEnd::Complete,
+                Ok(None) => {
+                    let rest = self.events.take_rest();
+                    let end = self.send_piece(rest).await;
+                    return end.unwrap_or(RelayEnd::Complete);
+                }
                 Err(_) => return RelayEnd::Broken,
             }
         }
@@ -170,6 +178,13 @@
             },
             false => piece,
         };
+        self.send_piece(piece).await
+    }
+
+    async fn send_piece(
+        &mut self,
+        piece: Bytes,
+    ) -> Option<RelayEnd> {
         if piece.is_empty() {
             return None;
         }
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        CallLabels, CopyLabels, KindLabels, LatenessLabels, OrderLabels, OutcomeLabels,
-        StateLabels, TransferLabels, WaitLabels,
+        CallLabels, CopyLabels, FramingLabels, KindLabels, LatenessLabels, OrderLabels,
+        OutcomeLabels, StateLabels, TransferLabels, WaitLabels,
     },
     prometheus_client::{
         encoding::text::encode,
@@ -36,6 +36,7 @@
     pub first_event: Family<KindLabels, Histogram>,
     pub longest_pause: Family<KindLabels, Histogram>,
     pub waits: Family<WaitLabels, Histogram>,
+    pub broken_streams: Family<FramingLabels, Counter>,
     pub belief_age: Family<CopyLabels, Histogram>,
     pub resends: Family<WaitLabels, Counter>,
     pub rejections: Family<WaitLabels, Counter>,
@@ -98,6 +99,7 @@
             first_event: Family::new_with_constructor(times),
             longest_pause: Family::new_with_constructor(times),
             waits: Family::new_with_constructor(times),
+            broken_streams: Family::default(),
             belief_age: Family::new_with_constructor(ages),
             resends: Family::default(),
             rejections: Family::default(),
@@ -309,6 +311,11 @@
             "Sends of requests beyond the first",
             self.resends.clone(),
         );
+        registry.register(
+            "broken_streams",
+            "Streams that targets broke off, by how their end was told",
+            self.broken_streams.clone(),
+        );
         registry.register(
             "rejections",
             "Requests that were rejected without having run, as no target could be expected to serve them",
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -21,6 +21,12 @@
     pub kind: &'static str,
 }
 
+/// How the end of an answer was told.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct FramingLabels {
+    pub framing: &'static str,
+}
+
 /// A call to the store, and how it ended.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct CallLabels {
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -6,7 +6,7 @@
 pub use {
     host_metrics::{HostMetrics, metrics},
     labels::{
-        CallLabels, CopyLabels, KindLabels, LatenessLabels, OrderLabels, OutcomeLabels,
-        StateLabels, TransferLabels, WaitLabels,
+        CallLabels, CopyLabels, FramingLabels, KindLabels, LatenessLabels, OrderLabels,
+        OutcomeLabels, StateLabels, TransferLabels, WaitLabels,
     },
 };
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -4,8 +4,8 @@
     coveproxy::{
         errors::RequestError,
         metrics::{
-            CallLabels, CopyLabels, KindLabels, LatenessLabels, OrderLabels, OutcomeLabels,
-            StateLabels, TransferLabels, WaitLabels, metrics,
+            CallLabels, CopyLabels, FramingLabels, KindLabels, LatenessLabels, OrderLabels,
+            OutcomeLabels, StateLabels, TransferLabels, WaitLabels, metrics,
         },
         process::node::ALL_METRICS,
         request::RefusalCode,
@@ -93,6 +93,8 @@
     drop(metrics.first_event.get_or_create(&kind));
     drop(metrics.longest_pause.get_or_create(&kind));
     drop(metrics.waits.get_or_create(&cause));
+    let framing = FramingLabels { framing: "test" };
+    drop(metrics.broken_streams.get_or_create(&framing));
     drop(metrics.resends.get_or_create(&cause));
     drop(metrics.rejections.get_or_create(&cause));
     drop(metrics.forwards.get_or_create(&state));
