A broken answer to a caller of HTTP/1.0 ends with a reset

What callers saw: a caller of HTTP/1.0 knows the end of an answer by the end of its connection alone, and a broken stream ended with a FIN as a complete one does. Change: the connection is reset if the answer broke off. Callers of HTTP/1.1 keep the FIN, as chunks tell them, and a reset could take events from them that had arrived.

--- a/src/connection/front/front_listener.rs
+++ b/src/connection/front/front_listener.rs
@@ -16,13 +16,13 @@
         timeline::Event,
         version::routing::RouteKind,
     },
-    http::{HeaderValue, Request, Response},
+    http::{HeaderValue, Request, Response, Version},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     rand::RngExt,
     socket2::SockRef,
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         io,
         pin::Pin,
         rc::Rc,
@@ -131,6 +131,7 @@
         }
     }
 
+    /// Serves a connection up to its end, or resets it.
     async fn serve_connection(
         self: Rc<Self>,
         stream: TcpStream,
@@ -147,7 +148,10 @@
         let limits = self.table.borrow().routing().limits;
         let front = self.clone();
         let request_memory = memory.clone();
-        let service = service_fn(move |request| {
+        let ends_with_connection = Rc::new(Cell::new(false));
+        let answered = ends_with_connection.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            answered.set(request.version() == Version::HTTP_10);
             front
                 .clone()
                 .answer(request, origin, request_memory.clone())
@@ -165,21 +169,26 @@
                 false => CutKind::Close,
             };
             tokio::select! {
-                _ = &mut connection => return,
+                ended = &mut connection => {
+                    // The end of the connection would end a broken answer as it ends a complete one.
+                    let is_broken = ended.is_err_and(|error| error.is_user());
+                    match is_broken && ends_with_connection.get() {
+                        true => break,
+                        false => return,
+                    }
+                }
                 _ = stop.wait_for(|stop| *stop >= StopStage::Draining), if !is_closing => {}
                 cut = memory.cut(least_cut) => match cut {
                     // The request is answered by whoever reads its body.
                     CutKind::Reject | CutKind::Close => {}
-                    CutKind::Reset => {
-                        let stream = connection.into_parts().io.into_inner();
-                        let _ = stream.set_zero_linger();
-                        return;
-                    }
+                    CutKind::Reset => break,
                 },
             }
             is_closing = true;
             Pin::new(&mut connection).graceful_shutdown();
         }
+        let stream = connection.into_parts().io.into_inner();
+        let _ = stream.set_zero_linger();
     }
 
     /// Returns the largest size of a connection's read buffer: under pressure only what the largest head needs.
