A stream goes on only at the software version that began it

Cause: nobody kept which version began a stream. A host that resumed one within an answer chose any target of the service, and one where a caller took it up did not read Resumes; the workers' version was decoded and thrown away. The class: what began is not kept with what goes on, so that a choice made once is made again by chance. Change: TargetRecord has the software version, and a request that continues a stream names the one it needs: in the choice, at places of plain services, and right before the send. The host that relays a resumable stream records its origin as the first event goes out, here and at three others, which the stream's id alone names (rendezvous hash, halls apart); a host that stops hands its records over. A take-up asks eight hosts at most, for 150 ms at most. No record: it goes on only if all hosts that were heard know of one version alone, else 503 version_unknown; none left of the version: 503 version_gone at once.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -10,9 +10,12 @@
         clock::Instant,
         connection::{
             datagram::SentPrompt,
-            targets::{FleetView, StalenessBounds, TargetTable, TargetTableSettings, TargetView},
+            targets::{
+                FleetView, ServiceEngines, StalenessBounds, TargetTable, TargetTableSettings,
+                TargetView,
+            },
         },
-        formats::{RowBatch, TargetRecord, TargetState},
+        formats::{RowBatch, SoftwareVersion, TargetRecord, TargetState},
         process::{
             engines::PromptCache,
             holding::{EngineAssignment, HostRow, LeaseTimings},
@@ -321,6 +324,7 @@
             id: format!("engine-{at:04}"),
             started: None,
             service: "models".to_string(),
+            software: SoftwareVersion::named("v1"),
             address: address(at + 1_000),
             hall: "a".to_string(),
             slots: 24,
@@ -368,7 +372,15 @@
         table.set_view(Arc::new(view));
     });
     let settling = timed(20, || {
-        black_box(table.placement_order("models", "m0/a1", 8, Instant::now()));
+        black_box(table.placement_order(
+            ServiceEngines {
+                service: "models",
+                software: None,
+            },
+            "m0/a1",
+            8,
+            Instant::now(),
+        ));
     });
     (same, moved, settling)
 }
--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Address, EngineLoad, EngineQuery, Holdings, HoldingsKnown, PermitAnswer, PermitAsk,
-        PermitReport, TargetNews, Usage,
+        Address, EngineLoad, EngineQuery, Holdings, HoldingsKnown, OriginAnswer, OriginAsk,
+        OriginRecords, PermitAnswer, PermitAsk, PermitReport, TargetNews, Usage,
     },
     crate::request::places::SlotOutcome,
     prost::Message as _,
@@ -468,6 +468,12 @@
     HoldingsKnown(HoldingsKnown),
     #[prost(message, tag = "25")]
     PermitReport(PermitReport),
+    #[prost(message, tag = "26")]
+    OriginRecords(OriginRecords),
+    #[prost(message, tag = "27")]
+    OriginAsk(OriginAsk),
+    #[prost(message, tag = "28")]
+    OriginAnswer(OriginAnswer),
 }
 
 impl Message {
@@ -499,6 +505,9 @@
             Self::Holdings(_) => "holdings",
             Self::HoldingsKnown(_) => "holdings_known",
             Self::PermitReport(_) => "permit_report",
+            Self::OriginRecords(_) => "origin_records",
+            Self::OriginAsk(_) => "origin_ask",
+            Self::OriginAnswer(_) => "origin_answer",
         }
     }
 }
@@ -507,7 +516,7 @@
 struct Envelope {
     #[prost(
         oneof = "Message",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
     )]
     message: Option<Message>,
 }
--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -4,6 +4,7 @@
 mod engine_messages;
 mod holdings;
 mod message;
+mod origin_messages;
 mod socket;
 mod target_news;
 
@@ -19,6 +20,7 @@
         PlaceWanted, Placement, PlacementState, PoisonEntry, PoisonNews, PoisonStrike, RumorState,
         Vouch, Want, decode, encode,
     },
+    origin_messages::{OriginAnswer, OriginAsk, OriginRecord, OriginRecords},
     socket::DatagramSocket,
     target_news::{PermitAnswer, PermitAsk, PermitReport, PermitStage, RateNews, TargetNews},
 };
--- a/src/connection/front/admission/slot_gate.rs
+++ b/src/connection/front/admission/slot_gate.rs
@@ -1,6 +1,7 @@
 //! Concurrency slots at the targets of plain services.
 
 use {
+    super::super::Attempts,
     crate::{
         clock::{Instant, timeout_at},
         connection::{
@@ -42,11 +43,11 @@
     }
 }
 
-/// Requests a slot at any target of the service but those in `tried`.
+/// Requests a slot at any target of the service that runs the software, but those already tried.
 pub async fn acquire_slot(
     table: &Rc<RefCell<TargetTable>>,
     request: &CallRequest,
-    tried: &[String],
+    attempts: &Attempts,
 ) -> SlotAcquisition {
     let now = Instant::now();
     let id = rand::random();
@@ -54,7 +55,7 @@
     let slot_request = PlaceWanted {
         service: service.clone(),
         id,
-        passed_over: excluded_targets(&table.borrow(), service, tried, now),
+        passed_over: excluded_targets(&table.borrow(), service, attempts, now),
         aim_ms: request.route.aim.as_millis() as u32,
         left_ms: request.time_left(now).as_millis() as u32,
     };
@@ -97,12 +98,12 @@
     }
 }
 
-/// Returns the targets to exclude: those already tried, those that are closed, and those that this host avoids after
+/// Returns the targets to exclude: those already tried, those that run other software, those that are closed, and those that this host avoids after
 /// failures, unless it avoids all of them.
 fn excluded_targets(
     table: &TargetTable,
     service: &str,
-    tried: &[String],
+    attempts: &Attempts,
     now: Instant,
 ) -> Vec<String> {
     let targets = table.targets_of(service).iter();
@@ -116,6 +117,9 @@
     let closed =
         targets.filter(|target| table.availability(&target.id, now) == Availability::Closed);
     excluded.extend(closed.map(|target| target.id.to_string()));
-    excluded.extend(tried.iter().cloned());
+    let targets = table.targets_of(service).iter();
+    let misfits = targets.filter(|target| !table.runs_software(&target.id, attempts.software));
+    excluded.extend(misfits.map(|target| target.id.to_string()));
+    excluded.extend(attempts.tried.iter().cloned());
     excluded
 }
--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -5,6 +5,7 @@
     },
     crate::{
         clock::Instant,
+        formats::SoftwareId,
         request::{
             direct::{AttemptEnd, EngineOutlook, PromptChain, RequestHistory},
             pace::PaceEstimate,
@@ -27,6 +28,8 @@
     /// No other host has taken it.
     pub forwarding_failed: bool,
     pub trace: RequestTrace,
+    /// Version of the software that a target must run, once the stream has begun.
+    pub software: Option<SoftwareId>,
     /// Last query of engines' status.
     pub query: Option<QueryRound>,
     /// Estimate by which the target of the last send was chosen.
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -111,7 +111,8 @@
                     slots: link.view.record.slots,
                     same_hall: link.view.record.hall == self.hall,
                     avoided_for: link.remaining_backoff(now),
-                    tried: attempts.has_tried(&target.id),
+                    tried: attempts.has_tried(&target.id)
+                        || !table.runs_software(&target.id, attempts.software),
                     availability: table.availability(&target.id, now),
                 }
             })
@@ -140,7 +141,8 @@
         attempts: &mut Attempts,
         now: Instant,
     ) -> Choice {
-        let draw = |table: &TargetTable| sample_of_service(table, request, now);
+        let software = attempts.software;
+        let draw = |table: &TargetTable| sample_of_service(table, request, software, now);
         let targets = match query_before_send(table, request, attempts, draw, now) {
             Ok(targets) => targets,
             Err(until) => return Choice::AwaitReports { until },
@@ -181,7 +183,8 @@
         now: Instant,
     ) -> Choice {
         let availability = AdapterAvailability::of(table, adapter, now);
-        let draw = |table: &TargetTable| sample_for_adapter(table, request, adapter, now);
+        let software = attempts.software;
+        let draw = |table: &TargetTable| sample_for_adapter(table, request, adapter, software, now);
         let targets = match query_before_send(table, request, attempts, draw, now) {
             Ok(targets) => targets,
             Err(until) => return Choice::AwaitReports { until },
@@ -297,6 +300,7 @@
         target: target.clone(),
         version,
         resume_after: None,
+        software: attempts.software,
         estimate: None,
     })
 }
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -17,6 +17,7 @@
         request_trace::TraceStep,
         served_request::ServedRequest,
         stream_relay::StreamRelay,
+        take_up::{GONE_RETRY_AFTER, UNKNOWN_RETRY_AFTER},
     },
     crate::{
         clock::{Instant, timeout_at},
@@ -64,7 +65,7 @@
     chooser: Chooser,
     pub(super) answers: FinalAnswers,
     pub(super) forwarder: Rc<HostForwarder>,
-    formats: Arc<dyn Formats>,
+    pub(super) formats: Arc<dyn Formats>,
 }
 
 impl Dispatcher {
@@ -88,11 +89,7 @@
         request: CallRequest,
     ) -> Response<AnswerBody> {
         if is_poison(&self.table, &request) {
-            let cause = ErrorCause::CrashesTargets;
-            let status = cause.status().as_u16();
-            let attempts = Attempts::default();
-            let served = ServedRequest::new(&request, &attempts, status, Some(cause));
-            served.log_final(&request, &attempts);
+            log_unsent(&request, ErrorCause::CrashesTargets);
             return self.answers.reject_poison(&request);
         }
         let mut forwarding_failed = false;
@@ -102,6 +99,10 @@
                 None => forwarding_failed = true,
             }
         }
+        let software = match self.required_software(&request).await {
+            Ok(software) => software,
+            Err(cause) => return self.reject_unsent(&request, cause, UNKNOWN_RETRY_AFTER),
+        };
         let charged = match charge(&self.table, &request).await {
             Ok(charged) => charged,
             Err(answer) => return self.answers.reject_uncharged(&request, answer),
@@ -109,6 +110,7 @@
         self.record_demand(&request);
         let mut pending = PendingRequest::new(&request, charged);
         pending.attempts.forwarding_failed = forwarding_failed;
+        pending.attempts.software = software;
         let tried = self.try_or_forward(&request, &mut pending.attempts);
         let outcome = timeout_at(request.deadline, tried).await;
         let (mut attempts, charged) = pending.disarm();
@@ -134,6 +136,31 @@
         response
     }
 
+    /// Rejects a request for which nothing was sent or charged.
+    fn reject_unsent(
+        &self,
+        request: &CallRequest,
+        cause: ErrorCause,
+        retry_after: Duration,
+    ) -> Response<AnswerBody> {
+        log_unsent(request, cause);
+        self.answers
+            .answer(request, LocalAnswer::after(cause, retry_after))
+    }
+
+    /// Returns false if no target runs the version that the request needs.
+    fn is_version_served(
+        &self,
+        request: &CallRequest,
+        attempts: &Attempts,
+    ) -> bool {
+        let table = self.table.borrow();
+        let service = &request.service.name;
+        attempts
+            .software
+            .is_none_or(|software| table.serves_software(service, software, Instant::now()))
+    }
+
     /// Opens the rest of a broken stream at another target, after the event `after`.
     pub async fn resume(
         &self,
@@ -317,6 +344,14 @@
                     STALE_RETRY_AFTER,
                 ));
             }
+            if !self.is_version_served(request, attempts) {
+                return Err(self.answers.answer_unserved(
+                    request,
+                    attempts,
+                    ErrorCause::VersionGone,
+                    GONE_RETRY_AFTER,
+                ));
+            }
             let (choice, slot) = self.choose(request, attempts).await;
             match choice {
                 Choice::Send(destination) => return Ok((destination, slot)),
@@ -359,7 +394,7 @@
         if request.generation.is_some() {
             return (self.chooser.choose(request, attempts, Instant::now()), None);
         }
-        let outcome = acquire_slot(&self.table, request, &attempts.tried).await;
+        let outcome = acquire_slot(&self.table, request, attempts).await;
         let now = Instant::now();
         match outcome {
             SlotAcquisition::Acquired(slot) => {
@@ -497,6 +532,17 @@
     }
 }
 
+/// Writes the line of a request for which nothing was sent.
+fn log_unsent(
+    request: &CallRequest,
+    cause: ErrorCause,
+) {
+    let status = cause.status().as_u16();
+    let attempts = Attempts::default();
+    let served = ServedRequest::new(request, &attempts, status, Some(cause));
+    served.log_final(request, &attempts);
+}
+
 /// Returns true if the target turned the request away.
 fn is_rejected(sent: &SendOutcome) -> bool {
     matches!(sent, SendOutcome::Ended(AttemptEnd::NotRun { .. }))
--- a/src/connection/front/engine_sample.rs
+++ b/src/connection/front/engine_sample.rs
@@ -6,8 +6,9 @@
         clock::Instant,
         connection::{
             datagram::{EngineQuery, PromptSegment},
-            targets::TargetTable,
+            targets::{ServiceEngines, TargetTable},
         },
+        formats::SoftwareId,
         request::{
             direct::{AdapterCopyState, CallRequest, PromptChain, first_by_prompt},
             notices::Availability,
@@ -40,9 +41,11 @@
 pub(super) fn sample_of_service(
     table: &TargetTable,
     request: &CallRequest,
+    software: Option<SoftwareId>,
     now: Instant,
 ) -> Vec<Arc<str>> {
-    let engines = table.engines_of(&request.service.name);
+    let mut engines = table.engines_of(&request.service.name);
+    engines.retain(|engine| table.runs_software(engine, software));
     if !table.is_large_site() {
         return engines;
     }
@@ -60,14 +63,18 @@
     table: &TargetTable,
     request: &CallRequest,
     adapter: &str,
+    software: Option<SoftwareId>,
     now: Instant,
 ) -> Vec<Arc<str>> {
-    let service = &request.service.name;
+    let engines = ServiceEngines {
+        service: &request.service.name,
+        software,
+    };
     if !table.is_large_site() {
-        return table.placement_order(service, adapter, PLACEMENT_CANDIDATES, now);
+        return table.placement_order(engines, adapter, PLACEMENT_CANDIDATES, now);
     }
     let count = PLACEMENT_CANDIDATES + table.adapters.known_engines(adapter);
-    let order = table.placement_order(service, adapter, count, now);
+    let order = table.placement_order(engines, adapter, count, now);
     let copy = |at: &usize| table.adapters.get(adapter, &order[*at]);
     let state = |at: &usize| copy(at).map(|copy| copy.state);
     let is_held = |at: &usize| copy(at).is_some_and(|copy| copy.held().is_some());
@@ -87,7 +94,7 @@
     let mut chosen: Vec<usize> = drawn.chain(pending).chain(unloaded).collect();
     let can_serve = |at: &usize| is_held(at) || has_holder(table, &order[*at]);
     if table.bounds_waits() && !chosen.iter().any(can_serve) {
-        return sample_with_holder(table, service, adapter, now);
+        return sample_with_holder(table, engines, adapter, now);
     }
     chosen.sort_unstable();
     chosen.into_iter().map(|at| order[at].clone()).collect()
@@ -99,11 +106,11 @@
 /// Addresses a cut between hosts, or a restart of many: then the holders of all preferred engines may be unknown.
 fn sample_with_holder(
     table: &TargetTable,
-    service: &str,
+    engines: ServiceEngines,
     adapter: &str,
     now: Instant,
 ) -> Vec<Arc<str>> {
-    let order = table.placement_order(service, adapter, usize::MAX, now);
+    let order = table.placement_order(engines, adapter, usize::MAX, now);
     let can_load = |engine: &Arc<str>| {
         let copy = table.adapters.get(adapter, engine);
         has_holder(table, engine) && !copy.is_some_and(|copy| is_full(copy.state, now))
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -10,7 +10,7 @@
             http1::{ExchangeError, ResponseHead},
             targets::{KeyStatus, TargetIncarnation, TargetTable},
         },
-        formats::HeaderNames,
+        formats::{HeaderNames, SoftwareId, SoftwareVersion},
         request::{
             direct::{AttemptEnd, CallRequest},
             memory::MemoryUse,
@@ -43,6 +43,8 @@
     pub version: Option<ExpectedVersion>,
     /// Id of the event after which the answer continues.
     pub resume_after: Option<u64>,
+    /// Version of the software that the target must run; `None` for any.
+    pub software: Option<SoftwareId>,
     /// Estimate by which an engine was chosen.
     pub estimate: Option<PaceEstimate>,
 }
@@ -54,6 +56,7 @@
             target: target.into(),
             version: None,
             resume_after: None,
+            software: None,
             estimate: None,
         }
     }
@@ -113,6 +116,11 @@
         self.in_flight.target_incarnation()
     }
 
+    /// Returns the version of the software that answers.
+    pub fn software(&self) -> Option<&SoftwareVersion> {
+        self.in_flight.software()
+    }
+
     /// Returns how the end of the bytes so far was told.
     pub fn ending(&self) -> AnswerEnding {
         self.reader.ending()
@@ -246,8 +254,8 @@
     }))
 }
 
-/// Returns true if the list of targets and the adapter's version are fresh enough, the key is valid, and the target has
-/// not announced that it accepts no requests.
+/// Returns true if the list of targets and the adapter's version are fresh enough, the target runs the software that began
+/// the stream, the key is valid, and the target has not announced that it accepts no requests.
 fn may_send(
     table: &Rc<RefCell<TargetTable>>,
     request: &CallRequest,
@@ -270,8 +278,9 @@
             .credential
             .as_ref()
             .is_none_or(|credential| table.key_status(credential, now) == KeyStatus::Valid);
+    let runs_software = table.runs_software(&destination.target, destination.software);
     let is_closed = table.is_rejecting_requests(&destination.target, now);
-    version_serves && key_is_valid && !is_closed && table.can_send(now)
+    version_serves && runs_software && key_is_valid && !is_closed && table.can_send(now)
 }
 
 fn backlog(
--- a/src/connection/front/in_flight_request.rs
+++ b/src/connection/front/in_flight_request.rs
@@ -5,7 +5,7 @@
             http1::{HttpConnection, ResponseHead},
             targets::{RequestTokens, TargetIncarnation, TargetLink, TargetTable},
         },
-        formats::{HeaderNames, TargetStart},
+        formats::{HeaderNames, SoftwareVersion, TargetStart},
         request::{direct::CallRequest, notices::NoticeHeaders, pace::PrefillSample},
     },
     std::{
@@ -25,6 +25,7 @@
     table: Rc<RefCell<TargetTable>>,
     target: Arc<str>,
     incarnation: Option<TargetStart>,
+    software: Option<SoftwareVersion>,
     adapter: Option<String>,
     tokens: RequestTokens,
     /// True until the first byte of the answer arrives.
@@ -51,6 +52,7 @@
             table: table.clone(),
             target: target.clone(),
             incarnation,
+            software: table.borrow().software_of(target).cloned(),
             adapter: adapter.map(str::to_string),
             tokens,
             is_prompt_unread: Cell::new(true),
@@ -164,6 +166,11 @@
         &self.target
     }
 
+    /// Returns the version of the target's software; `None` if the target was gone when the request was sent.
+    pub fn software(&self) -> Option<&SoftwareVersion> {
+        self.software.as_ref()
+    }
+
     pub fn target_incarnation(&self) -> TargetIncarnation {
         (self.target.clone(), self.incarnation)
     }
--- a/src/connection/front/local_answer.rs
+++ b/src/connection/front/local_answer.rs
@@ -30,6 +30,10 @@
     NoTarget,
     /// The adapter can't be loaded in time.
     NoAdapter,
+    /// The stream is taken up, and this host can't tell which version of the targets' software began it.
+    VersionUnknown,
+    /// The stream is taken up, and no target runs the version that began it.
+    VersionGone,
     /// Targets rejected the request, and it may not be sent again.
     RejectedByTargets,
     /// The deadline passed before the request ran.
@@ -59,6 +63,8 @@
             Self::Unreached => "unreached",
             Self::NoTarget => "no_target",
             Self::NoAdapter => "no_adapter",
+            Self::VersionUnknown => "version_unknown",
+            Self::VersionGone => "version_gone",
             Self::RejectedByTargets => "turned_away",
             Self::DeadlineExceededUnsent => "time_over_unsent",
             Self::DeadlineExceeded => "time_over",
@@ -76,7 +82,12 @@
     pub fn is_of_host(self) -> bool {
         matches!(
             self,
-            Self::NotReady | Self::NoMemory | Self::Stopping | Self::StaleTables | Self::Unreached
+            Self::NotReady
+                | Self::NoMemory
+                | Self::Stopping
+                | Self::StaleTables
+                | Self::Unreached
+                | Self::VersionUnknown
         )
     }
 
@@ -96,6 +107,8 @@
             | Self::Unreached
             | Self::NoTarget
             | Self::NoAdapter
+            | Self::VersionUnknown
+            | Self::VersionGone
             | Self::RejectedByTargets
             | Self::DeadlineExceededUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -36,6 +36,7 @@
 mod served_request;
 mod stream_relay;
 mod stream_timing;
+mod take_up;
 mod target_connection;
 mod target_silence;
 mod unplaced;
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -10,8 +10,10 @@
     },
     crate::{
         clock::{Instant, sleep_until, timeout_at},
+        formats::SoftwareVersion,
         metrics::{FramingLabels, metrics},
         note,
+        request::origins::ORIGIN_REFRESH,
         timeline::Event,
     },
     bytes::Bytes,
@@ -53,6 +55,10 @@
     open: OpenRequest,
     caller: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
     events: EventSplitter,
+    /// Version of the software of the present target.
+    software: Option<SoftwareVersion>,
+    /// When the stream's origin was last recorded; `None` before its first event.
+    recorded_at: Option<Instant>,
 }
 
 impl StreamRelay {
@@ -71,6 +77,8 @@
             open,
             caller,
             events: EventSplitter::default(),
+            software: None,
+            recorded_at: None,
         };
         tokio::task::spawn_local(relay.run(answer.first, answer.source));
         response
@@ -83,6 +91,7 @@
     ) {
         loop {
             let first_event = Instant::now();
+            self.software = source.software().cloned();
             let end = self.relay(first, &mut source).await;
             if matches!(end, RelayEnd::Complete | RelayEnd::Broken) {
                 self.open.ending = Some(source.ending());
@@ -114,7 +123,7 @@
                         Some(answer) => {
                             first = answer.first;
                             source = answer.source;
-                            self.log(Event::RequestResumed, end, &source);
+                            self.log_resumed(end, &target, &source);
                         }
                         None => return self.truncate(end, &target).await,
                     }
@@ -189,6 +198,7 @@
             return None;
         }
         let arrived = Instant::now();
+        self.record_origin(arrived);
         let held = tokio::select! {
             piece = self.open.request.memory.hold_piece(piece) => Some(piece),
             _ = self.caller.closed() => None,
@@ -210,6 +220,25 @@
         }
     }
 
+    /// Records the version at which the stream runs before its first event goes out, and from time to time after that.
+    fn record_origin(
+        &mut self,
+        now: Instant,
+    ) {
+        let elapsed = |at: Instant| now.saturating_duration_since(at);
+        let is_recorded = self
+            .recorded_at
+            .is_some_and(|at| elapsed(at) < ORIGIN_REFRESH);
+        let Some(software) = self.software.as_ref().filter(|_| !is_recorded) else {
+            return;
+        };
+        if self.open.request.route.resumable {
+            self.open.attempts.software = Some(software.id());
+            self.dispatcher.record_origin(&self.open.request, software);
+            self.recorded_at = Some(now);
+        }
+    }
+
     /// Opens the rest of the stream at another target; returns `None` if that fails, or if the caller leaves.
     async fn resume(
         &mut self,
@@ -227,6 +256,28 @@
         }
     }
 
+    fn log_resumed(
+        &self,
+        end: RelayEnd,
+        from: &str,
+        source: &AnswerSource,
+    ) {
+        let name = |software: Option<&SoftwareVersion>| {
+            format!("{:?}", software.map_or("-", SoftwareVersion::name))
+        };
+        note!(
+            Event::RequestResumed,
+            id = self.open.request.id_text(),
+            cause = end.label(),
+            target = source.target(),
+            software = name(source.software()),
+            from = from,
+            from_software = name(self.software.as_ref()),
+            after_ms = millis(self.open.request.arrived.elapsed()),
+            last_event = self.events.last_id().unwrap_or_default(),
+        );
+    }
+
     fn log(
         &self,
         event: Event,
--- a/src/connection/targets/control_request.rs
+++ b/src/connection/targets/control_request.rs
@@ -1,10 +1,10 @@
 use {
     crate::{
         connection::datagram::{
-            ChargeAsk, ChargeRefund, EngineQuery, Loan, LoanAsk, PermitAsk, PermitReport,
-            PlaceEnded, PlaceWanted, Usage, Want,
+            ChargeAsk, ChargeRefund, EngineQuery, Loan, LoanAsk, OriginAsk, PermitAsk,
+            PermitReport, PlaceEnded, PlaceWanted, Usage, Want,
         },
-        request::{notices::TargetNotices, poison::PoisonReport},
+        request::{notices::TargetNotices, origins::StreamOrigin, poison::PoisonReport},
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -43,6 +43,10 @@
     RequestPermit(PermitAsk),
     /// Tell the host that has granted a permit for a brittle target how far its request has got.
     ReportPermit(PermitReport),
+    /// Record where a stream of this host began.
+    RecordOrigin(StreamOrigin),
+    /// Search for the origin of a stream that is taken up here.
+    SearchOrigin(OriginAsk),
     /// Release a concurrency slot at the host that allocated it.
     ReleaseSlot { to: SocketAddr, release: PlaceEnded },
     /// Return an unused part of a charge.
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -10,6 +10,7 @@
 mod fleet_view;
 mod key_status;
 mod notice_tracker;
+mod origin_replies;
 mod pending_replies;
 mod prefill_throughput;
 mod quota_table;
@@ -24,6 +25,7 @@
 mod table_pace;
 mod table_prompts;
 mod table_reach;
+mod table_software;
 mod table_staleness;
 mod table_unplaced;
 mod target_health;
@@ -44,6 +46,7 @@
     fleet_view::{FleetView, TargetView},
     key_status::KeyStatus,
     notice_tracker::{NoticeTracker, Unavailability},
+    origin_replies::{OriginReplies, OriginReply, PendingOrigin},
     pending_replies::{PendingReplies, PendingReply},
     prefill_throughput::PrefillThroughput,
     quota_table::{QuotaTable, count_charge_request},
@@ -52,6 +55,7 @@
     sent_prompts::{MAX_REPORTED_PROMPTS, SentPrompts},
     service_reach::ServiceReach,
     staleness_monitor::{MaxStaleness, StalenessBounds, StalenessMonitor},
+    table_adapters::ServiceEngines,
     table_reach::ReachProbe,
     target_health::TargetHealth,
     target_link::{IdleConnection, RequestTokens, TargetLink},
--- a/src/connection/targets/table_adapters.rs
+++ b/src/connection/targets/table_adapters.rs
@@ -7,6 +7,7 @@
     crate::{
         clock::Instant,
         connection::datagram::{Placement, PlacementState, Want},
+        formats::SoftwareId,
         request::{direct::AdapterCopyState, notices::Availability, pace::PlacementRank},
     },
     std::{rc::Rc, sync::Arc, time::Duration},
@@ -20,6 +21,14 @@
 /// Time for which an engine without a free adapter slot is not asked again.
 const FULL_BACKOFF: Duration = Duration::from_millis(400);
 
+/// Engines of a service.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceEngines<'a> {
+    pub service: &'a str,
+    /// Version that they run; `None` for all engines.
+    pub software: Option<SoftwareId>,
+}
+
 impl TargetTable {
     /// Returns the engines that hold an adapter or should load it, in rendezvous-hash order, which is the same on
     /// every host.
@@ -28,15 +37,17 @@
     /// small site those without a holder, are skipped unless there are no others.
     pub fn placement_order(
         &self,
-        service: &str,
+        engines: ServiceEngines,
         adapter: &str,
         count: usize,
         now: Instant,
     ) -> Vec<Arc<str>> {
+        let ServiceEngines { service, software } = engines;
         let seed = xxh3_64(adapter.as_bytes());
         let mut ranked: Vec<(PlacementRank, &ServiceTarget)> = self
             .targets_of(service)
             .iter()
+            .filter(|target| self.runs_software(&target.id, software))
             .map(|target| {
                 let relative_speed = self.relative_speed(service, &target.id);
                 let rank = PlacementRank::of(target.hash, seed, relative_speed);
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         AdapterDemand, AdapterMap, BrittleServices, ControlRequest, CrashTracker, FleetView,
-        NoticeTracker, PendingReplies, PrefillThroughput, QuotaTable, RepeatBudgets,
+        NoticeTracker, OriginReplies, PendingReplies, PrefillThroughput, QuotaTable, RepeatBudgets,
         ReplicaFreshness, RequestTokens, ServiceReach, StalenessBounds, StalenessMonitor,
         TargetLink, TargetView, UnplacedRequests,
     },
@@ -79,6 +79,8 @@
     pub pending_slots: PendingReplies<PlaceGiven>,
     /// Awaited permits to send to rate-limited targets.
     pub pending_permits: PendingReplies<PermitAnswer>,
+    /// Searches for origins of streams.
+    pub pending_origins: OriginReplies,
     pub(super) control: flume::Sender<ControlRequest>,
 }
 
@@ -127,6 +129,7 @@
             quotas: QuotaTable::default(),
             pending_slots: PendingReplies::default(),
             pending_permits: PendingReplies::default(),
+            pending_origins: OriginReplies::default(),
             control,
         }
     }
--- a/src/formats/header_names.rs
+++ b/src/formats/header_names.rs
@@ -33,6 +33,8 @@
     pub target_leaving: HeaderName,
     /// Last event of a stream that its receiver has.
     pub last_event_id: HeaderName,
+    /// Id of the request that brought the first event of a stream which its caller takes up.
+    pub resumes: HeaderName,
     /// Headers by which a request would use memory, places or copies that engines keep for another
     /// one. Only coveproxy may set them: a caller's are dropped.
     pub reserved: Vec<HeaderName>,
@@ -70,6 +72,7 @@
             &self.prompt_parts,
             &self.length_hint,
             &self.last_event_id,
+            &self.resumes,
         ];
         own.contains(&name)
     }
--- a/src/formats/mod.rs
+++ b/src/formats/mod.rs
@@ -7,6 +7,7 @@
 mod http_call;
 mod order;
 mod rows;
+mod software_version;
 mod store_version;
 mod target_record;
 mod target_report;
@@ -20,6 +21,7 @@
     rows::{
         Commit, Expectation, Row, RowBatch, RowKey, RowWrite, RowsReply, Transaction, bytes_of,
     },
+    software_version::{SoftwareId, SoftwareVersion},
     store_version::StoreVersion,
     target_record::{HeldAdapter, HeldModel, TargetRecord, TargetState},
     target_report::TargetReport,
--- a/src/formats/target_record.rs
+++ b/src/formats/target_record.rs
@@ -1,5 +1,5 @@
 use {
-    super::TargetStart,
+    super::{SoftwareVersion, TargetStart},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -33,6 +33,8 @@
     /// Which start of the target this is; `None` where the platform gives each start an id of its own.
     pub started: Option<TargetStart>,
     pub service: String,
+    /// Streams go on only at the version that began them.
+    pub software: SoftwareVersion,
     pub address: SocketAddr,
     pub hall: String,
     pub slots: u32,
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -36,6 +36,8 @@
     pub first_event: Family<KindLabels, Histogram>,
     pub longest_pause: Family<KindLabels, Histogram>,
     pub waits: Family<WaitLabels, Histogram>,
+    pub take_ups: Family<StateLabels, Counter>,
+    pub stream_origins: Gauge,
     pub broken_streams: Family<FramingLabels, Counter>,
     pub belief_age: Family<CopyLabels, Histogram>,
     pub resends: Family<WaitLabels, Counter>,
@@ -99,6 +101,8 @@
             first_event: Family::new_with_constructor(times),
             longest_pause: Family::new_with_constructor(times),
             waits: Family::new_with_constructor(times),
+            take_ups: Family::default(),
+            stream_origins: Gauge::default(),
             broken_streams: Family::default(),
             belief_age: Family::new_with_constructor(ages),
             resends: Family::default(),
@@ -311,6 +315,16 @@
             "Sends of requests beyond the first",
             self.resends.clone(),
         );
+        registry.register(
+            "take_ups",
+            "Streams that callers took up after a break, by what was known of their origin",
+            self.take_ups.clone(),
+        );
+        registry.register(
+            "stream_origins",
+            "Streams whose origin is recorded here",
+            self.stream_origins.clone(),
+        );
         registry.register(
             "broken_streams",
             "Streams that targets broke off, by how their end was told",
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -3,8 +3,8 @@
     crate::{
         connection::{
             datagram::{
-                ChargeAnswer, EngineLoad, EngineStanding, Loan, LoanAsk, Message, PermitAnswer,
-                PlaceGiven, Placement,
+                ChargeAnswer, EngineLoad, EngineStanding, Loan, LoanAsk, Message, OriginAnswer,
+                PermitAnswer, PlaceGiven, Placement,
             },
             targets::{FleetView, ReplicaFreshness},
         },
@@ -90,6 +90,14 @@
     DeliverSlotResponse(PlaceGiven),
     /// Delivers the answer to a request for a permit.
     DeliverPermitAnswer(PermitAnswer),
+    /// Delivers this host's own answer in the search for the origin of a stream.
+    DeliverOwnOrigin {
+        answer: OriginAnswer,
+        /// Other hosts that are asked.
+        asked: u32,
+    },
+    /// Delivers another host's answer in the search for the origin of a stream.
+    DeliverOrigin(OriginAnswer),
     /// Delivers notices of a target that another host received.
     DeliverNotices {
         target: String,
--- /dev/null
+++ b/src/process/host/control_origins.rs
@@ -0,0 +1,187 @@
+//! Control-thread handling of stream origins: records of the streams of this and of other hosts, and searches for them.
+
+use {
+    super::{ControlAction, HostControl},
+    crate::{
+        clock::Instant,
+        connection::datagram::{Message, OriginAnswer, OriginAsk, OriginRecord, OriginRecords},
+        formats::SoftwareId,
+        metrics::metrics,
+        process::hosts::HostState,
+        request::origins::{
+            OriginHost, OriginRecords as Records, SoftwareHistory, StreamKey, StreamOrigin,
+            origin_hosts,
+        },
+    },
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// Other hosts that keep the origin of a stream.
+const COPIES: usize = 3;
+
+/// Hosts that are asked for an origin: more than keep it, as their order changes with the list of hosts.
+const ASKED_HOSTS: usize = 8;
+
+/// Records in one message, so that it fits into a datagram.
+const MAX_RECORDS_PER_MESSAGE: usize = 32;
+
+/// Records that a host which stops hands over, the latest ones.
+const MAX_HANDED_OVER: usize = 4_096;
+
+/// Origins of streams, and the versions that their targets have had.
+#[derive(Debug, Default)]
+pub(super) struct OriginState {
+    records: Records,
+    software: SoftwareHistory,
+}
+
+impl HostControl {
+    /// Records where a stream of this host began, and tells the hosts that keep its origin.
+    pub(super) fn record_origin(
+        &mut self,
+        origin: StreamOrigin,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        self.keep_origin(origin, now);
+        let records = OriginRecords {
+            records: vec![OriginRecord::of(&origin, now)],
+        };
+        let keepers = self.origin_hosts(origin.key).into_iter().take(COPIES);
+        keepers
+            .map(|to| ControlAction::Send {
+                to,
+                message: Message::OriginRecords(records.clone()),
+            })
+            .collect()
+    }
+
+    /// Handles the origins of streams of other hosts.
+    pub(super) fn on_origin_records(
+        &mut self,
+        records: &OriginRecords,
+        now: Instant,
+    ) {
+        let origins = records.records.iter();
+        for origin in origins.filter_map(|record| record.origin(now)) {
+            self.keep_origin(origin, now);
+        }
+    }
+
+    /// Searches for the origin of a stream that is taken up here: this host's own answer comes at once, and other hosts are
+    /// asked unless it knows.
+    pub(super) fn search_origin(
+        &mut self,
+        ask: OriginAsk,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let answer = self.origin_answer(&ask, now);
+        let key = StreamKey::from_bits(ask.stream.unwrap_or(ask.id));
+        let asked = match answer.software {
+            Some(_) => Vec::new(),
+            None => self.origin_hosts(key),
+        };
+        let asked: Vec<SocketAddr> = asked.into_iter().take(ASKED_HOSTS).collect();
+        let own = ControlAction::DeliverOwnOrigin {
+            answer,
+            asked: asked.len() as u32,
+        };
+        let asks = asked.into_iter().map(|to| ControlAction::Send {
+            to,
+            message: Message::OriginAsk(ask.clone()),
+        });
+        std::iter::once(own).chain(asks).collect()
+    }
+
+    /// Answers another host's search for the origin of a stream.
+    pub(super) fn on_origin_ask(
+        &mut self,
+        from: SocketAddr,
+        ask: &OriginAsk,
+        now: Instant,
+    ) -> ControlAction {
+        ControlAction::Send {
+            to: from,
+            message: Message::OriginAnswer(self.origin_answer(ask, now)),
+        }
+    }
+
+    /// Hands the latest records over to the hosts that keep them once this one has stopped.
+    pub(super) fn hand_over_origins(
+        &self,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let mut by_keeper: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
+        for origin in self.origins.records.latest(now).take(MAX_HANDED_OVER) {
+            let record = OriginRecord::of(origin, now);
+            for keeper in self.origin_hosts(origin.key).into_iter().take(COPIES) {
+                by_keeper.entry(keeper).or_default().push(record);
+            }
+        }
+        let messages = |records: &[OriginRecord]| {
+            let messages = records.chunks(MAX_RECORDS_PER_MESSAGE);
+            let message = |records: &[OriginRecord]| {
+                Message::OriginRecords(OriginRecords {
+                    records: records.to_vec(),
+                })
+            };
+            messages.map(message).collect::<Vec<Message>>()
+        };
+        by_keeper
+            .iter()
+            .flat_map(|(to, records)| {
+                let messages = messages(records).into_iter();
+                messages.map(|message| ControlAction::Send { to: *to, message })
+            })
+            .collect()
+    }
+
+    /// Notes the versions of the targets that are listed now.
+    pub(super) fn note_software(
+        &mut self,
+        now: Instant,
+    ) {
+        let records = self.targets.values().map(|target| &target.record);
+        let listed = records.map(|record| (record.service.as_str(), record.software.id()));
+        self.origins.software.update(listed, now);
+    }
+
+    fn keep_origin(
+        &mut self,
+        origin: StreamOrigin,
+        now: Instant,
+    ) {
+        self.origins.records.record(origin, now);
+        let count = self.origins.records.len();
+        metrics().stream_origins.set(count as i64);
+    }
+
+    fn origin_answer(
+        &mut self,
+        ask: &OriginAsk,
+        now: Instant,
+    ) -> OriginAnswer {
+        self.note_software(now);
+        let key = ask.stream.map(StreamKey::from_bits);
+        let recorded = key.and_then(|key| self.origins.records.get(key, now));
+        let versions = self.origins.software.versions(&ask.service);
+        OriginAnswer {
+            id: ask.id,
+            software: recorded.map(SoftwareId::to_bits),
+            versions: versions.into_iter().map(SoftwareId::to_bits).collect(),
+        }
+    }
+
+    /// Returns the other hosts that may keep the origin of a stream, those that do first.
+    fn origin_hosts(
+        &self,
+        key: StreamKey,
+    ) -> Vec<SocketAddr> {
+        let alive = self.hosts.hosts();
+        let alive = alive.filter(|host| host.state == HostState::Alive);
+        let hosts = alive.map(|host| OriginHost {
+            peer: host.identity.peer,
+            hall: &host.identity.hall,
+        });
+        origin_hosts(key, hosts)
+    }
+}
--- a/src/process/host/control_peers.rs
+++ b/src/process/host/control_peers.rs
@@ -177,6 +177,12 @@
             Message::TargetNews(update) => self.on_target_notices(&update, now),
             Message::PermitAsk(request) => self.on_permit_request(from, &request, now),
             Message::PermitAnswer(answer) => vec![ControlAction::DeliverPermitAnswer(answer)],
+            Message::OriginRecords(records) => {
+                self.on_origin_records(&records, now);
+                Vec::new()
+            }
+            Message::OriginAsk(ask) => vec![self.on_origin_ask(from, &ask, now)],
+            Message::OriginAnswer(answer) => vec![ControlAction::DeliverOrigin(answer)],
             Message::PermitReport(report) => {
                 self.on_permit_report(&report, now);
                 Vec::new()
@@ -258,6 +264,8 @@
             }
             ControlRequest::RequestPermit(request) => self.request_permit(request, now),
             ControlRequest::ReportPermit(report) => self.report_permit(report, now),
+            ControlRequest::RecordOrigin(origin) => self.record_origin(origin, now),
+            ControlRequest::SearchOrigin(ask) => self.search_origin(ask, now),
             ControlRequest::ReleaseSlot { to, release } if to == me => {
                 self.on_slot_release(&release);
                 Vec::new()
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -16,7 +16,7 @@
             datagram::DatagramSocket,
             http1::CallLimit,
             store::{StoreClient, StoreFailure},
-            targets::ControlRequest,
+            targets::{ControlRequest, OriginReply},
         },
         formats::{Commit, Formats, Order, OrderReply, RowWrite, Transaction},
         metrics::{OrderLabels, metrics},
@@ -186,6 +186,12 @@
             ControlAction::DeliverPermitAnswer(answer) => {
                 self.send_to_traffic(TrafficInput::Permit(answer))
             }
+            ControlAction::DeliverOwnOrigin { answer, asked } => {
+                self.send_to_traffic(TrafficInput::Origin(OriginReply::Own { answer, asked }))
+            }
+            ControlAction::DeliverOrigin(answer) => {
+                self.send_to_traffic(TrafficInput::Origin(OriginReply::Other(answer)))
+            }
             ControlAction::DeliverNotices { target, notices } => {
                 self.send_to_traffic(TrafficInput::TargetNews { target, notices });
             }
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         ControlAction, ControlEvent, TableName, control_notices::NoticeState,
-        control_places::AllocatedSlots, control_poison::PoisonState, control_quotas::ShardLedger,
-        listed_target::ListedTarget, removed_targets::RemovedTargets,
+        control_origins::OriginState, control_places::AllocatedSlots, control_poison::PoisonState,
+        control_quotas::ShardLedger, listed_target::ListedTarget, removed_targets::RemovedTargets,
         returned_targets::ReturnedTargets, taker_selection::TakerSelection,
         unclaimed_engines::UnclaimedEngines,
     },
@@ -144,6 +144,8 @@
     pub(super) allocated_slots: BTreeMap<String, AllocatedSlots>,
     /// Notices that targets publish of themselves.
     pub(super) notices: NoticeState,
+    /// Versions at which streams began.
+    pub(super) origins: OriginState,
 }
 
 impl HostControl {
@@ -220,6 +222,7 @@
             ledgers: BTreeMap::new(),
             allocated_slots: BTreeMap::new(),
             notices: NoticeState::default(),
+            origins: OriginState::default(),
         }
     }
 
@@ -331,6 +334,7 @@
             let targets = u32::try_from(self.targets.len()).unwrap_or(u32::MAX);
             self.next_publish = now + PUBLISH_INTERVAL + PUBLISH_INTERVAL_PER_TARGET * targets;
             self.published_freshness = self.replica_freshness();
+            self.note_software(now);
             self.published = Arc::new(self.view(now));
             actions.push(ControlAction::PublishView(self.published.clone()));
         }
@@ -390,7 +394,9 @@
     ) -> Vec<ControlAction> {
         self.hosts.leave();
         self.changed = true;
-        self.notify_all_hosts(now)
+        let mut actions = self.hand_over_origins(now);
+        actions.extend(self.notify_all_hosts(now));
+        actions
     }
 
     /// Returns the rumor of this host that is sent to others.
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -6,6 +6,7 @@
 mod control_gauges;
 mod control_holding;
 mod control_notices;
+mod control_origins;
 mod control_peers;
 mod control_places;
 mod control_poison;
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -10,8 +10,8 @@
             },
             front::{FrontListener, RequestOrigin, StopStage},
             targets::{
-                ControlRequest, FleetView, ReplicaFreshness, StalenessBounds, TargetTable,
-                TargetTableSettings,
+                ControlRequest, FleetView, OriginReply, ReplicaFreshness, StalenessBounds,
+                TargetTable, TargetTableSettings,
             },
         },
         errors::RunError,
@@ -66,6 +66,8 @@
     PlaceGiven(PlaceGiven),
     /// The host that counts what a target gets has answered.
     Permit(PermitAnswer),
+    /// An answer in the search for the origin of a stream.
+    Origin(OriginReply),
     /// Another host has heard what a target says of itself.
     TargetNews {
         target: String,
@@ -203,6 +205,7 @@
         TrafficInput::Permit(answer) => {
             board.pending_permits.on_answer(answer.id, answer);
         }
+        TrafficInput::Origin(reply) => board.pending_origins.on_reply(reply),
         TrafficInput::TargetNews { target, notices } => {
             board.on_peer_notices(&target, &notices, Instant::now());
         }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -12,6 +12,7 @@
 mod forwarder;
 pub mod memory;
 pub mod notices;
+pub mod origins;
 mod owner_service;
 pub mod pace;
 mod passed_headers;
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -123,6 +123,7 @@
     RequestDeferred = 635 "request_deferred" Info,
     RequestForwarded = 636 "request_forwarded" Info,
     ForwardCut = 637 "forward_cut" Info,
+    RequestTakenUp = 638 "request_taken_up" Info,
     RequestNoMemory = 640 "request_no_memory" Info,
     CallerCut = 641 "caller_cut" Warn,
     CallerNoMemory = 642 "caller_no_memory" Info,
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -94,6 +94,7 @@
     drop(metrics.longest_pause.get_or_create(&kind));
     drop(metrics.waits.get_or_create(&cause));
     let framing = FramingLabels { framing: "test" };
+    drop(metrics.take_ups.get_or_create(&state));
     drop(metrics.broken_streams.get_or_create(&framing));
     drop(metrics.resends.get_or_create(&cause));
     drop(metrics.rejections.get_or_create(&cause));
--- a/tests/prompt_caches.rs
+++ b/tests/prompt_caches.rs
@@ -12,8 +12,8 @@
             },
         },
         formats::{
-            HeldAdapter, HeldModel, OrderKind, OrderReply, TargetRecord, TargetReport, TargetStart,
-            TargetState,
+            HeldAdapter, HeldModel, OrderKind, OrderReply, SoftwareVersion, TargetRecord,
+            TargetReport, TargetStart, TargetState,
         },
         process::engines::{AllocatorAction, EngineAllocator, PromptCache, SharedAllocatorState},
         request::{
@@ -508,6 +508,7 @@
             id: ENGINE.to_string(),
             started: Some(TargetStart::from_unix_ms(started)),
             service: "models".to_string(),
+            software: SoftwareVersion::named("v1"),
             address: "10.1.0.1:8000".parse().unwrap(),
             hall: "hall".to_string(),
             slots: 8,
--- a/tests/prompt_choice.rs
+++ b/tests/prompt_choice.rs
@@ -12,7 +12,7 @@
                 TargetView,
             },
         },
-        formats::{HeldAdapter, HeldModel, TargetRecord, TargetState},
+        formats::{HeldAdapter, HeldModel, SoftwareVersion, TargetRecord, TargetState},
         request::{
             direct::{CallRequest, Generation, Policy, PromptChain, PromptPart, first_by_prompt},
             memory::CallerMemory,
@@ -134,6 +134,7 @@
         id: engine_id(at),
         started: None,
         service: "models".to_string(),
+        software: SoftwareVersion::named("v1"),
         address: format!("10.1.0.{at}:8000").parse().unwrap(),
         hall: "hall".to_string(),
         slots: 8,
--- a/tests/target_notices.rs
+++ b/tests/target_notices.rs
@@ -42,6 +42,7 @@
         target_brittle: name("brittle"),
         target_leaving: name("leaving"),
         last_event_id: name("last"),
+        resumes: name("resumes"),
         reserved: Vec::new(),
     }
 }
--- a/tests/target_table.rs
+++ b/tests/target_table.rs
@@ -7,10 +7,13 @@
             datagram::{EngineLoad, PaceReport, Placement, PlacementState, Usage},
             targets::{
                 AdapterRequest, ControlRequest, FleetView, ReplicaFreshness, RequestTokens,
-                StalenessBounds, TableFreshness, TargetTable, TargetTableSettings, TargetView,
+                ServiceEngines, StalenessBounds, TableFreshness, TargetTable, TargetTableSettings,
+                TargetView,
             },
         },
-        formats::{HeldAdapter, HeldModel, TargetRecord, TargetStart, TargetState},
+        formats::{
+            HeldAdapter, HeldModel, SoftwareVersion, TargetRecord, TargetStart, TargetState,
+        },
         request::direct::Policy,
     },
     rstest::rstest,
@@ -51,6 +54,7 @@
         id: id.to_string(),
         started: None,
         service: "models".to_string(),
+        software: SoftwareVersion::named("v1"),
         address: "10.1.0.1:8000".parse().unwrap(),
         hall: "hall".to_string(),
         slots: 8,
@@ -170,9 +174,15 @@
     let mut view = view_of(engines);
     Arc::get_mut(&mut view).unwrap().hosts = hosts;
     world.table.set_view(view);
-    let order = world
-        .table
-        .placement_order("models", "m0/a1", 3, Instant::now());
+    let order = world.table.placement_order(
+        ServiceEngines {
+            service: "models",
+            software: None,
+        },
+        "m0/a1",
+        3,
+        Instant::now(),
+    );
     let number = |id: &Arc<str>| id[1..].parse().unwrap();
     order.iter().map(number).collect()
 }
@@ -211,9 +221,15 @@
         ..FleetView::default()
     };
     world.table.set_view(Arc::new(view));
-    let order = world
-        .table
-        .placement_order("models", "m0/a1", 3, Instant::now());
+    let order = world.table.placement_order(
+        ServiceEngines {
+            service: "models",
+            software: None,
+        },
+        "m0/a1",
+        3,
+        Instant::now(),
+    );
     let full = world.table.engines_of("models");
     assert_eq!(full.len(), 4);
     assert!(order.len() == 3 && order.iter().all(|engine| full.contains(engine)));
