The line of an accused request names the parts of its prompt

It tells the parts that others may share, now: all but the last one, each once, up to 64. No logic changes.

--- a/src/connection/front/crash_probe.rs
+++ b/src/connection/front/crash_probe.rs
@@ -60,6 +60,7 @@
         begun,
         fingerprint: request.fingerprint(),
         id: request.id_text().to_string(),
+        parts: request.shared_parts(),
     };
     let address = {
         let mut table = table.borrow_mut();
@@ -100,6 +101,17 @@
     }
 }
 
+/// Returns part ids as requests name them, for logs.
+fn part_list(parts: &[u64]) -> String {
+    match parts.is_empty() {
+        true => "-".to_string(),
+        false => {
+            let ids: Vec<String> = parts.iter().map(|id| format!("{id:x}")).collect();
+            ids.join(",")
+        }
+    }
+}
+
 /// Probes one incarnation of a target.
 struct CrashProbe {
     table: Rc<RefCell<TargetTable>>,
@@ -137,6 +149,7 @@
                 Event::RequestAccused,
                 id = suspect.id,
                 fingerprint = suspect.fingerprint,
+                parts = part_list(&suspect.parts),
                 target = self.incarnation.0,
                 begun = suspect.begun,
                 alone = alone,
--- a/src/connection/targets/crash_tracker.rs
+++ b/src/connection/targets/crash_tracker.rs
@@ -34,6 +34,8 @@
     pub fingerprint: Fingerprint,
     /// Request id set by the caller, for logs.
     pub id: String,
+    /// Ids of the parts that its prompt may share with others.
+    pub parts: Vec<u64>,
     /// The target had probably begun to process it.
     pub begun: bool,
 }
--- a/src/request/direct/call_request.rs
+++ b/src/request/direct/call_request.rs
@@ -73,6 +73,12 @@
         )
     }
 
+    /// Returns the ids of the parts that the prompt may share with other requests.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let generation = self.generation.as_ref();
+        generation.map_or(Vec::new(), Generation::shared_parts)
+    }
+
     /// Returns the time at which the route's latency objective is missed.
     pub fn aim(&self) -> Instant {
         self.arrived + self.route.aim
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -231,6 +231,7 @@
     let accused = |number| SuspectRequest {
         fingerprint: fingerprint(number),
         id: number.to_string(),
+        parts: Vec::new(),
         begun: true,
     };
     assert!(watch.add_suspect(&run, accused(1)));
@@ -248,6 +249,7 @@
         let accused = SuspectRequest {
             fingerprint: fingerprint(*number),
             id: number.to_string(),
+            parts: Vec::new(),
             begun: true,
         };
         watch.add_suspect(&run, accused)
