--- a/src/connection/front/crash_probe.rs
+++ b/src/connection/front/crash_probe.rs
@@ -9,7 +9,7 @@
         note,
         request::{
             direct::CallRequest,
-            poison::{CrashEvidence, CrashId, PoisonReport},
+            poison::{CrashEvidence, IncarnationId, PoisonReport},
         },
         timeline::Event,
     },
@@ -142,7 +142,7 @@
         let alone = table
             .crashes
             .is_isolated_loss(&self.incarnation.0, self.lost_at);
-        let end = CrashId::of(&self.incarnation.0, self.incarnation.1);
+        let end = IncarnationId::of(&self.incarnation.0, self.incarnation.1);
         let others = suspects.len() - 1;
         for suspect in &suspects {
             note!(
--- a/src/process/host/control_poison.rs
+++ b/src/process/host/control_poison.rs
@@ -14,7 +14,7 @@
         metrics::{StateLabels, metrics},
         note,
         request::poison::{
-            CrashEvidence, CrashId, Fingerprint, PoisonLedger, PoisonReport, PoisonStatus,
+            CrashEvidence, Fingerprint, IncarnationId, PoisonLedger, PoisonReport, PoisonStatus,
             PoisonUpdate,
         },
         timeline::Event,
@@ -354,7 +354,7 @@
 /// Converts an entry from its wire format; `None` if its fingerprint is invalid.
 fn update_from_wire(entry: &PoisonEntry) -> Option<PoisonUpdate> {
     let evidence_from_wire = |evidence: &PoisonStrike| CrashEvidence {
-        end: CrashId::from_number(evidence.end),
+        end: IncarnationId::from_number(evidence.end),
         alone: evidence.alone,
         begun: evidence.begun,
     };
@@ -365,7 +365,7 @@
             .cleared
             .iter()
             .copied()
-            .map(CrashId::from_number)
+            .map(IncarnationId::from_number)
             .collect(),
         age: Duration::from_secs(u64::from(entry.age_s)),
     })
--- a/src/request/poison/mod.rs
+++ b/src/request/poison/mod.rs
@@ -3,6 +3,7 @@
 
 mod crash_evidence;
 mod fingerprint;
+mod incarnation_id;
 mod poison_ledger;
 mod poison_record;
 mod poison_report;
@@ -10,8 +11,9 @@
 mod poison_update;
 
 pub use {
-    crash_evidence::{CrashEvidence, CrashId},
+    crash_evidence::CrashEvidence,
     fingerprint::Fingerprint,
+    incarnation_id::IncarnationId,
     poison_ledger::{MAX_REJECTED, MAX_SUSPECTED, PoisonLedger},
     poison_record::{PoisonRecord, REJECTED_TTL, SUSPECTED_TTL},
     poison_report::PoisonReport,
--- a/src/request/poison/poison_record.rs
+++ b/src/request/poison/poison_record.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CrashEvidence, CrashId, Fingerprint, PoisonStatus, PoisonUpdate},
+    super::{CrashEvidence, Fingerprint, IncarnationId, PoisonStatus, PoisonUpdate},
     crate::clock::Instant,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -42,8 +42,8 @@
 /// another order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PoisonRecord {
-    crashes: BTreeMap<CrashId, Circumstances>,
-    cleared: BTreeSet<CrashId>,
+    crashes: BTreeMap<IncarnationId, Circumstances>,
+    cleared: BTreeSet<IncarnationId>,
     /// When the last crash happened.
     last_crash: Instant,
 }
@@ -87,7 +87,7 @@
 
     /// Clears all crashes, since a target has answered the request completely; returns true if there were any.
     pub fn clear(&mut self) -> bool {
-        let crashes: Vec<CrashId> = self.crashes.keys().copied().collect();
+        let crashes: Vec<IncarnationId> = self.crashes.keys().copied().collect();
         self.cleared.extend(crashes);
         let changed = !self.crashes.is_empty();
         self.trim();
@@ -154,7 +154,7 @@
         fingerprint: Fingerprint,
         now: Instant,
     ) -> PoisonUpdate {
-        let evidence = |(end, crash): (&CrashId, &Circumstances)| CrashEvidence {
+        let evidence = |(end, crash): (&IncarnationId, &Circumstances)| CrashEvidence {
             end: *end,
             begun: crash.begun,
             alone: crash.alone,
--- a/src/request/poison/poison_update.rs
+++ b/src/request/poison/poison_update.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CrashEvidence, CrashId, Fingerprint},
+    super::{CrashEvidence, Fingerprint, IncarnationId},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -11,7 +11,7 @@
     /// The evidence; named as in stored records.
     pub strikes: Vec<CrashEvidence>,
     /// Crashes that no longer count.
-    pub cleared: Vec<CrashId>,
+    pub cleared: Vec<IncarnationId>,
     /// Time since the last crash.
     pub age: Duration,
 }
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -5,7 +5,7 @@
         clock::Instant,
         connection::targets::{CrashTracker, SuspectRequest},
         request::poison::{
-            CrashEvidence, CrashId, Fingerprint, MAX_REJECTED, MAX_SUSPECTED, PoisonLedger,
+            CrashEvidence, Fingerprint, IncarnationId, MAX_REJECTED, MAX_SUSPECTED, PoisonLedger,
             PoisonStatus, PoisonUpdate, REJECTED_TTL, SUSPECTED_TTL,
         },
     },
@@ -24,7 +24,7 @@
     alone: bool,
 ) -> PoisonUpdate {
     let evidence = |end: &u64| CrashEvidence {
-        end: CrashId::from_number(*end),
+        end: IncarnationId::from_number(*end),
         begun: true,
         alone,
     };
@@ -112,7 +112,7 @@
             .collect();
         for cleared in 0..4 {
             let mut entry = update(cleared, &[], true);
-            entry.cleared = vec![CrashId::from_number(cleared * 5)];
+            entry.cleared = vec![IncarnationId::from_number(cleared * 5)];
             updates.push(entry);
         }
         let mut ledgers = Vec::new();
