--- a/src/connection/datagram/message.rs
+++ b/src/connection/datagram/message.rs
@@ -257,13 +257,17 @@
     /// The request had begun there.
     #[prost(bool, tag = "3")]
     pub begun: bool,
+    /// Time since then, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
 }
 
-/// What is known of one request that targets have ended under.
+/// What is known of one request, or of one part of prompts, that targets have ended under.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PoisonEntry {
+    /// A request's fingerprint, or the id of a part, which is shorter.
     #[prost(bytes = "vec", tag = "1")]
-    pub fingerprint: Vec<u8>,
+    pub key: Vec<u8>,
     #[prost(message, repeated, tag = "2")]
     pub strikes: Vec<PoisonStrike>,
     /// Ends that no longer speak against it.
@@ -272,9 +276,12 @@
     /// Time since the last strike, in seconds.
     #[prost(uint32, tag = "4")]
     pub age_s: u32,
+    /// Starts of targets that began to answer requests with the part, and ran on.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub survivors: Vec<u64>,
 }
 
-/// Tells of requests that end targets.
+/// Tells of requests and parts of prompts that end targets.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PoisonNews {
     #[prost(message, repeated, tag = "1")]
--- a/src/connection/front/crash_probe.rs
+++ b/src/connection/front/crash_probe.rs
@@ -9,7 +9,7 @@
         note,
         request::{
             direct::CallRequest,
-            poison::{CrashEvidence, IncarnationId, PoisonReport},
+            poison::{PoisonKey, PoisonReport},
         },
         timeline::Event,
     },
@@ -21,6 +21,9 @@
 /// requests by the second. It delays the report of a crash by as much.
 const RECHECK_DELAY: Duration = Duration::from_millis(200);
 
+/// Maximum number of lines that name the requests accused of one crash.
+const MAX_ACCUSED_LINES: usize = 64;
+
 /// Returns true if a target answers a health check now.
 ///
 /// Called before a suspect request is sent, so that a crash that follows can be attributed to it.
@@ -46,36 +49,71 @@
     }
 }
 
-/// Records a request as a suspect after its connection was lost, and probes in the background whether its target
-/// crashed; reports a crash to all hosts.
+/// An answer that was lost, and the request if that may have crashed its target.
+pub struct LostAnswer {
+    incarnation: TargetIncarnation,
+    suspect: Option<SuspectRequest>,
+}
+
+impl LostAnswer {
+    /// Returns the lost answer of a request that had just begun to run; `begun` is false if it may have come too late.
+    pub fn suspect(
+        request: &CallRequest,
+        incarnation: TargetIncarnation,
+        begun: bool,
+    ) -> Self {
+        let suspect = SuspectRequest {
+            fingerprint: Some(request.fingerprint()),
+            parts: request.part_keys(),
+            id: request.id_text().to_string(),
+            begun,
+        };
+        Self {
+            incarnation,
+            suspect: Some(suspect),
+        }
+    }
+
+    /// Returns the lost answer of a request that had run for long enough to be no suspect.
+    pub fn unsuspected(incarnation: TargetIncarnation) -> Self {
+        Self {
+            incarnation,
+            suspect: None,
+        }
+    }
+}
+
+/// Records an answer as lost, and probes in the background whether its target crashed if a request may be the cause;
+/// reports a crash to all hosts.
 pub fn probe_after_loss(
     table: &Rc<RefCell<TargetTable>>,
     names: &HeaderNames,
     request: &CallRequest,
-    incarnation: TargetIncarnation,
-    begun: bool,
+    lost: LostAnswer,
 ) {
     let lost_at = Instant::now();
-    let suspect = SuspectRequest {
-        begun,
-        fingerprint: request.fingerprint(),
-        id: request.id_text().to_string(),
-        parts: request.shared_parts(),
-    };
-    let address = {
+    let incarnation = lost.incarnation;
+    let (address, begins) = {
         let mut table = table.borrow_mut();
         table.crashes.on_loss(&incarnation.0, lost_at);
+        if lost.suspect.is_none() && !table.crashes.has_recent_start(&incarnation, lost_at) {
+            return;
+        }
         let link = table.links.get(&incarnation.0);
         // A target that drains stops by plan, whatever it runs.
         let link = link.filter(|link| link.view.usable_until.is_none());
         let Some(address) = link.map(|link| link.view.record.address) else {
             return;
         };
-        if !table.crashes.add_suspect(&incarnation, suspect) {
-            return;
+        let begins = table.crashes.begin_probe(&incarnation, lost_at);
+        if let Some(suspect) = lost.suspect {
+            table.crashes.add_suspect(&incarnation, suspect);
         }
-        address
+        (address, begins)
     };
+    if !begins {
+        return;
+    }
     let probe = CrashProbe {
         table: table.clone(),
         check: HealthCheck::new(names, &request.service, &incarnation.0),
@@ -95,21 +133,19 @@
     if table.crashes.is_empty() {
         return;
     }
-    let fingerprint = request.fingerprint();
-    if table.crashes.status(&fingerprint).is_some() {
-        table.report_poison(PoisonReport::Cleared { fingerprint });
+    let key = PoisonKey::Request(request.fingerprint());
+    if table.crashes.status(&key).is_some() {
+        table.report_poison(PoisonReport::Cleared { key });
     }
 }
 
-/// Returns part ids as requests name them, for logs.
-fn part_list(parts: &[u64]) -> String {
-    match parts.is_empty() {
-        true => "-".to_string(),
-        false => {
-            let ids: Vec<String> = parts.iter().map(|id| format!("{id:x}")).collect();
-            ids.join(",")
-        }
-    }
+/// What a probe found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProbeResult {
+    Crashed,
+    Alive,
+    /// The target does not answer, or may have crashed for another reason than what it ran.
+    Unknown,
 }
 
 /// Probes one incarnation of a target.
@@ -128,59 +164,94 @@
     ) {
         // A brittle target that turns requests away falls over these, not over what it runs.
         let is_at_risk = self.table.borrow().is_at_risk(&self.service, self.lost_at);
-        let crashed = !is_at_risk && self.has_crashed(address).await;
+        let result = match is_at_risk {
+            true => ProbeResult::Unknown,
+            false => self.probe(address).await,
+        };
+        match result {
+            ProbeResult::Crashed => self.accuse(),
+            ProbeResult::Alive | ProbeResult::Unknown => self.drop_suspects(result),
+        }
+    }
+
+    fn drop_suspects(
+        &self,
+        result: ProbeResult,
+    ) {
         let mut table = self.table.borrow_mut();
-        let suspects = table.crashes.take_suspects(&self.incarnation);
-        if !crashed {
-            note!(
-                Event::AccusationDropped,
-                target = self.incarnation.0,
-                requests = suspects.len(),
-            );
-            return;
+        if result == ProbeResult::Alive {
+            table.crashes.on_alive(&self.incarnation.0);
         }
-        let alone = table
-            .crashes
-            .is_isolated_loss(&self.incarnation.0, self.lost_at);
-        let end = IncarnationId::of(&self.incarnation.0, self.incarnation.1);
-        let others = suspects.len() - 1;
-        for suspect in &suspects {
-            note!(
-                Event::RequestAccused,
-                id = suspect.id,
-                fingerprint = suspect.fingerprint,
-                parts = part_list(&suspect.parts),
-                target = self.incarnation.0,
-                begun = suspect.begun,
-                alone = alone,
-                beside = others,
-            );
+        let requests = table.crashes.drop_suspects(&self.incarnation);
+        note!(
+            Event::AccusationDropped,
+            target = self.incarnation.0,
+            requests = requests,
+        );
+    }
+
+    /// Reports to all hosts that the target crashed, and under which requests.
+    fn accuse(&self) {
+        let mut table = self.table.borrow_mut();
+        let crashes = &mut table.crashes;
+        let suspects = crashes.take_suspects(&self.incarnation, self.lost_at);
+        let alone = crashes.is_isolated_loss(&self.incarnation.0, self.lost_at);
+        for suspect in suspects.iter().take(MAX_ACCUSED_LINES) {
+            self.log_accused(suspect, alone, suspects.len() - 1);
         }
-        let to_evidence = |suspect: &SuspectRequest| {
-            let begun = suspect.begun;
-            (suspect.fingerprint, CrashEvidence { end, begun, alone })
-        };
-        let evidence = suspects.iter().map(to_evidence).collect();
-        table.report_poison(PoisonReport::Crashed { evidence });
+        let now = Instant::now();
+        let accused = crashes.accusations(&suspects, &self.incarnation, self.lost_at, now);
+        table.report_poison(PoisonReport::Crashed { accused });
+    }
+
+    fn log_accused(
+        &self,
+        suspect: &SuspectRequest,
+        alone: bool,
+        others: usize,
+    ) {
+        let fingerprint = suspect
+            .fingerprint
+            .map(|fingerprint| fingerprint.to_string());
+        note!(
+            Event::RequestAccused,
+            id = suspect.id,
+            fingerprint = fingerprint.as_deref().unwrap_or("-"),
+            parts = part_list(&suspect.parts),
+            target = self.incarnation.0,
+            begun = suspect.begun,
+            alone = alone,
+            beside = others,
+        );
     }
 
-    /// Returns true if the target was down in both checks and this incarnation has sent nothing meanwhile, or if it was
+    /// Finds the target crashed if it was down in both checks and this incarnation has sent nothing meanwhile, or if it was
     /// replaced.
-    async fn has_crashed(
+    async fn probe(
         &self,
         address: SocketAddr,
-    ) -> bool {
-        if self.check.at(address).await != Health::Refusing {
-            return self.was_replaced();
+    ) -> ProbeResult {
+        let first = self.check.at(address).await;
+        if first != Health::Refusing {
+            return match (self.was_replaced(), first) {
+                (true, _) => ProbeResult::Crashed,
+                (false, Health::Answering) => ProbeResult::Alive,
+                (false, _) => ProbeResult::Unknown,
+            };
         }
         tokio::time::sleep(RECHECK_DELAY).await;
         if self.was_replaced() {
-            return true;
+            return ProbeResult::Crashed;
+        }
+        let second = self.check.at(address).await;
+        if second == Health::Answering || self.has_sent_since_loss() {
+            return ProbeResult::Alive;
         }
         // A host that reaches nothing sees all targets refuse.
-        self.check.at(address).await == Health::Refusing
-            && !self.has_sent_since_loss()
-            && !self.table.borrow().reaches_nothing()
+        match second == Health::Refusing && !self.table.borrow().reaches_nothing() {
+            true => ProbeResult::Crashed,
+            false => ProbeResult::Unknown,
+        }
     }
 
     /// Returns true if the target is gone or has a new incarnation.
@@ -198,3 +269,15 @@
             .is_some_and(|at| at > self.lost_at)
     }
 }
+
+/// Returns part ids as requests name them, for logs.
+fn part_list(parts: &[PoisonKey]) -> String {
+    if parts.is_empty() {
+        return "-".to_string();
+    }
+    let ids = parts.iter().filter_map(|part| match part {
+        PoisonKey::Part(id) => Some(format!("{id:x}")),
+        PoisonKey::Request(_) => None,
+    });
+    ids.collect::<Vec<String>>().join(",")
+}
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -7,13 +7,13 @@
         },
         attempts::Attempts,
         chooser::{Choice, Chooser},
-        crash_probe::{answers_health_check, clear_suspect, probe_after_loss},
+        crash_probe::{LostAnswer, answers_health_check, clear_suspect, probe_after_loss},
         exchange::{Destination, OpenAnswer, SendOutcome, send},
         final_answers::{FinalAnswers, relay},
         host_forwarder::HostForwarder,
         open_request::OpenRequest,
         pending_request::{PendingRequest, settle_charge},
-        poison_check::{has_crashed_targets, is_poison, is_suspected},
+        poison_check::{has_crashed_targets, is_suspected, rejected_key},
         request_trace::TraceStep,
         served_request::ServedRequest,
         stream_relay::StreamRelay,
@@ -21,7 +21,7 @@
     },
     crate::{
         clock::{Instant, timeout_at},
-        connection::targets::{TargetIncarnation, TargetTable},
+        connection::targets::{ANSWER_START_WINDOW, AnswerStart, TargetIncarnation, TargetTable},
         formats::Formats,
         metrics::{WaitLabels, metrics},
         request::{
@@ -39,10 +39,6 @@
 /// Backoff before a request is sent again to an engine that is still loading its adapter.
 const LOAD_BACKOFF: Duration = Duration::from_millis(25);
 
-/// A stream that breaks off within this time of its first event is suspected of having crashed its target; later on,
-/// any other request at the target is as likely the cause, as a target that crashes does so within a tenth of a second.
-const STREAM_START_WINDOW: Duration = Duration::from_secs(1);
-
 /// A connection that is lost sooner than this was closed before the target started the request.
 const MIN_RUN_TIME: Duration = Duration::from_millis(3);
 
@@ -88,9 +84,9 @@
         self: &Rc<Self>,
         request: CallRequest,
     ) -> Response<AnswerBody> {
-        if is_poison(&self.table, &request) {
+        if let Some(key) = rejected_key(&self.table, &request) {
             log_unsent(&request, ErrorCause::CrashesTargets);
-            return self.answers.reject_poison(&request);
+            return self.answers.reject_poison(&request, key);
         }
         let mut forwarding_failed = false;
         if self.table.borrow().is_unreached(&request.service.name) {
@@ -256,8 +252,8 @@
                 continue;
             }
             // The request may have become known as poison while it waited seconds for its adapter.
-            if is_poison(&self.table, request) {
-                return Ok(Outcome::Final(self.answers.reject_poison(request)));
+            if let Some(key) = rejected_key(&self.table, request) {
+                return Ok(Outcome::Final(self.answers.reject_poison(request, key)));
             }
             let incarnation = self.incarnation_of(&destination.target);
             let sent_at = Instant::now();
@@ -284,10 +280,12 @@
             }
             let end = match sent {
                 SendOutcome::Complete(answer) => {
+                    self.record_answer_start(request, incarnation);
                     clear_suspect(&self.table, request);
                     return Ok(Outcome::Final(relay(answer)));
                 }
                 SendOutcome::Open(mut answer) => {
+                    self.record_answer_start(request, incarnation);
                     answer.source.permit = permit;
                     return Ok(Outcome::Open(answer));
                 }
@@ -304,7 +302,8 @@
                 SendOutcome::Withheld => continue,
                 SendOutcome::Ended(AttemptEnd::Lost) => {
                     let started = verified || sent_at.elapsed() >= MIN_RUN_TIME;
-                    probe_after_loss(&self.table, names, request, incarnation, started);
+                    let lost = LostAnswer::suspect(request, incarnation, started);
+                    probe_after_loss(&self.table, names, request, lost);
                     AttemptEnd::Lost
                 }
                 SendOutcome::Ended(end) => end,
@@ -429,16 +428,27 @@
         first_event: Instant,
     ) {
         let now = Instant::now();
-        match now.saturating_duration_since(first_event) < STREAM_START_WINDOW {
-            true => probe_after_loss(
-                &self.table,
-                self.formats.headers(),
-                request,
-                incarnation,
-                true,
-            ),
-            false => self.table.borrow_mut().crashes.on_loss(&incarnation.0, now),
-        }
+        let had_just_begun = now.saturating_duration_since(first_event) < ANSWER_START_WINDOW;
+        let lost = match had_just_begun {
+            true => LostAnswer::suspect(request, incarnation, true),
+            false => LostAnswer::unsuspected(incarnation),
+        };
+        probe_after_loss(&self.table, self.formats.headers(), request, lost);
+    }
+
+    /// Records that a target has begun to answer a request.
+    fn record_answer_start(
+        &self,
+        request: &CallRequest,
+        incarnation: TargetIncarnation,
+    ) {
+        let start = AnswerStart {
+            at: Instant::now(),
+            incarnation,
+            id: request.id_text().to_string(),
+            parts: request.part_keys(),
+        };
+        self.table.borrow_mut().crashes.on_answer_start(start);
     }
 
     /// Handles the end of a complete stream.
--- a/src/connection/front/final_answers.rs
+++ b/src/connection/front/final_answers.rs
@@ -10,9 +10,12 @@
         clock::Instant,
         connection::targets::TargetTable,
         formats::Formats,
-        metrics::{OutcomeLabels, metrics},
+        metrics::{OutcomeLabels, PoisonLabels, metrics},
         note,
-        request::direct::{CallRequest, RejectReason},
+        request::{
+            direct::{CallRequest, RejectReason},
+            poison::PoisonKey,
+        },
         timeline::Event,
     },
     http::Response,
@@ -34,17 +37,22 @@
         Self { table, formats }
     }
 
-    /// Rejects a request that is known to crash targets, with an error that callers do not retry.
+    /// Rejects a request of which a key is known to crash targets, with an error that callers do not retry.
     pub fn reject_poison(
         &self,
         request: &CallRequest,
+        key: PoisonKey,
     ) -> Response<AnswerBody> {
         note!(
             Event::RequestRefused,
             id = request.id_text(),
-            fingerprint = request.fingerprint(),
+            fingerprint = key,
             route = request.route.name,
         );
+        let labels = PoisonLabels {
+            key: key.kind_word(),
+        };
+        metrics().poison_rejections.get_or_create(&labels).inc();
         self.answer(request, LocalAnswer::new(ErrorCause::CrashesTargets))
     }
 
--- /dev/null
+++ b/src/connection/targets/answer_starts.rs
@@ -0,0 +1,95 @@
+use {
+    super::TargetIncarnation,
+    crate::{clock::Instant, request::poison::PoisonKey},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// A crash within this time of the start of an answer may be due to its request; later on, any other request at the target
+/// is as likely the cause, as a target that crashes does so within a tenth of a second.
+pub const ANSWER_START_WINDOW: Duration = Duration::from_secs(1);
+
+/// A start is forgotten if its target has sent nothing within this time that shows whether it survived.
+const MAX_UNDECIDED: Duration = Duration::from_secs(4);
+
+/// Maximum number of recorded starts.
+const MAX_STARTS: usize = 1024;
+
+/// The start of an answer to a request whose prompt shares parts with others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerStart {
+    pub at: Instant,
+    pub incarnation: TargetIncarnation,
+    /// Request id set by the caller, for logs.
+    pub id: String,
+    pub parts: Vec<PoisonKey>,
+}
+
+/// Recent starts of answers, whether the answers have ended since or not: a target may crash under a request right after
+/// its answer was complete.
+#[derive(Debug, Default)]
+pub struct AnswerStarts {
+    /// Oldest first.
+    starts: VecDeque<AnswerStart>,
+}
+
+impl AnswerStarts {
+    pub fn add(
+        &mut self,
+        start: AnswerStart,
+    ) {
+        if self.starts.len() >= MAX_STARTS {
+            self.starts.pop_front();
+        }
+        self.starts.push_back(start);
+    }
+
+    /// Returns the starts that a crash of this incarnation at `lost_at` may be due to.
+    pub fn before_loss(
+        &self,
+        incarnation: &TargetIncarnation,
+        lost_at: Instant,
+    ) -> impl Iterator<Item = &AnswerStart> {
+        let is_recent = move |start: &&AnswerStart| {
+            start.incarnation == *incarnation
+                && lost_at.saturating_duration_since(start.at) < ANSWER_START_WINDOW
+        };
+        self.starts.iter().filter(is_recent)
+    }
+
+    /// Forgets the starts at an incarnation that has crashed.
+    pub fn remove(
+        &mut self,
+        incarnation: &TargetIncarnation,
+    ) {
+        self.starts
+            .retain(|start| start.incarnation != *incarnation);
+    }
+
+    /// Removes and returns the starts whose targets have sent something after the time in which they would have crashed;
+    /// `last_received` returns when an incarnation last did.
+    pub fn take_survived(
+        &mut self,
+        now: Instant,
+        last_received: impl Fn(&TargetIncarnation) -> Option<Instant>,
+    ) -> Vec<AnswerStart> {
+        let mut survived = Vec::new();
+        let mut undecided = Vec::new();
+        while let Some(start) = self.starts.pop_front() {
+            let age = now.saturating_duration_since(start.at);
+            if age < ANSWER_START_WINDOW {
+                self.starts.push_front(start);
+                break;
+            }
+            let shown_until = last_received(&start.incarnation);
+            if shown_until.is_some_and(|until| until >= start.at + ANSWER_START_WINDOW) {
+                survived.push(start);
+            } else if age < MAX_UNDECIDED {
+                undecided.push(start);
+            }
+        }
+        for start in undecided.into_iter().rev() {
+            self.starts.push_front(start);
+        }
+        survived
+    }
+}
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapter_demand;
 mod adapter_map;
+mod answer_starts;
 mod brittle_services;
 mod cached_prompts;
 mod control_request;
@@ -19,10 +20,12 @@
 mod sent_prompts;
 mod service_reach;
 mod staleness_monitor;
+mod survival_memory;
 mod table_adapters;
 mod table_counting;
 mod table_notices;
 mod table_pace;
+mod table_poison;
 mod table_prompts;
 mod table_reach;
 mod table_software;
@@ -38,6 +41,7 @@
 pub use {
     adapter_demand::AdapterDemand,
     adapter_map::{AdapterCopy, AdapterMap},
+    answer_starts::{ANSWER_START_WINDOW, AnswerStart, AnswerStarts},
     brittle_services::BrittleServices,
     cached_prompts::CachedPrompts,
     control_request::{AdapterRequest, ControlRequest},
@@ -55,6 +59,7 @@
     sent_prompts::{MAX_REPORTED_PROMPTS, SentPrompts},
     service_reach::ServiceReach,
     staleness_monitor::{MaxStaleness, StalenessBounds, StalenessMonitor},
+    survival_memory::SurvivalMemory,
     table_adapters::ServiceEngines,
     table_reach::ReachProbe,
     target_health::TargetHealth,
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -11,7 +11,7 @@
             AdapterUsage, EngineLoad, EngineQuery, EngineStanding, PermitAnswer, PlaceGiven, Usage,
         },
         formats::TargetStart,
-        request::{direct::Policy, pace::PauseRecord, poison::PoisonReport},
+        request::{direct::Policy, pace::PauseRecord},
         version::routing::RoutingTable,
     },
     std::{
@@ -166,14 +166,6 @@
         self.view.hosts > MAX_BROADCAST_HOSTS
     }
 
-    /// Reports to the control thread whether a request crashed targets.
-    pub fn report_poison(
-        &self,
-        report: PoisonReport,
-    ) {
-        let _ = self.control.send(ControlRequest::ReportPoison(report));
-    }
-
     /// Queries an engine's status from its holder; returns false if it has none.
     pub fn query(
         &self,
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CallLabels, CopyLabels, FramingLabels, KindLabels, LatenessLabels, OrderLabels,
-        OutcomeLabels, StateLabels, TransferLabels, WaitLabels,
+        OutcomeLabels, PoisonLabels, StateLabels, TransferLabels, WaitLabels,
     },
     prometheus_client::{
         encoding::text::encode,
@@ -67,6 +67,7 @@
     pub targets: Family<StateLabels, Gauge>,
     pub services_unreached: Gauge,
     pub poison: Family<StateLabels, Gauge>,
+    pub poison_rejections: Family<PoisonLabels, Counter>,
     pub copy_age: Family<CopyLabels, Seconds>,
     pub copy_transfers: Family<TransferLabels, Counter>,
     pub copy_received: Family<TransferLabels, Counter>,
@@ -132,6 +133,7 @@
             targets: Family::default(),
             services_unreached: Gauge::default(),
             poison: Family::default(),
+            poison_rejections: Family::default(),
             copy_age: Family::default(),
             copy_transfers: Family::default(),
             copy_received: Family::default(),
@@ -201,9 +203,14 @@
         );
         registry.register(
             "poison_requests",
-            "Requests that targets ended under, by how they stand",
+            "Requests and parts of prompts that targets ended under, by how they stand",
             self.poison.clone(),
         );
+        registry.register(
+            "poison_rejections",
+            "Requests that were rejected as targets end under them, by what is known to end them",
+            self.poison_rejections.clone(),
+        );
         registry.register(
             "lease_held",
             "1 while this host may give orders",
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -64,3 +64,9 @@
     pub source: &'static str,
     pub result: &'static str,
 }
+
+/// Under what targets are known to crash: one `request`, or a `part` of prompts.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct PoisonLabels {
+    pub key: &'static str,
+}
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -7,6 +7,6 @@
     host_metrics::{HostMetrics, metrics},
     labels::{
         CallLabels, CopyLabels, FramingLabels, KindLabels, LatenessLabels, OrderLabels,
-        OutcomeLabels, StateLabels, TransferLabels, WaitLabels,
+        OutcomeLabels, PoisonLabels, StateLabels, TransferLabels, WaitLabels,
     },
 };
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -12,7 +12,7 @@
         process::holding::TakenEngine,
         request::{
             notices::TargetNotices,
-            poison::{Fingerprint, PoisonStatus},
+            poison::{PoisonKey, PoisonVerdict},
         },
     },
     std::{net::SocketAddr, sync::Arc},
@@ -103,10 +103,10 @@
         target: String,
         notices: TargetNotices,
     },
-    /// Sets the poison status of a request; `None` clears it.
-    SetPoisonStatus {
-        fingerprint: Fingerprint,
-        standing: Option<PoisonStatus>,
+    /// Sets what follows for requests with a key; `None` clears it.
+    SetPoisonVerdict {
+        key: PoisonKey,
+        verdict: Option<PoisonVerdict>,
     },
     /// Reads the stored requests that crash targets.
     ReadPoison,
--- a/src/process/host/control_poison.rs
+++ b/src/process/host/control_poison.rs
@@ -1,33 +1,36 @@
-//! Control-thread handling of poison requests (requests that crash targets): merges reports of this host's requests, of
-//! other hosts and of the store, and distributes the changes.
+//! Control-thread handling of poison (requests, and parts of prompts, that crash targets): merges reports of this host's
+//! requests, of other hosts and of the store, and distributes the changes.
 
 use {
     super::{
         ControlAction, HostControl,
         control_tables::quoted,
+        poison_messages::{to_messages, update_from_wire},
         poison_rows::{POISON_TABLE, delete_write, parse_row, store_write},
     },
     crate::{
         clock::Instant,
-        connection::datagram::{Message, PoisonEntry, PoisonNews, PoisonStrike},
+        connection::datagram::{Message, PoisonNews},
         formats::RowBatch,
         metrics::{StateLabels, metrics},
         note,
         request::poison::{
-            CrashEvidence, Fingerprint, IncarnationId, PoisonLedger, PoisonReport, PoisonStatus,
-            PoisonUpdate,
+            Accusation, IncarnationId, PoisonKey, PoisonLedger, PoisonReport, PoisonStatus,
+            PoisonUpdate, PoisonVerdict,
         },
         timeline::Event,
     },
     rand::RngExt,
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
-/// Maximum number of records in one datagram; a record takes up to 0.4 kB, and a datagram must fit into a packet.
-const RECORDS_PER_DATAGRAM: usize = 3;
+/// Number of records sent to a host whose digest differs, and maximum number of rejected parts that go before them.
+const RECORDS_PER_EXCHANGE: usize = 30;
+const FIRST_RECORDS: usize = 8;
 
-/// Maximum number of datagrams sent to a host whose digest differs.
-const MAX_DATAGRAMS_PER_EXCHANGE: usize = 10;
+/// Number of hosts that are told of a survivor at once; digests spread it further. It is less urgent than a crash, and many
+/// hosts may see one at the same time.
+const HOSTS_TOLD_OF_SURVIVOR: usize = 16;
 
 /// Minimum time from start to the first read of the store; skipped if another host has sent its records by then.
 const FIRST_READ_DELAY: Duration = Duration::from_millis(300);
@@ -42,9 +45,15 @@
 /// Time between two evictions of expired records.
 const EVICTION_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Minimum number of crashes for which a request is stored; with fewer, losing the record costs at most one target.
+/// Minimum number of crashes for which a record is stored; with fewer, losing the record costs at most one target.
 const MIN_STORED_CRASHES: usize = 2;
 
+/// The same for a part, by its score: parts in wide use have survivors, and need not be stored.
+const MIN_STORED_SCORE: f64 = 1.5;
+
+/// Maximum number of keys that the line of a verdict lists.
+const MAX_LOGGED_KEYS: usize = 8;
+
 /// Number of hosts that write the records again after a restoration of the store: more than one, as one may be cut off.
 const RESTORING_HOSTS: usize = 3;
 
@@ -57,7 +66,9 @@
     next_read: Option<Instant>,
     next_eviction: Option<Instant>,
     /// The last record sent to a host whose digest differed; the next page starts after it.
-    last_sent: Option<Fingerprint>,
+    last_sent: Option<PoisonKey>,
+    /// What was last published of rejected parts.
+    rejected_parts: BTreeMap<PoisonKey, PoisonVerdict>,
 }
 
 impl HostControl {
@@ -75,38 +86,57 @@
         now: Instant,
     ) -> Vec<ControlAction> {
         let changed = match report {
-            PoisonReport::Crashed { evidence } => self.record_crashes(&evidence, now),
-            PoisonReport::Cleared { fingerprint } => match self.poison.ledger.clear(&fingerprint) {
-                true => vec![fingerprint],
+            PoisonReport::Crashed { accused } => self.record_crashes(&accused, now),
+            PoisonReport::Cleared { key } => match self.poison.ledger.clear(&key) {
+                true => vec![key],
                 false => Vec::new(),
             },
+            PoisonReport::Survived { parts, incarnation } => {
+                return self.record_survivor(&parts, incarnation, now);
+            }
         };
-        let mut actions = self.broadcast_poison(&changed, now);
+        let mut actions = self.send_poison(&changed, usize::MAX, now);
         actions.extend(self.store_records(&changed, now));
-        actions.extend(self.publish_statuses(&changed, "here"));
+        actions.extend(self.publish_verdicts(&changed, "here"));
         actions
     }
 
     fn record_crashes(
         &mut self,
-        evidence: &[(Fingerprint, CrashEvidence)],
+        accused: &[Accusation],
         now: Instant,
-    ) -> Vec<Fingerprint> {
+    ) -> Vec<PoisonKey> {
         let mut changed = Vec::new();
-        for (fingerprint, evidence) in evidence {
+        for accusation in accused {
             let update = PoisonUpdate {
-                fingerprint: *fingerprint,
-                strikes: vec![*evidence],
+                key: accusation.key,
+                strikes: vec![accusation.evidence],
                 cleared: Vec::new(),
+                survivors: accusation.survivors.clone(),
                 age: Duration::ZERO,
             };
             if self.poison.ledger.merge(&update, now) {
-                changed.push(*fingerprint);
+                changed.push(accusation.key);
             }
         }
         changed
     }
 
+    /// Records that an incarnation survived answers with these parts.
+    fn record_survivor(
+        &mut self,
+        parts: &[PoisonKey],
+        incarnation: IncarnationId,
+        now: Instant,
+    ) -> Vec<ControlAction> {
+        let ledger = &mut self.poison.ledger;
+        let is_new = |part: &&PoisonKey| ledger.add_survivor(part, incarnation);
+        let changed: Vec<PoisonKey> = parts.iter().filter(is_new).copied().collect();
+        let mut actions = self.send_poison(&changed, HOSTS_TOLD_OF_SURVIVOR, now);
+        actions.extend(self.publish_verdicts(&changed, "here"));
+        actions
+    }
+
     /// Merges the records sent by another host.
     pub(super) fn on_poison_update(
         &mut self,
@@ -116,18 +146,18 @@
         let updates = update.entries.iter().filter_map(update_from_wire);
         let updates: Vec<PoisonUpdate> = updates.collect();
         let changed = self.merge_poison(&updates, now);
-        self.publish_statuses(&changed, "host")
+        self.publish_verdicts(&changed, "host")
     }
 
     fn merge_poison(
         &mut self,
         updates: &[PoisonUpdate],
         now: Instant,
-    ) -> Vec<Fingerprint> {
+    ) -> Vec<PoisonKey> {
         let mut changed = Vec::new();
         for update in updates {
             if self.poison.ledger.merge(update, now) {
-                changed.push(update.fingerprint);
+                changed.push(update.key);
             }
         }
         changed
@@ -145,36 +175,40 @@
         if digest == Some(self.poison.ledger.digest()) || self.poison.ledger.is_empty() {
             return Vec::new();
         }
-        let updates = self.poison.ledger.page(
-            self.poison.last_sent,
-            RECORDS_PER_DATAGRAM * MAX_DATAGRAMS_PER_EXCHANGE,
-            now,
-        );
-        self.poison.last_sent = updates.last().map(|update| update.fingerprint);
-        let messages = updates.chunks(RECORDS_PER_DATAGRAM).map(to_message);
+        let ledger = &self.poison.ledger;
+        let page = ledger.page(self.poison.last_sent, RECORDS_PER_EXCHANGE, now);
+        // A host that has just started must know these before it sends.
+        let rejected = self.poison.rejected_parts.keys();
+        let rejected = rejected.take(FIRST_RECORDS);
+        let mut updates: Vec<PoisonUpdate> =
+            rejected.filter_map(|key| ledger.update(key, now)).collect();
+        self.poison.last_sent = page.last().map(|update| update.key);
+        updates.extend(page);
         let send = |message| ControlAction::Send { to: from, message };
-        messages.map(send).collect()
+        to_messages(&updates).into_iter().map(send).collect()
     }
 
-    /// Sends changed records to all hosts at once: spread by digests alone, they could cost a target at each hop.
-    fn broadcast_poison(
+    /// Sends changed records to hosts at once: spread by digests alone, they could cost a target at each hop.
+    fn send_poison(
         &mut self,
-        changed: &[Fingerprint],
+        changed: &[PoisonKey],
+        hosts: usize,
         now: Instant,
     ) -> Vec<ControlAction> {
         if changed.is_empty() {
             return Vec::new();
         }
         let ledger = &self.poison.ledger;
-        let updates = changed.iter().filter_map(|fingerprint| {
-            let record = ledger.get(fingerprint)?;
-            Some(record.to_update(*fingerprint, now))
-        });
+        let updates = changed.iter().filter_map(|key| ledger.update(key, now));
         let updates: Vec<PoisonUpdate> = updates.collect();
+        let messages = to_messages(&updates);
         let mut actions = Vec::new();
-        for to in self.hosts.pick_reachable(usize::MAX) {
-            let messages = updates.chunks(RECORDS_PER_DATAGRAM).map(to_message);
-            actions.extend(messages.map(|message| ControlAction::Send { to, message }));
+        for to in self.hosts.pick_reachable(hosts) {
+            let send = |message: &Message| ControlAction::Send {
+                to,
+                message: message.clone(),
+            };
+            actions.extend(messages.iter().map(send));
         }
         actions
     }
@@ -182,15 +216,17 @@
     /// Stores the records that must survive the loss of all hosts.
     fn store_records(
         &self,
-        changed: &[Fingerprint],
+        changed: &[PoisonKey],
         now: Instant,
     ) -> Option<ControlAction> {
-        let writes = changed.iter().filter_map(|fingerprint| {
-            let record = self.poison.ledger.get(fingerprint)?;
-            let update = record.to_update(*fingerprint, now);
-            let must_store =
-                record.crash_count() >= MIN_STORED_CRASHES || !update.cleared.is_empty();
-            must_store.then(|| store_write(&update))
+        let ledger = &self.poison.ledger;
+        let writes = changed.iter().filter_map(|key| {
+            let update = ledger.update(key, now)?;
+            let must_store = match key.is_part() {
+                true => ledger.score(key) >= MIN_STORED_SCORE,
+                false => update.strikes.len() >= MIN_STORED_CRASHES,
+            };
+            (must_store || !update.cleared.is_empty()).then(|| store_write(&update))
         });
         let writes: Vec<_> = writes.collect();
         (!writes.is_empty()).then_some(ControlAction::WritePoison { writes })
@@ -205,9 +241,8 @@
             return None;
         }
         let updates = self.poison.ledger.page(None, usize::MAX, now);
-        let fingerprints: Vec<Fingerprint> =
-            updates.iter().map(|update| update.fingerprint).collect();
-        self.store_records(&fingerprints, now)
+        let keys: Vec<PoisonKey> = updates.iter().map(|update| update.key).collect();
+        self.store_records(&keys, now)
     }
 
     /// Evicts expired records and triggers the first read of the store when due.
@@ -219,7 +254,11 @@
         if self.poison.next_eviction.is_none_or(|at| now >= at) {
             self.poison.next_eviction = Some(now + EVICTION_INTERVAL);
             let evicted = self.poison.ledger.evict_expired(now);
-            actions.extend(self.publish_statuses(&evicted, "age"));
+            actions.extend(self.publish_verdicts(&evicted, "age"));
+        }
+        if self.poison.ledger.settle(now) {
+            let changed = self.update_rejected_parts();
+            actions.extend(self.publish_verdicts(&changed, "time"));
         }
         if self.poison.is_synchronized {
             return actions;
@@ -280,43 +319,69 @@
         }
         let changed = self.merge_poison(&updates, now);
         for update in &updates {
-            if self.poison.ledger.get(&update.fingerprint).is_none() {
-                deletions.push(delete_write(&update.fingerprint));
+            if self.poison.ledger.get(&update.key).is_none() {
+                deletions.push(delete_write(&update.key));
             }
         }
-        actions.extend(self.publish_statuses(&changed, "store"));
+        actions.extend(self.publish_verdicts(&changed, "store"));
         if !deletions.is_empty() {
             actions.push(ControlAction::WritePoison { writes: deletions });
         }
         actions
     }
 
-    /// Logs the current status of changed requests and publishes it to this host's traffic thread.
-    fn publish_statuses(
-        &self,
-        changed: &[Fingerprint],
+    /// Publishes the verdicts on changed keys, and those on parts that follow from them, to this host's traffic thread.
+    fn publish_verdicts(
+        &mut self,
+        changed: &[PoisonKey],
         source: &str,
     ) -> Vec<ControlAction> {
-        let mut actions = Vec::new();
-        for fingerprint in changed {
-            let status = self.poison.ledger.status(fingerprint);
-            let record = self.poison.ledger.get(fingerprint);
-            note!(
-                Event::PoisonStanding,
-                fingerprint = fingerprint,
-                standing = PoisonStatus::word(status),
-                targets_ended = record.map_or(0, |record| record.crash_count()),
-                source = source,
-            );
-            actions.push(ControlAction::SetPoisonStatus {
-                fingerprint: *fingerprint,
-                standing: status,
-            });
-        }
-        if !changed.is_empty() {
-            self.set_poison_gauges();
+        if changed.is_empty() {
+            return Vec::new();
         }
-        actions
+        let mut keys = changed.to_vec();
+        keys.extend(self.update_rejected_parts());
+        keys.sort();
+        keys.dedup();
+        self.set_poison_gauges();
+        let publish = |key: PoisonKey| {
+            let verdict = self.poison.ledger.verdict(&key);
+            self.log_verdict(&key, verdict.as_ref(), source);
+            ControlAction::SetPoisonVerdict { key, verdict }
+        };
+        keys.into_iter().map(publish).collect()
+    }
+
+    /// Computes the verdicts on rejected parts anew; returns those parts whose verdict has changed.
+    fn update_rejected_parts(&mut self) -> Vec<PoisonKey> {
+        let ledger = &self.poison.ledger;
+        let verdict = |key: PoisonKey| Some((key, ledger.verdict(&key)?));
+        let rejected: BTreeMap<PoisonKey, PoisonVerdict> =
+            ledger.rejected_parts().filter_map(verdict).collect();
+        let before = std::mem::replace(&mut self.poison.rejected_parts, rejected);
+        let now = &self.poison.rejected_parts;
+        let keys = before.keys().chain(now.keys());
+        let has_changed = |key: &&PoisonKey| before.get(key) != now.get(key);
+        keys.filter(has_changed).copied().collect()
+    }
+
+    fn log_verdict(
+        &self,
+        key: &PoisonKey,
+        verdict: Option<&PoisonVerdict>,
+        source: &str,
+    ) {
+        let record = self.poison.ledger.get(key);
+        note!(
+            Event::PoisonStanding,
+            fingerprint = key,
+            standing = PoisonStatus::word(verdict.map(|verdict| verdict.status)),
+            targets_ended = record.map_or(0, |record| record.crash_count()),
+            targets_survived = record.map_or(0, |record| record.survivor_count()),
+            score = format!("{:.2}", self.poison.ledger.score(key)),
+            only_with = key_list(verdict.map_or(&[], |verdict| &verdict.only_with)),
+            source = source,
+        );
     }
 
     fn set_poison_gauges(&self) {
@@ -331,42 +396,11 @@
     }
 }
 
-fn to_message(updates: &[PoisonUpdate]) -> Message {
-    let entries = updates.iter().map(|update| PoisonEntry {
-        fingerprint: update.fingerprint.as_bytes().to_vec(),
-        strikes: update.strikes.iter().map(evidence_to_wire).collect(),
-        cleared: update.cleared.iter().map(|end| end.number()).collect(),
-        age_s: u32::try_from(update.age.as_secs()).unwrap_or(u32::MAX),
-    });
-    Message::PoisonNews(PoisonNews {
-        entries: entries.collect(),
-    })
-}
-
-fn evidence_to_wire(evidence: &CrashEvidence) -> PoisonStrike {
-    PoisonStrike {
-        end: evidence.end.number(),
-        alone: evidence.alone,
-        begun: evidence.begun,
+/// Returns the first keys for logs.
+fn key_list(keys: &[PoisonKey]) -> String {
+    if keys.is_empty() {
+        return "-".to_string();
     }
-}
-
-/// Converts an entry from its wire format; `None` if its fingerprint is invalid.
-fn update_from_wire(entry: &PoisonEntry) -> Option<PoisonUpdate> {
-    let evidence_from_wire = |evidence: &PoisonStrike| CrashEvidence {
-        end: IncarnationId::from_number(evidence.end),
-        alone: evidence.alone,
-        begun: evidence.begun,
-    };
-    Some(PoisonUpdate {
-        fingerprint: Fingerprint::from_bytes(&entry.fingerprint)?,
-        strikes: entry.strikes.iter().map(evidence_from_wire).collect(),
-        cleared: entry
-            .cleared
-            .iter()
-            .copied()
-            .map(IncarnationId::from_number)
-            .collect(),
-        age: Duration::from_secs(u64::from(entry.age_s)),
-    })
+    let texts = keys.iter().take(MAX_LOGGED_KEYS).map(PoisonKey::to_string);
+    texts.collect::<Vec<String>>().join(",")
 }
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -199,13 +199,9 @@
                 self.send_to_traffic(TrafficInput::Charged(answer))
             }
             ControlAction::DeliverLoan(loan) => self.send_to_traffic(TrafficInput::Borrowed(loan)),
-            ControlAction::SetPoisonStatus {
-                fingerprint,
-                standing,
-            } => self.send_to_traffic(TrafficInput::Stands {
-                fingerprint,
-                standing,
-            }),
+            ControlAction::SetPoisonVerdict { key, verdict } => {
+                self.send_to_traffic(TrafficInput::PoisonVerdict { key, verdict });
+            }
             ControlAction::ReadPoison => self.read_poison(),
             ControlAction::WritePoison { writes } => self.store_poison(writes),
             ControlAction::LendQuota { to, ask } => {
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -24,6 +24,7 @@
 mod listed_target;
 mod peer_answer;
 mod peer_pages;
+mod poison_messages;
 mod poison_rows;
 mod public_pages;
 mod removed_targets;
--- a/src/process/host/poison_rows.rs
+++ b/src/process/host/poison_rows.rs
@@ -3,13 +3,13 @@
 use {
     crate::{
         formats::{RowKey, RowWrite},
-        request::poison::{Fingerprint, PoisonUpdate},
+        request::poison::{PoisonKey, PoisonUpdate},
     },
     serde::{Deserialize, Serialize},
     std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// Table of poison records, keyed by request fingerprint.
+/// Table of poison records, by key.
 pub(super) const POISON_TABLE: &str = "coveproxy-poison";
 
 /// The value of a row.
@@ -30,16 +30,16 @@
         crashed_at_s: unix_seconds().saturating_sub(update.age.as_secs()),
     };
     RowWrite {
-        row: RowKey::new(POISON_TABLE, &update.fingerprint.to_string()),
+        row: RowKey::new(POISON_TABLE, &update.key.to_string()),
         // Serialization can't fail: all fields have a JSON form.
         value: serde_json::to_vec(&row).ok(),
     }
 }
 
 /// Returns the write that deletes a record.
-pub(super) fn delete_write(fingerprint: &Fingerprint) -> RowWrite {
+pub(super) fn delete_write(key: &PoisonKey) -> RowWrite {
     RowWrite {
-        row: RowKey::new(POISON_TABLE, &fingerprint.to_string()),
+        row: RowKey::new(POISON_TABLE, &key.to_string()),
         value: None,
     }
 }
@@ -47,10 +47,14 @@
 /// Parses a row's value and computes the record's current age.
 pub(super) fn parse_row(value: &[u8]) -> Result<PoisonUpdate, serde_json::Error> {
     let row: PoisonRow = serde_json::from_slice(value)?;
-    Ok(PoisonUpdate {
-        age: Duration::from_secs(unix_seconds().saturating_sub(row.crashed_at_s)),
-        ..row.update
-    })
+    let mut update = row.update;
+    let age = Duration::from_secs(unix_seconds().saturating_sub(row.crashed_at_s));
+    let since_written = age.saturating_sub(update.age);
+    for evidence in &mut update.strikes {
+        evidence.age += since_written;
+    }
+    update.age = age;
+    Ok(update)
 }
 
 fn unix_seconds() -> u64 {
--- a/src/process/host/public_pages.rs
+++ b/src/process/host/public_pages.rs
@@ -10,7 +10,7 @@
         connection::{front::AnswerBody, targets::ControlRequest},
         formats::{Formats, PublicCall},
         metrics::metrics,
-        request::poison::{Fingerprint, PoisonReport},
+        request::poison::{PoisonKey, PoisonReport},
     },
     http::{HeaderValue, Method, Request, Response, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
@@ -108,10 +108,10 @@
         let Some(named) = named.filter(|_| *request.method() == Method::POST) else {
             return self.answer(request);
         };
-        let Ok(fingerprint) = named.parse::<Fingerprint>() else {
+        let Ok(key) = named.parse::<PoisonKey>() else {
             return page(StatusCode::NOT_FOUND, Vec::new());
         };
-        let report = PoisonReport::Cleared { fingerprint };
+        let report = PoisonReport::Cleared { key };
         let _ = self.requests.send(ControlRequest::ReportPoison(report));
         page(StatusCode::ACCEPTED, Vec::new())
     }
--- a/src/process/host/traffic.rs
+++ b/src/process/host/traffic.rs
@@ -21,7 +21,7 @@
         request::{
             memory::HostMemory,
             notices::TargetNotices,
-            poison::{Fingerprint, PoisonStatus},
+            poison::{PoisonKey, PoisonVerdict},
         },
         timeline::Event,
     },
@@ -73,10 +73,10 @@
         target: String,
         notices: TargetNotices,
     },
-    /// A request stands so from now on; `None` if nothing speaks against it.
-    Stands {
-        fingerprint: Fingerprint,
-        standing: Option<PoisonStatus>,
+    /// What follows for requests with a key from now on; `None` if nothing speaks against it.
+    PoisonVerdict {
+        key: PoisonKey,
+        verdict: Option<PoisonVerdict>,
     },
     /// Another host asks for a part of this one's allowance of repeats.
     LoanAsked {
@@ -155,6 +155,7 @@
                 }
                 tell_ages(&mut board, bounds);
                 board.maintain_budgets(Instant::now());
+                board.report_survivors(Instant::now());
             }
         }
     }
@@ -195,10 +196,7 @@
         TrafficInput::Placement(placement) => board.on_placement(&placement, Instant::now()),
         TrafficInput::Load(load) => board.on_engine_load(&load, Instant::now()),
         TrafficInput::Standing(standing) => board.on_engine_status(&standing, Instant::now()),
-        TrafficInput::Stands {
-            fingerprint,
-            standing,
-        } => board.crashes.set_status(fingerprint, standing),
+        TrafficInput::PoisonVerdict { key, verdict } => board.crashes.set_verdict(key, verdict),
         TrafficInput::PlaceGiven(given) => {
             board.pending_slots.on_answer(given.id, given);
         }
--- a/src/request/direct/call_request.rs
+++ b/src/request/direct/call_request.rs
@@ -2,7 +2,10 @@
     super::Generation,
     crate::{
         clock::Instant,
-        request::{memory::CallerMemory, poison::Fingerprint},
+        request::{
+            memory::CallerMemory,
+            poison::{Fingerprint, PoisonKey},
+        },
         version::routing::{Customer, KeyDigest, Route, TargetService},
     },
     bytes::Bytes,
@@ -73,10 +76,18 @@
         )
     }
 
-    /// Returns the ids of the parts that the prompt may share with other requests.
-    pub fn shared_parts(&self) -> Vec<u64> {
+    /// Returns the keys of the parts that the prompt may share with other requests.
+    pub fn part_keys(&self) -> Vec<PoisonKey> {
         let generation = self.generation.as_ref();
-        generation.map_or(Vec::new(), Generation::shared_parts)
+        let parts = generation.map_or(Vec::new(), Generation::shared_parts);
+        parts.into_iter().map(PoisonKey::Part).collect()
+    }
+
+    /// Returns all keys under which targets may crash that run the request.
+    pub fn poison_keys(&self) -> Vec<PoisonKey> {
+        let mut keys = self.part_keys();
+        keys.push(PoisonKey::Request(self.fingerprint()));
+        keys
     }
 
     /// Returns the time at which the route's latency objective is missed.
--- a/src/request/poison/poison_report.rs
+++ b/src/request/poison/poison_report.rs
@@ -1,12 +1,24 @@
-use super::{CrashEvidence, Fingerprint};
+use super::{CrashEvidence, IncarnationId, PoisonKey};
 
-/// An observation of this host about poison requests.
+/// What one crash says of one key, and what speaks for it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Accusation {
+    pub key: PoisonKey,
+    pub evidence: CrashEvidence,
+    /// Incarnations that have lately survived answers with the part; none for requests.
+    pub survivors: Vec<IncarnationId>,
+}
+
+/// An observation of this host about poison.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PoisonReport {
-    /// A target crashed right after it had started these requests.
-    Crashed {
-        evidence: Vec<(Fingerprint, CrashEvidence)>,
+    /// A target crashed right after it had started requests with these keys.
+    Crashed { accused: Vec<Accusation> },
+    /// A target answered the request completely, or an operator cleared the key.
+    Cleared { key: PoisonKey },
+    /// A target began to answer requests with these parts, and ran on.
+    Survived {
+        parts: Vec<PoisonKey>,
+        incarnation: IncarnationId,
     },
-    /// A target answered the request completely, or an operator cleared it.
-    Cleared { fingerprint: Fingerprint },
 }
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -5,8 +5,8 @@
         clock::Instant,
         connection::targets::{CrashTracker, SuspectRequest},
         request::poison::{
-            CrashEvidence, Fingerprint, IncarnationId, MAX_REJECTED, MAX_SUSPECTED, PoisonLedger,
-            PoisonStatus, PoisonUpdate, REJECTED_TTL, SUSPECTED_TTL,
+            CrashEvidence, Fingerprint, IncarnationId, MAX_REJECTED, MAX_SUSPECTED, PoisonKey,
+            PoisonLedger, PoisonStatus, PoisonUpdate, REJECTED_TTL, SUSPECTED_TTL,
         },
     },
     rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
@@ -18,6 +18,10 @@
     Fingerprint::of("site", "POST", "/path", &number.to_le_bytes())
 }
 
+fn key(number: u64) -> PoisonKey {
+    PoisonKey::Request(fingerprint(number))
+}
+
 fn update(
     number: u64,
     ends: &[u64],
@@ -27,11 +31,13 @@
         end: IncarnationId::from_number(*end),
         begun: true,
         alone,
+        age: Duration::ZERO,
     };
     PoisonUpdate {
-        fingerprint: fingerprint(number),
+        key: key(number),
         strikes: ends.iter().map(evidence).collect(),
         cleared: Vec::new(),
+        survivors: Vec::new(),
         age: Duration::ZERO,
     }
 }
@@ -54,8 +60,8 @@
     for end in ends {
         ledger.merge(&update(1, &[*end], alone), now);
     }
-    assert_eq!(ledger.status(&fingerprint(1)), status);
-    assert_eq!(ledger.status(&fingerprint(2)), None);
+    assert_eq!(ledger.status(&key(1)), status);
+    assert_eq!(ledger.status(&key(2)), None);
 }
 
 /// A caller that retries at once meets every target that has just crashed.
@@ -68,12 +74,9 @@
         entry.strikes[0].begun = false;
         ledger.merge(&entry, now);
     }
-    assert_eq!(
-        ledger.status(&fingerprint(1)),
-        Some(PoisonStatus::Suspected)
-    );
+    assert_eq!(ledger.status(&key(1)), Some(PoisonStatus::Suspected));
     ledger.merge(&update(1, &[10, 11], true), now);
-    assert_eq!(ledger.status(&fingerprint(1)), Some(PoisonStatus::Rejected));
+    assert_eq!(ledger.status(&key(1)), Some(PoisonStatus::Rejected));
 }
 
 #[rstest]
@@ -94,12 +97,12 @@
     let mut ledger = PoisonLedger::default();
     let now = Instant::now();
     ledger.merge(&update(1, &[1, 2], true), now);
-    assert!(ledger.clear(&fingerprint(1)));
+    assert!(ledger.clear(&key(1)));
     assert!(!ledger.merge(&update(1, &[1, 2], true), now));
-    assert_eq!(ledger.status(&fingerprint(1)), None);
+    assert_eq!(ledger.status(&key(1)), None);
     // Later crashes count again.
     ledger.merge(&update(1, &[3, 4, 5], true), now);
-    assert_eq!(ledger.status(&fingerprint(1)), Some(PoisonStatus::Rejected));
+    assert_eq!(ledger.status(&key(1)), Some(PoisonStatus::Rejected));
 }
 
 #[test]
@@ -144,17 +147,14 @@
         let later = now + Duration::from_millis(number);
         ledger.merge(&update(number, &[number], true), later);
     }
-    assert_eq!(ledger.status(&fingerprint(0)), Some(PoisonStatus::Rejected));
+    assert_eq!(ledger.status(&key(0)), Some(PoisonStatus::Rejected));
     assert_eq!(ledger.count(PoisonStatus::Suspected), MAX_SUSPECTED);
     // Records that were pushed out are reported once.
     let later = now + Duration::from_secs(10);
     assert_eq!(ledger.evict_expired(later).len(), MAX_SUSPECTED * 2 - 1);
     assert!(ledger.evict_expired(later).is_empty());
     let newest = MAX_SUSPECTED as u64 * 3 - 1;
-    assert_eq!(
-        ledger.status(&fingerprint(newest)),
-        Some(PoisonStatus::Suspected)
-    );
+    assert_eq!(ledger.status(&key(newest)), Some(PoisonStatus::Suspected));
     assert_eq!(MAX_REJECTED, 4096);
 }
 
@@ -164,15 +164,9 @@
     let now = Instant::now();
     ledger.merge(&update(1, &[1], true), now);
     ledger.merge(&update(2, &[1, 2, 3], true), now);
-    assert_eq!(
-        ledger.evict_expired(now + SUSPECTED_TTL),
-        vec![fingerprint(1)]
-    );
+    assert_eq!(ledger.evict_expired(now + SUSPECTED_TTL), vec![key(1)]);
     assert!(ledger.evict_expired(now + REJECTED_TTL / 2).is_empty());
-    assert_eq!(
-        ledger.evict_expired(now + REJECTED_TTL),
-        vec![fingerprint(2)]
-    );
+    assert_eq!(ledger.evict_expired(now + REJECTED_TTL), vec![key(2)]);
     assert_eq!(ledger.digest(), PoisonLedger::default().digest());
     // Another host's update has expired, too.
     let mut old = update(2, &[1, 2, 3], true);
@@ -189,7 +183,7 @@
         ledger.evict_expired(later);
         ledger.merge(&update(1, &[u64::from(number)], true), later);
     }
-    assert_eq!(ledger.status(&fingerprint(1)), Some(PoisonStatus::Rejected));
+    assert_eq!(ledger.status(&key(1)), Some(PoisonStatus::Rejected));
 }
 
 #[test]
@@ -200,11 +194,11 @@
         ledger.merge(&update(number, &[number], true), now);
     }
     let first = ledger.page(None, 6, now);
-    let second = ledger.page(first.last().map(|update| update.fingerprint), 6, now);
-    let mut all: Vec<Fingerprint> = first
+    let second = ledger.page(first.last().map(|update| update.key), 6, now);
+    let mut all: Vec<PoisonKey> = first
         .iter()
         .chain(&second)
-        .map(|update| update.fingerprint)
+        .map(|update| update.key)
         .collect();
     all.sort();
     all.dedup();
@@ -229,30 +223,28 @@
     let mut watch = CrashTracker::default();
     let run = (Arc::from("one"), None);
     let accused = |number| SuspectRequest {
-        fingerprint: fingerprint(number),
+        fingerprint: Some(fingerprint(number)),
         id: number.to_string(),
         parts: Vec::new(),
         begun: true,
     };
-    assert!(watch.add_suspect(&run, accused(1)));
-    assert!(!watch.add_suspect(&run, accused(2)));
-    assert_eq!(watch.take_suspects(&run), vec![accused(1), accused(2)]);
-    assert!(watch.add_suspect(&run, accused(3)));
+    let now = Instant::now();
+    assert!(watch.begin_probe(&run, now));
+    watch.add_suspect(&run, accused(1));
+    assert!(!watch.begin_probe(&run, now));
+    watch.add_suspect(&run, accused(2));
+    assert_eq!(watch.take_suspects(&run, now), vec![accused(1), accused(2)]);
+    assert!(watch.begin_probe(&run, now));
 }
 
 /// The loss of a whole hall must not cause a message to all hosts per target.
 #[test]
 fn few_targets_are_looked_at_when_many_end_at_once() {
     let mut watch = CrashTracker::default();
+    let now = Instant::now();
     let looked_at = (0..100).filter(|number| {
         let run = (Arc::from(number.to_string()), None);
-        let accused = SuspectRequest {
-            fingerprint: fingerprint(*number),
-            id: number.to_string(),
-            parts: Vec::new(),
-            begun: true,
-        };
-        watch.add_suspect(&run, accused)
+        watch.begin_probe(&run, now)
     });
     assert_eq!(looked_at.count(), 4);
 }
