--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -5,7 +5,7 @@
         errors::RequestError,
         metrics::{
             CallLabels, CopyLabels, FramingLabels, KindLabels, LatenessLabels, OrderLabels,
-            OutcomeLabels, StateLabels, TransferLabels, WaitLabels, metrics,
+            OutcomeLabels, PoisonLabels, StateLabels, TransferLabels, WaitLabels, metrics,
         },
         process::node::ALL_METRICS,
         request::RefusalCode,
@@ -117,6 +117,8 @@
     drop(metrics.hosts.get_or_create(&state));
     drop(metrics.targets.get_or_create(&state));
     drop(metrics.poison.get_or_create(&state));
+    let key = PoisonLabels { key: "test" };
+    drop(metrics.poison_rejections.get_or_create(&key));
     let copy = CopyLabels { table: "test" };
     let transfer = TransferLabels {
         table: "test",
