--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -4,6 +4,8 @@
 
 #[path = "support/mod.rs"]
 mod figures;
+#[path = "support/poison_ledger.rs"]
+mod poison_ledger;
 
 use {
     coveproxy::{
@@ -65,6 +67,8 @@
     for customers in [16, 1_000, 10_000] {
         customers_row(customers);
     }
+    println!("\none crash of a target in the ledger of poison, and one look at its verdicts");
+    poison_ledger::print_rows();
 }
 
 fn customers_row(customers: usize) {
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -251,7 +251,7 @@
                 attempts.tried.push(destination.target.to_string());
                 continue;
             }
-            // The request may have become known as poison while it waited seconds for its adapter.
+            // It may also have become known since, while the request waited for a permit or a health check.
             if let Some(key) = rejected_key(&self.table, request) {
                 return Ok(Outcome::Final(self.answers.reject_poison(request, key)));
             }
@@ -327,6 +327,10 @@
         resumes: bool,
     ) -> Result<(Destination, Option<HeldSlot>), Response<AnswerBody>> {
         loop {
+            // It may have become known while the request waited for its adapter.
+            if let Some(key) = rejected_key(&self.table, request) {
+                return Err(self.answers.reject_poison(request, key));
+            }
             if !self.wait_until_fresh(request).await {
                 return Err(self.answers.answer_unserved(
                     request,
--- a/src/request/poison/poison_ledger.rs
+++ b/src/request/poison/poison_ledger.rs
@@ -220,6 +220,10 @@
         &mut self,
         record: &PoisonRecord,
     ) -> bool {
+        // Neither kind has reached its bound then, whatever the records say.
+        if self.records.len() < MAX_SUSPECTED.min(MAX_REJECTED) {
+            return true;
+        }
         let rejected = self.is_rejected(record);
         let is_alike = |kept: &PoisonRecord| self.is_rejected(kept) == rejected;
         let max = match rejected {
