--- a/src/connection/front/forwarded_relay.rs
+++ b/src/connection/front/forwarded_relay.rs
@@ -20,7 +20,7 @@
 };
 
 /// The answer of another host, whose body is still to be read.
-pub struct RelayedAnswer {
+pub struct ForwardedAnswer {
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: AnswerReader,
@@ -44,7 +44,7 @@
     /// that.
     pub async fn start(
         self,
-        mut answer: RelayedAnswer,
+        mut answer: ForwardedAnswer,
     ) -> Option<Response<AnswerBody>> {
         let min_bytes = match self.streams && answer.status.is_success() {
             true => 1,
@@ -73,7 +73,7 @@
 
     fn finish(
         &self,
-        mut answer: RelayedAnswer,
+        mut answer: ForwardedAnswer,
         body: AnswerBody,
     ) -> Response<AnswerBody> {
         let response = response(&mut answer, body);
@@ -87,7 +87,7 @@
     /// Relays the rest of an answer piece by piece; one that breaks off looks incomplete to the caller.
     async fn relay(
         self,
-        mut answer: RelayedAnswer,
+        mut answer: ForwardedAnswer,
         first: Bytes,
         caller: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
     ) {
@@ -140,7 +140,7 @@
 }
 
 fn response(
-    answer: &mut RelayedAnswer,
+    answer: &mut ForwardedAnswer,
     body: AnswerBody,
 ) -> Response<AnswerBody> {
     let mut response = Response::new(body);
--- a/src/connection/front/host_forwarder.rs
+++ b/src/connection/front/host_forwarder.rs
@@ -7,7 +7,7 @@
 use {
     super::{
         AnswerBody, AnswerReader, ErrorCause, LocalAnswer,
-        forwarded_relay::{ForwardedRelay, RelayedAnswer},
+        forwarded_relay::{ForwardedAnswer, ForwardedRelay},
         request_trace::millis,
     },
     crate::{
@@ -172,7 +172,7 @@
         let streams = request.route.kind == RouteKind::Stream;
         let is_declined = head.headers.contains_key(DECLINED);
         let keeps = head.keeps_alive && sent_completely;
-        let answer = RelayedAnswer {
+        let answer = ForwardedAnswer {
             body: AnswerReader::new(connection, &head, streams),
             status: head.status,
             headers: head.headers,
--- a/src/request/origins/mod.rs
+++ b/src/request/origins/mod.rs
@@ -11,17 +11,8 @@
 
 pub use {
     origin_hosts::{OriginHost, origin_hosts},
-    origin_records::{OriginRecords, StreamOrigin},
+    origin_records::{ORIGIN_REFRESH, ORIGIN_TTL, OriginRecords, StreamOrigin},
     origin_search::{OriginSearch, SearchOutcome},
     software_history::SoftwareHistory,
     stream_key::StreamKey,
 };
-
-use std::time::Duration;
-
-/// Time for which the origin of a stream matters after an event of it went out, and so a version after its last target was
-/// listed.
-pub const ORIGIN_TTL: Duration = Duration::from_secs(120);
-
-/// Interval at which the origin of a running stream is recorded again.
-pub const ORIGIN_REFRESH: Duration = Duration::from_secs(30);
--- a/src/request/origins/origin_records.rs
+++ b/src/request/origins/origin_records.rs
@@ -1,9 +1,19 @@
 use {
-    super::{ORIGIN_TTL, StreamKey},
+    super::StreamKey,
     crate::{clock::Instant, formats::SoftwareId},
-    std::collections::{HashMap, VecDeque},
+    std::{
+        collections::{HashMap, VecDeque},
+        time::Duration,
+    },
 };
 
+/// Time for which the origin of a stream matters after an event of it went out, and so a version after its last target was
+/// listed.
+pub const ORIGIN_TTL: Duration = Duration::from_secs(120);
+
+/// Interval at which the origin of a running stream is recorded again.
+pub const ORIGIN_REFRESH: Duration = Duration::from_secs(30);
+
 /// Records that one host keeps; the oldest gives way.
 const MAX_RECORDS: usize = 65_536;
 
