A part is rejected only with the keys that may as well be the cause, by what speaks against each

On two to four engines with twelve shared parts chance puts a sound part into as many crashes as the guilty one, or into one more; then it stood alone, as only keys that were there in all of its crashes were taken as likely. Change: a key is as likely if its score is lower by less than 1.25 and the part would not be rejected for the crashes without it. It need not be rejected itself. A target that sends something half a second after the start of an answer has survived it (1 s before), so that more of it is seen. Tests: a first part with one crash more than the guilty one, two guilty parts. The test of parts that come together allows two crashes to settle it, one before: the price of the first part's safety.

--- a/src/connection/targets/answer_starts.rs
+++ b/src/connection/targets/answer_starts.rs
@@ -8,6 +8,9 @@
 /// is as likely the cause, as a target that crashes does so within a tenth of a second.
 pub const ANSWER_START_WINDOW: Duration = Duration::from_secs(1);
 
+/// A target that sends something this long after the start of an answer has survived it.
+const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+
 /// A start is forgotten if its target has sent nothing within this time that shows whether it survived.
 const MAX_UNDECIDED: Duration = Duration::from_secs(4);
 
@@ -65,8 +68,8 @@
             .retain(|start| start.incarnation != *incarnation);
     }
 
-    /// Removes and returns the starts whose targets have sent something after the time in which they would have crashed;
-    /// `last_received` returns when an incarnation last did.
+    /// Removes and returns the starts that may no longer be the cause of a crash, and that their targets have survived;
+    /// `last_received` returns when an incarnation last sent something.
     pub fn take_survived(
         &mut self,
         now: Instant,
@@ -81,7 +84,7 @@
                 break;
             }
             let shown_until = last_received(&start.incarnation);
-            if shown_until.is_some_and(|until| until >= start.at + ANSWER_START_WINDOW) {
+            if shown_until.is_some_and(|until| until >= start.at + SURVIVAL_TIME) {
                 survived.push(start);
             } else if age < MAX_UNDECIDED {
                 undecided.push(start);
--- a/src/request/poison/poison_ledger.rs
+++ b/src/request/poison/poison_ledger.rs
@@ -126,8 +126,8 @@
 
     /// Returns what follows for requests with this key, or `None` if there is no evidence against it.
     ///
-    /// A part is rejected only together with the other rejected keys that were there in all of its crashes: nothing tells yet
-    /// which of them it was.
+    /// A part is rejected only together with the other keys that may as well have caused its crashes: nothing tells yet which
+    /// of them it was.
     pub fn verdict(
         &self,
         key: &PoisonKey,
@@ -138,7 +138,7 @@
             return Some(PoisonVerdict::of(status));
         }
         let is_as_likely = |(other, kept): &(&PoisonKey, &PoisonRecord)| {
-            *other != key && kept.covers(record) && self.is_rejected(kept)
+            *other != key && record.may_be_due_to(kept, &self.times)
         };
         let others = self.records.iter().filter(is_as_likely);
         Some(PoisonVerdict {
--- a/src/request/poison/poison_record.rs
+++ b/src/request/poison/poison_record.rs
@@ -20,6 +20,9 @@
 /// turns all requests away that share it.
 const MIN_PART_SCORE: f64 = 3.5;
 
+/// A key whose score is lower by less than this is as likely the cause of crashes as another one.
+const SCORE_TOLERANCE: f64 = 1.25;
+
 /// Weight of a survivor against that of a crash: a part may spare some targets, while a sound one has many survivors.
 const SURVIVOR_WEIGHT: f64 = 0.5;
 
@@ -212,10 +215,19 @@
     pub fn score(
         &self,
         times: &CrashTimes,
+    ) -> f64 {
+        self.score_of(times, |_| true)
+    }
+
+    /// Returns the score with some of the crashes alone.
+    fn score_of(
+        &self,
+        times: &CrashTimes,
+        counts: impl Fn(&IncarnationId) -> bool,
     ) -> f64 {
         let ends: Vec<IncarnationId> = self.crashes.keys().copied().collect();
         let (mut begun, mut doubtful) = (0.0, 0.0);
-        for (end, crash) in &self.crashes {
+        for (end, crash) in self.crashes.iter().filter(|(end, _)| counts(end)) {
             match crash.begun {
                 true => begun += times.weight(*end, &ends),
                 false => doubtful += times.weight(*end, &ends),
@@ -224,12 +236,17 @@
         begun + f64::min(doubtful, 1.0) - SURVIVOR_WEIGHT * self.survivors.len() as f64
     }
 
-    /// Returns true if all crashes that speak against another key speak against this one, too.
-    pub fn covers(
+    /// Returns true if another key may as well have caused the crashes that get this part rejected: about as much speaks
+    /// against it, and without the crashes that it was there in, too, this part would not be rejected.
+    pub fn may_be_due_to(
         &self,
         other: &Self,
+        times: &CrashTimes,
     ) -> bool {
-        other.crashes.keys().all(|end| self.names(end))
+        if other.score(times) <= self.score(times) - SCORE_TOLERANCE {
+            return false;
+        }
+        self.score_of(times, |end| !other.names(end)) < MIN_PART_SCORE
     }
 
     /// Returns true if the incarnation's crash speaks against the key.
--- a/tests/poison_parts.rs
+++ b/tests/poison_parts.rs
@@ -237,13 +237,42 @@
     assert!(world.rejects(&[GUILTY, RARE]));
     assert!(!world.rejects(&[GUILTY]));
     assert!(!world.rejects(&[RARE]));
-    // One crash without the other settles it.
-    world.crash(&[GUILTY]);
-    world.pass(APART);
+    // Two crashes without the other settle it.
+    for _ in 0..2 {
+        world.crash(&[GUILTY]);
+        world.pass(APART);
+    }
     assert!(world.rejects(&[GUILTY]));
     assert!(!world.rejects(&[RARE]));
 }
 
+/// Another crash, for another reason, must not turn a whole route away.
+#[test]
+fn a_first_part_with_one_crash_more_than_the_guilty_one_is_not_rejected_alone() {
+    let mut world = World::new();
+    world.crash(&[FIRST, RARE]);
+    world.pass(APART);
+    for _ in 0..4 {
+        world.crash(&[FIRST, GUILTY]);
+        world.pass(APART);
+    }
+    assert!(world.rejects(&[FIRST, GUILTY]));
+    assert!(!world.rejects(&[FIRST, RARE]));
+}
+
+#[test]
+fn two_guilty_parts_are_both_rejected() {
+    let mut world = World::new();
+    for _ in 0..5 {
+        world.crash(&[GUILTY]);
+        world.pass(APART);
+        world.crash(&[RARE]);
+        world.pass(APART);
+    }
+    assert!(world.rejects(&[GUILTY]));
+    assert!(world.rejects(&[RARE]));
+}
+
 #[test]
 fn one_request_that_comes_again_costs_its_parts_nothing() {
     let mut world = World::new();
