--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -626,10 +626,6 @@
         }
     }
 
-    pub fn runs(&mut self, at: usize) -> bool {
-        self.hosts[at].child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     pub fn is_ready(&self, at: usize) -> bool {
         let address = SocketAddr::new(self.hosts[at].ip, self.ports.ready);
         let Ok(stream) = TcpStream::connect_timeout(&address, ms(500)) else { return false };
@@ -651,10 +647,6 @@
         }
     }
 
-    pub fn log(&self, at: usize) -> String {
-        fs::read_to_string(&self.hosts[at].log).unwrap_or_default()
-    }
-
     pub fn stop(&mut self) {
         for at in 0..self.hosts.len() {
             self.kill(at);
@@ -706,6 +698,7 @@
     state: Arc<Mutex<&'static str>>,
     gone: Arc<AtomicBool>,
     open: Arc<Mutex<Vec<TcpStream>>>,
+    beats: Arc<AtomicU64>,
     store: Store,
     work: Arc<dyn Work>,
 }
@@ -724,6 +717,7 @@
             state: Arc::new(Mutex::new("ready")),
             gone: Arc::default(),
             open: Arc::default(),
+            beats: Arc::default(),
             store: store.clone(),
             work,
         };
@@ -767,10 +761,16 @@
             self.service, self.address, self.software, self.slots, *state, self.born, self.work.fields()
         );
         if !self.is_gone() {
+            self.beats.fetch_add(1, Ordering::Relaxed);
             self.store.put("servers", &self.id, Some(&text));
         }
     }
 
+    /// How often it has written its entry.
+    pub fn beats(&self) -> u64 {
+        self.beats.load(Ordering::Relaxed)
+    }
+
     /// Says that it drains.
     pub fn drain(&self) {
         *self.state.lock().unwrap() = "draining";
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,3 +1,4 @@
+mod foreign;
 mod kit;
 mod origin;
 mod twice;
@@ -8,6 +9,7 @@
     let code = match arguments[1].as_str() {
         "twice" => twice::play(&arguments[2], trouble),
         "origin" => origin::play(&arguments[2], trouble),
+        "foreign" => foreign::play(&arguments[2], trouble),
         _ => 2,
     };
     std::process::exit(code)
