--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,7 +7,7 @@
         exit 2
     fi
 done
-timeout -k 5 115 target/review/stage origin review/2
+timeout -k 5 115 target/review/stage hang review/2
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,7 +7,7 @@
         exit 2
     fi
 done
-timeout -k 5 115 target/review/stage foreign review/3
+timeout -k 5 115 target/review/stage origin review/3
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -647,6 +647,15 @@
         }
     }
 
+    /// Processor time that a host's process has used.
+    pub fn processor_time(&self, at: usize) -> f64 {
+        let Some(child) = &self.hosts[at].child else { return 0.0 };
+        let text = fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
+        let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
+        (ticks(11) + ticks(12)) / 100.0
+    }
+
     pub fn stop(&mut self) {
         for at in 0..self.hosts.len() {
             self.kill(at);
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,4 +1,5 @@
 mod foreign;
+mod hang;
 mod kit;
 mod origin;
 mod twice;
@@ -9,6 +10,7 @@
     let code = match arguments[1].as_str() {
         "twice" => twice::play(&arguments[2], trouble),
         "origin" => origin::play(&arguments[2], trouble),
+        "hang" => hang::play(&arguments[2], trouble),
         "foreign" => foreign::play(&arguments[2], trouble),
         _ => 2,
     };
