Lines tell what is known of other targets as a stream is given up for silence, and how its resumption ended

`request_cut` says that the target was silent, not whether all were, nor why the stream did not go on elsewhere.

Change: 643 `stream_silent` (silent_ms, targets, silent, others_heard_ms, runs) is written as a stream is given up; 617 `request_cut` has `resumption`, the cause for which the search for another target ended. No decision changes.

--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -15,7 +15,7 @@
         pending_request::{PendingRequest, settle_charge},
         poison_check::{has_crashed_targets, is_suspected, rejected_key},
         request_trace::TraceStep,
-        served_request::ServedRequest,
+        served_request::{CALLER_GONE, ServedRequest},
         stream_relay::StreamRelay,
         take_up::{GONE_RETRY_AFTER, UNKNOWN_RETRY_AFTER},
     },
@@ -55,6 +55,31 @@
 /// This host reaches no target of the service, and another host may serve the request.
 pub(super) struct Unreached;
 
+/// Why a stream is not resumed.
+pub enum NotResumed {
+    /// The search for a target ended with this answer, which comes too late for the caller.
+    Answered(Response<AnswerBody>),
+    /// A target gave an answer that continues no stream.
+    Unusable,
+    TimeOver,
+    CallerGone,
+}
+
+impl NotResumed {
+    /// Returns the word for logs.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Answered(response) => {
+                let cause = response.extensions().get::<ErrorCause>();
+                cause.map_or("failed_there", |cause| cause.word())
+            }
+            Self::Unusable => "unusable",
+            Self::TimeOver => "time_over",
+            Self::CallerGone => CALLER_GONE,
+        }
+    }
+}
+
 /// Sends each request to a target, with resends where the route allows them, and returns the final answer.
 pub struct Dispatcher {
     pub(super) table: Rc<RefCell<TargetTable>>,
@@ -164,23 +189,23 @@
         attempts: &mut Attempts,
         broken: &str,
         after: Option<u64>,
-    ) -> Option<Box<OpenAnswer>> {
+    ) -> Result<Box<OpenAnswer>, NotResumed> {
         let now = Instant::now();
         let destination = Destination::of(broken);
         attempts.record_end(&destination, AttemptEnd::Lost, now);
         if let Some(link) = self.table.borrow_mut().links.get_mut(broken) {
             link.health.on_failure(now);
         }
-        if self
+        if let Some(response) = self
             .handle_failed_send(request, attempts, &destination, AttemptEnd::Lost)
             .await
-            .is_some()
         {
-            return None;
+            return Err(NotResumed::Answered(response));
         }
         match self.try_targets(request, attempts, after).await {
-            Ok(Outcome::Open(answer)) if answer.status.is_success() => Some(answer),
-            _ => None,
+            Ok(Outcome::Open(answer)) if answer.status.is_success() => Ok(answer),
+            Ok(Outcome::Final(response)) => Err(NotResumed::Answered(response)),
+            _ => Err(NotResumed::Unusable),
         }
     }
 
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -8,7 +8,7 @@
         clock::Instant,
         connection::{
             http1::{ExchangeError, ResponseHead},
-            targets::{KeyStatus, TargetIncarnation, TargetTable},
+            targets::{KeyStatus, TargetIncarnation, TargetSilence, TargetTable},
         },
         formats::{HeaderNames, SoftwareId, SoftwareVersion},
         request::{
@@ -107,6 +107,16 @@
         self.in_flight.target_is_silent(time)
     }
 
+    /// Returns what is known of the silence of the target, in which it has sent nothing for `time`.
+    pub fn target_silence(
+        &self,
+        service: &str,
+        time: Duration,
+    ) -> TargetSilence {
+        let table = self.in_flight.table().borrow();
+        table.silence_of(service, self.target(), time, Instant::now())
+    }
+
     pub fn target(&self) -> &str {
         self.in_flight.target()
     }
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -2,6 +2,7 @@
     super::{
         AnswerBody, BrokenAnswer, Dispatcher,
         buffer_limits::MAX_BUFFERED_PIECES,
+        dispatcher::NotResumed,
         event_splitter::EventSplitter,
         exchange::{AnswerSource, OpenAnswer},
         open_request::OpenRequest,
@@ -18,13 +19,16 @@
     },
     bytes::Bytes,
     http::Response,
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
     tokio::sync::mpsc,
 };
 
 /// Silence after which a resumable stream is abandoned, as a multiple of the route's gap objective.
 const SILENCE_GAP_FACTOR: u32 = 4;
 
+/// Word for a stream for which no other target was looked for.
+const NOT_SOUGHT: &str = "-";
+
 /// How the relay of an answer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RelayEnd {
@@ -117,25 +121,33 @@
                 }
                 RelayEnd::Broken | RelayEnd::Silent if self.open.request.route.resumable => {
                     let target = source.target().to_string();
+                    if end == RelayEnd::Silent {
+                        self.log_silence(&source);
+                    }
                     // Closes the connection, so that the broken target cancels the request.
                     drop(source);
                     match self.resume(&target).await {
-                        Some(answer) => {
+                        Ok(answer) => {
                             first = answer.first;
                             source = answer.source;
                             self.log_resumed(end, &target, &source);
                         }
-                        None => return self.truncate(end, &target).await,
+                        Err(problem) => return self.truncate(end, &target, problem.word()).await,
                     }
                 }
                 _ => {
                     let target = source.target().to_string();
-                    return self.truncate(end, &target).await;
+                    return self.truncate(end, &target, NOT_SOUGHT).await;
                 }
             }
         }
     }
 
+    /// Returns the silence after which a resumable stream is abandoned.
+    fn max_silence(&self) -> Duration {
+        self.open.request.route.gap_aim * SILENCE_GAP_FACTOR
+    }
+
     /// Relays the answer of one target.
     async fn relay(
         &mut self,
@@ -145,7 +157,7 @@
         if let Some(end) = self.send_to_caller(first).await {
             return end;
         }
-        let max_silence = self.open.request.route.gap_aim * SILENCE_GAP_FACTOR;
+        let max_silence = self.max_silence();
         loop {
             let silence_deadline = Instant::now() + max_silence;
             let piece = tokio::select! {
@@ -239,11 +251,11 @@
         }
     }
 
-    /// Opens the rest of the stream at another target; returns `None` if that fails, or if the caller leaves.
+    /// Opens the rest of the stream at another target.
     async fn resume(
         &mut self,
         broken: &str,
-    ) -> Option<Box<OpenAnswer>> {
+    ) -> Result<Box<OpenAnswer>, NotResumed> {
         self.events.discard_partial();
         let after = self.events.last_id();
         let caller = self.caller.clone();
@@ -251,11 +263,33 @@
             self.dispatcher
                 .resume(&self.open.request, &mut self.open.attempts, broken, after);
         tokio::select! {
-            resumed = timeout_at(self.open.request.deadline, resumed) => resumed.ok().flatten(),
-            _ = caller.closed() => None,
+            resumed = timeout_at(self.open.request.deadline, resumed) => match resumed {
+                Ok(resumed) => resumed,
+                Err(_) => Err(NotResumed::TimeOver),
+            },
+            _ = caller.closed() => Err(NotResumed::CallerGone),
         }
     }
 
+    /// Logs what this host knows of its targets as the stream's target is silent.
+    fn log_silence(
+        &self,
+        source: &AnswerSource,
+    ) {
+        let request = &self.open.request;
+        let silence = source.target_silence(&request.service.name, self.max_silence());
+        note!(
+            Event::StreamSilent,
+            id = request.id_text(),
+            target = source.target(),
+            silent_ms = silence.lasted.map_or(-1.0, millis),
+            targets = silence.targets,
+            silent = silence.silent,
+            others_heard_ms = silence.others_heard.map_or(-1.0, millis),
+            runs = self.open.attempts.history.runs,
+        );
+    }
+
     fn log_resumed(
         &self,
         end: RelayEnd,
@@ -299,6 +333,7 @@
         &mut self,
         end: RelayEnd,
         target: &str,
+        resumption: &str,
     ) {
         self.open.end(end.label());
         note!(
@@ -308,6 +343,7 @@
             target = target,
             after_ms = millis(self.open.request.arrived.elapsed()),
             last_event = self.events.last_id().unwrap_or_default(),
+            resumption = resumption,
         );
         let _ = self.caller.send(Err(BrokenAnswer)).await;
     }
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -61,7 +61,7 @@
     staleness_monitor::{MaxStaleness, StalenessBounds, StalenessMonitor},
     survival_memory::SurvivalMemory,
     table_adapters::ServiceEngines,
-    table_reach::ReachProbe,
+    table_reach::{ReachProbe, TargetSilence},
     target_health::TargetHealth,
     target_link::{IdleConnection, RequestTokens, TargetLink},
     target_table::{MAX_BROADCAST_HOSTS, ServiceTarget, TargetTable, TargetTableSettings},
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -329,15 +329,20 @@
             .is_some_and(|reported_at| reported_at >= since)
     }
 
+    /// Returns since when no data has come from a target at which requests run.
+    pub fn silent_since(&self) -> Option<Instant> {
+        self.last_received.max(self.busy_since)
+    }
+
     /// Returns true if requests run there and no data has come for `time`.
     pub fn is_silent(
         &self,
         time: Duration,
         now: Instant,
     ) -> bool {
-        let since = self.last_received.max(self.busy_since);
-        let has_been_silent =
-            since.is_some_and(|since| now.saturating_duration_since(since) >= time);
+        let has_been_silent = self
+            .silent_since()
+            .is_some_and(|since| now.saturating_duration_since(since) >= time);
         self.in_flight > 0 && has_been_silent
     }
 
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -127,6 +127,7 @@
     RequestNoMemory = 640 "request_no_memory" Info,
     CallerCut = 641 "caller_cut" Warn,
     CallerNoMemory = 642 "caller_no_memory" Info,
+    StreamSilent = 643 "stream_silent" Info,
     TargetUnreachable = 701 "target_unreachable" Warn,
     TargetBack = 702 "target_back" Info,
     TargetRestarted = 703 "target_restarted" Warn,
