Answers of silent targets are kept until another one is in hand

Cause: what was in hand was given up on a suspicion, before its replacement was in hand. After a second without a byte of its target a stream's connection was closed, and only then another answer was looked for, which cost an attempt, a repeat of the budget and the target's health; while all targets are silent there is none. A request that waited for its answer was taken back as soon as its service counted as unreached, by every host alike. Silent targets were taken out of the choice even where all were silent.

No configuration changed: not the cause.

The first new event decides, and the other attempt is closed. It is closed as well once the silent target is heard again, so that two targets work on a request for no longer than the silence. A host that hears from no target forwards beside what it has sent. Silence takes a target out of the choice only while others are heard. A stream whose connection is silent for good while its target talks is opened anew at the same target. Lines 644, 722, 723, metric hedges. Refused connections are no silence: a full target refuses too.

Ruled out: a longer time, which hides it until somebody pauses for longer; never giving up, which loses the streams of a target that is silent for good.

--- a/src/connection/front/admission/slot_gate.rs
+++ b/src/connection/front/admission/slot_gate.rs
@@ -108,7 +108,7 @@
 ) -> Vec<String> {
     let targets = table.targets_of(service).iter();
     let avoided =
-        targets.filter(|target| !table.links[&target.id].remaining_backoff(now).is_zero());
+        targets.filter(|target| !table.remaining_backoff(service, &target.id, now).is_zero());
     let mut excluded: Vec<String> = avoided.map(|target| target.id.to_string()).collect();
     if excluded.len() == table.targets_of(service).len() {
         excluded.clear();
@@ -121,5 +121,6 @@
     let misfits = targets.filter(|target| !table.runs_software(&target.id, attempts.software));
     excluded.extend(misfits.map(|target| target.id.to_string()));
     excluded.extend(attempts.tried.iter().cloned());
+    excluded.extend(attempts.excluded.iter().cloned());
     excluded
 }
--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -23,6 +23,8 @@
     pub history: RequestHistory,
     /// Targets that rejected it, were not reached, or lost the connection.
     pub tried: Vec<String>,
+    /// Targets that it is not sent to, even if no other takes it.
+    pub excluded: Vec<String>,
     /// Last answer with a server error.
     pub failure: Option<CompleteAnswer>,
     /// No other host has taken it.
@@ -71,6 +73,33 @@
         self.trace.add(step, now);
     }
 
+    /// Returns the attempts beside one that still goes on, for which `lost` counts it as lost.
+    pub fn beside(
+        &self,
+        lost: RequestHistory,
+    ) -> Self {
+        Self {
+            history: lost,
+            tried: self.tried.clone(),
+            forwarding_failed: self.forwarding_failed,
+            software: self.software,
+            ..Self::default()
+        }
+    }
+
+    /// Adds attempts that were made beside one that still went on; they began with the history `lost`.
+    pub fn end_hedge(
+        &mut self,
+        beside: Self,
+        lost: &RequestHistory,
+    ) {
+        let more = beside.history.since(lost);
+        self.history.runs += more.runs;
+        self.history.arrivals += more.arrivals;
+        self.estimate = beside.estimate.or(self.estimate);
+        self.trace.append(beside.trace);
+    }
+
     /// Discards the sample of engines; returns false if that was done too often, or if there is no sample.
     pub fn discard_sample(&mut self) -> bool {
         if self.query.is_none() || self.discarded_samples >= MAX_DISCARDED_SAMPLES {
@@ -111,11 +140,19 @@
         first.iter().position(|engine| **engine == *target)
     }
 
+    /// Returns true if the request is never sent to this target.
+    pub fn has_excluded(
+        &self,
+        target: &str,
+    ) -> bool {
+        self.excluded.iter().any(|excluded| excluded == target)
+    }
+
     /// Returns true if this target is not to be tried again.
     pub fn has_tried(
         &self,
         target: &str,
     ) -> bool {
-        self.tried.iter().any(|tried| tried == target)
+        self.tried.iter().any(|tried| tried == target) || self.has_excluded(target)
     }
 }
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -110,9 +110,10 @@
                     in_flight: link.in_flight,
                     slots: link.view.record.slots,
                     same_hall: link.view.record.hall == self.hall,
-                    avoided_for: link.remaining_backoff(now),
+                    avoided_for: table.remaining_backoff(&request.service.name, &target.id, now),
                     tried: attempts.has_tried(&target.id)
                         || !table.runs_software(&target.id, attempts.software),
+                    excluded: attempts.has_excluded(&target.id),
                     availability: table.availability(&target.id, now),
                 }
             })
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -8,8 +8,9 @@
         attempts::Attempts,
         chooser::{Choice, Chooser},
         crash_probe::{LostAnswer, answers_health_check, clear_suspect, probe_after_loss},
-        exchange::{Destination, OpenAnswer, SendOutcome, send},
+        exchange::{Destination, OpenAnswer, SendOutcome},
         final_answers::{FinalAnswers, relay},
+        hedge::HedgedSend,
         host_forwarder::HostForwarder,
         open_request::OpenRequest,
         pending_request::{PendingRequest, settle_charge},
@@ -30,7 +31,6 @@
             },
             places::SlotOutcome,
         },
-        version::routing::RouteKind,
     },
     http::Response,
     std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
@@ -256,7 +256,6 @@
             };
             destination.resume_after = resume_after;
             let names = self.formats.headers();
-            let streams = request.route.kind == RouteKind::Stream;
             // Charged right before the send: the request may have waited seconds for its adapter.
             let repeats = attempts.history.arrivals > 0;
             let repeat_charge = match repeats {
@@ -288,8 +287,15 @@
             // A send counts as run until its end is known.
             attempts.history.runs += 1;
             attempts.estimate = destination.estimate;
-            let sent = send(&self.table, names, request, &destination, streams).await;
+            let sent = self.send_hedged(request, attempts, &destination).await;
             attempts.history.runs -= 1;
+            let sent = match sent {
+                HedgedSend::Sent(sent) => sent,
+                HedgedSend::Overtaken(outcome) => {
+                    attempts.record_end(&destination, AttemptEnd::Lost, Instant::now());
+                    return Ok(outcome);
+                }
+            };
             if let Some(permit) = permit.as_ref().filter(|_| is_rejected(&sent)) {
                 permit.on_rejected();
                 let mut table = self.table.borrow_mut();
@@ -442,7 +448,7 @@
     }
 
     /// Returns the current incarnation of a target.
-    fn incarnation_of(
+    pub(super) fn incarnation_of(
         &self,
         target: &Arc<str>,
     ) -> TargetIncarnation {
--- a/src/connection/front/engine_estimator.rs
+++ b/src/connection/front/engine_estimator.rs
@@ -68,7 +68,8 @@
         let engine = request.service.engine.as_ref();
         let memory = engine.map_or(u64::MAX, |engine| engine.memory_tokens.max(1));
         let tokens = link.running_tokens() + prompt + answer;
-        let speed = self.speed_of(table, &request.service.name, target);
+        let service = &request.service.name;
+        let speed = self.speed_of(table, service, target);
         EngineCandidate {
             copy_state,
             time_to_first_event: speed.prefill_time(self.backlog_before(link, request) + unread),
@@ -80,7 +81,7 @@
             relative_load: tokens as f64 / (self.mean_tokens + (prompt + answer) as f64).max(1.0),
             same_hall: link.view.record.hall == self.hall,
             load_unknown: self.is_load_unknown(table, link),
-            avoided: !link.remaining_backoff(self.now).is_zero(),
+            avoided: !table.remaining_backoff(service, target, self.now).is_zero(),
             has_holder: link.view.holder.is_some(),
             tried: attempts.has_tried(target),
             availability: table.availability(target, self.now),
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -2,7 +2,7 @@
     super::{
         AnswerEnding, AnswerReader, admission::HeldPermit, buffer_limits::MAX_BUFFERED_BODY,
         in_flight_request::InFlightRequest, reach_check::suspect_unreached,
-        target_connection::connect, target_silence::watch_silence,
+        target_connection::connect,
     },
     crate::{
         clock::Instant,
@@ -99,14 +99,6 @@
         piece
     }
 
-    /// Returns true if the target has sent nothing to this host for `time`, or if it has a new incarnation.
-    pub fn target_is_silent(
-        &self,
-        time: Duration,
-    ) -> bool {
-        self.in_flight.target_is_silent(time)
-    }
-
     /// Returns what is known of the silence of the target, in which it has sent nothing for `time`.
     pub fn target_silence(
         &self,
@@ -198,11 +190,7 @@
         |head: &ResponseHead| head.headers.get(&names.request_id) == request.id.as_ref();
     let exchange =
         connection.exchange_parts(&sent_head, &request.body, &request.method, is_own_answer);
-    let answered = tokio::select! {
-        answer = exchange => answer.ok(),
-        () = watch_silence(table, names, request, now) => None,
-    };
-    let Some((head, sent_completely)) = answered else {
+    let Ok((head, sent_completely)) = exchange.await else {
         return lost_answer(&in_flight, names, request);
     };
     in_flight.on_head(names, &head, now);
--- a/src/connection/front/health_check.rs
+++ b/src/connection/front/health_check.rs
@@ -8,7 +8,7 @@
 };
 
 /// Time for a target's answer to a health check; a sound one answers within some milliseconds.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+pub const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Result of a health check.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/connection/front/in_flight_request.rs
+++ b/src/connection/front/in_flight_request.rs
@@ -80,7 +80,7 @@
 
     /// Records that bytes have arrived from the target.
     pub fn on_received(&self) {
-        self.with_link(|link| link.last_received = Some(Instant::now()));
+        self.with_link(|link| link.on_received(Instant::now()));
     }
 
     /// Records what the head of an answer announces; `sent` is the time of the request.
@@ -151,17 +151,6 @@
         Some(idle.ok_or(link.view.record.address))
     }
 
-    /// Returns true if the target has sent nothing to this host for `time`, or if it has a new incarnation.
-    pub fn target_is_silent(
-        &self,
-        time: Duration,
-    ) -> bool {
-        let table = self.table.borrow();
-        let link = table.links.get(&self.target);
-        let link = link.filter(|link| link.view.record.started == self.incarnation);
-        link.is_none_or(|link| link.is_silent(time, Instant::now()))
-    }
-
     pub fn target(&self) -> &str {
         &self.target
     }
--- a/src/connection/front/request_trace.rs
+++ b/src/connection/front/request_trace.rs
@@ -93,6 +93,17 @@
         }
     }
 
+    /// Adds the steps of another attempt.
+    pub fn append(
+        &mut self,
+        other: Self,
+    ) {
+        self.dropped_steps += other.dropped_steps;
+        for (at, step) in other.steps {
+            self.add(step, at);
+        }
+    }
+
     /// Adds the step that ends a request, which is kept also if there are too many steps.
     pub fn add_last(
         &mut self,
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -2,28 +2,30 @@
     super::{
         AnswerBody, BrokenAnswer, Dispatcher,
         buffer_limits::MAX_BUFFERED_PIECES,
-        dispatcher::NotResumed,
+        dispatcher::{NotResumed, Outcome},
         event_splitter::EventSplitter,
-        exchange::{AnswerSource, OpenAnswer},
+        exchange::{AnswerSource, Destination, OpenAnswer},
+        hedge::{Hedge, HedgeWinner, log_hedge, may_hedge},
         open_request::OpenRequest,
         request_trace::millis,
         served_request::{CALLER_GONE, WHOLE},
+        silence_watch::{Alternative, StreamSilence},
     },
     crate::{
         clock::{Instant, sleep_until, timeout_at},
         formats::SoftwareVersion,
         metrics::{FramingLabels, metrics},
         note,
-        request::origins::ORIGIN_REFRESH,
+        request::{direct::AttemptEnd, origins::ORIGIN_REFRESH},
         timeline::Event,
     },
     bytes::Bytes,
     http::Response,
-    std::{rc::Rc, time::Duration},
+    std::{pin::pin, rc::Rc, time::Duration},
     tokio::sync::mpsc,
 };
 
-/// Silence after which a resumable stream is abandoned, as a multiple of the route's gap objective.
+/// Silence that a resumable stream allows its target while others are heard, as a multiple of the route's gap objective.
 const SILENCE_GAP_FACTOR: u32 = 4;
 
 /// Word for a stream for which no other target was looked for.
@@ -33,22 +35,56 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RelayEnd {
     Complete,
+    /// Another target has told that the answer so far is complete.
+    CompleteElsewhere,
     CallerGone,
     DeadlineExceeded,
     /// The target closed the connection in mid-answer, or the stream was invalid.
     Broken,
-    /// The target sends nothing, neither for this stream nor for any other of this host.
-    Silent,
+    /// The target has started anew.
+    Restarted,
 }
 
 impl RelayEnd {
     fn label(self) -> &'static str {
         match self {
-            Self::Complete => WHOLE,
+            Self::Complete | Self::CompleteElsewhere => WHOLE,
             Self::CallerGone => CALLER_GONE,
             Self::DeadlineExceeded => "time_over",
             Self::Broken => "target_broke_off",
-            Self::Silent => "target_silent",
+            Self::Restarted => "target_restarted",
+        }
+    }
+}
+
+/// Cause of a resumption while the target was silent, for logs.
+const TARGET_SILENT: &str = "target_silent";
+
+/// How a hedge of a stream ended.
+enum HedgeEnd {
+    /// The first answer has brought these events.
+    First(Bytes),
+    /// The first answer is complete.
+    Complete,
+    /// The second answer has begun; the first one may have broken off before.
+    Second(Box<OpenAnswer>),
+    /// The second answer shows that the stream has no further events.
+    NothingLeft,
+    /// There is no second answer, and the first one is still silent.
+    Neither,
+    /// There is no second answer, and the first one has broken off.
+    Broken,
+    CallerGone,
+    DeadlineExceeded,
+}
+
+impl HedgeEnd {
+    fn winner(&self) -> HedgeWinner {
+        match self {
+            Self::First(_) | Self::Complete => HedgeWinner::First,
+            Self::Second(_) | Self::NothingLeft => HedgeWinner::Second,
+            Self::Neither | Self::Broken => HedgeWinner::Neither,
+            Self::CallerGone | Self::DeadlineExceeded => HedgeWinner::GivenUp,
         }
     }
 }
@@ -61,6 +97,8 @@
     events: EventSplitter,
     /// Version of the software of the present target.
     software: Option<SoftwareVersion>,
+    /// When the present target began to answer.
+    began_at: Instant,
     /// When the stream's origin was last recorded; `None` before its first event.
     recorded_at: Option<Instant>,
 }
@@ -82,6 +120,7 @@
             caller,
             events: EventSplitter::default(),
             software: None,
+            began_at: Instant::now(),
             recorded_at: None,
         };
         tokio::task::spawn_local(relay.run(answer.first, answer.source));
@@ -94,19 +133,13 @@
         mut source: AnswerSource,
     ) {
         loop {
-            let first_event = Instant::now();
-            self.software = source.software().cloned();
+            self.begin(&source);
             let end = self.relay(first, &mut source).await;
             if matches!(end, RelayEnd::Complete | RelayEnd::Broken) {
                 self.open.ending = Some(source.ending());
             }
             if end == RelayEnd::Broken {
-                let framing = source.ending().framing.word();
-                let labels = FramingLabels { framing };
-                metrics().broken_streams.get_or_create(&labels).inc();
-                let incarnation = source.incarnation();
-                self.dispatcher
-                    .on_broken(&self.open.request, incarnation, first_event);
+                self.on_broken(&source);
             }
             match end {
                 RelayEnd::Complete => {
@@ -115,22 +148,24 @@
                     self.open.end(end.label());
                     return source.finish();
                 }
+                RelayEnd::CompleteElsewhere => {
+                    self.dispatcher
+                        .on_complete(&self.open.request, &self.open.timing);
+                    return self.open.end(end.label());
+                }
                 RelayEnd::CallerGone => {
                     self.open.end(end.label());
                     return self.log(Event::RequestCallerGone, end, &source);
                 }
-                RelayEnd::Broken | RelayEnd::Silent if self.open.request.route.resumable => {
+                RelayEnd::Broken | RelayEnd::Restarted if self.open.request.route.resumable => {
                     let target = source.target().to_string();
-                    if end == RelayEnd::Silent {
-                        self.log_silence(&source);
-                    }
                     // Closes the connection, so that the broken target cancels the request.
                     drop(source);
                     match self.resume(&target).await {
                         Ok(answer) => {
                             first = answer.first;
                             source = answer.source;
-                            self.log_resumed(end, &target, &source);
+                            self.log_resumed(end.label(), &target, &source);
                         }
                         Err(problem) => return self.truncate(end, &target, problem.word()).await,
                     }
@@ -148,7 +183,28 @@
         self.open.request.route.gap_aim * SILENCE_GAP_FACTOR
     }
 
-    /// Relays the answer of one target.
+    /// Begins with the answer of a target.
+    fn begin(
+        &mut self,
+        source: &AnswerSource,
+    ) {
+        self.began_at = Instant::now();
+        self.software = source.software().cloned();
+    }
+
+    /// Handles an answer that the target has broken off.
+    fn on_broken(
+        &self,
+        source: &AnswerSource,
+    ) {
+        let framing = source.ending().framing.word();
+        let labels = FramingLabels { framing };
+        metrics().broken_streams.get_or_create(&labels).inc();
+        self.dispatcher
+            .on_broken(&self.open.request, source.incarnation(), self.began_at);
+    }
+
+    /// Relays the answer of one target, and that of the next one if that has overtaken it.
     async fn relay(
         &mut self,
         first: Bytes,
@@ -157,17 +213,25 @@
         if let Some(end) = self.send_to_caller(first).await {
             return end;
         }
-        let max_silence = self.max_silence();
         loop {
-            let silence_deadline = Instant::now() + max_silence;
+            let incarnation = source.incarnation();
+            let watch = self
+                .dispatcher
+                .silence_watch(&self.open.request, &incarnation);
             let piece = tokio::select! {
                 piece = source.next() => piece,
                 _ = self.caller.closed() => return RelayEnd::CallerGone,
                 _ = sleep_until(self.open.request.deadline) => return RelayEnd::DeadlineExceeded,
-                _ = sleep_until(silence_deadline), if self.open.request.route.resumable => {
-                    match source.target_is_silent(max_silence) {
-                        true => return RelayEnd::Silent,
-                        false => continue,
+                silence = watch.until_stream_is_silent(self.max_silence()), if self.open.request.route.resumable => {
+                    let end = match silence {
+                        StreamSilence::Restarted => Some(RelayEnd::Restarted),
+                        StreamSilence::Alternative(alternative) => {
+                            self.hedge(source, alternative).await
+                        }
+                    };
+                    match end {
+                        Some(end) => return end,
+                        None => continue,
                     }
                 }
             };
@@ -177,16 +241,107 @@
                         return end;
                     }
                 }
-                Ok(None) => {
-                    let rest = self.events.take_rest();
-                    let end = self.send_piece(rest).await;
-                    return end.unwrap_or(RelayEnd::Complete);
-                }
+                Ok(None) => return self.complete().await,
                 Err(_) => return RelayEnd::Broken,
             }
         }
     }
 
+    /// Sends what is left of a complete answer.
+    async fn complete(&mut self) -> RelayEnd {
+        let rest = self.events.take_rest();
+        let end = self.send_piece(rest).await;
+        end.unwrap_or(RelayEnd::Complete)
+    }
+
+    /// Opens the rest of the stream elsewhere while its target is silent; the first new event decides which answer goes on.
+    /// Returns the end of the relay, if this is one.
+    async fn hedge(
+        &mut self,
+        source: &mut AnswerSource,
+        alternative: Alternative,
+    ) -> Option<RelayEnd> {
+        match self.race(source, alternative).await {
+            HedgeEnd::First(events) => self.send_piece(events).await,
+            HedgeEnd::Complete => Some(self.complete().await),
+            HedgeEnd::Second(answer) => {
+                let target = source.target().to_string();
+                let first = Destination::of(&target);
+                let now = Instant::now();
+                let attempts = &mut self.open.attempts;
+                attempts.record_end(&first, AttemptEnd::Lost, now);
+                self.events.discard_partial();
+                // Closes the connection, so that the silent target cancels the request.
+                *source = answer.source;
+                self.begin(source);
+                self.log_resumed(TARGET_SILENT, &target, source);
+                self.send_to_caller(answer.first).await
+            }
+            HedgeEnd::NothingLeft => {
+                self.events.discard_partial();
+                Some(RelayEnd::CompleteElsewhere)
+            }
+            HedgeEnd::Neither => None,
+            HedgeEnd::Broken => Some(RelayEnd::Broken),
+            HedgeEnd::CallerGone => Some(RelayEnd::CallerGone),
+            HedgeEnd::DeadlineExceeded => Some(RelayEnd::DeadlineExceeded),
+        }
+    }
+
+    /// Waits for the next event of the silent target while another answer is opened.
+    async fn race(
+        &mut self,
+        source: &mut AnswerSource,
+        alternative: Alternative,
+    ) -> HedgeEnd {
+        let request = &self.open.request;
+        let mut lost = self.open.attempts.history;
+        lost.record(AttemptEnd::Lost);
+        if !may_hedge(request, &lost) {
+            return HedgeEnd::Neither;
+        }
+        self.log_silence(source, alternative);
+        let hedge = Hedge {
+            request,
+            alternative,
+            first: &Destination::of(source.target()),
+            after: self.events.last_id(),
+        };
+        let incarnation = source.incarnation();
+        let watch = self.dispatcher.silence_watch(request, &incarnation);
+        let started = Instant::now();
+        let mut beside = self.open.attempts.beside(lost);
+        let mut is_broken = false;
+        let end = {
+            let mut second = pin!(self.dispatcher.try_beside(&hedge, &mut beside));
+            loop {
+                tokio::select! {
+                    outcome = &mut second => break match outcome {
+                        Some(Outcome::Open(answer)) => HedgeEnd::Second(answer),
+                        Some(Outcome::Final(rest)) if rest.status().is_success() => HedgeEnd::NothingLeft,
+                        _ if is_broken => HedgeEnd::Broken,
+                        _ => HedgeEnd::Neither,
+                    },
+                    piece = source.next(), if !is_broken => match piece.map(|piece| piece.map(|piece| self.events.take(&piece))) {
+                        Ok(Some(Ok(events))) if events.is_empty() => {}
+                        Ok(Some(Ok(events))) => break HedgeEnd::First(events),
+                        Ok(None) => break HedgeEnd::Complete,
+                        Ok(Some(Err(_))) | Err(_) => is_broken = true,
+                    },
+                    () = watch.until_heard_again(alternative), if !is_broken => break HedgeEnd::Neither,
+                    _ = self.caller.closed() => break HedgeEnd::CallerGone,
+                    _ = sleep_until(request.deadline) => break HedgeEnd::DeadlineExceeded,
+                }
+            }
+        };
+        log_hedge(&hedge, end.winner(), started, &beside.history.since(&lost));
+        if is_broken && matches!(end, HedgeEnd::Second(_)) {
+            self.on_broken(source);
+        }
+        self.open.attempts.end_hedge(beside, &lost);
+        end
+    }
+
     /// Sends a piece to the caller; on resumable routes, only complete events.
     async fn send_to_caller(
         &mut self,
@@ -275,6 +430,7 @@
     fn log_silence(
         &self,
         source: &AnswerSource,
+        alternative: Alternative,
     ) {
         let request = &self.open.request;
         let silence = source.target_silence(&request.service.name, self.max_silence());
@@ -287,12 +443,13 @@
             silent = silence.silent,
             others_heard_ms = silence.others_heard.map_or(-1.0, millis),
             runs = self.open.attempts.history.runs,
+            alternative = alternative.word(),
         );
     }
 
     fn log_resumed(
         &self,
-        end: RelayEnd,
+        cause: &str,
         from: &str,
         source: &AnswerSource,
     ) {
@@ -302,7 +459,7 @@
         note!(
             Event::RequestResumed,
             id = self.open.request.id_text(),
-            cause = end.label(),
+            cause = cause,
             target = source.target(),
             software = name(source.software()),
             from = from,
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -28,9 +28,11 @@
 mod table_poison;
 mod table_prompts;
 mod table_reach;
+mod table_silence;
 mod table_software;
 mod table_staleness;
 mod table_unplaced;
+mod target_check;
 mod target_health;
 mod target_link;
 mod target_table;
@@ -61,7 +63,9 @@
     staleness_monitor::{MaxStaleness, StalenessBounds, StalenessMonitor},
     survival_memory::SurvivalMemory,
     table_adapters::ServiceEngines,
-    table_reach::{ReachProbe, TargetSilence},
+    table_reach::ReachProbe,
+    table_silence::{SilenceVerdict, TargetSilence},
+    target_check::TargetCheck,
     target_health::TargetHealth,
     target_link::{IdleConnection, RequestTokens, TargetLink},
     target_table::{MAX_BROADCAST_HOSTS, ServiceTarget, TargetTable, TargetTableSettings},
--- a/src/connection/targets/service_reach.rs
+++ b/src/connection/targets/service_reach.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Returns when a target last answered over a new connection.
+    pub fn answered_at(&self) -> Option<Instant> {
+        self.answered_at
+    }
+
     /// Returns true if no target can be reached over a new connection.
     pub fn is_unreached(&self) -> bool {
         matches!(self.state, ReachState::Unreached { .. })
--- a/src/connection/targets/table_reach.rs
+++ b/src/connection/targets/table_reach.rs
@@ -1,26 +1,13 @@
 //! Which services' targets this host reaches.
 
 use {
-    super::{TargetLink, TargetTable},
+    super::TargetTable,
     crate::{clock::Instant, metrics::metrics, note, timeline::Event},
     rand::seq::IndexedRandom,
     std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::sync::Notify,
 };
 
-/// What this host knows of the silence of a target.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TargetSilence {
-    /// Time for which the target has sent nothing; `None` if it is gone.
-    pub lasted: Option<Duration>,
-    /// Targets of its service.
-    pub targets: usize,
-    /// Those of them that are as silent.
-    pub silent: usize,
-    /// Time since any other of them sent something.
-    pub others_heard: Option<Duration>,
-}
-
 /// A target at which a service's reach is checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReachProbe {
@@ -75,31 +62,6 @@
         now.saturating_duration_since(heard) >= time
     }
 
-    /// Returns what is known of the silence of a service's target that has sent nothing for `time`.
-    pub fn silence_of(
-        &self,
-        service: &str,
-        target: &str,
-        time: Duration,
-        now: Instant,
-    ) -> TargetSilence {
-        let targets = self.targets_of(service);
-        let age = |at: Instant| now.saturating_duration_since(at);
-        let links = || targets.iter().map(|target| &self.links[&target.id]);
-        let others = targets.iter().filter(|other| *other.id != *target);
-        let heard = others.filter_map(|other| self.links[&other.id].last_received);
-        TargetSilence {
-            lasted: self
-                .links
-                .get(target)
-                .and_then(TargetLink::silent_since)
-                .map(age),
-            targets: targets.len(),
-            silent: links().filter(|link| link.is_silent(time, now)).count(),
-            others_heard: heard.max().map(age),
-        }
-    }
-
     /// Starts a check whether a service is reached, unless that is known.
     pub fn begin_reach_check(
         &mut self,
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CachedPrompts, SentPrompts, TargetHealth, TargetView},
+    super::{CachedPrompts, SentPrompts, TargetCheck, TargetHealth, TargetView},
     crate::{
         clock::Instant,
         connection::{datagram::EngineLoad, http1::HttpConnection},
@@ -17,12 +17,6 @@
 /// Maximum idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
-/// A target with requests in flight that sends nothing for this long counts as silent.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
-
-/// Backoff of a silent target.
-const SILENCE_BACKOFF: Duration = Duration::from_millis(200);
-
 /// How long a reported load time is used: the queue at the weight store changes quickly.
 const LOAD_TIME_TTL: Duration = Duration::from_millis(400);
 
@@ -86,6 +80,8 @@
     reported_load_time: Option<(Duration, Instant)>,
     /// When data last came from the target.
     pub last_received: Option<Instant>,
+    /// Whether it answers over a new connection while it is silent.
+    pub check: TargetCheck,
     /// Lower bound of the send time of the oldest request that runs there: when the target last became busy.
     busy_since: Option<Instant>,
     /// Usage by adapter, for reports to the holder.
@@ -118,6 +114,7 @@
             pace_samples: PaceSamples::default(),
             reported_load_time: None,
             last_received: None,
+            check: TargetCheck::default(),
             busy_since: None,
             adapter_usage: HashMap::new(),
             due_reports: 0,
@@ -346,16 +343,13 @@
         self.in_flight > 0 && has_been_silent
     }
 
-    /// Returns the remaining backoff of the target after failures or while it is silent, zero if there is none.
-    pub fn remaining_backoff(
-        &self,
+    /// Records that data has come from the target.
+    pub fn on_received(
+        &mut self,
         now: Instant,
-    ) -> Duration {
-        let after_failures = self.health.remaining_backoff(now);
-        match self.is_silent(SILENCE_TIMEOUT, now) {
-            true => after_failures.max(SILENCE_BACKOFF),
-            false => after_failures,
-        }
+    ) {
+        self.last_received = Some(now);
+        self.check.cancel();
     }
 
     /// Returns the requests of all hosts that run there.
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -43,6 +43,7 @@
     pub resends: Family<WaitLabels, Counter>,
     pub rejections: Family<WaitLabels, Counter>,
     pub forwards: Family<StateLabels, Counter>,
+    pub hedges: Family<StateLabels, Counter>,
     pub repeats: Family<StateLabels, Counter>,
     pub repeat_allowance: Family<StateLabels, Amount>,
     pub repeat_loans: Family<StateLabels, Counter>,
@@ -109,6 +110,7 @@
             resends: Family::default(),
             rejections: Family::default(),
             forwards: Family::default(),
+            hedges: Family::default(),
             repeats: Family::default(),
             repeat_allowance: Family::default(),
             repeat_loans: Family::default(),
@@ -347,6 +349,11 @@
             "Requests forwarded to other hosts, as this one reached no target of their service",
             self.forwards.clone(),
         );
+        registry.register(
+            "hedges",
+            "Requests that were also tried elsewhere while their target was silent, by which answer decided",
+            self.hedges.clone(),
+        );
         registry.register(
             "prompt_tokens",
             "Prompt tokens sent to engines",
--- a/src/request/direct/next_step.rs
+++ b/src/request/direct/next_step.rs
@@ -10,6 +10,19 @@
 }
 
 impl RequestHistory {
+    /// Returns the attempts beyond an earlier state of the history.
+    pub fn since(
+        &self,
+        earlier: &Self,
+    ) -> Self {
+        let runs = self.runs - earlier.runs;
+        Self {
+            runs,
+            // A run whose end is not known yet has not been counted as arrived.
+            arrivals: runs.max(self.arrivals - earlier.arrivals),
+        }
+    }
+
     /// Records how an attempt ended.
     pub fn record(
         &mut self,
--- a/src/request/direct/plain_choice.rs
+++ b/src/request/direct/plain_choice.rs
@@ -13,6 +13,8 @@
     pub avoided_for: Duration,
     /// This request was already sent to it and failed.
     pub tried: bool,
+    /// This request may not be sent to it.
+    pub excluded: bool,
     /// Availability announced by the target itself.
     pub availability: Availability,
 }
@@ -22,8 +24,8 @@
 
 /// Chooses the target with the lowest load and returns its index; `draw`, a random number in `0.0..1.0`, breaks ties.
 ///
-/// A target that was already tried, is in backoff or has limited availability is used only if there is no other. A closed
-/// target is never used.
+/// A target that was already tried, is in backoff or has limited availability is used only if there is no other. A closed or
+/// excluded target is never used.
 pub fn choose_plain(
     candidates: &[PlainCandidate],
     draw: f64,
@@ -31,7 +33,10 @@
     let count = candidates.len();
     let first = (draw * count as f64) as usize;
     let order = (0..count).map(|at| (at + first) % count.max(1));
-    let open = order.filter(|at| candidates[*at].availability != Availability::Closed);
+    let is_open = |candidate: &PlainCandidate| {
+        candidate.availability != Availability::Closed && !candidate.excluded
+    };
+    let open = order.filter(|at| is_open(&candidates[*at]));
     open.min_by(|a, b| {
         let (a, b) = (&candidates[*a], &candidates[*b]);
         let tried = a.tried.cmp(&b.tried);
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -128,6 +128,7 @@
     CallerCut = 641 "caller_cut" Warn,
     CallerNoMemory = 642 "caller_no_memory" Info,
     StreamSilent = 643 "stream_silent" Info,
+    RequestHedged = 644 "request_hedged" Info,
     TargetUnreachable = 701 "target_unreachable" Warn,
     TargetBack = 702 "target_back" Info,
     TargetRestarted = 703 "target_restarted" Warn,
@@ -149,6 +150,8 @@
     TargetBrittle = 719 "target_brittle" Info,
     TargetNoLongerBrittle = 720 "target_no_longer_brittle" Info,
     TargetRejections = 721 "target_rejections" Info,
+    TargetUnresponsive = 722 "target_unresponsive" Warn,
+    TargetResponsive = 723 "target_responsive" Info,
     LinesDropped = 801 "lines_dropped" Warn,
     LinesHeldBack = 802 "lines_held_back" Warn,
 }
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -164,6 +164,7 @@
         same_hall,
         avoided_for: Duration::ZERO,
         tried: false,
+        excluded: false,
         availability: Availability::Open,
     }
 }
@@ -182,6 +183,9 @@
 #[case::a_limited_one_if_the_others_are_closed(
     vec![PlainCandidate { availability: Availability::Closed, ..plain(0, true) },
          PlainCandidate { availability: Availability::Limited, ..plain(5, false) }], Some(1))]
+#[case::an_excluded_one_never(
+    vec![PlainCandidate { excluded: true, ..plain(0, true) },
+         PlainCandidate { availability: Availability::Closed, ..plain(5, false) }], None)]
 #[case::all_closed(vec![PlainCandidate { availability: Availability::Closed, ..plain(0, true) }], None)]
 #[case::none(vec![], None)]
 fn the_plain_target_with_most_room_is_chosen(
--- a/tests/target_table.rs
+++ b/tests/target_table.rs
@@ -345,7 +345,8 @@
     world.table.set_view(started(2, &["a1"]));
     let link = &world.table.links[ENGINE];
     assert_eq!(link.running(), 0);
-    assert_eq!(link.remaining_backoff(world.now), Duration::ZERO);
+    let backoff = world.table.remaining_backoff("models", ENGINE, world.now);
+    assert_eq!(backoff, Duration::ZERO);
     assert!(world.table.adapters.get("m0/a1", ENGINE).is_some());
     assert!(world.table.adapters.get("m0/a2", ENGINE).is_none());
     let reports = world.reports(1);
