An engine's silence is not learned as the time that it takes to read prompts

What callers saw: after a common silence of two seconds streams were refused as late (635, reason=late) though an engine had their adapter.

Cause: the first event after a silence came seconds after the request, and was sampled as the time that the engine took to read the prompt; all engines then looked slow, and loads elsewhere looked better.

Change: no sample is taken of an answer during which its target left a check unanswered.

--- a/src/connection/front/in_flight_request.rs
+++ b/src/connection/front/in_flight_request.rs
@@ -112,13 +112,17 @@
         }
     }
 
-    /// Samples the engine's pace; `backlog` is the number of prompt tokens that were queued when the request was sent.
+    /// Samples the engine's pace; `backlog` is the number of prompt tokens that were queued when the request was sent. An engine
+    /// that was silent meanwhile has not read all the time.
     pub fn sample_prefill(
         &self,
         request: &CallRequest,
         backlog: u64,
         time: Duration,
     ) {
+        if self.was_unresponsive(time) {
+            return;
+        }
         let mut table = self.table.borrow_mut();
         let prompt = self.tokens.prompt;
         let policy = table.policy();
@@ -143,6 +147,17 @@
         self.with_link(|link| link.pace_samples.add(&sample));
     }
 
+    /// Returns true if the target left a check unanswered within the last `time`.
+    fn was_unresponsive(
+        &self,
+        time: Duration,
+    ) -> bool {
+        let since = Instant::now() - time;
+        let table = self.table.borrow();
+        let link = table.links.get(&self.target);
+        link.is_some_and(|link| link.check.was_unanswered_since(since))
+    }
+
     /// Returns an idle connection to the target, or its address if there is none; `None` if the target is gone.
     pub fn idle_connection(&self) -> Option<Result<HttpConnection, SocketAddr>> {
         let mut table = self.table.borrow_mut();
--- a/src/connection/targets/target_check.rs
+++ b/src/connection/targets/target_check.rs
@@ -14,6 +14,8 @@
     state: CheckState,
     /// When it last answered a check.
     answered_at: Option<Instant>,
+    /// When it last left one unanswered.
+    unanswered_at: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -63,7 +65,9 @@
     pub fn on_unanswered(
         &mut self,
         others_heard: bool,
+        now: Instant,
     ) {
+        self.unanswered_at = Some(now);
         if let CheckState::Running { last, .. } = &mut self.state {
             *last = Some(UnansweredCheck { others_heard });
         }
@@ -109,6 +113,14 @@
         self.answered_at > since && self.answered_at.is_some_and(is_recent)
     }
 
+    /// Returns true if the target has left a check unanswered at `since` or later.
+    pub fn was_unanswered_since(
+        &self,
+        since: Instant,
+    ) -> bool {
+        self.unanswered_at.is_some_and(|at| at >= since)
+    }
+
     fn last_unanswered(&self) -> Option<UnansweredCheck> {
         match self.state {
             CheckState::Idle => None,
