A request never falls back on a target that runs another version of its stream's software

Cause: `choose_plain` falls back on targets that count as tried, and those of other versions were marked so; the send is then withheld, and the loop chooses again without a pause.

Change: such targets are excluded, not tried; a send that was withheld waits for 10 ms before the next choice, so that the loop always hands back the thread.

--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -111,9 +111,9 @@
                     slots: link.view.record.slots,
                     same_hall: link.view.record.hall == self.hall,
                     avoided_for: table.remaining_backoff(&request.service.name, &target.id, now),
-                    tried: attempts.has_tried(&target.id)
+                    tried: attempts.has_tried(&target.id),
+                    excluded: attempts.has_excluded(&target.id)
                         || !table.runs_software(&target.id, attempts.software),
-                    excluded: attempts.has_excluded(&target.id),
                     availability: table.availability(&target.id, now),
                 }
             })
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -39,6 +39,9 @@
 /// Backoff before a request is sent again to an engine that is still loading its adapter.
 const LOAD_BACKOFF: Duration = Duration::from_millis(25);
 
+/// Backoff before a target is chosen again for a request that was not sent to the one chosen before.
+const WITHHELD_BACKOFF: Duration = Duration::from_millis(10);
+
 /// A connection that is lost sooner than this was closed before the target started the request.
 const MIN_RUN_TIME: Duration = Duration::from_millis(3);
 
@@ -330,7 +333,10 @@
                     self.on_misdirected(request, &destination);
                     AttemptEnd::NotRun { status: 421 }
                 }
-                SendOutcome::Withheld => continue,
+                SendOutcome::Withheld => {
+                    tokio::time::sleep(WITHHELD_BACKOFF).await;
+                    continue;
+                }
                 SendOutcome::Ended(AttemptEnd::Lost) => {
                     let started = verified || sent_at.elapsed() >= MIN_RUN_TIME;
                     let lost = LostAnswer::suspect(request, incarnation, started);
