A silence shorter than a check is not learned as reading time either

Cause: an engine counted as silent only for answers that had been waited for as a check went unanswered.

Change: the samples that are left out are those of answers during which the target was unresponsive until it was heard again.

--- a/src/connection/front/in_flight_request.rs
+++ b/src/connection/front/in_flight_request.rs
@@ -147,7 +147,7 @@
         self.with_link(|link| link.pace_samples.add(&sample));
     }
 
-    /// Returns true if the target left a check unanswered within the last `time`.
+    /// Returns true if the target was unresponsive within the last `time`.
     fn was_unresponsive(
         &self,
         time: Duration,
@@ -155,7 +155,7 @@
         let since = Instant::now() - time;
         let table = self.table.borrow();
         let link = table.links.get(&self.target);
-        link.is_some_and(|link| link.check.was_unanswered_since(since))
+        link.is_some_and(|link| link.check.was_unresponsive_since(since))
     }
 
     /// Returns an idle connection to the target, or its address if there is none; `None` if the target is gone.
--- a/src/connection/front/silence_check.rs
+++ b/src/connection/front/silence_check.rs
@@ -120,7 +120,7 @@
         let others_heard = self.hears_others(begun);
         let mut table = self.table.borrow_mut();
         if let Some(link) = table.link_of(&self.incarnation) {
-            link.check.on_unanswered(others_heard, Instant::now());
+            link.check.on_unanswered(others_heard);
         }
     }
 
--- a/src/connection/targets/target_check.rs
+++ b/src/connection/targets/target_check.rs
@@ -14,8 +14,8 @@
     state: CheckState,
     /// When it last answered a check.
     answered_at: Option<Instant>,
-    /// When it last left one unanswered.
-    unanswered_at: Option<Instant>,
+    /// When it was last heard again after it had left checks unanswered.
+    heard_again_at: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -65,9 +65,7 @@
     pub fn on_unanswered(
         &mut self,
         others_heard: bool,
-        now: Instant,
     ) {
-        self.unanswered_at = Some(now);
         if let CheckState::Running { last, .. } = &mut self.state {
             *last = Some(UnansweredCheck { others_heard });
         }
@@ -79,11 +77,17 @@
         now: Instant,
     ) {
         self.answered_at = Some(now);
-        self.state = CheckState::Idle;
+        self.on_heard(now);
     }
 
-    /// Ends the checks, as the target has sent something over another connection.
-    pub fn cancel(&mut self) {
+    /// Ends the checks, as the target has sent something.
+    pub fn on_heard(
+        &mut self,
+        now: Instant,
+    ) {
+        if self.is_unanswered() {
+            self.heard_again_at = Some(now);
+        }
         self.state = CheckState::Idle;
     }
 
@@ -113,12 +117,12 @@
         self.answered_at > since && self.answered_at.is_some_and(is_recent)
     }
 
-    /// Returns true if the target has left a check unanswered at `since` or later.
-    pub fn was_unanswered_since(
+    /// Returns true if the target was unresponsive at `since` or later.
+    pub fn was_unresponsive_since(
         &self,
         since: Instant,
     ) -> bool {
-        self.unanswered_at.is_some_and(|at| at >= since)
+        self.is_unanswered() || self.heard_again_at.is_some_and(|at| at >= since)
     }
 
     fn last_unanswered(&self) -> Option<UnansweredCheck> {
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -349,7 +349,7 @@
         now: Instant,
     ) {
         self.last_received = Some(now);
-        self.check.cancel();
+        self.check.on_heard(now);
     }
 
     /// Returns the requests of all hosts that run there.
