A target that answers checks is no silent one in the choice, and hosts forward only once the others know of a silence

Cause of second runs in a common silence (210 runs of 192 calls): hosts conclude that no target is reached some milliseconds apart, and the first one forwards to hosts that have not concluded yet.

Change: `is_silent_alone` heeds an answered check; a request is forwarded beside its first attempt only when the service has been silent for the time of a check.

--- a/src/connection/front/silence_watch.rs
+++ b/src/connection/front/silence_watch.rs
@@ -124,7 +124,12 @@
             if !self.request.route.repeatable() {
                 continue;
             }
-            if self.table.borrow().is_silent(&service.name) {
+            // The other hosts have found out by then if they hear from no target either.
+            let is_silent = {
+                let table = self.table.borrow();
+                table.is_silent_for(&service.name, CHECK_TIMEOUT, now)
+            };
+            if is_silent {
                 return Alternative::OtherHost;
             }
             let has_waited = now.saturating_duration_since(sent) >= min_wait;
--- a/src/connection/targets/service_reach.rs
+++ b/src/connection/targets/service_reach.rs
@@ -83,6 +83,20 @@
         matches!(self.state, ReachState::Unreached { .. })
     }
 
+    /// Returns true if open connections have brought nothing either for `time` since the check.
+    pub fn is_silent_for(
+        &self,
+        time: Duration,
+        now: Instant,
+    ) -> bool {
+        match self.state {
+            ReachState::Unreached { since, is_silent } => {
+                is_silent && now.saturating_duration_since(since) >= time
+            }
+            ReachState::Reached | ReachState::Checking { .. } => false,
+        }
+    }
+
     /// Returns true if open connections bring nothing either.
     pub fn is_silent(&self) -> bool {
         matches!(
--- a/src/connection/targets/table_reach.rs
+++ b/src/connection/targets/table_reach.rs
@@ -36,6 +36,18 @@
             .is_some_and(|reach| reach.is_silent())
     }
 
+    /// Returns true if this host has known for `time` that it reaches no target of a service over any connection.
+    pub fn is_silent_for(
+        &self,
+        service: &str,
+        time: Duration,
+        now: Instant,
+    ) -> bool {
+        self.reach
+            .get(service)
+            .is_some_and(|reach| reach.is_silent_for(time, now))
+    }
+
     /// Returns true if this host reaches no target of any service that has some.
     pub fn reaches_nothing(&self) -> bool {
         !self.by_service.is_empty()
--- a/src/connection/targets/table_silence.rs
+++ b/src/connection/targets/table_silence.rs
@@ -151,6 +151,9 @@
         if link.check.is_unanswered() {
             return link.check.is_isolated();
         }
+        if link.check.is_answered_since(link.silent_since(), now) {
+            return false;
+        }
         let meanwhile = link.silent_since().map(|since| since + EVIDENCE_DELAY);
         link.is_silent(SILENCE_TIMEOUT, now)
             && meanwhile.is_some_and(|since| self.hears_others(service, target, since))
