--- a/src/standin/fault_proxy.rs
+++ b/src/standin/fault_proxy.rs
@@ -47,6 +47,8 @@
     all: ProxyFault,
     /// In place of `all`.
     by_source: HashMap<usize, ProxyFault>,
+    /// Times that the connections open at that moment were frozen.
+    freezes: u64,
 }
 
 impl LinkFaults {
@@ -103,7 +105,7 @@
     }
 }
 
-/// A TCP proxy on loopback whose connections can be refused, stalled, slowed and cut.
+/// A TCP proxy on loopback whose connections can be refused, stalled, frozen, slowed and cut.
 pub struct FaultProxy {
     address: SocketAddr,
     faults: watch::Sender<LinkFaults>,
@@ -124,6 +126,13 @@
     answers: Arc<Lane>,
 }
 
+/// How a connection was opened.
+#[derive(Debug, Clone, Copy)]
+struct Opened {
+    source: Option<usize>,
+    freezes_before: u64,
+}
+
 impl FaultProxy {
     /// Listens on a port of the system's and passes connections on to `to`.
     pub async fn start(to: SocketAddr) -> io::Result<Self> {
@@ -201,6 +210,11 @@
         self.bytes.load(Ordering::Relaxed)
     }
 
+    /// Makes the connections open now carry nothing any more, without closing them; new ones work.
+    pub fn freeze_open(&self) {
+        self.faults.send_modify(|faults| faults.freezes += 1);
+    }
+
     /// Cuts every open connection.
     pub fn cut(&self) {
         self.cuts.send_modify(|cuts| cuts.all += 1);
@@ -230,6 +244,7 @@
     let source = (shared.source_of)(address);
     let mut cuts = shared.cuts.clone();
     let cuts_before = cuts.borrow().of(source);
+    let freezes_before = shared.faults.borrow().freezes;
     if shared.faults.borrow().of(source).refuse {
         return;
     }
@@ -241,8 +256,12 @@
     let _ = to.set_nodelay(true);
     let (from_read, from_write) = from.into_split();
     let (to_read, to_write) = to.into_split();
-    let asks = pass(from_read, to_write, &shared, source, false);
-    let answers = pass(to_read, from_write, &shared, source, true);
+    let opened = Opened {
+        source,
+        freezes_before,
+    };
+    let asks = pass(from_read, to_write, &shared, opened, false);
+    let answers = pass(to_read, from_write, &shared, opened, true);
     tokio::select! {
         _ = async { tokio::try_join!(asks, answers) } => {}
         _ = cuts.wait_for(|cuts| cuts.of(source) > cuts_before) => {}
@@ -253,7 +272,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     shared: &Shared,
-    source: Option<usize>,
+    opened: Opened,
     answers: bool,
 ) -> io::Result<()> {
     let mut faults = shared.faults.clone();
@@ -267,11 +286,12 @@
             }
         };
         let passes = |faults: &LinkFaults| {
-            let fault = faults.of(source);
-            !(fault.stall || answers && fault.stall_answers)
+            let fault = faults.of(opened.source);
+            let stalls = fault.stall || answers && fault.stall_answers;
+            !stalls && faults.freezes == opened.freezes_before
         };
         let fault = match faults.wait_for(passes).await {
-            Ok(faults) => *faults.of(source),
+            Ok(faults) => *faults.of(opened.source),
             Err(_) => return Ok(()),
         };
         tokio::time::sleep(fault.delay).await;
