Streams go on at the version that began them after a loss of all hosts

Cause: where a stream began, and which versions were listed before, was in the memory of hosts alone. A host that had started a second ago took the one version that it saw for the only one there was. Behind it: with two versions listed nobody knew, so that all were refused (LOST).

Change: "only version" wants an answer that names all versions: from a host that has followed the list for as long as a stream lives, or since the first start, or from the store. A host that may have missed versions reads them when it is asked. Rows carry no time of day; a row of an earlier era of the store does not count as complete.

Why it works: what decides outlasts all hosts, and where it doesn't, nobody guesses.

The check of tests/stream_origins.rs takes findings in place of bare tuples; its cases stand, four were added.

--- a/src/connection/datagram/origin_messages.rs
+++ b/src/connection/datagram/origin_messages.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Instant,
         formats::SoftwareId,
-        request::origins::{StreamKey, StreamOrigin},
+        request::origins::{OriginFinding, StreamKey, StreamOrigin},
     },
     std::time::Duration,
 };
@@ -82,4 +82,31 @@
     /// Versions that the sender knows of the service's targets, as the bits of `SoftwareId`s.
     #[prost(fixed64, repeated, tag = "3")]
     pub versions: Vec<u64>,
+    /// The stream can't have begun at another version.
+    #[prost(bool, tag = "4")]
+    pub is_complete: bool,
+}
+
+impl OriginAnswer {
+    pub fn of(
+        ask: &OriginAsk,
+        finding: &OriginFinding,
+    ) -> Self {
+        let versions = finding.versions.iter().copied();
+        Self {
+            id: ask.id,
+            software: finding.recorded.map(SoftwareId::to_bits),
+            versions: versions.map(SoftwareId::to_bits).collect(),
+            is_complete: finding.is_complete,
+        }
+    }
+
+    pub fn finding(&self) -> OriginFinding {
+        let versions = self.versions.iter().copied();
+        OriginFinding {
+            recorded: self.software.map(SoftwareId::from_bits),
+            versions: versions.map(SoftwareId::from_bits).collect(),
+            is_complete: self.is_complete,
+        }
+    }
 }
--- a/src/connection/front/take_up.rs
+++ b/src/connection/front/take_up.rs
@@ -4,10 +4,7 @@
     super::{Dispatcher, ErrorCause, request_trace::millis},
     crate::{
         clock::{Instant, timeout_at},
-        connection::{
-            datagram::{OriginAnswer, OriginAsk},
-            targets::OriginReply,
-        },
+        connection::{datagram::OriginAsk, targets::OriginReply},
         formats::{HeaderNames, SoftwareId, SoftwareVersion},
         metrics::{StateLabels, metrics},
         note,
@@ -83,6 +80,8 @@
             software = self.software_name(request, outcome),
             asked = search.asked(),
             answered = search.answered(),
+            complete = search.complete(),
+            versions = search.versions(),
             waited_ms = millis(began_at.elapsed()),
         );
         match outcome.software() {
@@ -156,16 +155,9 @@
     search: &mut OriginSearch,
     reply: &OriginReply,
 ) {
-    let recorded = |answer: &OriginAnswer| answer.software.map(SoftwareId::from_bits);
     match reply {
-        OriginReply::Own { answer, asked } => {
-            let versions = answer.versions.iter().copied().map(SoftwareId::from_bits);
-            search.on_own_answer(recorded(answer), versions, *asked);
-        }
-        OriginReply::Other(answer) => {
-            let versions = answer.versions.iter().copied().map(SoftwareId::from_bits);
-            search.on_answer(recorded(answer), versions);
-        }
+        OriginReply::Own { answer, asked } => search.on_own_answer(&answer.finding(), *asked),
+        OriginReply::Other(answer) => search.on_answer(&answer.finding()),
     }
 }
 
--- a/src/process/holding/engine_assignment.rs
+++ b/src/process/holding/engine_assignment.rs
@@ -142,6 +142,11 @@
         may_hold.then_some(*held)
     }
 
+    /// Returns the newest known era of the store.
+    pub fn era(&self) -> u32 {
+        self.era.number()
+    }
+
     /// Records the era of an answer of the store; returns true if the store was restored since the last one.
     ///
     /// What was known of rows is void then. The engines held here are held on until the end of the lease, and are recorded anew
--- a/src/process/host/control_action.rs
+++ b/src/process/host/control_action.rs
@@ -96,7 +96,7 @@
         /// Other hosts that are asked.
         asked: u32,
     },
-    /// Delivers another host's answer in the search for the origin of a stream.
+    /// Delivers the answer of another host or of the store in the search for the origin of a stream.
     DeliverOrigin(OriginAnswer),
     /// Delivers notices of a target that another host received.
     DeliverNotices {
@@ -114,6 +114,12 @@
     WritePoison {
         writes: Vec<RowWrite>,
     },
+    /// Reads what is stored of streams' origins.
+    ReadOrigins,
+    /// Writes what is to be stored of streams' origins.
+    WriteOrigins {
+        writes: Vec<RowWrite>,
+    },
     /// Answers another host's request to borrow repeat budget.
     LendQuota {
         to: SocketAddr,
--- a/src/process/host/control_event.rs
+++ b/src/process/host/control_event.rs
@@ -93,6 +93,14 @@
     PoisonRead {
         rows: Option<RowBatch>,
     },
+    /// A read of what is stored of streams' origins ended; `None` if it failed.
+    OriginsRead {
+        rows: Option<RowBatch>,
+    },
+    /// A write of streams' origins ended; `None` if its outcome is unknown.
+    OriginsWritten {
+        commit: Option<Commit>,
+    },
     /// The settings were reloaded.
     SettingsRead(Result<(), RunError>),
     /// The process was asked to stop.
@@ -109,7 +117,9 @@
             Self::ChangesRead { .. }
             | Self::TableRead { .. }
             | Self::HoldersRead { .. }
-            | Self::PoisonRead { .. } => "store",
+            | Self::PoisonRead { .. }
+            | Self::OriginsRead { .. }
+            | Self::OriginsWritten { .. } => "store",
             Self::ChangesPulled { .. } | Self::HostsPulled { .. } => "pull",
             Self::Renewed { .. } | Self::EnginesTaken { .. } | Self::LeasesChecked { .. } => {
                 "lease"
--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -200,12 +200,13 @@
             engines = self.allocators.len()
         );
         self.changed = true;
+        self.restore_origin_rows(now);
         self.store_all_records(now).into_iter().collect()
     }
 
     /// Handles the version that a transaction's answer tells. An answer from before a restoration tells nothing of the rows as
     /// they are: it counts as an unknown outcome.
-    fn observe_commit(
+    pub(super) fn observe_commit(
         &mut self,
         commit: Option<Commit>,
         now: Instant,
--- a/src/process/host/control_origins.rs
+++ b/src/process/host/control_origins.rs
@@ -1,16 +1,15 @@
 //! Control-thread handling of stream origins: records of the streams of this and of other hosts, and searches for them.
 
 use {
-    super::{ControlAction, HostControl},
+    super::{ControlAction, HostControl, control_origin_rows::OriginStore},
     crate::{
         clock::Instant,
         connection::datagram::{Message, OriginAnswer, OriginAsk, OriginRecord, OriginRecords},
-        formats::SoftwareId,
         metrics::metrics,
         process::hosts::HostState,
         request::origins::{
-            OriginHost, OriginRecords as Records, SoftwareHistory, StreamKey, StreamOrigin,
-            origin_hosts,
+            OriginFinding, OriginHost, OriginRecords as Records, SoftwareHistory, StreamKey,
+            StreamOrigin, origin_hosts,
         },
     },
     std::{collections::BTreeMap, net::SocketAddr},
@@ -31,8 +30,18 @@
 /// Origins of streams, and the versions that their targets have had.
 #[derive(Debug, Default)]
 pub(super) struct OriginState {
-    records: Records,
-    software: SoftwareHistory,
+    pub records: Records,
+    pub software: SoftwareHistory,
+    pub store: OriginStore,
+}
+
+impl OriginState {
+    pub fn new(is_first_start: bool) -> Self {
+        Self {
+            software: SoftwareHistory::new(is_first_start),
+            ..Self::default()
+        }
+    }
 }
 
 impl HostControl {
@@ -43,6 +52,7 @@
         now: Instant,
     ) -> Vec<ControlAction> {
         self.keep_origin(origin, now);
+        self.origins.store.add_unsaved(origin);
         let records = OriginRecords {
             records: vec![OriginRecord::of(&origin, now)],
         };
@@ -67,29 +77,32 @@
         }
     }
 
-    /// Searches for the origin of a stream that is taken up here: this host's own answer comes at once, and other hosts are
-    /// asked unless it knows.
+    /// Searches for the origin of a stream that is taken up here: this host's own answer comes at once. Unless it knows, other
+    /// hosts are asked, and the store if versions may have left the list before this host followed it.
     pub(super) fn search_origin(
         &mut self,
         ask: OriginAsk,
         now: Instant,
     ) -> Vec<ControlAction> {
-        let answer = self.origin_answer(&ask, now);
+        let finding = self.origin_finding(&ask, now);
+        let answer = OriginAnswer::of(&ask, &finding);
+        if finding.recorded.is_some() {
+            return vec![ControlAction::DeliverOwnOrigin { answer, asked: 0 }];
+        }
         let key = StreamKey::from_bits(ask.stream.unwrap_or(ask.id));
-        let asked = match answer.software {
-            Some(_) => Vec::new(),
-            None => self.origin_hosts(key),
-        };
-        let asked: Vec<SocketAddr> = asked.into_iter().take(ASKED_HOSTS).collect();
+        let asked = self.origin_hosts(key).into_iter().take(ASKED_HOSTS);
+        let asked: Vec<SocketAddr> = asked.collect();
+        let store_read = self.ask_store(&ask, now);
         let own = ControlAction::DeliverOwnOrigin {
             answer,
-            asked: asked.len() as u32,
+            asked: asked.len() as u32 + u32::from(store_read.is_some()),
         };
         let asks = asked.into_iter().map(|to| ControlAction::Send {
             to,
             message: Message::OriginAsk(ask.clone()),
         });
-        std::iter::once(own).chain(asks).collect()
+        let store_read = store_read.into_iter().flatten();
+        std::iter::once(own).chain(store_read).chain(asks).collect()
     }
 
     /// Answers another host's search for the origin of a stream.
@@ -101,7 +114,7 @@
     ) -> ControlAction {
         ControlAction::Send {
             to: from,
-            message: Message::OriginAnswer(self.origin_answer(ask, now)),
+            message: Message::OriginAnswer(OriginAnswer::of(ask, &self.origin_finding(ask, now))),
         }
     }
 
@@ -145,7 +158,7 @@
         self.origins.software.update(listed, now);
     }
 
-    fn keep_origin(
+    pub(super) fn keep_origin(
         &mut self,
         origin: StreamOrigin,
         now: Instant,
@@ -155,19 +168,18 @@
         metrics().stream_origins.set(count as i64);
     }
 
-    fn origin_answer(
+    /// Returns what this host knows of the origin of a stream.
+    pub(super) fn origin_finding(
         &mut self,
         ask: &OriginAsk,
         now: Instant,
-    ) -> OriginAnswer {
+    ) -> OriginFinding {
         self.note_software(now);
         let key = ask.stream.map(StreamKey::from_bits);
-        let recorded = key.and_then(|key| self.origins.records.get(key, now));
-        let versions = self.origins.software.versions(&ask.service);
-        OriginAnswer {
-            id: ask.id,
-            software: recorded.map(SoftwareId::to_bits),
-            versions: versions.into_iter().map(SoftwareId::to_bits).collect(),
+        OriginFinding {
+            recorded: key.and_then(|key| self.origins.records.get(key, now)),
+            versions: self.origins.software.versions(&ask.service),
+            is_complete: self.origins.software.is_complete(&ask.service, now),
         }
     }
 
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -6,6 +6,7 @@
         control_tables::quoted,
         copy_reader::{CopyReader, STORE_LIMIT},
         kept_calls::KeptCalls,
+        origin_rows::ORIGIN_TABLE,
         poison_rows::POISON_TABLE,
         traffic::TrafficInput,
         wake_watch::{WakeWatch, tell_wake},
@@ -204,6 +205,8 @@
             }
             ControlAction::ReadPoison => self.read_poison(),
             ControlAction::WritePoison { writes } => self.store_poison(writes),
+            ControlAction::ReadOrigins => self.read_origins(),
+            ControlAction::WriteOrigins { writes } => self.store_origins(writes),
             ControlAction::LendQuota { to, ask } => {
                 self.send_to_traffic(TrafficInput::LoanAsked { to, ask });
             }
@@ -276,6 +279,29 @@
         });
     }
 
+    fn read_origins(&self) {
+        let (store, events) = (self.store.clone(), self.events.clone());
+        spawn_local(async move {
+            let rows = store.read_table(ORIGIN_TABLE).await.ok();
+            let _ = events.send(ControlEvent::OriginsRead { rows });
+        });
+    }
+
+    fn store_origins(
+        &self,
+        writes: Vec<RowWrite>,
+    ) {
+        let (store, events) = (self.store.clone(), self.events.clone());
+        let transaction = Transaction {
+            expected: Vec::new(),
+            writes,
+        };
+        spawn_local(async move {
+            let commit = commit_outcome(store.commit(&transaction).await);
+            let _ = events.send(ControlEvent::OriginsWritten { commit });
+        });
+    }
+
     fn check_leases(
         &self,
         transaction: Transaction,
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -188,6 +188,7 @@
             hosts,
             clocks: PeerClocks::default(),
             assignment: EngineAssignment::new(row, timings, now),
+            origins: OriginState::new(settings.first_start),
             settings,
             formats,
             allocators: BTreeMap::new(),
@@ -222,7 +223,6 @@
             ledgers: BTreeMap::new(),
             allocated_slots: BTreeMap::new(),
             notices: NoticeState::default(),
-            origins: OriginState::default(),
         }
     }
 
@@ -326,6 +326,8 @@
                 self.with_allocator(&target, now, |allocator| allocator.on_report(report, now))
             }
             ControlEvent::PoisonRead { rows } => self.on_poison_read(rows, now),
+            ControlEvent::OriginsRead { rows } => self.on_origins_read(rows, now),
+            ControlEvent::OriginsWritten { commit } => self.on_origins_written(commit, now),
             ControlEvent::SettingsRead(_) => Vec::new(),
             ControlEvent::Stop => self.on_stop(now),
         };
@@ -361,6 +363,7 @@
         actions.extend(self.announce_read(now));
         actions.extend(self.tick_engines(now));
         actions.extend(self.tick_poison(now));
+        actions.extend(self.tick_origin_rows(now));
         actions.extend(self.tick_notices(now));
         if now >= self.next_load_publish {
             self.next_load_publish = now + LOAD_PUBLISH_INTERVAL;
--- a/src/request/origins/mod.rs
+++ b/src/request/origins/mod.rs
@@ -12,7 +12,7 @@
 pub use {
     origin_hosts::{OriginHost, origin_hosts},
     origin_records::{ORIGIN_REFRESH, ORIGIN_TTL, OriginRecords, StreamOrigin},
-    origin_search::{OriginSearch, SearchOutcome},
+    origin_search::{OriginFinding, OriginSearch, SearchOutcome},
     software_history::SoftwareHistory,
     stream_key::StreamKey,
 };
--- a/src/request/origins/origin_search.rs
+++ b/src/request/origins/origin_search.rs
@@ -28,37 +28,48 @@
     }
 }
 
-/// Collects what hosts answer to the question at which version a stream began.
+/// What one host or the store knows of the origin of a stream.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OriginFinding {
+    /// The version that began the stream, if it is recorded.
+    pub recorded: Option<SoftwareId>,
+    /// Versions that the service's targets have had.
+    pub versions: Vec<SoftwareId>,
+    /// The stream can't have begun at another version.
+    pub is_complete: bool,
+}
+
+/// Collects what hosts and the store answer to the question at which version a stream began.
 #[derive(Debug, Default)]
 pub struct OriginSearch {
     recorded: Option<SoftwareId>,
-    /// Versions that the hosts know of.
+    /// Versions that any of them knows of.
     versions: BTreeSet<SoftwareId>,
-    /// Hosts that were asked besides this one, once that is known.
+    /// Others that were asked besides this host, once that is known.
     asked: Option<u32>,
     answered: u32,
+    /// Answers that name all versions, this host's own included.
+    complete: u32,
 }
 
 impl OriginSearch {
     /// Takes this host's own answer, and how many others it has asked.
     pub fn on_own_answer(
         &mut self,
-        recorded: Option<SoftwareId>,
-        versions: impl Iterator<Item = SoftwareId>,
+        finding: &OriginFinding,
         asked: u32,
     ) {
         self.asked = Some(asked);
-        self.add(recorded, versions);
+        self.add(finding);
     }
 
-    /// Takes another host's answer.
+    /// Takes the answer of another host or of the store.
     pub fn on_answer(
         &mut self,
-        recorded: Option<SoftwareId>,
-        versions: impl Iterator<Item = SoftwareId>,
+        finding: &OriginFinding,
     ) {
         self.answered += 1;
-        self.add(recorded, versions);
+        self.add(finding);
     }
 
     /// Returns true if no further answer can change the outcome.
@@ -67,13 +78,17 @@
     }
 
     /// Returns the outcome. A host that hears none of those it has asked may be cut off, and what it knows of versions old.
+    /// That one version alone is listed tells nothing as long as nobody knows which were listed before.
     pub fn outcome(&self) -> SearchOutcome {
         if let Some(software) = self.recorded {
             return SearchOutcome::Recorded(software);
         }
         let is_heard = self.asked == Some(0) || self.answered > 0;
+        let names_all = is_heard && self.complete > 0;
         match self.versions.first() {
-            Some(only) if self.versions.len() == 1 && is_heard => SearchOutcome::OnlyVersion(*only),
+            Some(only) if self.versions.len() == 1 && names_all => {
+                SearchOutcome::OnlyVersion(*only)
+            }
             _ => SearchOutcome::Unknown,
         }
     }
@@ -86,12 +101,22 @@
         self.answered
     }
 
+    /// Returns the number of answers that name all versions.
+    pub fn complete(&self) -> u32 {
+        self.complete
+    }
+
+    /// Returns the number of versions that were named.
+    pub fn versions(&self) -> usize {
+        self.versions.len()
+    }
+
     fn add(
         &mut self,
-        recorded: Option<SoftwareId>,
-        versions: impl Iterator<Item = SoftwareId>,
+        finding: &OriginFinding,
     ) {
-        self.recorded = self.recorded.or(recorded);
-        self.versions.extend(versions);
+        self.recorded = self.recorded.or(finding.recorded);
+        self.versions.extend(&finding.versions);
+        self.complete += u32::from(finding.is_complete);
     }
 }
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -5,8 +5,8 @@
         clock::Instant,
         formats::{SoftwareId, SoftwareVersion},
         request::origins::{
-            ORIGIN_TTL, OriginHost, OriginRecords, OriginSearch, SearchOutcome, SoftwareHistory,
-            StreamKey, StreamOrigin, origin_hosts,
+            ORIGIN_TTL, OriginFinding, OriginHost, OriginRecords, OriginSearch, SearchOutcome,
+            SoftwareHistory, StreamKey, StreamOrigin, origin_hosts,
         },
     },
     rstest::rstest,
@@ -141,14 +141,24 @@
     assert!(history.versions("others").is_empty());
 }
 
-/// What one host answers: the version that it has recorded, and those that it knows of.
-type Said = (Option<&'static str>, &'static [&'static str]);
-
+/// What one host answers: the version that it has recorded, those that it knows of, and whether they are all.
 fn said(
     recorded: Option<&'static str>,
-    versions: &'static [&'static str],
-) -> Said {
-    (recorded, versions)
+    versions: &[&'static str],
+) -> OriginFinding {
+    OriginFinding {
+        recorded: recorded.map(software),
+        versions: versions.iter().copied().map(software).collect(),
+        is_complete: true,
+    }
+}
+
+/// The answer of a host that may have missed versions.
+fn started_late(versions: &[&'static str]) -> OriginFinding {
+    OriginFinding {
+        is_complete: false,
+        ..said(None, versions)
+    }
 }
 
 #[rstest]
@@ -162,17 +172,21 @@
 #[case::another_knows_more(said(None, &["v1"]), 2, &[said(None, &["v1", "v1.1"])], "unknown")]
 #[case::another_knows_other(said(None, &["v1"]), 1, &[said(None, &["v1.1"])], "unknown")]
 #[case::no_version(said(None, &[]), 0, &[], "unknown")]
+// All hosts have just started: a version that is gone from the list may have begun the stream.
+#[case::all_started_late(started_late(&["v1"]), 2, &[started_late(&["v1"]), started_late(&["v1"])], "unknown")]
+#[case::alone_started_late(started_late(&["v1"]), 0, &[], "unknown")]
+#[case::one_knows_all(started_late(&["v1"]), 2, &[started_late(&["v1"]), said(None, &["v1"])], "only_version")]
+#[case::one_knows_all_of_two(started_late(&["v1.1"]), 1, &[said(None, &["v1", "v1.1"])], "unknown")]
 fn an_origin_that_nobody_knows_is_not_guessed(
-    #[case] own: Said,
+    #[case] own: OriginFinding,
     #[case] asked: u32,
-    #[case] others: &[Said],
+    #[case] others: &[OriginFinding],
     #[case] expected: &str,
 ) {
     let mut search = OriginSearch::default();
-    let versions = |said: &Said| said.1.iter().copied().map(software).collect::<Vec<_>>();
-    search.on_own_answer(own.0.map(software), versions(&own).into_iter(), asked);
+    search.on_own_answer(&own, asked);
     for said in others {
-        search.on_answer(said.0.map(software), versions(said).into_iter());
+        search.on_answer(said);
     }
     assert_eq!(search.outcome().word(), expected);
     let all_heard = others.len() as u32 >= asked;
@@ -181,3 +195,44 @@
         assert_eq!(search.outcome(), SearchOutcome::Recorded(software("v1")));
     }
 }
+
+/// Guards against hosts that take the versions they have seen for all that there were.
+#[test]
+fn a_history_is_complete_once_the_list_was_followed_for_as_long_as_streams_live() {
+    let now = Instant::now();
+    let mut history = SoftwareHistory::new(false);
+    history.follow(true, now);
+    history.update([("models", software("v1"))].into_iter(), now);
+    let almost = now + ORIGIN_TTL - Duration::from_millis(1);
+    assert!(!history.is_complete("models", almost));
+    assert!(history.is_complete("models", now + ORIGIN_TTL));
+    history.follow(false, almost);
+    history.follow(true, almost);
+    assert!(!history.is_complete("models", now + ORIGIN_TTL));
+}
+
+/// Guards against stored versions that speak for services of which nothing is stored, or for a time that was not followed.
+#[test]
+fn stored_versions_complete_the_history_of_their_service_alone() {
+    let now = Instant::now();
+    let mut history = SoftwareHistory::new(false);
+    history.set_known_before("models");
+    assert!(!history.is_complete("models", now), "nothing is followed");
+    history.follow(true, now);
+    history.add("models", software("v1"), now);
+    history.set_known_before("models");
+    assert!(history.is_complete("models", now));
+    assert!(!history.is_complete("others", now));
+    history.follow(false, now);
+    assert!(!history.is_complete("models", now));
+}
+
+#[test]
+fn no_stream_has_begun_before_the_first_start() {
+    let now = Instant::now();
+    let mut history = SoftwareHistory::new(true);
+    assert!(!history.is_complete("models", now));
+    history.follow(false, now);
+    history.follow(true, now);
+    assert!(history.is_complete("models", now));
+}
