Second replies to orders and reports are not taken for those to the next

Cause: hosts' own calls go over kept connections, and took any reply for their own (`|_| true`).

Change: calls to targets bear an id; a reply with another one is passed over. Answers that were passed over are counted (coveproxy_surplus_answers).

Why it works: a reply that can't be told from others is the only one on its connection. One reply can be misread before the first surplus shows.

Ruled out: a connection for each order at all times (priced, and nothing gained on sound targets).

--- a/src/connection/front/health_check.rs
+++ b/src/connection/front/health_check.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::http1::{CallClient, CallEnd, CallLimit},
+        connection::http1::{CallClient, CallEnd, CallHeaders, CallLimit},
         formats::{HeaderNames, HttpCall},
         version::routing::TargetService,
     },
@@ -24,8 +24,8 @@
 /// A health check of one target.
 pub struct HealthCheck {
     call: HttpCall,
-    /// Header line by which any other target at the address rejects the call.
-    expect: String,
+    /// The target: any other one at the address rejects the call.
+    expect: CallHeaders,
 }
 
 impl HealthCheck {
@@ -36,7 +36,7 @@
     ) -> Self {
         Self {
             call: HttpCall::get(service.health_path.clone()),
-            expect: format!("{}: {target}\r\n", names.expect_target),
+            expect: CallHeaders::default().with(&names.expect_target, target),
         }
     }
 
--- a/src/connection/http1/call_client.rs
+++ b/src/connection/http1/call_client.rs
@@ -1,6 +1,9 @@
 use {
-    super::{BodyDecoder, ExchangeError, HttpConnection, ResponseHead},
-    crate::formats::{HttpCall, HttpReply},
+    super::{BodyDecoder, CallHeaders, ExchangeError, HttpConnection, ResponseHead, RestState},
+    crate::{
+        clock::Instant,
+        formats::{HttpCall, HttpReply},
+    },
     std::{net::SocketAddr, time::Duration},
     thiserror::Error,
     tokio::time::timeout,
@@ -9,6 +12,9 @@
 /// Largest body of a reply, in bytes.
 const MAX_REPLY: usize = 16 * 1024 * 1024;
 
+/// Time for which no connection is kept to a side that has sent surplus replies, unless its replies name their call.
+const SUSPICION_TIME: Duration = Duration::from_secs(60);
+
 /// How long a call may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallLimit {
@@ -62,6 +68,8 @@
 pub struct CallClient {
     address: SocketAddr,
     connection: Option<HttpConnection>,
+    /// When a reply came last that was due to no call.
+    surplus_at: Option<Instant>,
 }
 
 impl CallClient {
@@ -69,16 +77,15 @@
         Self {
             address,
             connection: None,
+            surplus_at: None,
         }
     }
 
     /// Makes a call.
-    ///
-    /// `headers` are whole header lines, each with its line end.
     pub async fn call(
         &mut self,
         call: &HttpCall,
-        headers: &str,
+        headers: &CallHeaders,
         limit: CallLimit,
     ) -> Result<HttpReply, CallFailure> {
         let mut progress = CallProgress::default();
@@ -106,7 +113,7 @@
     async fn try_call(
         &mut self,
         call: &HttpCall,
-        headers: &str,
+        headers: &CallHeaders,
         silence: Duration,
         progress: &mut CallProgress,
     ) -> Result<ResponseHead, CallEnd> {
@@ -119,7 +126,12 @@
             }
             progress.body.extend_from_slice(&piece);
         }
-        if head.keeps_alive && whole {
+        if connection.surplus_answers() > 0 {
+            self.surplus_at = Some(Instant::now());
+        }
+        // Of a reply that can't be told from others a second one would be taken for that to the next call.
+        let can_be_told = headers.is_named_by(&head.headers) || !self.is_suspect();
+        if head.keeps_alive && whole && can_be_told {
             connection.rest();
             self.connection = Some(connection);
         }
@@ -130,35 +142,53 @@
     async fn read_head(
         &mut self,
         call: &HttpCall,
-        headers: &str,
+        headers: &CallHeaders,
         progress: &mut CallProgress,
     ) -> Result<(HttpConnection, ResponseHead, bool), ExchangeError> {
-        let mut connection = match self.connection.take() {
-            Some(connection) if connection.is_quiet() => connection,
-            _ => HttpConnection::open(self.address).await?,
+        let mut connection = match self.resting() {
+            Some(connection) => connection,
+            None => HttpConnection::open(self.address).await?,
         };
         progress.sent = true;
         let request = self.request(call, headers);
         let (head, whole) = connection
-            .exchange(&request, &call.method, |_| true)
+            .exchange(&request, &call.method, |head| headers.admits(&head.headers))
             .await?;
         Ok((connection, head, whole))
     }
 
+    /// Returns the kept connection if nothing has come on it.
+    fn resting(&mut self) -> Option<HttpConnection> {
+        let connection = self.connection.take()?;
+        match connection.rest_state() {
+            RestState::Quiet => return Some(connection),
+            RestState::Unasked => self.surplus_at = Some(Instant::now()),
+            RestState::Closed => {}
+        }
+        None
+    }
+
+    /// Returns true if the other side has lately sent replies that were due to no call.
+    fn is_suspect(&self) -> bool {
+        self.surplus_at
+            .is_some_and(|at| at.elapsed() < SUSPICION_TIME)
+    }
+
     fn request(
         &self,
         call: &HttpCall,
-        headers: &str,
+        headers: &CallHeaders,
     ) -> Vec<u8> {
         let content = match call.body.is_empty() {
             true => String::new(),
             false => "Content-Type: application/json\r\n".to_string(),
         };
         let head = format!(
-            "{} {} HTTP/1.1\r\nHost: {}\r\n{headers}{content}Content-Length: {}\r\n\r\n",
+            "{} {} HTTP/1.1\r\nHost: {}\r\n{}{content}Content-Length: {}\r\n\r\n",
             call.method,
             call.target,
             self.address,
+            headers.lines(),
             call.body.len(),
         );
         let mut request = head.into_bytes();
--- a/src/connection/http1/connection.rs
+++ b/src/connection/http1/connection.rs
@@ -1,5 +1,6 @@
 use {
-    super::{BodyDecoder, Decoded, ResponseHead},
+    super::{BodyDecoder, CarriedIds, Decoded, ResponseHead},
+    crate::metrics::metrics,
     bytes::{Bytes, BytesMut},
     http::Method,
     std::{
@@ -36,6 +37,18 @@
 pub struct HttpConnection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Requests that went over it; no other answer may be taken for the one to a request that is sent again.
+    pub carried: CarriedIds,
+    surplus_answers: u32,
+}
+
+/// What has come on a connection on which nothing is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RestState {
+    Quiet,
+    /// Bytes, which belong to no request.
+    Unasked,
+    Closed,
 }
 
 impl HttpConnection {
@@ -49,21 +62,34 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
+            carried: CarriedIds::default(),
+            surplus_answers: 0,
         })
     }
 
     /// True when the other side has neither closed the resting connection nor sent anything on it.
     pub fn is_quiet(&self) -> bool {
+        self.rest_state() == RestState::Quiet
+    }
+
+    /// Returns what has come on the resting connection.
+    pub fn rest_state(&self) -> RestState {
         if !self.buffer.is_empty() {
-            return false;
+            return RestState::Unasked;
         }
         let mut byte = [0u8; 1];
         match self.stream.try_read(&mut byte) {
-            Err(problem) => problem.kind() == io::ErrorKind::WouldBlock,
-            Ok(_) => false,
+            Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => RestState::Quiet,
+            Ok(0) | Err(_) => RestState::Closed,
+            Ok(_) => RestState::Unasked,
         }
     }
 
+    /// Returns the number of answers that were passed over, as they were to no request or to an earlier one.
+    pub fn surplus_answers(&self) -> u32 {
+        self.surplus_answers
+    }
+
     /// Gives the memory back that only a running exchange needs.
     pub fn rest(&mut self) {
         if self.buffer.is_empty() {
@@ -102,6 +128,8 @@
                 if is_ours(&head) {
                     return Ok((head, sent == size));
                 }
+                self.surplus_answers += 1;
+                metrics().surplus_answers.inc();
                 self.skip_body(&head).await?;
             }
             if sent < size {
--- a/src/connection/http1/mod.rs
+++ b/src/connection/http1/mod.rs
@@ -5,12 +5,16 @@
 
 mod body_decoder;
 mod call_client;
+mod call_headers;
+mod carried_ids;
 mod connection;
 mod response_head;
 
 pub use {
     body_decoder::{BodyDecoder, Decoded},
     call_client::{CallClient, CallEnd, CallFailure, CallLimit},
-    connection::{ExchangeError, HttpConnection},
+    call_headers::CallHeaders,
+    carried_ids::CarriedIds,
+    connection::{ExchangeError, HttpConnection, RestState},
     response_head::{BodyFraming, ResponseHead},
 };
--- a/src/connection/store/store_client.rs
+++ b/src/connection/store/store_client.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::http1::{CallClient, CallFailure, CallLimit},
+        connection::http1::{CallClient, CallFailure, CallHeaders, CallLimit},
         formats::{
             Commit, FormatError, Formats, HttpCall, HttpReply, Row, RowBatch, RowsReply,
             StoreVersion, Transaction,
@@ -174,7 +174,7 @@
     ) -> Result<HttpReply, StoreFailure> {
         let idle = self.idle.borrow_mut().pop();
         let mut client = idle.unwrap_or_else(|| CallClient::new(self.address));
-        let outcome = client.call(call, "", limit).await;
+        let outcome = client.call(call, &CallHeaders::default(), limit).await;
         self.idle.borrow_mut().push(client);
         let reply = outcome.map_err(|failure| match failure.sent {
             true => StoreFailure::NoReply(failure),
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -38,6 +38,7 @@
     pub waits: Family<WaitLabels, Histogram>,
     pub take_ups: Family<StateLabels, Counter>,
     pub stream_origins: Gauge,
+    pub surplus_answers: Counter,
     pub broken_streams: Family<FramingLabels, Counter>,
     pub belief_age: Family<CopyLabels, Histogram>,
     pub resends: Family<WaitLabels, Counter>,
@@ -105,6 +106,7 @@
             waits: Family::new_with_constructor(times),
             take_ups: Family::default(),
             stream_origins: Gauge::default(),
+            surplus_answers: Counter::default(),
             broken_streams: Family::default(),
             belief_age: Family::new_with_constructor(ages),
             resends: Family::default(),
@@ -334,6 +336,11 @@
             "Streams whose origin is recorded here",
             self.stream_origins.clone(),
         );
+        registry.register(
+            "surplus_answers",
+            "Answers of targets that were passed over, as they were not to the request that was due",
+            self.surplus_answers.clone(),
+        );
         registry.register(
             "broken_streams",
             "Streams that targets broke off, by how their end was told",
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -15,7 +15,7 @@
         clock::{Instant, sleep_until},
         connection::{
             datagram::DatagramSocket,
-            http1::CallLimit,
+            http1::{CallHeaders, CallLimit},
             store::{StoreClient, StoreFailure},
             targets::{ControlRequest, OriginReply},
         },
@@ -344,7 +344,7 @@
         );
         let lease = self.lease.clone();
         spawn_local(async move {
-            let expect = expect_target_header(&formats, &target);
+            let headers = call_headers(&formats, &target);
             let call = formats.order_call(&order);
             // The lease is checked as late as possible before sending.
             if !lease.is_valid_in(term, Instant::now() + MIN_REMAINING_LEASE) {
@@ -352,7 +352,7 @@
                 return;
             }
             let limit = CallLimit::whole(ORDER_TIMEOUT);
-            let reply = calls.call(address, &call, &expect, limit).await;
+            let reply = calls.call(address, &call, &headers, limit).await;
             let reply = reply.ok();
             let reply = reply.and_then(|reply| formats.order_reply(reply.status).ok());
             let labels = OrderLabels {
@@ -375,10 +375,10 @@
             self.formats.clone(),
         );
         spawn_local(async move {
-            let expect = expect_target_header(&formats, &target);
+            let headers = call_headers(&formats, &target);
             let call = formats.report_call();
             let limit = CallLimit::whole(REPORT_TIMEOUT);
-            let reply = calls.call(address, &call, &expect, limit).await;
+            let reply = calls.call(address, &call, &headers, limit).await;
             let report = reply.ok();
             let report = report.and_then(|reply| formats.report_reply(&reply).ok());
             let _ = events.send(ControlEvent::ReportReceived { target, report });
@@ -409,10 +409,13 @@
     }
 }
 
-/// Returns the header line that names the only target that may answer a call.
-fn expect_target_header(
+/// Returns the headers of a call to a target: the only one that may answer, and what its reply is told by.
+fn call_headers(
     formats: &Arc<dyn Formats>,
     target: &str,
-) -> String {
-    format!("{}: {target}\r\n", formats.headers().expect_target)
+) -> CallHeaders {
+    let names = formats.headers();
+    CallHeaders::default()
+        .with(&names.expect_target, target)
+        .with_id(&names.request_id)
 }
--- a/src/process/host/copy_reader.rs
+++ b/src/process/host/copy_reader.rs
@@ -8,7 +8,7 @@
     crate::{
         clock::Instant,
         connection::{
-            http1::{CallFailure, CallLimit},
+            http1::{CallFailure, CallHeaders, CallLimit},
             pull::CopyPage,
             store::{StoreClient, StoreFailure},
         },
@@ -105,7 +105,9 @@
         spawn_local(async move {
             let call = copy_call(table, since);
             let transfer = CopyTransfer::begin(table, CopySource::Host(from), since);
-            let reply = calls.call(from, &call, "", PULL_LIMIT).await;
+            let reply = calls
+                .call(from, &call, &CallHeaders::default(), PULL_LIMIT)
+                .await;
             let changes = understand_pull(&transfer, reply);
             let _ = events.send(ControlEvent::ChangesPulled {
                 table,
@@ -122,7 +124,9 @@
     ) {
         let (events, calls) = (self.events.clone(), self.calls.clone());
         spawn_local(async move {
-            let reply = calls.call(from, &hosts_call(), "", PULL_LIMIT).await;
+            let reply = calls
+                .call(from, &hosts_call(), &CallHeaders::default(), PULL_LIMIT)
+                .await;
             let hosts = reply
                 .ok()
                 .filter(|reply| reply.status == 200)
--- a/src/process/host/kept_calls.rs
+++ b/src/process/host/kept_calls.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        connection::http1::{CallClient, CallFailure, CallLimit},
+        connection::http1::{CallClient, CallFailure, CallHeaders, CallLimit},
         formats::{HttpCall, HttpReply},
     },
     std::{cell::RefCell, collections::HashMap, net::SocketAddr},
@@ -14,13 +14,11 @@
 
 impl KeptCalls {
     /// Makes a call over the connection that rests, or a new one.
-    ///
-    /// `headers` are whole header lines, each with its line end.
     pub async fn call(
         &self,
         address: SocketAddr,
         call: &HttpCall,
-        headers: &str,
+        headers: &CallHeaders,
         limit: CallLimit,
     ) -> Result<HttpReply, CallFailure> {
         let resting = self.resting.borrow_mut().remove(&address);
--- a/tests/http1.rs
+++ b/tests/http1.rs
@@ -4,8 +4,8 @@
     bytes::BytesMut,
     coveproxy::{
         connection::http1::{
-            BodyDecoder, BodyFraming, CallClient, CallEnd, CallFailure, CallLimit, Decoded,
-            ExchangeError, HttpConnection, ResponseHead,
+            BodyDecoder, BodyFraming, CallClient, CallEnd, CallFailure, CallHeaders, CallLimit,
+            Decoded, ExchangeError, HttpConnection, ResponseHead,
         },
         formats::HttpCall,
     },
@@ -291,7 +291,9 @@
         silence: Duration::from_secs(60),
     };
     let silent = peer(Script::Answer(b"")).await;
-    let outcome = CallClient::new(silent).call(&call, "", limit).await;
+    let outcome = CallClient::new(silent)
+        .call(&call, &CallHeaders::default(), limit)
+        .await;
     let timed_out = CallFailure {
         sent: true,
         received: 0,
@@ -301,7 +303,9 @@
     let cut = peer(Script::Answer(
         b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nsome",
     ));
-    let outcome = CallClient::new(cut.await).call(&call, "", limit).await;
+    let outcome = CallClient::new(cut.await)
+        .call(&call, &CallHeaders::default(), limit)
+        .await;
     let after_some = CallFailure {
         received: 4,
         ..timed_out
@@ -315,7 +319,7 @@
         b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nsome",
     ));
     let outcome = CallClient::new(stopped.await)
-        .call(&call, "", talking_limit)
+        .call(&call, &CallHeaders::default(), talking_limit)
         .await;
     let fell_silent = CallFailure {
         end: CallEnd::Silent,
@@ -326,7 +330,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         listener.local_addr().unwrap()
     };
-    let outcome = CallClient::new(nobody).call(&call, "", limit).await;
+    let outcome = CallClient::new(nobody)
+        .call(&call, &CallHeaders::default(), limit)
+        .await;
     let not_sent = CallFailure {
         sent: false,
         received: 0,
