A request never goes twice over one connection

Cause: a target turns a request away and answers it a second time, in the slot where the next answer is due. As all others were full, the request went to it again over the same kept connection. Answers are told apart by the request's id, which was the same.

Why it works: an answer over a connection can then bear the id of the request that waits there only if it is the answer to it.

Ruled out: closing connections after each 503 (at full targets these are many), or not going back to a target that turned the request away.

--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -171,7 +171,7 @@
     let started_at = Instant::now();
     let backlog = backlog(table, &destination.target);
     let in_flight = InFlightRequest::start(table, request, &destination.target);
-    let Some(opened) = connect(&in_flight, names, &request.service).await else {
+    let Some(opened) = connect(&in_flight, names, request).await else {
         return SendOutcome::Ended(AttemptEnd::NotSent);
     };
     let (mut connection, is_new) = (opened.connection, opened.is_new);
@@ -188,6 +188,7 @@
     let sent_head = request_head(names, request, destination, now);
     let is_own_answer =
         |head: &ResponseHead| head.headers.get(&names.request_id) == request.id.as_ref();
+    connection.carried.add(request.id_bytes());
     let exchange =
         connection.exchange_parts(&sent_head, &request.body, &request.method, is_own_answer);
     let Ok((head, sent_completely)) = exchange.await else {
--- a/src/connection/front/in_flight_request.rs
+++ b/src/connection/front/in_flight_request.rs
@@ -159,10 +159,13 @@
     }
 
     /// Returns an idle connection to the target, or its address if there is none; `None` if the target is gone.
-    pub fn idle_connection(&self) -> Option<Result<HttpConnection, SocketAddr>> {
+    pub fn idle_connection(
+        &self,
+        request_id: &[u8],
+    ) -> Option<Result<HttpConnection, SocketAddr>> {
         let mut table = self.table.borrow_mut();
         let link = table.links.get_mut(&self.target)?;
-        let idle = link.take_idle(Instant::now());
+        let idle = link.take_idle(request_id, Instant::now());
         Some(idle.ok_or(link.view.record.address))
     }
 
--- a/src/connection/front/target_connection.rs
+++ b/src/connection/front/target_connection.rs
@@ -6,6 +6,7 @@
     crate::{
         connection::http1::{ExchangeError, HttpConnection},
         formats::HeaderNames,
+        request::direct::CallRequest,
         version::routing::TargetService,
     },
     std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration},
@@ -24,13 +25,15 @@
     pub is_new: bool,
 }
 
-/// Returns a connection to the target of a request, an idle one if there is any; `None` if none can be opened.
+/// Returns a connection to the target of a request, an idle one if there is any that has not carried the request before; `None`
+/// if none can be opened.
 pub async fn connect(
     in_flight: &InFlightRequest,
     names: &HeaderNames,
-    service: &Arc<TargetService>,
+    request: &CallRequest,
 ) -> Option<TargetConnection> {
-    let address = match in_flight.idle_connection()? {
+    let service = &request.service;
+    let address = match in_flight.idle_connection(request.id_bytes())? {
         Ok(connection) => {
             return Some(TargetConnection {
                 connection,
--- a/src/connection/targets/target_link.rs
+++ b/src/connection/targets/target_link.rs
@@ -134,12 +134,20 @@
         }
     }
 
-    /// Returns a usable idle connection, the most recently used first.
+    /// Returns a usable idle connection for a request, the most recently used first. One that has carried the request before
+    /// may still bring a second answer to it.
     pub fn take_idle(
         &mut self,
+        request_id: &[u8],
         now: Instant,
     ) -> Option<HttpConnection> {
-        while let Some(idle) = self.idle.pop() {
+        let mut at = self.idle.len();
+        while at > 0 {
+            at -= 1;
+            if self.idle[at].connection.carried.contains(request_id) {
+                continue;
+            }
+            let idle = self.idle.remove(at);
             if idle.expires_at > now && idle.connection.is_quiet() {
                 return Some(idle.connection);
             }
@@ -157,7 +165,8 @@
         let limit = idle_limit.map_or(DEFAULT_IDLE_TIMEOUT, |limit| {
             limit.saturating_sub(IDLE_MARGIN)
         });
-        if limit.is_zero() || self.idle.len() >= MAX_IDLE_CONNECTIONS {
+        let is_used_up = limit.is_zero() || connection.carried.is_full();
+        if is_used_up || self.idle.len() >= MAX_IDLE_CONNECTIONS {
             return;
         }
         connection.rest();
--- a/src/request/direct/call_request.rs
+++ b/src/request/direct/call_request.rs
@@ -52,6 +52,11 @@
 }
 
 impl CallRequest {
+    /// Returns the request id, empty if there is none.
+    pub fn id_bytes(&self) -> &[u8] {
+        self.id.as_ref().map_or(&[], HeaderValue::as_bytes)
+    }
+
     /// Returns the request id for logs, or `-` if there is none.
     pub fn id_text(&self) -> &str {
         let id = self.id.as_ref().and_then(|id| id.to_str().ok());
