Bytes without end hold up no request, and no target is tried for them again and again

Cause: what belongs to no answer was read to its end, and counted as an answer: the body of an answer that says "not run", surplus answers, interim heads, trailers and comments had no bound, and the first bytes of a stream made its target a sound one.

Change: eight interim heads and four surplus answers in one exchange, 16 KB of trailers, 64 KB of comments and 1 MB of an event are the most; beyond, the bytes are no answer. What says "not run" is followed for 20 ms, and a body that doesn't end counts as a failure. A stream has begun, and its target counts as sound, with its first whole event. A head that comes byte by byte is parsed as it doubles. Replies to hosts' own calls have bounds of their own (64 KB, reports 1 MB, before 16 MB).

--- a/src/connection/front/answer_reader.rs
+++ b/src/connection/front/answer_reader.rs
@@ -1,5 +1,5 @@
 use {
-    super::EventScanner,
+    super::{EventScanner, event_splitter::MAX_EVENT_BYTES},
     crate::connection::http1::{
         BodyDecoder, BodyFraming, ExchangeError, HttpConnection, ResponseHead,
     },
@@ -10,6 +10,9 @@
 /// Media type of streams of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Bytes of comments between two events; a stream of comments alone is no answer.
+const MAX_COMMENT_BYTES: usize = 64 * 1024;
+
 /// How an answer's end was told, and whether its bytes end inside an event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerEnding {
@@ -68,10 +71,24 @@
         };
         if let Some(events) = &mut self.events {
             events.scan(bytes);
+            let max = match events.is_in_event() {
+                true => MAX_EVENT_BYTES,
+                false => MAX_COMMENT_BYTES,
+            };
+            if events.bytes_since_event() > max {
+                return Err(ExchangeError::Nonsense("no event comes to an end"));
+            }
         }
         Ok(piece)
     }
 
+    /// Returns true for a stream of events none of which is complete yet.
+    pub fn awaits_event(&self) -> bool {
+        self.events
+            .as_ref()
+            .is_some_and(|events| !events.has_event())
+    }
+
     /// Returns true if the bytes so far can't be a complete answer.
     fn is_broken_off(&self) -> bool {
         let Some(events) = &self.events else {
--- a/src/connection/front/event_scanner.rs
+++ b/src/connection/front/event_scanner.rs
@@ -21,6 +21,8 @@
     after_cr: bool,
     /// Bytes of the byte-order mark that were seen or can no longer come.
     mark_bytes: usize,
+    /// Bytes since the last event ended, or since the stream began.
+    bytes_since_event: usize,
 }
 
 impl EventScanner {
@@ -60,6 +62,11 @@
         self.has_event
     }
 
+    /// Returns the number of bytes behind the last complete event.
+    pub fn bytes_since_event(&self) -> usize {
+        self.bytes_since_event
+    }
+
     fn is_at_boundary(&self) -> bool {
         !self.in_event && self.line == Line::Empty
     }
@@ -68,6 +75,7 @@
         &mut self,
         byte: u8,
     ) {
+        self.bytes_since_event += 1;
         if self.is_of_mark(byte) {
             return;
         }
@@ -104,7 +112,10 @@
 
     fn end_line(&mut self) {
         if self.line == Line::Empty {
-            self.has_event |= self.in_event;
+            if self.in_event {
+                self.has_event = true;
+                self.bytes_since_event = 0;
+            }
             self.in_event = false;
         }
         self.line = Line::Empty;
--- a/src/connection/front/event_splitter.rs
+++ b/src/connection/front/event_splitter.rs
@@ -4,7 +4,7 @@
 };
 
 /// Maximum size of an event, in bytes; a stream with a longer one is broken.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub(super) const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Joins the answers of several targets, one after another, to one stream of server-sent events.
 ///
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -20,11 +20,16 @@
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, StatusCode, header},
     std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
+    tokio::time::timeout,
 };
 
 /// Lowest priority that engines know.
 const LOWEST_PRIORITY: u8 = 9;
 
+/// Bytes of the body of an answer that only says "not run", and time for them.
+const MAX_UNUSED_BODY: usize = 64 * 1024;
+const UNUSED_BODY_TIME: Duration = Duration::from_millis(20);
+
 /// Version of the adapter that a request is sent for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ExpectedVersion {
@@ -92,9 +97,13 @@
 impl AnswerSource {
     /// Returns the next piece, or `None` at the end of the body.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        let awaited_event = self.reader.awaits_event();
         let piece = self.reader.next().await;
         if matches!(piece, Ok(Some(_))) {
             self.in_flight.on_received();
+            if awaited_event && !self.reader.awaits_event() {
+                self.in_flight.record_success();
+            }
         }
         piece
     }
@@ -222,8 +231,12 @@
     });
     let mut body = BytesMut::new();
     let mut has_room = true;
+    let is_short = |body: &BytesMut, source: &AnswerSource| match streams {
+        true => body.len() < min_bytes || source.reader.awaits_event(),
+        false => body.len() < min_bytes,
+    };
     // An answer for which there is no room is relayed piece by piece; a failure is needed whole, to try again after it.
-    while body.len() < min_bytes && (has_room || failed) {
+    while is_short(&body, &source) && (has_room || failed) {
         match source.next().await {
             Ok(Some(piece)) => {
                 body.extend_from_slice(&piece);
@@ -240,7 +253,9 @@
             Err(_) => return lost_answer(&source.in_flight, names, request),
         }
     }
-    source.in_flight.record_success();
+    if !source.reader.awaits_event() {
+        source.in_flight.record_success();
+    }
     source.in_flight.on_prefill_done();
     source
         .in_flight
@@ -299,8 +314,11 @@
     mut source: AnswerSource,
 ) -> SendOutcome {
     let status = head.status;
-    while let Ok(Some(_)) = source.next().await {}
-    source.finish();
+    match has_ended(&mut source).await {
+        true => source.finish(),
+        // A target whose answers don't end is no sound one, though it has room for requests by what it says.
+        false => source.in_flight.record_failure(),
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return SendOutcome::Misdirected;
     }
@@ -309,6 +327,22 @@
     })
 }
 
+/// Reads a body that nobody needs, so that its connection can be used again; returns false if it does not end soon. The request
+/// waits meanwhile.
+async fn has_ended(source: &mut AnswerSource) -> bool {
+    let rest = async {
+        let mut read = 0;
+        while let Some(piece) = source.next().await? {
+            read += piece.len();
+            if read > MAX_UNUSED_BODY {
+                return Ok(false);
+            }
+        }
+        Ok::<bool, ExchangeError>(true)
+    };
+    matches!(timeout(UNUSED_BODY_TIME, rest).await, Ok(Ok(true)))
+}
+
 fn complete(
     head: ResponseHead,
     body: Bytes,
--- a/src/connection/front/health_check.rs
+++ b/src/connection/front/health_check.rs
@@ -10,6 +10,9 @@
 /// Time for a target's answer to a health check; a sound one answers within some milliseconds.
 pub const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Bytes of the answer to a health check; one that goes on is no answer.
+const MAX_CHECK_BODY: usize = 64 * 1024;
+
 /// Result of a health check.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Health {
@@ -45,7 +48,7 @@
         &self,
         address: SocketAddr,
     ) -> Health {
-        let limit = CallLimit::whole(CHECK_TIMEOUT);
+        let limit = CallLimit::whole(CHECK_TIMEOUT).with_body(MAX_CHECK_BODY);
         let mut client = CallClient::new(address);
         match client.call(&self.call, &self.expect, limit).await {
             Ok(_) => Health::Answering,
--- a/src/connection/http1/body_decoder.rs
+++ b/src/connection/http1/body_decoder.rs
@@ -6,6 +6,9 @@
 /// Longest line of a chunk's size or of a trailer, in bytes.
 const MAX_LINE: usize = 4096;
 
+/// Bytes of all trailers together.
+const MAX_TRAILERS: usize = 16 * 1024;
+
 /// What could be taken out of the bytes that have arrived.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decoded {
@@ -20,6 +23,8 @@
 #[derive(Debug, Clone)]
 pub struct BodyDecoder {
     state: State,
+    /// Bytes of trailers that were passed over.
+    trailer_bytes: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,7 +47,10 @@
             BodyFraming::Chunked => State::ChunkSize,
             BodyFraming::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self {
+            state,
+            trailer_bytes: 0,
+        }
     }
 
     /// True when the end of the connection is the end of the body.
@@ -79,7 +87,12 @@
                 State::Trailer => match take_line(buffer)? {
                     None => return Ok(Decoded::Incomplete),
                     Some(0) => self.state = State::End,
-                    Some(_) => {}
+                    Some(length) => {
+                        self.trailer_bytes += length;
+                        if self.trailer_bytes > MAX_TRAILERS {
+                            return Err(ExchangeError::Nonsense("too many trailers"));
+                        }
+                    }
                 },
             }
         }
--- a/src/connection/http1/call_client.rs
+++ b/src/connection/http1/call_client.rs
@@ -9,7 +9,7 @@
     tokio::time::timeout,
 };
 
-/// Largest body of a reply, in bytes.
+/// Largest body of a reply to a call that sets no other limit, in bytes.
 const MAX_REPLY: usize = 16 * 1024 * 1024;
 
 /// Time for which no connection is kept to a side that has sent surplus replies, unless its replies name their call.
@@ -22,6 +22,8 @@
     pub whole: Duration,
     /// Until the reply's head has come, and from each piece of its body to the next.
     pub silence: Duration,
+    /// Bytes of its reply's body.
+    pub body: usize,
 }
 
 impl CallLimit {
@@ -30,6 +32,27 @@
         Self {
             whole,
             silence: whole,
+            body: MAX_REPLY,
+        }
+    }
+
+    /// The same for replies of up to so many bytes.
+    pub fn with_body(
+        self,
+        body: usize,
+    ) -> Self {
+        Self { body, ..self }
+    }
+
+    /// A call whose reply may be large, and which may take long as long as bytes come.
+    pub const fn transfer(
+        whole: Duration,
+        silence: Duration,
+    ) -> Self {
+        Self {
+            whole,
+            silence,
+            body: MAX_REPLY,
         }
     }
 }
@@ -89,7 +112,7 @@
         limit: CallLimit,
     ) -> Result<HttpReply, CallFailure> {
         let mut progress = CallProgress::default();
-        let running = self.try_call(call, headers, limit.silence, &mut progress);
+        let running = self.try_call(call, headers, limit, &mut progress);
         let end = match timeout(limit.whole, running).await {
             Ok(Ok(head)) => {
                 return Ok(HttpReply {
@@ -114,14 +137,15 @@
         &mut self,
         call: &HttpCall,
         headers: &CallHeaders,
-        silence: Duration,
+        limit: CallLimit,
         progress: &mut CallProgress,
     ) -> Result<ResponseHead, CallEnd> {
+        let silence = limit.silence;
         let head = self.read_head(call, headers, progress);
         let (mut connection, head, whole) = within(silence, head).await?;
         let mut decoder = BodyDecoder::new(head.framing);
         while let Some(piece) = within(silence, connection.body_piece(&mut decoder)).await? {
-            if progress.body.len() + piece.len() > MAX_REPLY {
+            if progress.body.len() + piece.len() > limit.body {
                 return Err(ExchangeError::Nonsense("the body is too large").into());
             }
             progress.body.extend_from_slice(&piece);
--- a/src/connection/http1/connection.rs
+++ b/src/connection/http1/connection.rs
@@ -17,6 +17,16 @@
 /// Bytes read from a connection at once.
 const READ_SIZE: usize = 4096;
 
+/// Ends a head, behind its last line.
+const BLANK_LINE: &[u8] = b"\r\n\r\n";
+
+/// Interim answers that are passed over in one exchange.
+const MAX_INTERIM_ANSWERS: u32 = 8;
+
+/// Surplus answers that are passed over in one exchange, and bytes of each body.
+const MAX_SURPLUS_ANSWERS: u32 = 4;
+const MAX_SURPLUS_BODY: usize = 256 * 1024;
+
 /// Why an exchange over a connection came to nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum ExchangeError {
@@ -40,6 +50,10 @@
     /// Requests that went over it; no other answer may be taken for the one to a request that is sent again.
     pub carried: CarriedIds,
     surplus_answers: u32,
+    /// Bytes of the buffer in which no end of a head was found.
+    seen: usize,
+    /// Size of the buffer at which an unfinished head is parsed again, as what came may be no head at all.
+    parse_at: usize,
 }
 
 /// What has come on a connection on which nothing is due.
@@ -64,6 +78,8 @@
             buffer: BytesMut::new(),
             carried: CarriedIds::default(),
             surplus_answers: 0,
+            seen: 0,
+            parse_at: 0,
         })
     }
 
@@ -120,17 +136,26 @@
     ) -> Result<(ResponseHead, bool), ExchangeError> {
         let size = head.len() + body.len();
         let mut sent = 0;
+        let (mut interim, mut surplus) = (0, 0);
         loop {
-            while let Some(head) = ResponseHead::take(&mut self.buffer, method)? {
+            while let Some(head) = self.take_head(method)? {
                 if head.is_interim() {
+                    interim += 1;
+                    if interim > MAX_INTERIM_ANSWERS {
+                        return Err(ExchangeError::Nonsense("too many interim answers"));
+                    }
                     continue;
                 }
                 if is_ours(&head) {
                     return Ok((head, sent == size));
                 }
+                surplus += 1;
                 self.surplus_answers += 1;
                 metrics().surplus_answers.inc();
-                self.skip_body(&head).await?;
+                if surplus > MAX_SURPLUS_ANSWERS {
+                    return Err(ExchangeError::Nonsense("too many surplus answers"));
+                }
+                self.skip_body(&head, MAX_SURPLUS_BODY).await?;
             }
             if sent < size {
                 let rest = [
@@ -163,15 +188,43 @@
         }
     }
 
+    /// Reads a body of up to `max` bytes that nobody needs.
     async fn skip_body(
         &mut self,
         head: &ResponseHead,
+        max: usize,
     ) -> Result<(), ExchangeError> {
         let mut decoder = BodyDecoder::new(head.framing);
-        while self.body_piece(&mut decoder).await?.is_some() {}
+        let mut skipped = 0;
+        while let Some(piece) = self.body_piece(&mut decoder).await? {
+            skipped += piece.len();
+            if skipped > max {
+                return Err(ExchangeError::Nonsense("a surplus answer is too large"));
+            }
+        }
         Ok(())
     }
 
+    /// Takes a head once it may be whole: a head that comes byte by byte is not parsed with each of them.
+    fn take_head(
+        &mut self,
+        method: &Method,
+    ) -> Result<Option<ResponseHead>, ExchangeError> {
+        let size = self.buffer.len();
+        let unseen = self.seen.saturating_sub(BLANK_LINE.len() - 1).min(size);
+        let may_be_whole = ends_head(&self.buffer[unseen..]);
+        self.seen = size;
+        if size == 0 || !may_be_whole && size < self.parse_at {
+            return Ok(None);
+        }
+        let head = ResponseHead::take(&mut self.buffer, method)?;
+        (self.seen, self.parse_at) = match head {
+            Some(_) => (0, 0),
+            None => (size, size * 2),
+        };
+        Ok(head)
+    }
+
     /// Writes some of `parts`, or reads if the other side has sent something; gives bytes written.
     async fn write_or_read(
         &mut self,
@@ -199,6 +252,15 @@
     }
 }
 
+/// Returns true if a head may end here.
+fn ends_head(bytes: &[u8]) -> bool {
+    let mut pairs = bytes.windows(2);
+    let ends = pairs.any(|pair| pair == b"\n\n");
+    ends || bytes
+        .windows(BLANK_LINE.len())
+        .any(|window| window == BLANK_LINE)
+}
+
 fn failed(problem: io::Error) -> ExchangeError {
     match problem.kind() {
         io::ErrorKind::UnexpectedEof => ExchangeError::Closed,
--- a/src/connection/store/store_client.rs
+++ b/src/connection/store/store_client.rs
@@ -115,6 +115,7 @@
         let limit = CallLimit {
             whole: self.limit.whole + wait,
             silence: self.limit.silence + wait,
+            ..self.limit
         };
         let reply = self.call("changes", &call, limit).await?;
         let reply = self.formats.rows_reply(&reply)?;
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -37,6 +37,10 @@
 
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Bytes of a target's reply to an order, and of its report.
+const MAX_ORDER_REPLY: usize = 64 * 1024;
+const MAX_REPORT: usize = 1024 * 1024;
+
 /// Maximum number of rows that the store accepts in one transaction.
 const MAX_ROWS_PER_TRANSACTION: usize = 100;
 
@@ -351,7 +355,7 @@
                 let _ = events.send(ControlEvent::OrderCancelled { target });
                 return;
             }
-            let limit = CallLimit::whole(ORDER_TIMEOUT);
+            let limit = CallLimit::whole(ORDER_TIMEOUT).with_body(MAX_ORDER_REPLY);
             let reply = calls.call(address, &call, &headers, limit).await;
             let reply = reply.ok();
             let reply = reply.and_then(|reply| formats.order_reply(reply.status).ok());
@@ -377,7 +381,7 @@
         spawn_local(async move {
             let headers = call_headers(&formats, &target);
             let call = formats.report_call();
-            let limit = CallLimit::whole(REPORT_TIMEOUT);
+            let limit = CallLimit::whole(REPORT_TIMEOUT).with_body(MAX_REPORT);
             let reply = calls.call(address, &call, &headers, limit).await;
             let report = reply.ok();
             let report = report.and_then(|reply| formats.report_reply(&reply).ok());
--- a/src/process/host/copy_reader.rs
+++ b/src/process/host/copy_reader.rs
@@ -27,16 +27,10 @@
 const TRANSFER_LIMIT: Duration = Duration::from_secs(10);
 
 /// Calls to the store, which answers within some milliseconds unless it is slow or out.
-pub const STORE_LIMIT: CallLimit = CallLimit {
-    whole: TRANSFER_LIMIT,
-    silence: Duration::from_millis(900),
-};
+pub const STORE_LIMIT: CallLimit = CallLimit::transfer(TRANSFER_LIMIT, Duration::from_millis(900));
 
 /// Calls to other hosts, which answer within some milliseconds.
-const PULL_LIMIT: CallLimit = CallLimit {
-    whole: TRANSFER_LIMIT,
-    silence: Duration::from_millis(500),
-};
+const PULL_LIMIT: CallLimit = CallLimit::transfer(TRANSFER_LIMIT, Duration::from_millis(500));
 
 /// Reads tables from the store and from other hosts; each read ends with an event.
 pub struct CopyReader {
--- a/tests/http1.rs
+++ b/tests/http1.rs
@@ -286,10 +286,7 @@
 #[tokio::test]
 async fn a_call_without_a_reply_tells_whether_it_may_have_been_done() {
     let call = HttpCall::post("/x".to_string(), b"hi".to_vec());
-    let limit = CallLimit {
-        whole: Duration::from_millis(300),
-        silence: Duration::from_secs(60),
-    };
+    let limit = CallLimit::transfer(Duration::from_millis(300), Duration::from_secs(60));
     let silent = peer(Script::Answer(b"")).await;
     let outcome = CallClient::new(silent)
         .call(&call, &CallHeaders::default(), limit)
@@ -311,10 +308,7 @@
         ..timed_out
     };
     assert_eq!(outcome, Err(after_some));
-    let talking_limit = CallLimit {
-        whole: Duration::from_secs(60),
-        silence: Duration::from_millis(300),
-    };
+    let talking_limit = CallLimit::transfer(Duration::from_secs(60), Duration::from_millis(300));
     let stopped = peer(Script::Answer(
         b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nsome",
     ));
