--- a/review/standins-2/plain.rs
+++ b/review/standins-2/plain.rs
@@ -33,6 +33,8 @@
     /// Arrivals of deadly requests.
     pub deadly_arrivals: Arc<Mutex<Vec<Duration>>>,
     pub deadly: Arc<Mutex<Option<Deadly>>>,
+    /// Prompts with this part crash it as well.
+    pub deadly_part: Arc<Mutex<Option<String>>>,
     pub down_for: Duration,
     service: String,
     store: Store,
@@ -51,6 +53,7 @@
             runs: Arc::default(),
             deadly_arrivals: Arc::default(),
             deadly: Arc::default(),
+            deadly_part: Arc::default(),
             down_for: Duration::from_millis(2500),
             service: service.to_string(),
             store: store.clone(),
@@ -159,7 +162,10 @@
         *self.runs.lock().unwrap().entry(id.to_string()).or_default() += 1;
         self.record.note(format!("worker {} runs {id} of {caller}: {}", self.id, head.target()));
         let this = Deadly { target: head.target().to_string(), caller };
-        if self.deadly.lock().unwrap().as_ref() == Some(&this) {
+        let parts = head.header("X-Coveproxy-Prompt-Prefix").unwrap_or("");
+        let has = |part: &String| parts.split(',').any(|p| p.split(':').next() == Some(part));
+        let has_part = self.deadly_part.lock().unwrap().as_ref().is_some_and(has);
+        if has_part || self.deadly.lock().unwrap().as_ref() == Some(&this) {
             self.deadly_arrivals.lock().unwrap().push(self.record.now());
             // It begins to run.
             thread::sleep(self.work / 2);
@@ -172,10 +178,14 @@
         thread::sleep(self.work);
         let stamp = format!("{}.{}", self.id, self.stamps.fetch_add(1, Ordering::SeqCst));
         self.record.note(format!("worker {} has run {id} in {} ms", self.id, begun.elapsed().as_millis()));
+        let (kind, body): (&str, &[u8]) = match parts.is_empty() {
+            true => ("text/plain", b"whole answer"),
+            false => ("text/event-stream", b"id: 1\ndata: whole answer\n\n"),
+        };
         Some(answer(
             "200 OK",
-            &[("X-Coveproxy-Request-Id", id), ("X-Coveproxy-Response-Stamp", &stamp)],
-            b"whole answer",
+            &[("Content-Type", kind), ("X-Coveproxy-Request-Id", id), ("X-Coveproxy-Response-Stamp", &stamp)],
+            body,
         ))
     }
 }
