A request is known again by its customer, too

What callers saw: one customer's request crashed each target that began it, and went on doing so (48 arrivals later than 3 s after the third, 3 allowed); another customer's sound request of the same path got 500 (ends_targets) in 58 of 500 calls.

Cause: the fingerprint of a request left its customer out. A whole answer to the sound one cleared what was held against the other (PoisonReport::Cleared), and between two of them the sound one was refused for the other's crashes.

Change: the digest begins with the customer's name, marked so that no request of a route without keys has the same bytes; on those nothing changes. The customer, not the key: two keys of one customer are one caller.

--- a/benches/support/poison_ledger.rs
+++ b/benches/support/poison_ledger.rs
@@ -40,7 +40,7 @@
     for suspect in 0..suspects {
         let number = crash * 1_000 + suspect;
         let body = number.to_le_bytes();
-        let fingerprint = Fingerprint::of("site", "POST", "/path", &body);
+        let fingerprint = Fingerprint::of(None, "site", "POST", "/path", &body);
         keys.push(PoisonKey::Request(fingerprint));
         let rare = (1..PARTS).map(|part| PoisonKey::Part(number * PARTS + part + 10));
         keys.extend(rare);
--- a/src/connection/front/crash_probe.rs
+++ b/src/connection/front/crash_probe.rs
@@ -66,6 +66,7 @@
             fingerprint: Some(request.fingerprint()),
             parts: request.part_keys(),
             id: request.id_text().to_string(),
+            customer: request.customer_name().map(Arc::from),
             begun,
         };
         Self {
@@ -124,7 +125,9 @@
     spawn_local(probe.run(address));
 }
 
-/// Clears a request that a target has answered completely: earlier crashes were not its fault.
+/// Clears a request that a target has run and answered completely: earlier crashes were not its fault.
+///
+/// An answer by whose status the target may not have run it changes nothing.
 pub fn clear_suspect(
     table: &Rc<RefCell<TargetTable>>,
     request: &CallRequest,
@@ -216,6 +219,7 @@
         note!(
             Event::RequestAccused,
             id = suspect.id,
+            customer = suspect.customer.as_deref().unwrap_or("-"),
             fingerprint = fingerprint.as_deref().unwrap_or("-"),
             parts = part_list(&suspect.parts),
             target = self.incarnation.0,
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -487,6 +487,7 @@
             at: Instant::now(),
             incarnation,
             id: request.id_text().to_string(),
+            customer: request.customer_name().map(Arc::from),
             parts: request.part_keys(),
         };
         self.table.borrow_mut().crashes.on_answer_start(start);
--- a/src/connection/front/final_answers.rs
+++ b/src/connection/front/final_answers.rs
@@ -46,6 +46,7 @@
         note!(
             Event::RequestRefused,
             id = request.id_text(),
+            customer = request.customer_name().unwrap_or("-"),
             fingerprint = key,
             route = request.route.name,
         );
@@ -69,7 +70,7 @@
             id = request.id_text(),
             cause = answer.cause.word(),
             route = request.route.name,
-            customer = credential.map_or("-", |credential| &credential.customer.name),
+            customer = request.customer_name().unwrap_or("-"),
             cost = limit.map_or(0.0, |limit| limit.cost(request.declared_tokens)),
             rate = limit.map_or(0.0, |limit| limit.rate),
             come_back_ms = answer.retry_after.map_or(-1.0, millis),
--- a/src/connection/front/served_request.rs
+++ b/src/connection/front/served_request.rs
@@ -104,7 +104,6 @@
         }
         self.record_metrics(request, timing, lateness);
         let generation = request.generation.as_ref();
-        let credential = request.credential.as_ref();
         note!(
             Event::RequestServed,
             id = id,
@@ -131,7 +130,7 @@
             prompt_tokens = generation.map_or(0, |generation| generation.tokens_in),
             framing = ending.map_or("-", |ending| ending.framing.word()),
             in_event = ending.map_or("-", AnswerEnding::in_event_word),
-            customer = credential.map_or("-", |credential| &credential.customer.name),
+            customer = request.customer_name().unwrap_or("-"),
         );
     }
 
--- a/src/connection/targets/answer_starts.rs
+++ b/src/connection/targets/answer_starts.rs
@@ -1,7 +1,7 @@
 use {
     super::TargetIncarnation,
     crate::{clock::Instant, request::poison::PoisonKey},
-    std::{collections::VecDeque, time::Duration},
+    std::{collections::VecDeque, sync::Arc, time::Duration},
 };
 
 /// A crash within this time of the start of an answer may be due to its request; later on, any other request at the target
@@ -24,6 +24,8 @@
     pub incarnation: TargetIncarnation,
     /// Request id set by the caller, for logs.
     pub id: String,
+    /// The customer's name, for logs.
+    pub customer: Option<Arc<str>>,
     pub parts: Vec<PoisonKey>,
 }
 
--- a/src/connection/targets/crash_tracker.rs
+++ b/src/connection/targets/crash_tracker.rs
@@ -47,6 +47,8 @@
     pub parts: Vec<PoisonKey>,
     /// Request id set by the caller, for logs.
     pub id: String,
+    /// The customer's name, for logs.
+    pub customer: Option<Arc<str>>,
     /// The target had probably begun to process it.
     pub begun: bool,
 }
@@ -220,6 +222,7 @@
             fingerprint: None,
             parts: start.parts.clone(),
             id: start.id.clone(),
+            customer: start.customer.clone(),
             begun: true,
         }));
         self.starts.remove(incarnation);
--- a/src/request/direct/call_request.rs
+++ b/src/request/direct/call_request.rs
@@ -71,9 +71,16 @@
         self.deadline.saturating_duration_since(now)
     }
 
-    /// Returns a fingerprint that matches the same request under another id or from another customer.
+    /// Returns the customer's name, or `None` on routes that need no key.
+    pub fn customer_name(&self) -> Option<&str> {
+        let credential = self.credential.as_ref()?;
+        Some(&credential.customer.name)
+    }
+
+    /// Returns a fingerprint that matches the same request of the same customer under another id or key.
     pub fn fingerprint(&self) -> Fingerprint {
         Fingerprint::of(
+            self.customer_name(),
             &self.route.host,
             self.method.as_str(),
             &self.path_and_query,
--- a/src/request/poison/fingerprint.rs
+++ b/src/request/poison/fingerprint.rs
@@ -8,7 +8,10 @@
 /// Length in bytes: short enough for datagrams, long enough against collisions.
 const BYTES: usize = 16;
 
-/// Identifies repeats of a request, under any request id and at any host.
+/// Begins the digest of a customer's request; no host name begins with it.
+const CUSTOMER_MARK: u8 = 1;
+
+/// Identifies repeats of a request of one customer, under any request id and key of theirs and at any host.
 ///
 /// A cryptographic digest, so that a caller can't craft a request that gets another caller's request rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -20,14 +23,20 @@
 pub struct InvalidFingerprint;
 
 impl Fingerprint {
-    /// Returns the fingerprint of a request to a site.
+    /// Returns the fingerprint of a request to a site; `customer` is `None` on routes that need no key.
     pub fn of(
+        customer: Option<&str>,
         site: &str,
         method: &str,
         path_and_query: &str,
         body: &[u8],
     ) -> Self {
         let mut digest = Sha256::new();
+        if let Some(customer) = customer {
+            digest.update([CUSTOMER_MARK]);
+            digest.update(customer.as_bytes());
+            digest.update([0]);
+        }
         for part in [site, method, path_and_query] {
             digest.update(part.as_bytes());
             // Separates the parts, so that they can't run into each other.
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -15,7 +15,7 @@
 };
 
 fn fingerprint(number: u64) -> Fingerprint {
-    Fingerprint::of("site", "POST", "/path", &number.to_le_bytes())
+    Fingerprint::of(None, "site", "POST", "/path", &number.to_le_bytes())
 }
 
 fn key(number: u64) -> PoisonKey {
@@ -80,18 +80,33 @@
 }
 
 #[rstest]
-#[case::site(("b", "POST", "/p", "x"))]
-#[case::method(("a", "PUT", "/p", "x"))]
-#[case::path(("a", "POST", "/q", "x"))]
-#[case::body(("a", "POST", "/p", "y"))]
-#[case::other_seams(("a", "POST", "/", "px"))]
-fn requests_that_differ_have_other_fingerprints(#[case] other: (&str, &str, &str, &str)) {
-    let one = Fingerprint::of("a", "POST", "/p", b"x");
-    let (site, method, path, body) = other;
-    assert_ne!(one, Fingerprint::of(site, method, path, body.as_bytes()));
+#[case::site((None, "b", "POST", "/p", "x"))]
+#[case::method((None, "a", "PUT", "/p", "x"))]
+#[case::path((None, "a", "POST", "/q", "x"))]
+#[case::body((None, "a", "POST", "/p", "y"))]
+#[case::other_seams((None, "a", "POST", "/", "px"))]
+#[case::customer((Some("alpha"), "a", "POST", "/p", "x"))]
+#[case::customer_named_as_the_site((Some("a"), "POST", "/p", "x", ""))]
+fn requests_that_differ_have_other_fingerprints(
+    #[case] other: (Option<&str>, &str, &str, &str, &str)
+) {
+    let one = Fingerprint::of(None, "a", "POST", "/p", b"x");
+    let (customer, site, method, path, body) = other;
+    assert_ne!(
+        one,
+        Fingerprint::of(customer, site, method, path, body.as_bytes())
+    );
     assert_eq!(one.to_string().parse(), Ok(one));
 }
 
+/// Guards against a customer's request that is taken for another customer's of the same path and body.
+#[test]
+fn requests_of_two_customers_have_two_fingerprints() {
+    let of = |customer| Fingerprint::of(Some(customer), "a", "POST", "/p", b"x");
+    assert_ne!(of("alpha"), of("beta"));
+    assert_eq!(of("alpha"), of("alpha"));
+}
+
 #[test]
 fn a_late_strike_of_an_end_that_was_cleared_changes_nothing() {
     let mut ledger = PoisonLedger::default();
@@ -226,6 +241,7 @@
         fingerprint: Some(fingerprint(number)),
         id: number.to_string(),
         parts: Vec::new(),
+        customer: None,
         begun: true,
     };
     let now = Instant::now();
--- a/tests/poison_parts.rs
+++ b/tests/poison_parts.rs
@@ -117,8 +117,8 @@
 #[case::part(GUILTY, "part:2")]
 #[case::large_part(PoisonKey::Part(u64::MAX), "part:ffffffffffffffff")]
 #[case::request(
-    PoisonKey::Request(Fingerprint::of("site", "POST", "/", b"x")),
-    &Fingerprint::of("site", "POST", "/", b"x").to_string(),
+    PoisonKey::Request(Fingerprint::of(None, "site", "POST", "/", b"x")),
+    &Fingerprint::of(None, "site", "POST", "/", b"x").to_string(),
 )]
 fn a_key_reads_back_from_its_text_bytes_and_row(
     #[case] key: PoisonKey,
@@ -137,7 +137,7 @@
 /// Rows of an earlier release name a request, and neither survivors nor ages of crashes.
 #[test]
 fn a_row_of_an_earlier_release_is_read() {
-    let fingerprint = Fingerprint::of("site", "POST", "/", b"x");
+    let fingerprint = Fingerprint::of(None, "site", "POST", "/", b"x");
     let mut row = serde_json::to_value(update(PoisonKey::Request(fingerprint), 1)).unwrap();
     row.as_object_mut().unwrap().remove("survivors");
     row["strikes"][0].as_object_mut().unwrap().remove("age");
@@ -276,7 +276,7 @@
 #[test]
 fn one_request_that_comes_again_costs_its_parts_nothing() {
     let mut world = World::new();
-    let request = PoisonKey::Request(Fingerprint::of("site", "POST", "/", b"x"));
+    let request = PoisonKey::Request(Fingerprint::of(None, "site", "POST", "/", b"x"));
     for _ in 0..6 {
         world.crash(&[request, RARE]);
         world.pass(APART);
@@ -298,6 +298,7 @@
         at,
         incarnation: target.clone(),
         id: "one".to_string(),
+        customer: None,
         parts: vec![part],
     }
 }
@@ -328,7 +329,7 @@
     let mut tracker = CrashTracker::default();
     let now = Instant::now();
     let targets: Vec<TargetIncarnation> = (0..5).map(|at| target(&at.to_string())).collect();
-    let fingerprint = Fingerprint::of("site", "POST", "/", b"x");
+    let fingerprint = Fingerprint::of(None, "site", "POST", "/", b"x");
     for target in &targets {
         tracker.on_loss(&target.0, now);
         tracker.begin_probe(target, now);
@@ -336,6 +337,7 @@
             fingerprint: Some(fingerprint),
             parts: vec![RARE],
             id: "one".to_string(),
+            customer: None,
             begun: true,
         };
         tracker.add_suspect(target, suspect);
