No answer of a target that may not have run it acquits a request

What callers could see: beside targets that fail at once, a request that crashes all others goes on crashing them.

Cause: a server error cleared what was held against the request, as a whole 200 does. A target that fails answers 500 without having begun, and such a request is in most need of a verdict where nothing else answers it.

Change: only an answer by whose status the target has run the request clears it: below 500, and none of 408, 421, 429.

--- a/src/connection/front/crash_probe.rs
+++ b/src/connection/front/crash_probe.rs
@@ -13,7 +13,8 @@
         },
         timeline::Event,
     },
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    http::StatusCode,
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::task::spawn_local,
 };
 
@@ -21,6 +22,13 @@
 /// requests by the second. It delays the report of a crash by as much.
 const RECHECK_DELAY: Duration = Duration::from_millis(200);
 
+/// Statuses below 500 by which a target says that it has not run a request.
+const NOT_RUN: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+];
+
 /// Maximum number of lines that name the requests accused of one crash.
 const MAX_ACCUSED_LINES: usize = 64;
 
@@ -131,9 +139,10 @@
 pub fn clear_suspect(
     table: &Rc<RefCell<TargetTable>>,
     request: &CallRequest,
+    status: StatusCode,
 ) {
     let table = table.borrow();
-    if table.crashes.is_empty() {
+    if table.crashes.is_empty() || !shows_run(status) {
         return;
     }
     let key = PoisonKey::Request(request.fingerprint());
@@ -142,6 +151,12 @@
     }
 }
 
+/// Returns true if an answer with this status shows that its target has run the request. A target that fails may answer with a
+/// server error before it begins.
+fn shows_run(status: StatusCode) -> bool {
+    !status.is_server_error() && !NOT_RUN.contains(&status)
+}
+
 /// What a probe found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ProbeResult {
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        AnswerBody, ErrorCause, LocalAnswer, StreamTiming,
+        AnswerBody, ErrorCause, LocalAnswer,
         admission::{
             HeldSlot, Permit, STALE_RETRY_AFTER, SlotAcquisition, acquire_permit, acquire_slot,
             charge, charge_repeat, wait_for_budget,
@@ -148,7 +148,7 @@
             Err(_) => self.answers.answer_timeout(&request, &mut attempts),
             Ok(Outcome::Open(answer)) => {
                 settle_charge(charged, true);
-                let open = OpenRequest::new(request, attempts, answer.status.as_u16());
+                let open = OpenRequest::new(request, attempts, answer.status);
                 return StreamRelay::start(self.clone(), *answer, open);
             }
         };
@@ -315,7 +315,7 @@
             let end = match sent {
                 SendOutcome::Complete(answer) => {
                     self.record_answer_start(request, incarnation);
-                    clear_suspect(&self.table, request);
+                    clear_suspect(&self.table, request, answer.status);
                     return Ok(Outcome::Final(relay(answer)));
                 }
                 SendOutcome::Open(mut answer) => {
@@ -326,7 +326,6 @@
                 SendOutcome::Failed(answer) => {
                     let status = answer.status.as_u16();
                     attempts.failure = Some(answer);
-                    clear_suspect(&self.table, request);
                     AttemptEnd::Failed { status }
                 }
                 SendOutcome::Misdirected => {
@@ -496,11 +495,11 @@
     /// Handles the end of a complete stream.
     pub fn on_complete(
         &self,
-        request: &CallRequest,
-        timing: &StreamTiming,
+        open: &OpenRequest,
     ) {
-        clear_suspect(&self.table, request);
-        let paused_too_long = timing.longest_pause() > request.route.gap_aim;
+        let request = &open.request;
+        clear_suspect(&self.table, request, open.status);
+        let paused_too_long = open.timing.longest_pause() > request.route.gap_aim;
         let mut table = self.table.borrow_mut();
         table.record_stream(&request.service.name, paused_too_long);
     }
--- a/src/connection/front/open_request.rs
+++ b/src/connection/front/open_request.rs
@@ -5,6 +5,7 @@
         served_request::{RelayedAnswer, ServedRequest},
     },
     crate::request::direct::CallRequest,
+    http::StatusCode,
 };
 
 /// Word for an answer that this host was still relaying when it stopped.
@@ -15,6 +16,7 @@
 pub struct OpenRequest {
     pub request: CallRequest,
     pub attempts: Attempts,
+    pub status: StatusCode,
     pub timing: StreamTiming,
     /// How the end of the last target's answer was told, once that is known.
     pub ending: Option<AnswerEnding>,
@@ -26,12 +28,13 @@
     pub fn new(
         request: CallRequest,
         attempts: Attempts,
-        status: u16,
+        status: StatusCode,
     ) -> Self {
         Self {
-            served: ServedRequest::new(&request, &attempts, status, None),
+            served: ServedRequest::new(&request, &attempts, status.as_u16(), None),
             request,
             attempts,
+            status,
             timing: StreamTiming::default(),
             ending: None,
             is_logged: false,
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -143,14 +143,12 @@
             }
             match end {
                 RelayEnd::Complete => {
-                    self.dispatcher
-                        .on_complete(&self.open.request, &self.open.timing);
+                    self.dispatcher.on_complete(&self.open);
                     self.open.end(end.label());
                     return source.finish();
                 }
                 RelayEnd::CompleteElsewhere => {
-                    self.dispatcher
-                        .on_complete(&self.open.request, &self.open.timing);
+                    self.dispatcher.on_complete(&self.open);
                     return self.open.end(end.label());
                 }
                 RelayEnd::CallerGone => {
