Parts of prompts belong to the request, whatever runs it

Cause: the parts were read as a field of what a model engine needs to know, so that a request to a service without one had none (part_keys was empty), and neither had one without a model header.

Change: the request holds the ids of its shared parts, read from its header alone.

So that sound requests with the same first part are not rejected in the guilty one's place: a plain target is often quiet half a second after an answer began, and would survive nothing. While targets are known to crash under a part, one that is quiet then is asked for its health; its answer counts as that of a survivor. One check a target, and none once its survival is known.

--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -18,6 +18,7 @@
         request_trace::TraceStep,
         served_request::{CALLER_GONE, ServedRequest},
         stream_relay::StreamRelay,
+        survival_check::check_survival,
         take_up::{GONE_RETRY_AFTER, UNKNOWN_RETRY_AFTER},
     },
     crate::{
@@ -482,6 +483,7 @@
         request: &CallRequest,
         incarnation: TargetIncarnation,
     ) {
+        check_survival(&self.table, self.formats.headers(), request, &incarnation);
         let start = AnswerStart {
             at: Instant::now(),
             incarnation,
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -39,6 +39,7 @@
 mod silence_watch;
 mod stream_relay;
 mod stream_timing;
+mod survival_check;
 mod take_up;
 mod target_connection;
 mod unplaced;
--- a/src/connection/front/request_reader.rs
+++ b/src/connection/front/request_reader.rs
@@ -4,7 +4,7 @@
         clock::{Instant, timeout_at},
         formats::{Formats, HeaderNames},
         request::{
-            direct::{CallRequest, Credential, Generation, token_counts},
+            direct::{CallRequest, Credential, Generation, shared_parts, token_counts},
             memory::{CallerMemory, CallerStage, CutKind, NoRoom},
         },
         version::routing::{Route, RoutingTable, TargetService},
@@ -86,6 +86,8 @@
         let names = self.formats.headers();
         let deadline = arrived + effective_timeout(&parts.headers, names, &route);
         let generation = generation(&parts.headers, names, &service);
+        let listed = text(&parts.headers, &names.prompt_parts).unwrap_or_default();
+        let shared_parts = shared_parts(listed);
         let expects_continue = parts.headers.contains_key(header::EXPECT);
         let limits = BodyLimits {
             bytes: routing.limits.body_bytes,
@@ -112,6 +114,7 @@
             route,
             service,
             generation,
+            shared_parts,
             credential,
             memory: memory.clone(),
         })
--- a/src/connection/targets/answer_starts.rs
+++ b/src/connection/targets/answer_starts.rs
@@ -9,7 +9,7 @@
 pub const ANSWER_START_WINDOW: Duration = Duration::from_secs(1);
 
 /// A target that sends something this long after the start of an answer has survived it.
-const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+pub const SURVIVAL_TIME: Duration = Duration::from_millis(500);
 
 /// A start is forgotten if its target has sent nothing within this time that shows whether it survived.
 const MAX_UNDECIDED: Duration = Duration::from_secs(4);
@@ -35,6 +35,8 @@
 pub struct AnswerStarts {
     /// Oldest first.
     starts: VecDeque<AnswerStart>,
+    /// Starts whose targets have answered a health check since.
+    survived: Vec<AnswerStart>,
 }
 
 impl AnswerStarts {
@@ -48,6 +50,21 @@
         self.starts.push_back(start);
     }
 
+    /// Handles that an incarnation has answered a health check which began at `at`.
+    pub fn on_alive(
+        &mut self,
+        incarnation: &TargetIncarnation,
+        at: Instant,
+    ) {
+        let has_survived = |start: &AnswerStart| {
+            start.incarnation == *incarnation && at >= start.at + SURVIVAL_TIME
+        };
+        let starts = std::mem::take(&mut self.starts);
+        let (survived, undecided) = starts.into_iter().partition(has_survived);
+        self.starts = undecided;
+        self.survived.extend::<VecDeque<AnswerStart>>(survived);
+    }
+
     /// Returns the starts that a crash of this incarnation at `lost_at` may be due to.
     pub fn before_loss(
         &self,
@@ -77,7 +94,7 @@
         now: Instant,
         last_received: impl Fn(&TargetIncarnation) -> Option<Instant>,
     ) -> Vec<AnswerStart> {
-        let mut survived = Vec::new();
+        let mut survived = std::mem::take(&mut self.survived);
         let mut undecided = VecDeque::new();
         for start in std::mem::take(&mut self.starts) {
             let sent_until = last_received(&start.incarnation);
--- a/src/connection/targets/crash_tracker.rs
+++ b/src/connection/targets/crash_tracker.rs
@@ -74,6 +74,8 @@
     memory: SurvivalMemory,
     /// Survivals that the control thread has been told of.
     reported: HashSet<(PoisonKey, IncarnationId)>,
+    /// Incarnations that are checked for survival.
+    survival_checks: HashSet<TargetIncarnation>,
 }
 
 impl CrashTracker {
@@ -159,6 +161,35 @@
         }
     }
 
+    /// Begins to check whether an incarnation survives an answer with these parts; returns false if it is being checked, or if that
+    /// does not matter: no target has crashed under one of them, or the incarnation is known to have survived it.
+    pub fn begin_survival_check(
+        &mut self,
+        parts: &[PoisonKey],
+        incarnation: &TargetIncarnation,
+    ) -> bool {
+        if self.verdicts.is_empty() {
+            return false;
+        }
+        let id = IncarnationId::of(&incarnation.0, incarnation.1);
+        let is_open = |part: &PoisonKey| {
+            self.verdicts.contains_key(part) && !self.reported.contains(&(*part, id))
+        };
+        parts.iter().any(is_open) && self.survival_checks.insert(incarnation.clone())
+    }
+
+    /// Ends a check. `survived` is when the check began that the incarnation answered; `None` if it has shown nothing.
+    pub fn end_survival_check(
+        &mut self,
+        incarnation: &TargetIncarnation,
+        survived: Option<Instant>,
+    ) {
+        self.survival_checks.remove(incarnation);
+        if let Some(at) = survived {
+            self.starts.on_alive(incarnation, at);
+        }
+    }
+
     /// Returns true if a target has just begun an answer, so that its crash may be due to it.
     pub fn has_recent_start(
         &self,
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -43,7 +43,7 @@
 pub use {
     adapter_demand::AdapterDemand,
     adapter_map::{AdapterCopy, AdapterMap},
-    answer_starts::{ANSWER_START_WINDOW, AnswerStart, AnswerStarts},
+    answer_starts::{ANSWER_START_WINDOW, AnswerStart, AnswerStarts, SURVIVAL_TIME},
     brittle_services::BrittleServices,
     cached_prompts::CachedPrompts,
     control_request::{AdapterRequest, ControlRequest},
--- a/src/request/direct/call_request.rs
+++ b/src/request/direct/call_request.rs
@@ -41,6 +41,8 @@
     pub service: Arc<TargetService>,
     /// Set for requests to model engines.
     pub generation: Option<Generation>,
+    /// Ids of the parts of its prompt that other requests may share, whatever runs it.
+    pub shared_parts: Vec<u64>,
     /// `None` on routes that need no key.
     pub credential: Option<Credential>,
     /// Prompt tokens plus maximum answer tokens, as declared by the caller.
@@ -90,9 +92,8 @@
 
     /// Returns the keys of the parts that the prompt may share with other requests.
     pub fn part_keys(&self) -> Vec<PoisonKey> {
-        let generation = self.generation.as_ref();
-        let parts = generation.map_or(Vec::new(), Generation::shared_parts);
-        parts.into_iter().map(PoisonKey::Part).collect()
+        let parts = self.shared_parts.iter().copied();
+        parts.map(PoisonKey::Part).collect()
     }
 
     /// Returns all keys under which targets may crash that run the request.
--- a/src/request/direct/generation.rs
+++ b/src/request/direct/generation.rs
@@ -1,6 +1,3 @@
-/// Maximum number of shared parts of one prompt that are told apart; a caller may list any number.
-const MAX_SHARED_PARTS: usize = 64;
-
 /// A part of a prompt that several requests share, such as a system prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -36,19 +33,6 @@
         self.model.contains('/').then_some(self.model.as_str())
     }
 
-    /// Returns the ids of the parts that other requests may share, each once, in order: all but the last one, which belongs
-    /// to the request or its session.
-    pub fn shared_parts(&self) -> Vec<u64> {
-        let count = self.parts.len().saturating_sub(1);
-        let mut ids: Vec<u64> = Vec::with_capacity(count.min(MAX_SHARED_PARTS));
-        for part in &self.parts[..count] {
-            if ids.len() < MAX_SHARED_PARTS && !ids.contains(&part.id) {
-                ids.push(part.id);
-            }
-        }
-        ids
-    }
-
     /// Sets the token counts from `IN,OUT`.
     pub fn set_token_counts(
         &mut self,
--- a/src/request/direct/mod.rs
+++ b/src/request/direct/mod.rs
@@ -12,6 +12,7 @@
 mod prompt_chain;
 mod prompt_rank;
 mod retry_spread;
+mod shared_parts;
 mod wait_decision;
 
 pub use {
@@ -32,5 +33,6 @@
     prompt_chain::PromptChain,
     prompt_rank::{first_by_prompt, prompt_affinity},
     retry_spread::RetrySpread,
+    shared_parts::shared_parts,
     wait_decision::{RequestTiming, WaitDecision, wait_or_reject},
 };
--- a/tests/prompt_choice.rs
+++ b/tests/prompt_choice.rs
@@ -208,6 +208,7 @@
         deadline: now + ms(10_000),
         route: Arc::new(route),
         service: Arc::new(service),
+        shared_parts: Vec::new(),
         generation: Some(Generation {
             model: model.to_string(),
             tokens_in: 9_190,
