Streams go on after a loss of all hosts in the first moments of a release

Cause: with two versions listed nothing tells at which an unrecorded stream began, and neither the row of the new version nor the origins of the streams had been stored. Yet no stream had begun at the new version.

Change: store before use. A version that joins others of its service gets no new resumable stream (it gets all else) until the store has its row, and the row is written once hosts have had two write intervals to store the origins of the streams that run: all of them at once, the latest first, as the version is seen. A version that is listed without a row, beside one that has a row, has therefore begun no stream, and does not count in a search. Writers tell all hosts what is stored; hosts read the rows at their start.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -26,6 +26,7 @@
         request::{
             direct::{Generation, Policy, PromptChain, PromptPart, first_by_prompt},
             engine_candidates,
+            origins::RequiredSoftware,
             quotas::{Charge, QuotaLedger, QuotaPolicy},
         },
         version::{
@@ -379,7 +380,7 @@
         black_box(table.placement_order(
             ServiceEngines {
                 service: "models",
-                software: None,
+                software: RequiredSoftware::Any,
             },
             "m0/a1",
             8,
--- a/src/connection/datagram/mod.rs
+++ b/src/connection/datagram/mod.rs
@@ -20,7 +20,7 @@
         PlaceWanted, Placement, PlacementState, PoisonEntry, PoisonNews, PoisonStrike, RumorState,
         Vouch, Want, decode, encode,
     },
-    origin_messages::{OriginAnswer, OriginAsk, OriginRecord, OriginRecords},
+    origin_messages::{OriginAnswer, OriginAsk, OriginRecord, OriginRecords, StoredVersion},
     socket::DatagramSocket,
     target_news::{PermitAnswer, PermitAsk, PermitReport, PermitStage, RateNews, TargetNews},
 };
--- a/src/connection/datagram/origin_messages.rs
+++ b/src/connection/datagram/origin_messages.rs
@@ -55,6 +55,25 @@
 pub struct OriginRecords {
     #[prost(message, repeated, tag = "1")]
     pub records: Vec<OriginRecord>,
+    /// Versions whose rows the store has taken.
+    #[prost(message, repeated, tag = "2")]
+    pub stored: Vec<StoredVersion>,
+}
+
+/// A version of a service's targets whose row the store has taken.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StoredVersion {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The bits of a `SoftwareId`.
+    #[prost(fixed64, tag = "2")]
+    pub software: u64,
+    /// Era of the store in which it did.
+    #[prost(uint32, tag = "3")]
+    pub era: u32,
+    /// The rows of the service name all its versions.
+    #[prost(bool, tag = "4")]
+    pub is_complete: bool,
 }
 
 /// Asks where a stream began.
--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -5,9 +5,9 @@
     },
     crate::{
         clock::Instant,
-        formats::SoftwareId,
         request::{
             direct::{AttemptEnd, EngineOutlook, PromptChain, RequestHistory},
+            origins::RequiredSoftware,
             pace::PaceEstimate,
         },
     },
@@ -30,8 +30,8 @@
     /// No other host has taken it.
     pub forwarding_failed: bool,
     pub trace: RequestTrace,
-    /// Version of the software that a target must run, once the stream has begun.
-    pub software: Option<SoftwareId>,
+    /// Version of the software that a target must run.
+    pub software: RequiredSoftware,
     /// Last query of engines' status.
     pub query: Option<QueryRound>,
     /// Estimate by which the target of the last send was chosen.
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -30,6 +30,7 @@
             direct::{
                 AdapterCopyState, AttemptEnd, CallRequest, NextStep, RejectReason, next_step,
             },
+            origins::RequiredSoftware,
             places::SlotOutcome,
         },
     },
@@ -181,9 +182,12 @@
     ) -> bool {
         let table = self.table.borrow();
         let service = &request.service.name;
-        attempts
-            .software
-            .is_none_or(|software| table.serves_software(service, software, Instant::now()))
+        match attempts.software {
+            RequiredSoftware::Exactly(software) => {
+                table.serves_software(service, software, Instant::now())
+            }
+            RequiredSoftware::Any | RequiredSoftware::Introduced => true,
+        }
     }
 
     /// Opens the rest of a broken stream at another target, after the event `after`.
--- a/src/connection/front/engine_sample.rs
+++ b/src/connection/front/engine_sample.rs
@@ -8,10 +8,10 @@
             datagram::{EngineQuery, PromptSegment},
             targets::{ServiceEngines, TargetTable},
         },
-        formats::SoftwareId,
         request::{
             direct::{AdapterCopyState, CallRequest, PromptChain, first_by_prompt},
             notices::Availability,
+            origins::RequiredSoftware,
         },
     },
     rand::seq::IndexedRandom,
@@ -41,7 +41,7 @@
 pub(super) fn sample_of_service(
     table: &TargetTable,
     request: &CallRequest,
-    software: Option<SoftwareId>,
+    software: RequiredSoftware,
     now: Instant,
 ) -> Vec<Arc<str>> {
     let mut engines = table.engines_of(&request.service.name);
@@ -63,7 +63,7 @@
     table: &TargetTable,
     request: &CallRequest,
     adapter: &str,
-    software: Option<SoftwareId>,
+    software: RequiredSoftware,
     now: Instant,
 ) -> Vec<Arc<str>> {
     let engines = ServiceEngines {
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -10,10 +10,11 @@
             http1::{ExchangeError, ResponseHead},
             targets::{KeyStatus, TargetIncarnation, TargetSilence, TargetTable},
         },
-        formats::{HeaderNames, SoftwareId, SoftwareVersion},
+        formats::{HeaderNames, SoftwareVersion},
         request::{
             direct::{AttemptEnd, CallRequest},
             memory::MemoryUse,
+            origins::RequiredSoftware,
             pace::PaceEstimate,
         },
     },
@@ -48,8 +49,8 @@
     pub version: Option<ExpectedVersion>,
     /// Id of the event after which the answer continues.
     pub resume_after: Option<u64>,
-    /// Version of the software that the target must run; `None` for any.
-    pub software: Option<SoftwareId>,
+    /// Version of the software that the target must run.
+    pub software: RequiredSoftware,
     /// Estimate by which an engine was chosen.
     pub estimate: Option<PaceEstimate>,
 }
@@ -61,7 +62,7 @@
             target: target.into(),
             version: None,
             resume_after: None,
-            software: None,
+            software: RequiredSoftware::Any,
             estimate: None,
         }
     }
--- a/src/connection/front/stream_relay.rs
+++ b/src/connection/front/stream_relay.rs
@@ -16,7 +16,10 @@
         formats::SoftwareVersion,
         metrics::{FramingLabels, metrics},
         note,
-        request::{direct::AttemptEnd, origins::ORIGIN_REFRESH},
+        request::{
+            direct::AttemptEnd,
+            origins::{ORIGIN_REFRESH, RequiredSoftware},
+        },
         timeline::Event,
     },
     bytes::Bytes,
@@ -398,7 +401,7 @@
             return;
         };
         if self.open.request.route.resumable {
-            self.open.attempts.software = Some(software.id());
+            self.open.attempts.software = RequiredSoftware::Exactly(software.id());
             self.dispatcher.record_origin(&self.open.request, software);
             self.recorded_at = Some(now);
         }
--- a/src/connection/front/take_up.rs
+++ b/src/connection/front/take_up.rs
@@ -5,12 +5,12 @@
     crate::{
         clock::{Instant, timeout_at},
         connection::{datagram::OriginAsk, targets::OriginReply},
-        formats::{HeaderNames, SoftwareId, SoftwareVersion},
+        formats::{HeaderNames, SoftwareVersion},
         metrics::{StateLabels, metrics},
         note,
         request::{
             direct::CallRequest,
-            origins::{OriginSearch, SearchOutcome, StreamKey, StreamOrigin},
+            origins::{OriginSearch, RequiredSoftware, SearchOutcome, StreamKey, StreamOrigin},
         },
         timeline::Event,
     },
@@ -38,14 +38,11 @@
 }
 
 impl<'a> TakenUpStream<'a> {
-    /// Returns `None` for a request that begins a stream or has no stream.
+    /// Returns `None` for a request that begins a stream.
     fn of(
         names: &HeaderNames,
         request: &'a CallRequest,
     ) -> Option<Self> {
-        if !request.route.resumable {
-            return None;
-        }
         let first = request.headers.get(&names.resumes);
         let last_event = request.headers.get(&names.last_event_id);
         let is_taken_up = first.is_some() || last_event.is_some();
@@ -54,14 +51,17 @@
 }
 
 impl Dispatcher {
-    /// Returns the version at which a request may run: `None` for any. `Err` is why it may run nowhere.
+    /// Returns the version at which a request may run. `Err` is why it may run nowhere.
     pub(super) async fn required_software(
         &self,
         request: &CallRequest,
-    ) -> Result<Option<SoftwareId>, ErrorCause> {
+    ) -> Result<RequiredSoftware, ErrorCause> {
+        if !request.route.resumable {
+            return Ok(RequiredSoftware::Any);
+        }
         let names = self.formats.headers();
         let Some(stream) = TakenUpStream::of(names, request) else {
-            return Ok(None);
+            return Ok(RequiredSoftware::Introduced);
         };
         let began_at = Instant::now();
         let search = self.search_origin(request, &stream).await;
@@ -85,7 +85,7 @@
             waited_ms = millis(began_at.elapsed()),
         );
         match outcome.software() {
-            Some(software) => Ok(Some(software)),
+            Some(software) => Ok(RequiredSoftware::Exactly(software)),
             None => Err(ErrorCause::VersionUnknown),
         }
     }
--- a/src/connection/targets/fleet_view.rs
+++ b/src/connection/targets/fleet_view.rs
@@ -1,6 +1,10 @@
 use {
     super::{ReplicaFreshness, VersionHistory},
-    crate::{clock::Instant, formats::TargetRecord, version::routing::RoutingTable},
+    crate::{
+        clock::Instant,
+        formats::{SoftwareId, TargetRecord},
+        version::routing::RoutingTable,
+    },
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
 };
 
@@ -23,6 +27,8 @@
     pub targets: HashMap<String, Arc<TargetView>>,
     /// By `MODEL/ADAPTER`, of adapters with more than one version.
     pub versions: Arc<HashMap<String, VersionHistory>>,
+    /// By service, the versions of targets' software at which no stream may begin yet.
+    pub withheld_software: Arc<HashMap<String, Vec<SoftwareId>>>,
     /// By hash slot, the hosts that count customers' usage and allocate concurrency slots of plain targets; empty if
     /// no customer has a limit.
     pub hash_slot_holders: Vec<Option<SocketAddr>>,
--- a/src/connection/targets/table_adapters.rs
+++ b/src/connection/targets/table_adapters.rs
@@ -7,8 +7,10 @@
     crate::{
         clock::Instant,
         connection::datagram::{Placement, PlacementState, Want},
-        formats::SoftwareId,
-        request::{direct::AdapterCopyState, notices::Availability, pace::PlacementRank},
+        request::{
+            direct::AdapterCopyState, notices::Availability, origins::RequiredSoftware,
+            pace::PlacementRank,
+        },
     },
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::sync::Notify,
@@ -26,7 +28,7 @@
 pub struct ServiceEngines<'a> {
     pub service: &'a str,
     /// Version that they run; `None` for all engines.
-    pub software: Option<SoftwareId>,
+    pub software: RequiredSoftware,
 }
 
 impl TargetTable {
--- a/src/connection/targets/table_software.rs
+++ b/src/connection/targets/table_software.rs
@@ -6,7 +6,7 @@
         clock::Instant,
         connection::datagram::OriginAsk,
         formats::{SoftwareId, SoftwareVersion},
-        request::origins::StreamOrigin,
+        request::origins::{RequiredSoftware, StreamOrigin},
     },
 };
 
@@ -20,17 +20,35 @@
         Some(&link.view.record.software)
     }
 
-    /// Returns true if a target runs this version; `None` stands for any.
+    /// Returns true if a target runs a version at which the request may run.
     pub fn runs_software(
         &self,
         target: &str,
-        software: Option<SoftwareId>,
+        required: RequiredSoftware,
     ) -> bool {
-        let Some(software) = software else {
-            return true;
-        };
-        let runs = self.software_of(target);
-        runs.is_some_and(|version| version.id() == software)
+        match required {
+            RequiredSoftware::Any => true,
+            RequiredSoftware::Introduced => !self.is_withheld(target),
+            RequiredSoftware::Exactly(software) => {
+                let runs = self.software_of(target);
+                runs.is_some_and(|version| version.id() == software)
+            }
+        }
+    }
+
+    /// Returns true if no stream may begin at the version of a target's software yet.
+    fn is_withheld(
+        &self,
+        target: &str,
+    ) -> bool {
+        if self.view.withheld_software.is_empty() {
+            return false;
+        }
+        self.links.get(target).is_some_and(|link| {
+            let record = &link.view.record;
+            let withheld = self.view.withheld_software.get(&record.service);
+            withheld.is_some_and(|versions| versions.contains(&record.software.id()))
+        })
     }
 
     /// Returns true if a usable target of the service runs this version.
@@ -42,7 +60,8 @@
     ) -> bool {
         let mut targets = self.targets_of(service).iter();
         targets.any(|target| {
-            self.runs_software(&target.id, Some(software)) && self.is_usable(&target.id, now)
+            self.runs_software(&target.id, RequiredSoftware::Exactly(software))
+                && self.is_usable(&target.id, now)
         })
     }
 
--- a/src/process/host/control_origin_rows.rs
+++ b/src/process/host/control_origin_rows.rs
@@ -48,8 +48,11 @@
 /// Origins in one row, so that it stays below the size of a row.
 const MAX_ORIGINS_PER_ROW: usize = 1_024;
 
-/// Writes in one transaction.
-const MAX_WRITES: usize = 50;
+/// Rows of streams in one transaction.
+const MAX_STREAM_ROWS: usize = 16;
+
+/// Writes of versions, and of deletions, in one transaction: with the streams less than it may hold.
+const MAX_WRITES: usize = 40;
 
 /// Origins that wait to be stored; the oldest give way.
 const MAX_UNSAVED: usize = 16_384;
@@ -64,16 +67,15 @@
     era: u32,
     /// Versions whose rows it writes or, without a value, deletes.
     versions: Vec<((String, SoftwareId), Option<bool>)>,
-    /// Origins that it stores, with their row.
-    streams: Option<(RowKey, Vec<StreamOrigin>)>,
+    /// Origins that it stores, by their rows.
+    streams: Vec<(RowKey, Vec<StreamOrigin>)>,
     /// Rows of streams that it deletes.
     deleted: usize,
 }
 
 impl PendingWrite {
     fn stream_count(&self) -> usize {
-        let streams = self.streams.as_ref();
-        streams.map_or(0, |(_, origins)| origins.len())
+        self.streams.iter().map(|(_, origins)| origins.len()).sum()
     }
 }
 
@@ -81,19 +83,19 @@
 #[derive(Debug, Default)]
 pub(super) struct OriginStore {
     /// Rows of versions, and whether they say that they are all.
-    versions: BTreeMap<(String, SoftwareId), bool>,
+    pub versions: BTreeMap<(String, SoftwareId), bool>,
     /// Origins of this host's own streams that are not stored, the oldest first.
     unsaved: VecDeque<StreamOrigin>,
     /// Rows of streams, each with the time from which no stream of it can be taken up; the oldest first.
     stream_rows: VecDeque<(RowKey, Instant)>,
     next_row: u64,
     pending: Option<PendingWrite>,
-    next_write: Option<Instant>,
+    pub next_write: Option<Instant>,
     next_note: Option<Instant>,
     is_reading: bool,
     next_read: Option<Instant>,
     /// The rows have been read, or there were none when this host started.
-    has_read: bool,
+    pub has_read: bool,
     /// Searches that wait for the read under way.
     waiting: Vec<OriginAsk>,
 }
@@ -113,12 +115,12 @@
     /// Takes back the origins of a write that failed.
     fn return_unsaved(
         &mut self,
-        streams: Option<(RowKey, Vec<StreamOrigin>)>,
+        streams: Vec<(RowKey, Vec<StreamOrigin>)>,
     ) {
-        let origins = streams.map_or(Vec::new(), |(_, origins)| origins);
-        for origin in origins.into_iter().rev() {
-            self.unsaved.push_front(origin);
-        }
+        let returned = streams.into_iter().flat_map(|(_, origins)| origins);
+        let mut unsaved: Vec<StreamOrigin> = self.unsaved.drain(..).chain(returned).collect();
+        unsaved.sort_by_key(|origin| origin.at);
+        self.unsaved = unsaved.into();
     }
 
     /// Returns true if a read may start now.
@@ -147,12 +149,18 @@
             store.unsaved.pop_front();
         }
         let is_due = store.next_write.is_none_or(|at| now >= at);
-        if store.pending.is_some() || !is_due || !self.origins.software.is_followed() {
+        if !self.origins.software.is_followed() {
             return Vec::new();
         }
         if self.settings.first_start {
             self.origins.store.has_read = true;
         }
+        if let Some(read) = self.read_missing_rows(now) {
+            return vec![read];
+        }
+        if self.origins.store.pending.is_some() || !is_due {
+            return Vec::new();
+        }
         let mut writes = Vec::new();
         let versions = match self.hosts.link_rank() < VERSION_WRITERS {
             true => self.changed_versions(now),
@@ -194,6 +202,9 @@
             let key = (service.to_string(), software);
             let is_complete = history.is_complete(service, now);
             let known = stored.get(&key).copied();
+            if known.is_none() && !self.may_introduce(&key, now) {
+                continue;
+            }
             if known.is_none_or(|known| is_complete && !known) {
                 changed.push((key, Some(is_complete)));
             }
@@ -226,17 +237,22 @@
         changed.iter().map(write).collect()
     }
 
-    /// Takes the origins that are stored next. With one version alone it is enough to know that.
-    fn unsaved_streams(&mut self) -> Option<(RowKey, Vec<StreamOrigin>)> {
+    /// Takes the origins that are stored next, those of the latest streams first, as the others are likely over. With one version
+    /// alone it is enough to know that.
+    fn unsaved_streams(&mut self) -> Vec<(RowKey, Vec<StreamOrigin>)> {
+        if !self.origins.software.has_several_versions() {
+            return Vec::new();
+        }
+        let process = self.hosts.me().process;
         let store = &mut self.origins.store;
-        if store.unsaved.is_empty() || !self.origins.software.has_several_versions() {
-            return None;
+        let mut rows = Vec::new();
+        while !store.unsaved.is_empty() && rows.len() < MAX_STREAM_ROWS {
+            let left = store.unsaved.len().saturating_sub(MAX_ORIGINS_PER_ROW);
+            let origins = store.unsaved.drain(left..).collect();
+            rows.push((streams_key(process, store.next_row), origins));
+            store.next_row += 1;
         }
-        let count = store.unsaved.len().min(MAX_ORIGINS_PER_ROW);
-        let origins = store.unsaved.drain(..count).collect();
-        let row = streams_key(self.hosts.me().process, store.next_row);
-        store.next_row += 1;
-        Some((row, origins))
+        rows
     }
 
     /// Returns the rows of streams that are of no use any more.
@@ -258,7 +274,7 @@
         commit: Option<Commit>,
         now: Instant,
     ) -> Vec<ControlAction> {
-        let (commit, actions) = self.observe_commit(commit, now);
+        let (commit, mut actions) = self.observe_commit(commit, now);
         let (era, interval) = (self.assignment.era(), self.origin_write_interval());
         let store = &mut self.origins.store;
         let Some(pending) = store.pending.take() else {
@@ -283,6 +299,7 @@
             streams = pending.stream_count(),
             deleted_rows = pending.deleted,
         );
+        let announced = pending.versions.clone();
         for (key, is_complete) in pending.versions {
             match is_complete {
                 Some(is_complete) => store.versions.insert(key, is_complete),
@@ -290,14 +307,15 @@
             };
         }
         store.stream_rows.drain(..pending.deleted);
-        if let Some((row, _)) = pending.streams {
+        for (row, _) in pending.streams {
             store.stream_rows.push_back((row, now + ORIGIN_TTL));
         }
+        actions.extend(self.announce_stored(&announced));
         actions
     }
 
     /// Returns the interval at which this host writes: all hosts write to one table, which takes so many writes a second.
-    fn origin_write_interval(&self) -> Duration {
+    pub(super) fn origin_write_interval(&self) -> Duration {
         let hosts = u32::try_from(self.hosts.known_count()).unwrap_or(u32::MAX);
         WRITE_INTERVAL + WRITE_INTERVAL_PER_HOST * hosts
     }
@@ -321,7 +339,7 @@
         Some(read.into_iter().collect())
     }
 
-    fn read_origin_rows(
+    pub(super) fn read_origin_rows(
         &mut self,
         now: Instant,
     ) -> Option<ControlAction> {
@@ -354,6 +372,7 @@
         let mut actions = self.observe_store(batch.version, now);
         self.origins.store.has_read = true;
         let (mut versions, mut streams) = (0, 0);
+        self.changed = true;
         for row in &batch.rows {
             match parse(row) {
                 Some(OriginRow::Version(row)) => {
--- a/src/process/host/control_origins.rs
+++ b/src/process/host/control_origins.rs
@@ -1,10 +1,14 @@
 //! Control-thread handling of stream origins: records of the streams of this and of other hosts, and searches for them.
 
 use {
-    super::{ControlAction, HostControl, control_origin_rows::OriginStore},
+    super::{
+        ControlAction, HostControl, control_origin_rows::OriginStore,
+        version_introductions::VersionIntroductions,
+    },
     crate::{
         clock::Instant,
         connection::datagram::{Message, OriginAnswer, OriginAsk, OriginRecord, OriginRecords},
+        formats::SoftwareId,
         metrics::metrics,
         process::hosts::HostState,
         request::origins::{
@@ -33,6 +37,7 @@
     pub records: Records,
     pub software: SoftwareHistory,
     pub store: OriginStore,
+    pub introductions: VersionIntroductions,
 }
 
 impl OriginState {
@@ -55,6 +60,7 @@
         self.origins.store.add_unsaved(origin);
         let records = OriginRecords {
             records: vec![OriginRecord::of(&origin, now)],
+            stored: Vec::new(),
         };
         let keepers = self.origin_hosts(origin.key).into_iter().take(COPIES);
         keepers
@@ -75,6 +81,7 @@
         for origin in origins.filter_map(|record| record.origin(now)) {
             self.keep_origin(origin, now);
         }
+        self.take_stored_versions(&records.stored);
     }
 
     /// Searches for the origin of a stream that is taken up here: this host's own answer comes at once. Unless it knows, other
@@ -135,6 +142,7 @@
             let message = |records: &[OriginRecord]| {
                 Message::OriginRecords(OriginRecords {
                     records: records.to_vec(),
+                    stored: Vec::new(),
                 })
             };
             messages.map(message).collect::<Vec<Message>>()
@@ -156,6 +164,7 @@
         let records = self.targets.values().map(|target| &target.record);
         let listed = records.map(|record| (record.service.as_str(), record.software.id()));
         self.origins.software.update(listed, now);
+        self.update_introductions(now);
     }
 
     pub(super) fn keep_origin(
@@ -178,11 +187,22 @@
         let key = ask.stream.map(StreamKey::from_bits);
         OriginFinding {
             recorded: key.and_then(|key| self.origins.records.get(key, now)),
-            versions: self.origins.software.versions(&ask.service),
+            versions: self.versions_in_use(&ask.service),
             is_complete: self.origins.software.is_complete(&ask.service, now),
         }
     }
 
+    /// Returns the versions at which a stream of the service may have begun.
+    fn versions_in_use(
+        &self,
+        service: &str,
+    ) -> Vec<SoftwareId> {
+        let mut versions = self.origins.software.versions(service);
+        let introductions = &self.origins.introductions;
+        versions.retain(|software| !introductions.is_unused(service, *software));
+        versions
+    }
+
     /// Returns the other hosts that may keep the origin of a stream, those that do first.
     fn origin_hosts(
         &self,
--- a/src/process/host/host_control.rs
+++ b/src/process/host/host_control.rs
@@ -574,6 +574,7 @@
             routing: self.routing.clone(),
             targets: targets.collect(),
             versions: self.versions.clone(),
+            withheld_software: self.withheld_software(),
             hash_slot_holders: self.shard_holders(&holders),
             other_hosts: self.other_hosts(),
             hosts: self.hosts.reachable_count(),
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -5,6 +5,7 @@
 mod control_event;
 mod control_gauges;
 mod control_holding;
+mod control_introductions;
 mod control_notices;
 mod control_origin_rows;
 mod control_origins;
@@ -35,6 +36,7 @@
 mod taker_selection;
 mod traffic;
 mod unclaimed_engines;
+mod version_introductions;
 mod wake_watch;
 
 pub use {
--- a/src/process/host/origin_rows.rs
+++ b/src/process/host/origin_rows.rs
@@ -102,6 +102,7 @@
             .iter()
             .map(|origin| OriginRecord::of(origin, now))
             .collect(),
+        stored: Vec::new(),
     };
     RowWrite {
         row,
--- a/src/request/origins/mod.rs
+++ b/src/request/origins/mod.rs
@@ -6,6 +6,7 @@
 mod origin_hosts;
 mod origin_records;
 mod origin_search;
+mod required_software;
 mod software_history;
 mod stream_key;
 
@@ -13,6 +14,7 @@
     origin_hosts::{OriginHost, origin_hosts},
     origin_records::{ORIGIN_REFRESH, ORIGIN_TTL, OriginRecords, StreamOrigin},
     origin_search::{OriginFinding, OriginSearch, SearchOutcome},
+    required_software::RequiredSoftware,
     software_history::SoftwareHistory,
     stream_key::StreamKey,
 };
--- a/src/request/origins/software_history.rs
+++ b/src/request/origins/software_history.rs
@@ -86,6 +86,11 @@
         self.followed_since.is_some()
     }
 
+    /// Returns since when this host has followed the list of targets.
+    pub fn followed_since(&self) -> Option<Instant> {
+        self.followed_since
+    }
+
     /// Returns true if no stream of the service that may still be taken up has begun at a version that is missing here.
     pub fn is_complete(
         &self,
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -79,6 +79,7 @@
     OriginsRead = 320 "origins_read" Info,
     OriginsStored = 321 "origins_stored" Info,
     OriginStoreFailed = 322 "origin_store_failed" Warn,
+    VersionWithheld = 323 "version_withheld" Info,
     ConfigApplied = 401 "config_applied" Info,
     ConfigUnreadable = 402 "config_unreadable" Warn,
     AdapterVersionSeen = 403 "adapter_version_seen" Info,
--- a/tests/target_table.rs
+++ b/tests/target_table.rs
@@ -14,7 +14,7 @@
         formats::{
             HeldAdapter, HeldModel, SoftwareVersion, TargetRecord, TargetStart, TargetState,
         },
-        request::direct::Policy,
+        request::{direct::Policy, origins::RequiredSoftware},
     },
     rstest::rstest,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -177,7 +177,7 @@
     let order = world.table.placement_order(
         ServiceEngines {
             service: "models",
-            software: None,
+            software: RequiredSoftware::Any,
         },
         "m0/a1",
         3,
@@ -224,7 +224,7 @@
     let order = world.table.placement_order(
         ServiceEngines {
             service: "models",
-            software: None,
+            software: RequiredSoftware::Any,
         },
         "m0/a1",
         3,
