The line of a request tells what was known of its adapter's version when its answer began

It has newest_at_start and version_left_ms now, and coveproxy_version_starts counts answers by newest, replaced and expired. No logic changes.

--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -5,6 +5,7 @@
     },
     crate::{
         clock::Instant,
+        connection::targets::RemainingTime,
         request::{
             direct::{AttemptEnd, EngineOutlook, PromptChain, RequestHistory},
             origins::RequiredSoftware,
@@ -17,6 +18,14 @@
 /// Maximum number of samples of engines that a request discards because all of them are busy.
 const MAX_DISCARDED_SAMPLES: u32 = 2;
 
+/// What was known of the version of a request's adapter when its answer began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VersionAtStart {
+    pub newest: u64,
+    /// Time until requests may no longer begin on the version that the target runs.
+    pub remaining: RemainingTime,
+}
+
 /// Attempts to serve one request.
 #[derive(Default)]
 pub struct Attempts {
@@ -36,6 +45,8 @@
     pub query: Option<QueryRound>,
     /// Estimate by which the target of the last send was chosen.
     pub estimate: Option<PaceEstimate>,
+    /// `None` for requests without an adapter, and before an answer has begun.
+    pub version_at_start: Option<VersionAtStart>,
     /// Discarded samples of engines.
     discarded_samples: u32,
     /// Since when no holder has confirmed a load that the request waits for.
@@ -97,6 +108,7 @@
         self.history.runs += more.runs;
         self.history.arrivals += more.arrivals;
         self.estimate = beside.estimate.or(self.estimate);
+        self.version_at_start = beside.version_at_start.or(self.version_at_start);
         self.trace.append(beside.trace);
     }
 
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -6,7 +6,7 @@
             acquire_slot, charge, charge_repeat, wait_for_budget,
         },
         answer_times::AnswerTimes,
-        attempts::Attempts,
+        attempts::{Attempts, VersionAtStart},
         chooser::{Choice, Chooser},
         crash_probe::{LostAnswer, answers_health_check, clear_suspect, probe_after_loss},
         exchange::{Destination, OpenAnswer, SendOutcome},
@@ -27,7 +27,7 @@
         clock::{Instant, timeout_at},
         connection::targets::{ANSWER_START_WINDOW, AnswerStart, TargetIncarnation, TargetTable},
         formats::Formats,
-        metrics::{WaitLabels, metrics},
+        metrics::{StateLabels, WaitLabels, metrics},
         request::{
             direct::{
                 AdapterCopyState, AttemptEnd, CallRequest, NextStep, RejectReason, next_step,
@@ -375,11 +375,13 @@
             let end = match sent {
                 SendOutcome::Complete(answer) => {
                     self.record_answer_start(request, incarnation);
+                    attempts.version_at_start = self.version_at_start(request, &destination);
                     clear_suspect(&self.table, request, answer.status);
                     return Ok(Outcome::Final(relay(answer)));
                 }
                 SendOutcome::Open(mut answer) => {
                     self.record_answer_start(request, incarnation);
+                    attempts.version_at_start = self.version_at_start(request, &destination);
                     answer.source.permit = permit;
                     return Ok(Outcome::Open(answer));
                 }
@@ -553,6 +555,30 @@
         self.table.borrow_mut().crashes.on_answer_start(start);
     }
 
+    /// Returns what is known now of the version of the adapter that a request was sent for, and counts it.
+    fn version_at_start(
+        &self,
+        request: &CallRequest,
+        destination: &Destination,
+    ) -> Option<VersionAtStart> {
+        let adapter = request.generation.as_ref()?.adapter()?;
+        let sent = destination.version?;
+        let table = self.table.borrow();
+        let deadline = table.version_deadline(adapter, sent.version);
+        let start = VersionAtStart {
+            newest: table.newest_version(adapter),
+            remaining: deadline.remaining(Instant::now()),
+        };
+        let state = match start.remaining.is_over() {
+            true => "expired",
+            false if sent.version < start.newest => "replaced",
+            false => "newest",
+        };
+        let labels = StateLabels { state };
+        metrics().version_starts.get_or_create(&labels).inc();
+        Some(start)
+    }
+
     /// Handles the end of a complete stream.
     pub fn on_complete(
         &self,
--- a/src/connection/front/served_request.rs
+++ b/src/connection/front/served_request.rs
@@ -1,7 +1,9 @@
 use {
     super::{
-        AnswerEnding, ErrorCause, Lateness, StreamTiming, TimedPart, attempts::Attempts,
-        exchange::ExpectedVersion, request_trace::millis,
+        AnswerEnding, ErrorCause, Lateness, StreamTiming, TimedPart,
+        attempts::{Attempts, VersionAtStart},
+        exchange::ExpectedVersion,
+        request_trace::millis,
     },
     crate::{
         clock::Instant,
@@ -35,6 +37,7 @@
     cause: Option<ErrorCause>,
     target: String,
     sent: Option<ExpectedVersion>,
+    version_at_start: Option<VersionAtStart>,
     estimate: Option<PaceEstimate>,
     waited: Duration,
     waited_for_adapter: Option<Duration>,
@@ -55,6 +58,7 @@
             cause,
             target: trace.last_target().to_string(),
             sent: trace.last_version(),
+            version_at_start: attempts.version_at_start,
             estimate: attempts.estimate,
             waited: trace.time_to_last_send(request.arrived),
             waited_for_adapter: trace.time_waited(request.arrived),
@@ -104,6 +108,7 @@
         }
         self.record_metrics(request, timing, lateness);
         let generation = request.generation.as_ref();
+        let start = self.version_at_start;
         note!(
             Event::RequestServed,
             id = id,
@@ -114,6 +119,8 @@
             adapter = generation.and_then(|g| g.adapter()).unwrap_or("-"),
             version = self.sent.map_or(0, |sent| sent.version),
             newest = self.sent.map_or(0, |sent| sent.newest),
+            newest_at_start = start.map_or(0, |start| start.newest),
+            version_left_ms = start.map_or("-".to_string(), |start| start.remaining.to_string()),
             waited_ms = millis(self.waited),
             expected_ms = self.sent.map_or(-1.0, |sent| millis(sent.wait)),
             first_ms = millis(self.first_event),
--- a/src/connection/targets/mod.rs
+++ b/src/connection/targets/mod.rs
@@ -70,6 +70,6 @@
     target_link::{IdleConnection, RequestTokens, TargetLink},
     target_table::{MAX_BROADCAST_HOSTS, ServiceTarget, TargetTable, TargetTableSettings},
     unplaced_requests::UnplacedRequests,
-    version_deadline::VersionDeadline,
+    version_deadline::{RemainingTime, VersionDeadline},
     version_history::{VersionHistory, VersionStatus},
 };
--- a/src/connection/targets/version_deadline.rs
+++ b/src/connection/targets/version_deadline.rs
@@ -1,4 +1,11 @@
-use {super::SEND_MARGIN, crate::clock::Instant, std::time::Duration};
+use {
+    super::SEND_MARGIN,
+    crate::clock::Instant,
+    std::{
+        fmt::{self, Display, Formatter},
+        time::Duration,
+    },
+};
 
 /// Margin for requests that begin at their engine later than estimated, because of concurrent sends by other hosts or
 /// prompts of higher priority.
@@ -27,4 +34,48 @@
             Self::Passed => false,
         }
     }
+
+    /// Returns the time until the deadline.
+    pub fn remaining(
+        self,
+        now: Instant,
+    ) -> RemainingTime {
+        match self {
+            Self::Unlimited => RemainingTime::Unlimited,
+            Self::At(until) if now <= until => RemainingTime::Left(until - now),
+            Self::At(until) => RemainingTime::OverFor(now - until),
+            Self::Passed => RemainingTime::Over,
+        }
+    }
+}
+
+/// Time until a version's deadline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RemainingTime {
+    Unlimited,
+    Left(Duration),
+    OverFor(Duration),
+    /// Over for an unknown time.
+    Over,
+}
+
+impl RemainingTime {
+    pub fn is_over(self) -> bool {
+        matches!(self, Self::OverFor(_) | Self::Over)
+    }
+}
+
+/// Milliseconds, negative after the deadline; a word if they are not known.
+impl Display for RemainingTime {
+    fn fmt(
+        &self,
+        f: &mut Formatter<'_>,
+    ) -> fmt::Result {
+        match self {
+            Self::Unlimited => f.write_str("unlimited"),
+            Self::Left(time) => write!(f, "{}", time.as_millis()),
+            Self::OverFor(time) => write!(f, "-{}", time.as_millis()),
+            Self::Over => f.write_str("over"),
+        }
+    }
 }
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -45,6 +45,7 @@
     pub rejections: Family<WaitLabels, Counter>,
     pub forwards: Family<StateLabels, Counter>,
     pub hedges: Family<StateLabels, Counter>,
+    pub version_starts: Family<StateLabels, Counter>,
     pub repeats: Family<StateLabels, Counter>,
     pub repeat_allowance: Family<StateLabels, Amount>,
     pub repeat_loans: Family<StateLabels, Counter>,
@@ -113,6 +114,7 @@
             rejections: Family::default(),
             forwards: Family::default(),
             hedges: Family::default(),
+            version_starts: Family::default(),
             repeats: Family::default(),
             repeat_allowance: Family::default(),
             repeat_loans: Family::default(),
@@ -361,6 +363,11 @@
             "Requests that were also tried elsewhere while their target was silent, by which answer decided",
             self.hedges.clone(),
         );
+        registry.register(
+            "version_starts",
+            "Answers that began, by what was known of their adapter's version then",
+            self.version_starts.clone(),
+        );
         registry.register(
             "prompt_tokens",
             "Prompt tokens sent to engines",
