A request that waits at its engine past its version's bound is taken back in time

Cause: the version's deadline was enforced by an estimate alone. may_send compared it with the expected wait right before the send, and nothing looked at the request again; whatever it waited beyond the estimate and its margin, it began whenever its engine got to it. The class: a belief that bounds when something begins is checked when it is sent.

Change: each send watches its version until the first event (the head, for answers that are no streams). News of a newer version wake it; 0.7 s before the deadline (the way, and the half second in which a target must notice a close) the host closes the connection. The attempt ends as cancelled: it may have run for a moment, accuses nobody, counts against the attempts and the budget of repeats, and frees slot and permit like any other. What may be repeated is sent again; it waits for a place until its deadline, and at the same engine if there is no other. While no newer version is known nothing is taken back, with the store there or not. Line 645 and coveproxy_cancelled_sends tell of it.

Why it works: the bound no longer rests on how long a wait was thought to be, only on when the newer version is known, which the bound of the table's age holds.

--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -47,6 +47,8 @@
     pub estimate: Option<PaceEstimate>,
     /// `None` for requests without an adapter, and before an answer has begun.
     pub version_at_start: Option<VersionAtStart>,
+    /// A send was cancelled, as its version of the adapter could no longer serve.
+    pub was_cancelled: bool,
     /// Discarded samples of engines.
     discarded_samples: u32,
     /// Since when no holder has confirmed a load that the request waits for.
@@ -72,6 +74,7 @@
         now: Instant,
     ) {
         self.history.record(end);
+        self.was_cancelled |= end == AttemptEnd::Cancelled;
         self.query = None;
         self.unconfirmed_since = None;
         let target = destination.target.clone();
@@ -79,7 +82,9 @@
             AttemptEnd::NotSent => TraceStep::Unreachable { target },
             AttemptEnd::NotRun { status, .. } => TraceStep::Rejected { target, status },
             AttemptEnd::Failed { status } => TraceStep::Failed { target, status },
-            AttemptEnd::Lost | AttemptEnd::Refused => TraceStep::AnswerLost { target },
+            AttemptEnd::Lost | AttemptEnd::Cancelled | AttemptEnd::Refused => {
+                TraceStep::AnswerLost { target }
+            }
         };
         self.trace.add(step, now);
     }
@@ -94,6 +99,7 @@
             tried: self.tried.clone(),
             forwarding_failed: self.forwarding_failed,
             software: self.software,
+            was_cancelled: self.was_cancelled,
             ..Self::default()
         }
     }
@@ -108,6 +114,7 @@
         self.history.runs += more.runs;
         self.history.arrivals += more.arrivals;
         self.estimate = beside.estimate.or(self.estimate);
+        self.was_cancelled |= beside.was_cancelled;
         self.version_at_start = beside.version_at_start.or(self.version_at_start);
         self.trace.append(beside.trace);
     }
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -1,8 +1,12 @@
 use {
     super::{
-        AnswerEnding, AnswerReader, admission::HeldPermit, buffer_limits::MAX_BUFFERED_BODY,
-        in_flight_request::InFlightRequest, reach_check::suspect_unreached,
+        AnswerEnding, AnswerReader,
+        admission::HeldPermit,
+        buffer_limits::MAX_BUFFERED_BODY,
+        in_flight_request::InFlightRequest,
+        reach_check::suspect_unreached,
         target_connection::connect,
+        version_watch::{VersionExpired, VersionWatch},
     },
     crate::{
         clock::Instant,
@@ -208,7 +212,11 @@
     connection.carried.add(request.id_bytes());
     let exchange =
         connection.exchange_parts(&sent_head, &request.body, &request.method, is_own_answer);
-    let (head, sent_completely) = match exchange.await {
+    let watch = VersionWatch::new(table, request, destination, now);
+    let Ok(exchanged) = watch.before_expiry(exchange).await else {
+        return SendOutcome::Ended(AttemptEnd::Cancelled);
+    };
+    let (head, sent_completely) = match exchanged {
         Ok(answered) => answered,
         Err(problem) => return lost_answer(&in_flight, names, request, problem),
     };
@@ -249,7 +257,15 @@
     };
     // An answer for which there is no room is relayed piece by piece; a failure is needed whole, to try again after it.
     while is_short(&body, &source) && (has_room || failed) {
-        match source.next().await {
+        // A stream begins with its first event, any other answer with its head.
+        let piece = match source.reader.awaits_event() {
+            true => match watch.before_expiry(source.next()).await {
+                Ok(piece) => piece,
+                Err(VersionExpired) => return SendOutcome::Ended(AttemptEnd::Cancelled),
+            },
+            false => source.next().await,
+        };
+        match piece {
             Ok(Some(piece)) => {
                 body.extend_from_slice(&piece);
                 has_room = held.cover(body.capacity() as u64);
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -46,6 +46,7 @@
 mod take_up;
 mod target_connection;
 mod unplaced;
+mod version_watch;
 mod waits;
 
 pub use {
--- a/src/connection/front/unplaced.rs
+++ b/src/connection/front/unplaced.rs
@@ -115,7 +115,8 @@
         }
     }
 
-    /// Decides if no engine can be asked for a load either: chooses again while there is time for a prompt rejection.
+    /// Decides if no engine can be asked for a load either: chooses again while there is time for a prompt rejection, and until
+    /// its deadline for a request that this host has cancelled itself.
     pub fn wait_or_give_up(
         &self,
         table: &mut TargetTable,
@@ -138,7 +139,7 @@
             let until = room_at.unwrap_or(retry_at);
             return self.decide(table, attempts, self.outlook(table), until);
         }
-        match self.is_prompt(retry_at) {
+        match self.is_prompt(retry_at) || attempts.was_cancelled {
             true => Choice::Wait {
                 until: retry_at,
                 expected: None,
--- a/src/connection/targets/table_staleness.rs
+++ b/src/connection/targets/table_staleness.rs
@@ -122,6 +122,27 @@
         }
     }
 
+    /// Returns when a request that was sent for a version has to be cancelled unless it has begun; `None` while no newer version
+    /// is known.
+    pub fn cancellation_time(
+        &self,
+        adapter: &str,
+        version: u64,
+        now: Instant,
+    ) -> Option<Instant> {
+        match version < self.newest_version(adapter) {
+            true => self
+                .version_deadline(adapter, version)
+                .cancellation_time(now),
+            false => None,
+        }
+    }
+
+    /// Returns the `Notify` that wakes waiters when a newer version of an adapter is known.
+    pub fn version_updates(&self) -> Rc<Notify> {
+        self.version_updates.clone()
+    }
+
     /// Returns the deadline for the newest known version: a newer one may have been published right after the
     /// configuration was last confirmed.
     fn newest_version_deadline(&self) -> VersionDeadline {
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -66,6 +66,8 @@
     pub(super) freshness: ReplicaFreshness,
     /// Wakes requests that wait for fresh replicas.
     pub(super) freshness_updates: Rc<Notify>,
+    /// Wakes requests that wait at an engine for their start.
+    pub(super) version_updates: Rc<Notify>,
     pub(super) staleness_monitor: StalenessMonitor,
     /// Whether this host reaches targets, by service.
     pub(super) reach: HashMap<String, ServiceReach>,
@@ -120,6 +122,7 @@
             engine_status_updates: Rc::default(),
             freshness: ReplicaFreshness::default(),
             freshness_updates: Rc::default(),
+            version_updates: Rc::default(),
             staleness_monitor: StalenessMonitor::new(settings.bounds, Instant::now()),
             reach: HashMap::new(),
             reach_updates: Rc::default(),
@@ -244,7 +247,11 @@
         }
         self.set_freshness(view.freshness);
         self.budgets.set_hosts(view.known_hosts);
+        let has_new_versions = !Arc::ptr_eq(&self.view.versions, &view.versions);
         self.view = view;
+        if has_new_versions {
+            self.version_updates.notify_waiters();
+        }
         if needs_regrouping {
             self.group_by_service();
         }
--- a/src/connection/targets/version_deadline.rs
+++ b/src/connection/targets/version_deadline.rs
@@ -11,6 +11,9 @@
 /// prompts of higher priority.
 const WAIT_ESTIMATE_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Time within which a target drops a request whose connection was closed.
+const CANCELLATION_TIME: Duration = Duration::from_millis(500);
+
 /// Deadline for requests to begin on a version of an adapter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VersionDeadline {
@@ -35,6 +38,18 @@
         }
     }
 
+    /// Returns when a request is closed that has not begun by then, so that its target drops it in time.
+    pub fn cancellation_time(
+        self,
+        now: Instant,
+    ) -> Option<Instant> {
+        match self {
+            Self::Unlimited => None,
+            Self::At(until) => Some(until - SEND_MARGIN - CANCELLATION_TIME),
+            Self::Passed => Some(now),
+        }
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining(
         self,
--- a/src/metrics/host_metrics.rs
+++ b/src/metrics/host_metrics.rs
@@ -46,6 +46,7 @@
     pub forwards: Family<StateLabels, Counter>,
     pub hedges: Family<StateLabels, Counter>,
     pub version_starts: Family<StateLabels, Counter>,
+    pub cancelled_sends: Counter,
     pub repeats: Family<StateLabels, Counter>,
     pub repeat_allowance: Family<StateLabels, Amount>,
     pub repeat_loans: Family<StateLabels, Counter>,
@@ -115,6 +116,7 @@
             forwards: Family::default(),
             hedges: Family::default(),
             version_starts: Family::default(),
+            cancelled_sends: Counter::default(),
             repeats: Family::default(),
             repeat_allowance: Family::default(),
             repeat_loans: Family::default(),
@@ -368,6 +370,11 @@
             "Answers that began, by what was known of their adapter's version then",
             self.version_starts.clone(),
         );
+        registry.register(
+            "cancelled_sends",
+            "Requests that were cancelled at their engine, as the version of their adapter could no longer serve",
+            self.cancelled_sends.clone(),
+        );
         registry.register(
             "prompt_tokens",
             "Prompt tokens sent to engines",
--- a/src/request/direct/attempt_end.rs
+++ b/src/request/direct/attempt_end.rs
@@ -9,6 +9,9 @@
     Failed { status: u16 },
     /// There was no answer, or it broke off; whether the target ran the request is unknown.
     Lost,
+    /// The request was cancelled before an answer began, as its adapter's version could no longer serve; the target may have
+    /// run it for a moment.
+    Cancelled,
     /// The target's answer was malformed; whether it ran the request is unknown.
     Refused,
 }
@@ -16,7 +19,7 @@
 impl AttemptEnd {
     /// Returns true if there is no answer, and the target may have run the request.
     pub fn is_unknown(self) -> bool {
-        matches!(self, Self::Lost | Self::Refused)
+        matches!(self, Self::Lost | Self::Cancelled | Self::Refused)
     }
 
     /// Returns the value of the metric label.
@@ -26,6 +29,7 @@
             Self::NotRun { .. } => "not_run",
             Self::Failed { .. } => "failed",
             Self::Lost => "lost",
+            Self::Cancelled => "cancelled",
             Self::Refused => "refused",
         }
     }
--- a/src/request/direct/next_step.rs
+++ b/src/request/direct/next_step.rs
@@ -31,7 +31,10 @@
         match end {
             AttemptEnd::NotSent => {}
             AttemptEnd::NotRun { .. } => self.arrivals += 1,
-            AttemptEnd::Failed { .. } | AttemptEnd::Lost | AttemptEnd::Refused => {
+            AttemptEnd::Failed { .. }
+            | AttemptEnd::Lost
+            | AttemptEnd::Cancelled
+            | AttemptEnd::Refused => {
                 self.arrivals += 1;
                 self.runs += 1;
             }
@@ -74,12 +77,15 @@
         }
         AttemptEnd::NotRun { .. } if attempts_exhausted || !can_resend => NextStep::Reject,
         AttemptEnd::NotRun { .. } => NextStep::Resend { repeats },
-        AttemptEnd::Failed { .. } | AttemptEnd::Lost | AttemptEnd::Refused
+        AttemptEnd::Failed { .. }
+        | AttemptEnd::Lost
+        | AttemptEnd::Cancelled
+        | AttemptEnd::Refused
             if route.repeatable() && !attempts_exhausted && can_resend =>
         {
             NextStep::Resend { repeats }
         }
         AttemptEnd::Failed { .. } => NextStep::ForwardFailure,
-        AttemptEnd::Lost | AttemptEnd::Refused => NextStep::OutcomeUnknown,
+        AttemptEnd::Lost | AttemptEnd::Cancelled | AttemptEnd::Refused => NextStep::OutcomeUnknown,
     }
 }
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -133,6 +133,7 @@
     CallerNoMemory = 642 "caller_no_memory" Info,
     StreamSilent = 643 "stream_silent" Info,
     RequestHedged = 644 "request_hedged" Info,
+    RequestCancelled = 645 "request_cancelled" Info,
     TargetUnreachable = 701 "target_unreachable" Warn,
     TargetBack = 702 "target_back" Info,
     TargetRestarted = 703 "target_restarted" Warn,
