Front end: ends of attempts, answers, choices and destinations stand in files below those that use them

Outcome and NotResumed (outcome.rs), Choice (choice.rs), Destination (destination.rs) and the answers of targets (target_answer.rs) stand by themselves now; what follows a failed send and what is recorded of answers are the Dispatcher's own files (failed_sends.rs, answer_records.rs).

--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        exchange::{CompleteAnswer, Destination},
+        destination::Destination,
         request_trace::{RequestTrace, TraceStep},
+        target_answer::CompleteAnswer,
     },
     crate::{
         clock::Instant,
--- a/src/connection/front/chooser.rs
+++ b/src/connection/front/chooser.rs
@@ -2,10 +2,11 @@
     super::{
         adapter_availability::AdapterAvailability,
         attempts::Attempts,
+        choice::Choice,
+        destination::{Destination, ExpectedVersion},
         engine_estimator::EngineEstimator,
         engine_exclusions::EngineExclusions,
         engine_sample::{query_before_send, sample_for_adapter, sample_of_service},
-        exchange::{Destination, ExpectedVersion},
         request_trace::TraceStep,
         unplaced::Unplaced,
     },
@@ -15,7 +16,7 @@
         request::{
             direct::{
                 AdapterCopyState, Awaited, CallRequest, ChoiceContext, EngineCandidate,
-                EngineChoice, PlainCandidate, RejectReason, choose_engine, choose_plain,
+                EngineChoice, PlainCandidate, choose_engine, choose_plain,
             },
             pace::PaceEstimate,
         },
@@ -27,27 +28,6 @@
 /// Cost of loading a copy of an adapter that is requested once in a few seconds over all hosts.
 const COPY_COST: Duration = Duration::from_millis(300);
 
-/// Decision on the next send of a request.
-pub enum Choice {
-    /// Send the request to this destination.
-    Send(Destination),
-    /// Choose again at `until` or when the adapter's state changes; the first event is expected after `expected`.
-    Wait {
-        until: Instant,
-        expected: Option<Duration>,
-        awaited: Awaited,
-    },
-    /// Reject the request; the caller should retry after this time.
-    Reject {
-        retry_after: Duration,
-        reason: RejectReason,
-    },
-    /// Answer that no target can take the request.
-    NoTarget,
-    /// Wait until the queried holders have reported the status of their engines, at most until this time.
-    AwaitReports { until: Instant },
-}
-
 /// Chooses the target of each send.
 pub struct Chooser {
     table: Rc<RefCell<TargetTable>>,
--- a/src/connection/front/dispatch_forwarding.rs
+++ b/src/connection/front/dispatch_forwarding.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        AnswerBody, Dispatcher, admission::charge_repeat, attempts::Attempts, dispatcher::Outcome,
+        AnswerBody, Dispatcher, admission::charge_repeat, attempts::Attempts, outcome::Outcome,
         pending_request::PendingRequest,
     },
     crate::request::direct::CallRequest,
--- a/src/connection/front/dispatcher.rs
+++ b/src/connection/front/dispatcher.rs
@@ -3,35 +3,35 @@
         AnswerBody, ErrorCause, LocalAnswer,
         admission::{
             HeldSlot, Permit, QuotaCharge, STALE_RETRY_AFTER, SlotAcquisition, acquire_permit,
-            acquire_slot, charge, charge_repeat, wait_for_budget,
+            acquire_slot, charge, charge_repeat,
         },
         answer_times::AnswerTimes,
-        attempts::{Attempts, VersionAtStart},
-        chooser::{Choice, Chooser},
+        attempts::Attempts,
+        choice::Choice,
+        chooser::Chooser,
         crash_probe::{LostAnswer, answers_health_check, clear_suspect, probe_after_loss},
-        exchange::{Destination, OpenAnswer, SendOutcome},
+        destination::Destination,
+        exchange::SendOutcome,
         final_answers::{FinalAnswers, STOPPING_RETRY_AFTER, relay},
         hedge::HedgedSend,
         host_forwarder::HostForwarder,
         host_stop::StopWatch,
         open_request::OpenRequest,
+        outcome::{NotResumed, Outcome, Unreached},
         pending_request::{PendingRequest, settle_charge},
-        poison_check::{has_crashed_targets, is_suspected, rejected_key},
+        poison_check::{is_suspected, rejected_key},
         request_trace::TraceStep,
-        served_request::{CALLER_GONE, ServedRequest},
+        served_request::ServedRequest,
         stream_relay::StreamRelay,
-        survival_check::check_survival,
         take_up::{GONE_RETRY_AFTER, UNKNOWN_RETRY_AFTER},
+        target_answer::OpenAnswer,
     },
     crate::{
         clock::{Instant, timeout_at},
-        connection::targets::{ANSWER_START_WINDOW, AnswerStart, TargetIncarnation, TargetTable},
+        connection::targets::{TargetIncarnation, TargetTable},
         formats::Formats,
-        metrics::{StateLabels, WaitLabels, metrics},
         request::{
-            direct::{
-                AdapterCopyState, AttemptEnd, CallRequest, NextStep, RejectReason, next_step,
-            },
+            direct::{AttemptEnd, CallRequest, RejectReason},
             origins::RequiredSoftware,
             places::SlotOutcome,
         },
@@ -40,53 +40,12 @@
     std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
 
-/// Backoff before a request is sent again to an engine that is still loading its adapter.
-const LOAD_BACKOFF: Duration = Duration::from_millis(25);
-
 /// Backoff before a target is chosen again for a request that was not sent to the one chosen before.
 const WITHHELD_BACKOFF: Duration = Duration::from_millis(10);
 
 /// A connection that is lost sooner than this was closed before the target started the request.
 const MIN_RUN_TIME: Duration = Duration::from_millis(3);
 
-/// Result of all sends of a request.
-pub(super) enum Outcome {
-    /// The final answer.
-    Final(Response<AnswerBody>),
-    /// The head and the first piece of an answer that is still being sent.
-    Open(Box<OpenAnswer>),
-    /// The answer of another host.
-    Forwarded(Response<AnswerBody>),
-}
-
-/// This host reaches no target of the service, and another host may serve the request.
-pub(super) struct Unreached;
-
-/// Why a stream is not resumed.
-pub enum NotResumed {
-    /// The search for a target ended with this answer, which comes too late for the caller.
-    Answered(Response<AnswerBody>),
-    /// A target gave an answer that continues no stream.
-    Unusable,
-    TimeOver,
-    CallerGone,
-}
-
-impl NotResumed {
-    /// Returns the word for logs.
-    pub fn word(&self) -> &'static str {
-        match self {
-            Self::Answered(response) => {
-                let cause = response.extensions().get::<ErrorCause>();
-                cause.map_or("failed_there", |cause| cause.word())
-            }
-            Self::Unusable => "unusable",
-            Self::TimeOver => "time_over",
-            Self::CallerGone => CALLER_GONE,
-        }
-    }
-}
-
 /// Sends each request to a target, with resends where the route allows them, and returns the final answer.
 pub struct Dispatcher {
     pub(super) table: Rc<RefCell<TargetTable>>,
@@ -209,7 +168,7 @@
         log_unsent(request, ErrorCause::Stopping);
     }
 
-    fn record_answer_time(
+    pub(super) fn record_answer_time(
         &self,
         request: &CallRequest,
     ) {
@@ -521,166 +480,6 @@
     ) -> TargetIncarnation {
         (target.clone(), self.table.borrow().incarnation(target))
     }
-
-    /// Handles a broken stream; its request becomes a suspect if the stream had just begun.
-    pub fn on_broken(
-        &self,
-        request: &CallRequest,
-        incarnation: TargetIncarnation,
-        first_event: Instant,
-    ) {
-        let now = Instant::now();
-        let had_just_begun = now.saturating_duration_since(first_event) < ANSWER_START_WINDOW;
-        let lost = match had_just_begun {
-            true => LostAnswer::suspect(request, incarnation, true),
-            false => LostAnswer::unsuspected(incarnation),
-        };
-        probe_after_loss(&self.table, self.formats.headers(), request, lost);
-    }
-
-    /// Records that a target has begun to answer a request.
-    fn record_answer_start(
-        &self,
-        request: &CallRequest,
-        incarnation: TargetIncarnation,
-    ) {
-        check_survival(&self.table, self.formats.headers(), request, &incarnation);
-        let start = AnswerStart {
-            at: Instant::now(),
-            incarnation,
-            id: request.id_text().to_string(),
-            customer: request.customer_name().map(Arc::from),
-            parts: request.part_keys(),
-        };
-        self.table.borrow_mut().crashes.on_answer_start(start);
-    }
-
-    /// Returns what is known now of the version of the adapter that a request was sent for, and counts it.
-    fn version_at_start(
-        &self,
-        request: &CallRequest,
-        destination: &Destination,
-    ) -> Option<VersionAtStart> {
-        let adapter = request.generation.as_ref()?.adapter()?;
-        let sent = destination.version?;
-        let table = self.table.borrow();
-        let deadline = table.version_deadline(adapter, sent.version);
-        let start = VersionAtStart {
-            newest: table.newest_version(adapter),
-            remaining: deadline.remaining(Instant::now()),
-        };
-        let state = match start.remaining.is_over() {
-            true => "expired",
-            false if sent.version < start.newest => "replaced",
-            false => "newest",
-        };
-        let labels = StateLabels { state };
-        metrics().version_starts.get_or_create(&labels).inc();
-        Some(start)
-    }
-
-    /// Handles the end of a complete stream.
-    pub fn on_complete(
-        &self,
-        open: &OpenRequest,
-    ) {
-        let request = &open.request;
-        self.record_answer_time(request);
-        clear_suspect(&self.table, request, open.status);
-        let paused_too_long = open.timing.longest_pause() > request.route.gap_aim;
-        let mut table = self.table.borrow_mut();
-        table.record_stream(&request.service.name, paused_too_long);
-    }
-
-    /// Decides what follows a failed send; returns the final answer, or `None` if the request is to be sent again.
-    async fn handle_failed_send(
-        &self,
-        request: &CallRequest,
-        attempts: &mut Attempts,
-        destination: &Destination,
-        end: AttemptEnd,
-    ) -> Option<Response<AnswerBody>> {
-        let now = Instant::now();
-        let service = &request.service.name;
-        let mut step = next_step(&request.route, &attempts.history, end, true);
-        if end.is_unknown() && has_crashed_targets(&self.table, request) {
-            step = next_step(&request.route, &attempts.history, end, false);
-        }
-        let repeats = step == NextStep::Resend { repeats: true };
-        if repeats && !wait_for_budget(&self.table, request).await {
-            self.table.borrow_mut().budget(service).on_rejected(now);
-            step = next_step(&request.route, &attempts.history, end, false);
-        }
-        match step {
-            NextStep::Resend { repeats } => {
-                attempts.trace.add(TraceStep::Resent { repeats }, now);
-                let labels = WaitLabels { cause: end.word() };
-                metrics().resends.get_or_create(&labels).inc();
-                if self.is_loading(request, destination, end) {
-                    tokio::time::sleep(LOAD_BACKOFF).await;
-                } else if end != AttemptEnd::Cancelled || self.has_other_engines(request, attempts)
-                {
-                    attempts.tried.push(destination.target.to_string());
-                }
-                None
-            }
-            NextStep::Reject => Some(self.answers.rejected_by_targets(request, attempts)),
-            NextStep::ForwardFailure => attempts.failure.take().map(relay),
-            NextStep::OutcomeUnknown => Some(match attempts.failure.take() {
-                Some(failure) => relay(failure),
-                None => self
-                    .answers
-                    .answer(request, LocalAnswer::new(ErrorCause::AnswerLost)),
-            }),
-        }
-    }
-
-    /// Returns true if the service has engines besides the last one that the request may be sent to.
-    fn has_other_engines(
-        &self,
-        request: &CallRequest,
-        attempts: &Attempts,
-    ) -> bool {
-        let engines = self.table.borrow().engines_of(&request.service.name);
-        let untried = engines.iter().filter(|engine| !attempts.has_tried(engine));
-        untried.count() > 1
-    }
-
-    /// Returns true if the engine rejected the request because it was still loading the adapter.
-    fn is_loading(
-        &self,
-        request: &CallRequest,
-        destination: &Destination,
-        end: AttemptEnd,
-    ) -> bool {
-        let adapter = request.generation.as_ref().and_then(|g| g.adapter());
-        let Some(adapter) = adapter else {
-            return false;
-        };
-        if !matches!(end, AttemptEnd::NotRun { .. }) {
-            return false;
-        }
-        let table = self.table.borrow();
-        let copy = table.adapters.get(adapter, &destination.target);
-        copy.is_some_and(|copy| matches!(copy.state, AdapterCopyState::Loading { .. }))
-    }
-
-    fn on_misdirected(
-        &self,
-        request: &CallRequest,
-        destination: &Destination,
-    ) {
-        let Some(adapter) = request.generation.as_ref().and_then(|g| g.adapter()) else {
-            return;
-        };
-        let mut table = self.table.borrow_mut();
-        let copy = table.adapters.get(adapter, &destination.target);
-        let loading =
-            copy.is_some_and(|copy| matches!(copy.state, AdapterCopyState::Loading { .. }));
-        if !loading {
-            table.on_adapter_missing(adapter, &destination.target);
-        }
-    }
 }
 
 /// Writes the line of a request for which nothing was sent.
--- a/src/connection/front/exchange.rs
+++ b/src/connection/front/exchange.rs
@@ -1,10 +1,11 @@
 use {
     super::{
-        AnswerEnding, AnswerReader,
-        admission::HeldPermit,
+        AnswerReader,
         buffer_limits::MAX_BUFFERED_BODY,
+        destination::Destination,
         in_flight_request::InFlightRequest,
         reach_check::suspect_unreached,
+        target_answer::{AnswerSource, CompleteAnswer, OpenAnswer},
         target_connection::connect,
         version_watch::{VersionExpired, VersionWatch},
     },
@@ -12,21 +13,19 @@
         clock::Instant,
         connection::{
             http1::{ExchangeError, ResponseHead},
-            targets::{KeyStatus, TargetIncarnation, TargetSilence, TargetTable},
+            targets::{KeyStatus, TargetTable},
         },
-        formats::{HeaderNames, SoftwareVersion},
+        formats::HeaderNames,
         note,
         request::{
             direct::{AttemptEnd, CallRequest},
             memory::MemoryUse,
-            origins::RequiredSoftware,
-            pace::PaceEstimate,
         },
         timeline::Event,
     },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, StatusCode, header},
-    std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
+    std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -37,127 +36,6 @@
 const MAX_UNUSED_BODY: usize = 64 * 1024;
 const UNUSED_BODY_TIME: Duration = Duration::from_millis(20);
 
-/// Version of the adapter that a request is sent for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ExpectedVersion {
-    pub version: u64,
-    /// Newest known version.
-    pub newest: u64,
-    /// Expected wait of the request before the engine starts it.
-    pub wait: Duration,
-}
-
-/// Target of a send, and the conditions on which the request may run there.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Destination {
-    pub target: Arc<str>,
-    /// Version of the adapter that the target must hold; `None` for requests without an adapter.
-    pub version: Option<ExpectedVersion>,
-    /// Id of the event after which the answer continues.
-    pub resume_after: Option<u64>,
-    /// Version of the software that the target must run.
-    pub software: RequiredSoftware,
-    /// Estimate by which an engine was chosen.
-    pub estimate: Option<PaceEstimate>,
-}
-
-impl Destination {
-    /// Returns a destination without conditions.
-    pub fn of(target: &str) -> Self {
-        Self {
-            target: target.into(),
-            version: None,
-            resume_after: None,
-            software: RequiredSoftware::Any,
-            estimate: None,
-        }
-    }
-}
-
-/// A complete answer of a target.
-#[derive(Debug)]
-pub struct CompleteAnswer {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
-/// An answer whose body is still being sent.
-pub struct OpenAnswer {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-    /// First piece of the body.
-    pub first: Bytes,
-    pub source: AnswerSource,
-}
-
-/// Source of the rest of a body.
-pub struct AnswerSource {
-    reader: AnswerReader,
-    reusable: bool,
-    idle_limit: Option<Duration>,
-    in_flight: InFlightRequest,
-    /// Permit of a brittle target.
-    pub(super) permit: Option<HeldPermit>,
-}
-
-impl AnswerSource {
-    /// Returns the next piece, or `None` at the end of the body.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
-        let awaited_event = self.reader.awaits_event();
-        let piece = self.reader.next().await;
-        if matches!(piece, Ok(Some(_))) {
-            self.in_flight.on_received();
-            if awaited_event && !self.reader.awaits_event() {
-                self.in_flight.record_success();
-            }
-        }
-        piece
-    }
-
-    /// Returns what is known of the silence of the target, in which it has sent nothing for `time`.
-    pub fn target_silence(
-        &self,
-        service: &str,
-        time: Duration,
-    ) -> TargetSilence {
-        let table = self.in_flight.table().borrow();
-        table.silence_of(service, self.target(), time, Instant::now())
-    }
-
-    pub fn target(&self) -> &str {
-        self.in_flight.target()
-    }
-
-    /// Returns the incarnation of the target that answers.
-    pub fn incarnation(&self) -> TargetIncarnation {
-        self.in_flight.target_incarnation()
-    }
-
-    /// Returns the version of the software that answers.
-    pub fn software(&self) -> Option<&SoftwareVersion> {
-        self.in_flight.software()
-    }
-
-    /// Returns how the end of the bytes so far was told.
-    pub fn ending(&self) -> AnswerEnding {
-        self.reader.ending()
-    }
-
-    /// Records that the rest of the answer was malformed.
-    pub fn record_failure(&self) {
-        self.in_flight.record_failure();
-    }
-
-    /// Ends a completely read body, and returns the connection to the pool if it can be reused.
-    pub fn finish(self) {
-        if self.reusable {
-            let connection = self.reader.into_connection();
-            self.in_flight.release(connection, self.idle_limit);
-        }
-    }
-}
-
 /// Result of a send.
 pub enum SendOutcome {
     Complete(CompleteAnswer),
--- a/src/connection/front/final_answers.rs
+++ b/src/connection/front/final_answers.rs
@@ -2,8 +2,8 @@
     super::{
         AnswerBody, ErrorCause, LocalAnswer,
         attempts::Attempts,
-        exchange::CompleteAnswer,
         request_trace::millis,
+        target_answer::CompleteAnswer,
         unplaced::{reason_of, record_rejection, retry_delay},
     },
     crate::{
--- a/src/connection/front/mod.rs
+++ b/src/connection/front/mod.rs
@@ -5,11 +5,14 @@
 mod admission;
 mod answer_body;
 mod answer_reader;
+mod answer_records;
 mod answer_times;
 mod attempts;
 mod buffer_limits;
+mod choice;
 mod chooser;
 mod crash_probe;
+mod destination;
 mod dispatch_forwarding;
 mod dispatch_waits;
 mod dispatcher;
@@ -19,6 +22,7 @@
 mod event_scanner;
 mod event_splitter;
 mod exchange;
+mod failed_sends;
 mod final_answers;
 mod first_line;
 mod forwarded_relay;
@@ -32,6 +36,7 @@
 mod local_answer;
 mod memory_sweeper;
 mod open_request;
+mod outcome;
 mod pending_request;
 mod poison_check;
 mod reach_check;
@@ -44,6 +49,7 @@
 mod stream_timing;
 mod survival_check;
 mod take_up;
+mod target_answer;
 mod target_connection;
 mod unplaced;
 mod version_watch;
@@ -53,11 +59,12 @@
     answer_body::{AnswerBody, BrokenAnswer},
     answer_reader::{AnswerEnding, AnswerReader},
     attempts::Attempts,
-    chooser::{Choice, Chooser},
+    choice::Choice,
+    chooser::Chooser,
+    destination::Destination,
     dispatcher::Dispatcher,
     event_scanner::EventScanner,
     event_splitter::{BrokenStream, EventSplitter},
-    exchange::Destination,
     front_listener::{FrontListener, RequestOrigin},
     host_stop::{HostStop, StopStage, StopWatch},
     lateness::{Lateness, TimedPart},
--- a/src/connection/front/request_trace.rs
+++ b/src/connection/front/request_trace.rs
@@ -1,5 +1,5 @@
 use {
-    super::{engine_exclusions::EngineExclusions, exchange::ExpectedVersion},
+    super::{destination::ExpectedVersion, engine_exclusions::EngineExclusions},
     crate::{
         clock::Instant,
         note,
--- a/src/connection/front/served_request.rs
+++ b/src/connection/front/served_request.rs
@@ -2,7 +2,7 @@
     super::{
         AnswerEnding, ErrorCause, Lateness, StreamTiming, TimedPart,
         attempts::{Attempts, VersionAtStart},
-        exchange::ExpectedVersion,
+        destination::ExpectedVersion,
         request_trace::millis,
     },
     crate::{
--- a/src/connection/front/unplaced.rs
+++ b/src/connection/front/unplaced.rs
@@ -4,7 +4,7 @@
     super::{
         ErrorCause,
         attempts::Attempts,
-        chooser::Choice,
+        choice::Choice,
         request_trace::TraceStep,
         waits::{CHOICE_RETRY_INTERVAL, HOLDER_TIMEOUT},
     },
--- a/src/connection/front/version_watch.rs
+++ b/src/connection/front/version_watch.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        exchange::{Destination, ExpectedVersion},
+        destination::{Destination, ExpectedVersion},
         request_trace::millis,
     },
     crate::{
