A cancelled request goes back to its engine if no other takes it

Change: once no other engine is left, the engines at which the request was cancelled are tried again. So the only engine of a service needs no rule of its own.

--- a/src/connection/front/attempts.rs
+++ b/src/connection/front/attempts.rs
@@ -31,7 +31,7 @@
 #[derive(Default)]
 pub struct Attempts {
     pub history: RequestHistory,
-    /// Targets that rejected it, were not reached, or lost the connection.
+    /// Targets that rejected it, were not reached, lost the connection, or did not begin it in time.
     pub tried: Vec<String>,
     /// Targets that it is not sent to, even if no other takes it.
     pub excluded: Vec<String>,
@@ -80,12 +80,12 @@
         self.unconfirmed_since = None;
         let target = destination.target.clone();
         let step = match end {
+            // It has a line of its own.
+            AttemptEnd::Cancelled => return,
             AttemptEnd::NotSent => TraceStep::Unreachable { target },
             AttemptEnd::NotRun { status, .. } => TraceStep::Rejected { target, status },
             AttemptEnd::Failed { status } => TraceStep::Failed { target, status },
-            AttemptEnd::Lost | AttemptEnd::Cancelled | AttemptEnd::Refused => {
-                TraceStep::AnswerLost { target }
-            }
+            AttemptEnd::Lost | AttemptEnd::Refused => TraceStep::AnswerLost { target },
         };
         self.trace.add(step, now);
     }
--- a/src/connection/front/failed_sends.rs
+++ b/src/connection/front/failed_sends.rs
@@ -45,8 +45,7 @@
                 metrics().resends.get_or_create(&labels).inc();
                 if self.is_loading(request, destination, end) {
                     tokio::time::sleep(LOAD_BACKOFF).await;
-                } else if end != AttemptEnd::Cancelled || self.has_other_engines(request, attempts)
-                {
+                } else {
                     attempts.tried.push(destination.target.to_string());
                 }
                 None
@@ -62,17 +61,6 @@
         }
     }
 
-    /// Returns true if the service has engines besides the last one that the request may be sent to.
-    fn has_other_engines(
-        &self,
-        request: &CallRequest,
-        attempts: &Attempts,
-    ) -> bool {
-        let engines = self.table.borrow().engines_of(&request.service.name);
-        let untried = engines.iter().filter(|engine| !attempts.has_tried(engine));
-        untried.count() > 1
-    }
-
     /// Returns true if the engine rejected the request because it was still loading the adapter.
     fn is_loading(
         &self,
--- a/src/connection/front/unplaced.rs
+++ b/src/connection/front/unplaced.rs
@@ -139,6 +139,10 @@
             let until = room_at.unwrap_or(retry_at);
             return self.decide(table, attempts, self.outlook(table), until);
         }
+        if attempts.was_cancelled {
+            // With no other engine left, those that it was cancelled at are better than none.
+            attempts.tried.clear();
+        }
         match self.is_prompt(retry_at) || attempts.was_cancelled {
             true => Choice::Wait {
                 until: retry_at,
--- a/src/connection/front/version_watch.rs
+++ b/src/connection/front/version_watch.rs
@@ -16,7 +16,7 @@
     std::{cell::RefCell, future::pending, rc::Rc},
 };
 
-/// The request was not begun while its version could serve.
+/// The request has not begun, and its version may no longer serve soon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct VersionExpired;
 
--- a/src/connection/targets/target_table.rs
+++ b/src/connection/targets/target_table.rs
@@ -66,7 +66,7 @@
     pub(super) freshness: ReplicaFreshness,
     /// Wakes requests that wait for fresh replicas.
     pub(super) freshness_updates: Rc<Notify>,
-    /// Wakes requests that wait at an engine for their start.
+    /// Wakes requests that watch the versions of their adapters.
     pub(super) version_updates: Rc<Notify>,
     pub(super) staleness_monitor: StalenessMonitor,
     /// Whether this host reaches targets, by service.
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -100,6 +100,7 @@
     drop(metrics.rejections.get_or_create(&cause));
     drop(metrics.forwards.get_or_create(&state));
     drop(metrics.hedges.get_or_create(&state));
+    drop(metrics.version_starts.get_or_create(&state));
     drop(metrics.repeats.get_or_create(&state));
     drop(metrics.repeat_allowance.get_or_create(&state));
     drop(metrics.repeat_loans.get_or_create(&state));
