--- a/src/process/host/control_holding.rs
+++ b/src/process/host/control_holding.rs
@@ -1,7 +1,7 @@
 //! Control-thread handling of engine assignment: leases, takeovers and their publication.
 
 use {
-    super::{ControlAction, HostControl, control_tables::quoted},
+    super::{ControlAction, HostControl},
     crate::{
         clock::Instant,
         connection::datagram::HostRumor,
@@ -12,7 +12,7 @@
             holding::{AssignmentAction, HolderRow, HostRow, KnownLease, TakenEngine},
         },
         request::quotas::shard_lease,
-        timeline::Event,
+        timeline::{Event, quoted},
     },
     std::{
         collections::{BTreeMap, HashMap},
--- a/src/process/host/control_origin_rows.rs
+++ b/src/process/host/control_origin_rows.rs
@@ -6,7 +6,6 @@
 use {
     super::{
         ControlAction, HostControl,
-        control_tables::quoted,
         origin_rows::{
             ORIGIN_TABLE, OriginRow, VersionRow, delete_write, streams_key, streams_write,
             version_key, version_write,
@@ -18,7 +17,7 @@
         formats::{Commit, Row, RowBatch, RowKey, RowWrite, SoftwareId},
         note,
         request::origins::{ORIGIN_TTL, StreamKey, StreamOrigin},
-        timeline::Event,
+        timeline::{Event, quoted},
     },
     std::{
         collections::{BTreeMap, VecDeque},
--- a/src/process/host/control_poison.rs
+++ b/src/process/host/control_poison.rs
@@ -4,7 +4,6 @@
 use {
     super::{
         ControlAction, HostControl,
-        control_tables::quoted,
         poison_messages::{to_messages, update_from_wire},
         poison_rows::{POISON_TABLE, delete_write, parse_row, store_write},
     },
@@ -18,7 +17,7 @@
             Accusation, IncarnationId, PoisonKey, PoisonLedger, PoisonReport, PoisonStatus,
             PoisonUpdate, PoisonVerdict,
         },
-        timeline::Event,
+        timeline::{Event, quoted},
     },
     rand::RngExt,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
--- a/src/process/host/control_runner.rs
+++ b/src/process/host/control_runner.rs
@@ -3,7 +3,6 @@
 use {
     super::{
         ControlAction, ControlEvent, HostControl,
-        control_tables::quoted,
         copy_reader::{CopyReader, STORE_LIMIT},
         kept_calls::KeptCalls,
         origin_rows::ORIGIN_TABLE,
@@ -27,7 +26,7 @@
             ownership::SessionLease,
             settings::NodeSettings,
         },
-        timeline::Event,
+        timeline::{Event, quoted},
     },
     std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::task::spawn_local,
--- a/src/process/host/control_tables.rs
+++ b/src/process/host/control_tables.rs
@@ -11,7 +11,7 @@
         formats::{Declared, Formats, Row, RowBatch, RowsReply, StoreVersion},
         note,
         process::tables::{Comparison, TableChanges},
-        timeline::Event,
+        timeline::{Event, quoted},
         version::routing::RoutingTable,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -31,9 +31,6 @@
 /// other's replicas would keep them at age 0, and no host would read the store.
 const ASSUMED_TRANSIT_TIME: Duration = Duration::from_millis(50);
 
-/// Maximum number of characters of external text in a log line.
-const MAX_QUOTED_CHARS: usize = 160;
-
 /// Fingerprint of every entry that names no target, so that rewriting one with other bytes is no change.
 const UNUSABLE_FINGERPRINT: u64 = 0;
 
@@ -442,13 +439,6 @@
     }
 }
 
-/// Formats external text as one quoted, truncated value of a log line.
-pub(super) fn quoted(text: &impl ToString) -> String {
-    let text = text.to_string();
-    let start: String = text.chars().take(MAX_QUOTED_CHARS).collect();
-    format!("{start:?}")
-}
-
 /// Returns a function that maps equivalent values of a row to the same fingerprint. The adapters of a target
 /// are ignored, as the host that holds the engine knows them better.
 fn fingerprint(
--- a/src/process/host/control_targets.rs
+++ b/src/process/host/control_targets.rs
@@ -3,14 +3,14 @@
 use {
     super::{
         ControlAction, HostControl,
-        control_tables::{RowChanges, quoted},
+        control_tables::RowChanges,
         listed_target::{EntryOrder, ListedTarget},
     },
     crate::{
         clock::Instant,
         formats::{Row, TargetRecord, TargetStart, TargetState},
         note,
-        timeline::Event,
+        timeline::{Event, quoted},
     },
     std::net::SocketAddr,
 };
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -4,12 +4,14 @@
 mod event_log;
 mod line_gate;
 mod line_writer;
+mod quoted;
 
 pub use {
     event::Event,
     event_log::{EventLog, LoggedEvent},
     line_gate::{admits, take_held_back},
     line_writer::{LineHead, LineWriter},
+    quoted::quoted,
 };
 
 /// Notes an event with its details, as one line of `name=value` pairs.
